--- /dev/null
+++ b/Makefile
@@ -0,0 +1,113 @@
+# Builds the programs, the library, the stand-ins and the tests.
+#   make            programs, stand-ins and the load generator in build/opt
+#   make check      unit, fuzz-regression and functional tests (sanitizers on)
+#   make bench      figures against their bounds
+#   make demo       set-up, build and a guided run on loopback
+#   make fuzz       libFuzzer targets, FUZZ_SECONDS each (default 60)
+#   make lint       formatter, linters and the layer check
+VARIANT ?= opt
+BUILD := build/$(VARIANT)
+
+CC := gcc
+CFLAGS := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
+  -Wmissing-prototypes -Wno-unused-parameter -Werror -Isrc -Iinclude
+ifeq ($(VARIANT),san)
+CFLAGS += -O1 -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+  -fno-omit-frame-pointer
+else ifeq ($(VARIANT),fuzz)
+CC := clang
+CFLAGS += -O1 -fsanitize=fuzzer-no-link,address,undefined \
+  -fno-sanitize-recover=undefined -fno-omit-frame-pointer
+else
+CFLAGS += -O2
+endif
+LIBS := -levhtp -levent_openssl -levent -lssl -lcrypto -lmsgpackc -lyaml \
+  -ltalloc -lsodium -lzstd -ljansson -lxxhash -largtable2 -lm
+
+PRODUCT := $(filter-out %_main.c,$(wildcard src/base/*.c src/state/*.c \
+  src/coordination/*.c src/protocol/*.c src/transport/*.c src/node/*.c \
+  src/ctl/*.c src/lib/*.c))
+LIBRARY := $(BUILD)/libhawthornseam-core.a
+NODE := $(BUILD)/hawthornseam-node
+CTL := $(BUILD)/hawthornseam-ctl
+OPERATOR_LIBRARY := $(BUILD)/libhawthornseam.a
+STANDINS := $(patsubst test/standin/%.c,$(BUILD)/standin-%, \
+  $(wildcard test/standin/*.c))
+EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench-%,$(wildcard bench/*.c))
+UNIT_TESTS := $(patsubst test/unit/%.c,$(BUILD)/unit-%, \
+  $(wildcard test/unit/*_test.c))
+FUZZERS := $(patsubst test/fuzz/%.c,$(BUILD)/fuzz-%, \
+  $(wildcard test/fuzz/*_fuzz.c))
+
+all: $(if $(wildcard src/node/node_main.c),$(NODE)) \
+  $(if $(wildcard src/ctl/ctl_main.c),$(CTL)) \
+  $(if $(wildcard src/lib/*.c),$(OPERATOR_LIBRARY)) \
+  $(STANDINS) $(EXAMPLES) $(BENCHES)
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIBRARY): $(PRODUCT:%.c=$(BUILD)/obj/%.o)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(OPERATOR_LIBRARY): $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard src/lib/*.c))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(NODE): $(BUILD)/obj/src/node/node_main.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(CTL): $(BUILD)/obj/src/ctl/ctl_main.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-%: $(BUILD)/obj/test/standin/%.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/example-%: $(BUILD)/obj/examples/%.o $(OPERATOR_LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^
+
+$(BUILD)/bench-%: $(BUILD)/obj/bench/%.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/unit-%: $(BUILD)/obj/test/unit/%.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcunit
+
+$(BUILD)/fuzz-%: $(BUILD)/obj/test/fuzz/%.o $(LIBRARY)
+	$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $^ $(LIBS)
+
+unit-tests: $(UNIT_TESTS)
+fuzzers: $(FUZZERS)
+
+deps:
+	@.ci/install-packages
+
+check: deps
+	$(MAKE) VARIANT=san all unit-tests
+	$(MAKE) VARIANT=fuzz fuzzers
+	$(MAKE) VARIANT=opt all
+	test/run.sh
+
+bench: deps
+	$(MAKE) VARIANT=opt all
+	bench/run.sh
+
+demo: deps
+	$(MAKE) VARIANT=opt all
+	test/functional/demo.sh
+
+fuzz: deps
+	$(MAKE) VARIANT=fuzz fuzzers
+	test/fuzz/run.sh $${FUZZ_SECONDS:-60}
+
+lint: deps
+	.ci/lint
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+.PHONY: all unit-tests fuzzers deps check bench demo fuzz lint clean
+.SECONDARY:
--- /dev/null
+++ b/src/base/clock.c
@@ -0,0 +1,30 @@
+/// Owns no state; wraps clock_gettime.
+#include "base/clock.h"
+
+#include <time.h>
+
+static uint64_t
+read_us (clockid_t id)
+{
+  struct timespec now;
+  clock_gettime (id, &now);
+  return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+uint64_t
+clock_monotonic_us (void)
+{
+  return read_us (CLOCK_MONOTONIC);
+}
+
+uint64_t
+clock_monotonic_ms (void)
+{
+  return read_us (CLOCK_MONOTONIC) / 1000;
+}
+
+uint64_t
+clock_wall_ms (void)
+{
+  return read_us (CLOCK_REALTIME) / 1000;
+}
--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,17 @@
+/// Reads the system's clocks. Decision modules take times as arguments
+/// instead.
+#ifndef HAWTHORNSEAM_BASE_CLOCK_H
+#define HAWTHORNSEAM_BASE_CLOCK_H
+
+#include <stdint.h>
+
+/// @return monotonic time in milliseconds
+uint64_t clock_monotonic_ms (void);
+
+/// @return monotonic time in microseconds
+uint64_t clock_monotonic_us (void);
+
+/// @return wall time in milliseconds since 1970-01-01T00:00:00Z
+uint64_t clock_wall_ms (void);
+
+#endif
--- /dev/null
+++ b/src/base/hash.c
@@ -0,0 +1,45 @@
+/// Owns no state; wraps xxHash and libsodium.
+#include "base/hash.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t
+hash_place (const void *data, size_t size)
+{
+  return XXH3_64bits (data, size);
+}
+
+uint64_t
+hash_place_string (const char *string)
+{
+  return XXH3_64bits (string, strlen (string));
+}
+
+uint64_t
+hash_place_pair (uint64_t first, uint64_t second)
+{
+  uint64_t pair[2] = { first, second };
+  return XXH3_64bits (pair, sizeof pair);
+}
+
+void
+hash_content (struct content_hash *hash, const void *data, size_t size)
+{
+  crypto_generichash (hash->bytes, sizeof hash->bytes, data, size, NULL, 0);
+}
+
+int
+hash_equal (const struct content_hash *a, const struct content_hash *b)
+{
+  return memcmp (a->bytes, b->bytes, sizeof a->bytes) == 0;
+}
+
+void
+hash_hex (const struct content_hash *hash,
+          char text[2 * CONTENT_HASH_SIZE + 1])
+{
+  sodium_bin2hex (text, 2 * CONTENT_HASH_SIZE + 1, hash->bytes,
+                  sizeof hash->bytes);
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,152 @@
+/// The node process: its parts and how they reach each other. Each part is
+/// owned by one file, which starts and stops it.
+#ifndef HAWTHORNSEAM_NODE_NODE_H
+#define HAWTHORNSEAM_NODE_NODE_H
+
+#include "base/rng.h"
+#include "coordination/follow.h"
+#include "coordination/store.h"
+#include "protocol/settings.h"
+#include "state/member.h"
+#include "transport/peer.h"
+
+#include <event2/event.h>
+
+struct node
+{
+  struct event_base *base;
+  struct settings settings;
+  struct rng rng;
+  uint64_t slot_id;
+  const struct store_ops *store_ops;
+  void *store;
+  struct node_mesh *mesh; ///< node_mesh.c: peers, membership, spread, follow
+  struct node_config *config; ///< node_config.c: store watch, publishing
+  struct node_calls *calls;   ///< node_calls.c: calls, own target, drain
+  struct node_claims *claims; ///< node_claims.c: non-idempotent requests
+  struct node_moves *moves;   ///< node_moves.c: evidence, driver, trips
+  struct node_admin *admin;   ///< node_admin.c: operators' interface
+  bool stopping;
+};
+
+/* node_mesh.c */
+enum status node_mesh_start (struct node *node);
+void node_mesh_stop (struct node *node);
+struct peers *node_peers (struct node *node);
+const struct member_table *node_members (const struct node *node);
+struct follow *node_follow (struct node *node);
+
+/// Sets the announcement of the own target and spreads it.
+void node_mesh_set_target (struct node *node, const char *service,
+                           const char *target_version, uint16_t target_slots,
+                           enum target_state state);
+
+/// Tells the other members that this node leaves.
+void node_mesh_leave (struct node *node);
+
+/// Broadcasts a body to all nodes of all zones. Kinds are those of the design
+/// page: 1 version record, 2 member events, 3 trip, 4 crash suspect, 5 suspect
+/// cleared.
+void node_mesh_broadcast (struct node *node, unsigned kind,
+                          const uint8_t *body, size_t size);
+
+/// Registers the receiver of a broadcast kind. It is called once per broadcast
+/// id, not for broadcasts that this node started.
+void node_mesh_on_broadcast (struct node *node, unsigned kind,
+                             void (*handler) (void *arg, uint64_t origin_slot,
+                                              const uint8_t *body,
+                                              size_t size),
+                             void *arg);
+
+/// Registers a function that is called after each version came into force.
+void node_mesh_on_version (struct node *node,
+                           void (*handler) (void *arg,
+                                            const struct config *config),
+                           void *arg);
+
+/// @return true when this node is a relay of its zone
+bool node_is_relay (const struct node *node);
+
+/// @return slot id of the live member chosen by rendezvous for a role name
+uint64_t node_role_owner (const struct node *node, const char *role);
+
+/* node_config.c */
+enum status node_config_start (struct node *node);
+void node_config_stop (struct node *node);
+
+/// Publishes a content as the next version. `done` is called once, with
+/// STATUS_OK and the new version; STATUS_CONFLICT with the newest version when
+/// another writer was first; STATUS_UNAVAILABLE when the store is out.
+/// @param base_version  version that the change is based on
+void node_config_publish (
+    struct node *node, const struct config *content, uint64_t base_version,
+    const char *author, const char *note, uint64_t nonce,
+    void (*done) (void *arg, enum status status, uint64_t version), void *arg);
+
+/* node_calls.c */
+enum status node_calls_start (struct node *node);
+/// Stops accepting, lets everything in flight finish, then calls `done`.
+void node_calls_drain (struct node *node, void (*done) (void *arg), void *arg);
+void node_calls_stop (struct node *node);
+
+/* node_claims.c */
+enum claim_result
+{
+  CLAIM_GRANTED,     ///< run it now, at most once
+  CLAIM_RECORDED,    ///< it ran before; the outcome is given
+  CLAIM_SPENT,       ///< it may have run; it will not be run again
+  CLAIM_KEY_REFUSED, ///< the key is too old, too new or malformed: not run
+  CLAIM_TIMED_OUT    ///< not claimed within the deadline: not run
+};
+
+struct claim_outcome
+{
+  uint16_t status; ///< HTTP status of the recorded answer
+  const uint8_t *body;
+  size_t body_size;   ///< at most 512 bytes are kept
+  bool body_complete; ///< false when the answer was longer than that
+};
+
+struct node_claim; ///< one attempt, valid until it is finished
+
+enum status node_claims_start (struct node *node);
+void node_claims_stop (struct node *node);
+
+/// Asks for the right to run a request once. `done` is called exactly once
+/// unless the claim is abandoned before.
+struct node_claim *
+node_claim_begin (struct node *node, const char *idempotency_key,
+                  uint32_t deadline_ms,
+                  void (*done) (void *arg, struct node_claim *claim,
+                                enum claim_result result,
+                                const struct claim_outcome *outcome),
+                  void *arg);
+
+/// Ends an attempt. NULL outcome: the request certainly did not run and the
+/// claim is released; otherwise the outcome is recorded. `unknown` leaves the
+/// claim spent.
+void node_claim_finish (struct node_claim *claim, bool unknown,
+                        const struct claim_outcome *outcome);
+
+/* node_moves.c */
+enum status node_moves_start (struct node *node);
+void node_moves_stop (struct node *node);
+
+/// @return share of a service's calls for the new version, basis points, after
+/// local trips; `to` is set to that version, or to NULL without a move
+uint32_t node_moves_share (const struct node *node, const char *service,
+                           const char **to);
+
+/// Counts the outcome of one call for the evidence of moves.
+/// @param failed      the caller got no usable answer, or a 5xx status
+/// @param latency_us  from choice of the target to the answer's headers
+void node_moves_observe (struct node *node, const char *service,
+                         const char *route, const char *target_version,
+                         const char *availability_zone, bool cold_target,
+                         bool failed, uint32_t latency_us);
+
+/* node_admin.c */
+enum status node_admin_start (struct node *node);
+void node_admin_stop (struct node *node);
+
+#endif
