Add the aggregation path to the node interface

Cause: move evidence and versions in force both travel up the zone trees. Measured: header compiles alone; no behaviour yet. Conclusion: evidence and reports can be written independently.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,6 +64,11 @@
                                             const struct config *config),
                            void *arg);
 
+/// @return the next node on the aggregation path from this node to another:
+/// the parent in the zone's tree, or the destination itself at the tree's root
+uint64_t node_mesh_next_hop (const struct node *node,
+                             uint64_t destination_slot);
+
 /// @return true when this node is a relay of its zone
 bool node_is_relay (const struct node *node);
 
