--- /dev/null
+++ b/src/coordination/balance.c
@@ -0,0 +1,377 @@
+/// Owns the list of targets of one version of a service.
+#include "coordination/balance.h"
+
+#include "base/hash.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// Weight of a new latency, 1 / 8.
+#define SMOOTHING 8
+
+/// Latency assumed before the first answer.
+#define LATENCY_START_US 1000
+
+/// A target that failed counts as this much slower for each failure, so that
+/// small groups, of which none may be ejected, avoid it as well.
+#define FAILURE_PENALTY 8
+#define FAILURES_COUNTED 4
+
+/// Failures in a row after which a target is ejected.
+#define EJECT_FAILURES 3
+#define EJECT_MS 1000
+#define EJECT_DOUBLINGS 5
+
+/// A reported load is used for this long.
+#define REPORT_MS 1000
+
+/// Draws before a target in slow start is taken anyway.
+#define DRAWS 4
+
+void
+balance_init (struct balance *balance)
+{
+  memset (balance, 0, sizeof *balance);
+}
+
+void
+balance_finish (struct balance *balance)
+{
+  free (balance->items);
+  memset (balance, 0, sizeof *balance);
+}
+
+void
+balance_begin_update (struct balance *balance)
+{
+  for (size_t i = 0; i < balance->count; i++)
+    balance->items[i].present = false;
+  balance->cursor = 0;
+}
+
+size_t
+balance_find (const struct balance *balance, uint64_t slot_id)
+{
+  for (size_t i = 0; i < balance->count; i++)
+    if (balance->items[i].slot_id == slot_id)
+      return i;
+  return BALANCE_NONE;
+}
+
+enum status
+balance_offer (struct balance *balance, uint32_t member, uint64_t slot_id,
+               uint16_t slots, bool local, uint64_t now_ms)
+{
+  size_t index = balance->cursor;
+  if (index >= balance->count || balance->items[index].slot_id != slot_id)
+    index = balance_find (balance, slot_id);
+  if (index != BALANCE_NONE)
+    {
+      balance->cursor = index + 1;
+      struct balance_target *known = &balance->items[index];
+      known->member = member;
+      known->slots = slots;
+      known->local = local;
+      known->present = true;
+      return STATUS_OK;
+    }
+  if (balance->count == balance->capacity)
+    {
+      size_t capacity = balance->capacity == 0 ? 8 : 2 * balance->capacity;
+      struct balance_target *items
+          = realloc (balance->items, capacity * sizeof *items);
+      if (items == NULL)
+        return status_set (STATUS_NO_MEMORY, "no memory for %zu targets",
+                           capacity);
+      balance->items = items;
+      balance->capacity = capacity;
+    }
+  struct balance_target *target = &balance->items[balance->count++];
+  memset (target, 0, sizeof *target);
+  target->member = member;
+  target->slot_id = slot_id;
+  target->slots = slots;
+  target->local = local;
+  target->present = true;
+  /* Targets of the first update were there before this node. */
+  target->since_ms = balance->started || now_ms < BALANCE_SLOW_START_MS
+                         ? now_ms
+                         : now_ms - BALANCE_SLOW_START_MS;
+  return STATUS_OK;
+}
+
+void
+balance_end_update (struct balance *balance)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < balance->count; i++)
+    if (balance->items[i].present)
+      balance->items[kept++] = balance->items[i];
+  balance->count = kept;
+  balance->started = true;
+}
+
+static bool
+is_ejected (const struct balance_target *target, uint64_t now_ms)
+{
+  return target->ejected_until_ms > now_ms;
+}
+
+/// @return slots in use, from the last report and the own calls in flight
+static uint32_t
+slots_in_use (const struct balance_target *target, uint64_t now_ms)
+{
+  bool fresh
+      = target->reported_ms != 0 && now_ms - target->reported_ms < REPORT_MS;
+  if (fresh && target->reported > target->in_flight)
+    return target->reported;
+  return target->in_flight;
+}
+
+static bool
+local_zone_is_loaded (const struct balance *balance, uint64_t now_ms)
+{
+  uint64_t in_use = 0;
+  uint64_t slots = 0;
+  for (size_t i = 0; i < balance->count; i++)
+    {
+      const struct balance_target *target = &balance->items[i];
+      if (!target->local || is_ejected (target, now_ms))
+        continue;
+      in_use += slots_in_use (target, now_ms);
+      slots += target->slots;
+    }
+  return slots == 0 || in_use * 100 > slots * BALANCE_SPILL_PERCENT;
+}
+
+/// @return share of the full traffic that a target gets, in (0, 1]
+static double
+warmth (const struct balance_target *target, uint64_t now_ms)
+{
+  uint64_t age = now_ms - target->since_ms;
+  if (age >= BALANCE_SLOW_START_MS)
+    return 1;
+  double share = (double)age / BALANCE_SLOW_START_MS;
+  return share < 0.1 ? 0.1 : share;
+}
+
+/// @return expected waiting, lower is better
+static double
+score (const struct balance_target *target, uint64_t now_ms)
+{
+  double latency
+      = target->latency_us == 0 ? LATENCY_START_US : target->latency_us;
+  unsigned failures = target->failures < FAILURES_COUNTED ? target->failures
+                                                          : FAILURES_COUNTED;
+  double slots = target->slots == 0 ? 1 : target->slots;
+  return (slots_in_use (target, now_ms) + 1.0) * latency / slots
+         * (1 + FAILURE_PENALTY * failures);
+}
+
+/// Candidates of one choice; a filter over the list, kept as indexes.
+struct candidates
+{
+  const struct balance *balance;
+  uint64_t avoid;
+  uint64_t now_ms;
+  bool local_only;
+  bool use_ejected;
+};
+
+static bool
+is_candidate (const struct candidates *from, size_t index)
+{
+  const struct balance_target *target = &from->balance->items[index];
+  if (target->slot_id == from->avoid)
+    return false;
+  if (from->local_only && !target->local)
+    return false;
+  return from->use_ejected || !is_ejected (target, from->now_ms);
+}
+
+/// @return a uniformly random candidate other than `first`, or BALANCE_NONE
+static size_t
+draw (const struct candidates *from, struct rng *rng, size_t first)
+{
+  size_t count = from->balance->count;
+  for (unsigned i = 0; i < 8; i++)
+    {
+      size_t index = (size_t)rng_below (rng, count);
+      if (index != first && is_candidate (from, index))
+        return index;
+    }
+  /* Few candidates among many: choose among them by a scan. */
+  size_t seen = 0;
+  size_t chosen = BALANCE_NONE;
+  for (size_t i = 0; i < count; i++)
+    if (i != first && is_candidate (from, i) && rng_below (rng, ++seen) == 0)
+      chosen = i;
+  return chosen;
+}
+
+/// @return a candidate, where those in slow start are drawn less often
+static size_t
+draw_warm (const struct candidates *from, struct rng *rng, size_t first)
+{
+  size_t index = BALANCE_NONE;
+  for (unsigned i = 0; i < DRAWS; i++)
+    {
+      index = draw (from, rng, first);
+      if (index == BALANCE_NONE)
+        break;
+      double share = warmth (&from->balance->items[index], from->now_ms);
+      if (share >= 1 || rng_unit (rng) < share)
+        break;
+    }
+  return index;
+}
+
+static size_t
+choose_from (const struct candidates *from, struct rng *rng)
+{
+  size_t first = draw_warm (from, rng, BALANCE_NONE);
+  if (first == BALANCE_NONE)
+    return BALANCE_NONE;
+  size_t second = draw_warm (from, rng, first);
+  if (second == BALANCE_NONE)
+    return first;
+  const struct balance_target *items = from->balance->items;
+  double first_score = score (&items[first], from->now_ms)
+                       / warmth (&items[first], from->now_ms);
+  double second_score = score (&items[second], from->now_ms)
+                        / warmth (&items[second], from->now_ms);
+  return second_score < first_score ? second : first;
+}
+
+size_t
+balance_choose (const struct balance *balance, struct rng *rng, uint64_t avoid,
+                uint64_t now_ms)
+{
+  if (balance->count == 0)
+    return BALANCE_NONE;
+  struct candidates from
+      = { .balance = balance,
+          .avoid = avoid,
+          .now_ms = now_ms,
+          .local_only = !local_zone_is_loaded (balance, now_ms) };
+  size_t index = choose_from (&from, rng);
+  if (index == BALANCE_NONE && from.local_only)
+    {
+      from.local_only = false;
+      index = choose_from (&from, rng);
+    }
+  if (index == BALANCE_NONE)
+    {
+      from.use_ejected = true;
+      index = choose_from (&from, rng);
+    }
+  if (index == BALANCE_NONE && avoid != 0)
+    {
+      from.avoid = 0;
+      index = choose_from (&from, rng);
+    }
+  return index;
+}
+
+size_t
+balance_choose_single (const struct balance *balance, uint64_t fingerprint)
+{
+  size_t best = BALANCE_NONE;
+  uint64_t best_score = 0;
+  for (size_t i = 0; i < balance->count; i++)
+    {
+      uint64_t value
+          = hash_place_pair (fingerprint, balance->items[i].slot_id);
+      if (best == BALANCE_NONE || value > best_score)
+        {
+          best = i;
+          best_score = value;
+        }
+    }
+  return best;
+}
+
+void
+balance_begin (struct balance *balance, size_t index)
+{
+  assert (index < balance->count);
+  balance->items[index].in_flight++;
+}
+
+/// Ejects a target if no more than the allowed share is ejected then.
+static void
+eject (struct balance *balance, struct balance_target *target, uint64_t now_ms)
+{
+  size_t ejected = 0;
+  for (size_t i = 0; i < balance->count; i++)
+    ejected += is_ejected (&balance->items[i], now_ms);
+  if ((ejected + 1) * 100 > balance->count * BALANCE_EJECT_PERCENT)
+    return;
+  unsigned doublings = target->ejections < EJECT_DOUBLINGS ? target->ejections
+                                                           : EJECT_DOUBLINGS;
+  target->ejected_until_ms = now_ms + ((uint64_t)EJECT_MS << doublings);
+  target->ejections++;
+  target->failures = EJECT_FAILURES - 1; /* one more failure ejects again */
+}
+
+void
+balance_end (struct balance *balance, uint64_t slot_id,
+             enum balance_result result, uint32_t latency_us, uint64_t now_ms)
+{
+  size_t index = balance_find (balance, slot_id);
+  if (index == BALANCE_NONE)
+    return;
+  struct balance_target *target = &balance->items[index];
+  /* A target that left and came back starts from zero; calls that were sent
+     before may end after. */
+  if (target->in_flight > 0)
+    target->in_flight--;
+  switch (result)
+    {
+    case BALANCE_ANSWERED:
+      if (target->latency_us == 0)
+        target->latency_us = latency_us;
+      else
+        target->latency_us
+            = (uint32_t)(((uint64_t)target->latency_us * (SMOOTHING - 1)
+                          + latency_us)
+                         / SMOOTHING);
+      target->failures = 0;
+      target->ejections = 0;
+      return;
+    case BALANCE_SHED:
+      target->failures = 0;
+      target->reported = target->slots;
+      target->reported_ms = now_ms;
+      return;
+    case BALANCE_FAILED:
+      target->failures++;
+      if (target->failures >= EJECT_FAILURES && !is_ejected (target, now_ms))
+        eject (balance, target, now_ms);
+      return;
+    case BALANCE_CANCELLED:
+      return;
+    }
+}
+
+void
+balance_report (struct balance *balance, uint64_t slot_id, uint32_t in_use,
+                uint32_t slots, uint64_t now_ms)
+{
+  size_t index = balance_find (balance, slot_id);
+  if (index == BALANCE_NONE)
+    return;
+  struct balance_target *target = &balance->items[index];
+  target->reported = in_use;
+  target->reported_ms = now_ms;
+  if (slots > 0 && slots <= UINT16_MAX)
+    target->slots = (uint16_t)slots;
+}
+
+bool
+balance_is_cold (const struct balance *balance, size_t index, uint64_t now_ms)
+{
+  assert (index < balance->count);
+  return now_ms - balance->items[index].since_ms < BALANCE_SLOW_START_MS;
+}
--- /dev/null
+++ b/src/coordination/retry.c
@@ -0,0 +1,79 @@
+/// Owns no state; the budget belongs to the caller.
+#include "coordination/retry.h"
+
+#include <assert.h>
+
+#define TOKEN 1000
+
+/// A tenth of a retry for each call.
+#define TOKENS_PER_CALL (TOKEN / 10)
+
+/// Retries saved up at most: a short burst of refusals after a quiet time may
+/// be retried, a long one may not.
+#define TOKENS_MAX (20 * TOKEN)
+#define TOKENS_AT_START (10 * TOKEN)
+
+/// A node with few calls gets one retry in this time, since a tenth of its
+/// calls would be none for long.
+#define GIFT_PERIOD_MS 10000
+
+void
+retry_init (struct retry_budget *budget, uint64_t now_ms)
+{
+  budget->tokens = TOKENS_AT_START;
+  budget->last_gift_ms = now_ms;
+}
+
+void
+retry_count_call (struct retry_budget *budget, uint64_t now_ms)
+{
+  budget->tokens += TOKENS_PER_CALL;
+  if (now_ms - budget->last_gift_ms >= GIFT_PERIOD_MS)
+    {
+      budget->last_gift_ms = now_ms;
+      if (budget->tokens < TOKEN)
+        budget->tokens = TOKEN;
+    }
+  if (budget->tokens > TOKENS_MAX)
+    budget->tokens = TOKENS_MAX;
+}
+
+enum call_outcome
+retry_outcome (enum call_end end)
+{
+  switch (end)
+    {
+    case CALL_END_ANSWERED:
+      return CALL_RAN;
+    case CALL_END_NOT_CONNECTED:
+    case CALL_END_REFUSED:
+      return CALL_NOT_RUN;
+    case CALL_END_UNKNOWN_BY_NODE:
+    case CALL_END_LOST:
+    case CALL_END_TIMED_OUT:
+    case CALL_END_UNFRAMED:
+    case CALL_END_CANCELLED:
+      return CALL_UNKNOWN;
+    }
+  assert (!"unknown end of a call");
+  return CALL_UNKNOWN;
+}
+
+bool
+retry_take (struct retry_budget *budget, const struct retry_try *last)
+{
+  assert (last->tries >= 1);
+  if (last->tries >= RETRY_TRIES_MAX || last->answer_started)
+    return false;
+  if (last->end == CALL_END_ANSWERED || last->end == CALL_END_CANCELLED
+      || last->end == CALL_END_UNFRAMED)
+    return false;
+  if (last->now_ms + RETRY_LEFT_MIN_MS > last->deadline_ms)
+    return false;
+  if (retry_outcome (last->end) != CALL_NOT_RUN && !last->idempotent)
+    return false;
+  if (budget->tokens < TOKEN)
+    return false;
+  budget->tokens -= TOKEN;
+  return true;
+}
--- /dev/null
+++ b/src/protocol/call_headers.h
@@ -0,0 +1,111 @@
+/// Names and values of the HTTP headers between callers, nodes and targets.
+#ifndef HAWTHORNSEAM_PROTOCOL_CALL_HEADERS_H
+#define HAWTHORNSEAM_PROTOCOL_CALL_HEADERS_H
+
+#include "base/status.h"
+#include "coordination/admit.h"
+#include "coordination/retry.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define CALL_HEADER_OUTCOME "Hawthornseam-Outcome"
+#define CALL_HEADER_REASON "Hawthornseam-Reason"
+#define CALL_HEADER_DEADLINE "Hawthornseam-Deadline-Ms"
+#define CALL_HEADER_KEY "Idempotency-Key"
+#define CALL_HEADER_LOAD "Hawthornseam-Load"
+#define CALL_HEADER_HOP "Hawthornseam-Hop"
+#define CALL_HEADER_VERSION "Hawthornseam-Version"
+
+/// Identity of the crash that ended a call, from the target's node to the node
+/// that chose it; 16 hexadecimal digits.
+#define CALL_HEADER_CRASH "Hawthornseam-Crash"
+
+/// Paths below this are for the node itself.
+#define CALL_OWN_PREFIX "/_hawthornseam/"
+#define CALL_PATH_TARGET "/_hawthornseam/target"
+#define CALL_PATH_DRAIN "/_hawthornseam/drain"
+
+/// Largest deadline that a caller may ask for, ms.
+#define CALL_DEADLINE_MAX_MS (10u * 60 * 1000)
+
+/// Bytes of the value of CALL_HEADER_HOP with the terminating zero.
+#define CALL_HOP_SIZE (8 + 1 + 16 + 1 + 32 + 1)
+
+/// Reasons that nodes send. Callers may print them; nodes compare them.
+#define CALL_REASON_NO_ROUTE "no-route"
+#define CALL_REASON_NO_TARGET "no-target"
+#define CALL_REASON_NOT_READY "not-ready"
+#define CALL_REASON_DRAINING "draining"
+#define CALL_REASON_QUEUE_FULL "queue-full"
+#define CALL_REASON_DEADLINE "deadline"
+#define CALL_REASON_BUSY "too-many-calls"
+#define CALL_REASON_NOT_CONNECTED "not-connected"
+#define CALL_REASON_CONNECTION_LOST "connection-lost"
+#define CALL_REASON_TIMEOUT "timeout"
+#define CALL_REASON_UNFRAMED "unframed-answer"
+#define CALL_REASON_CRASHED "target-crashed"
+#define CALL_REASON_SUSPECT "crash-suspect"
+#define CALL_REASON_SUSPECT_BUSY "crash-suspect-in-progress"
+#define CALL_REASON_SHED "shed-by-target"
+#define CALL_REASON_KEY_MISSING "idempotency-key-missing"
+#define CALL_REASON_KEY_REFUSED "idempotency-key-refused"
+#define CALL_REASON_CLAIM_TIMEOUT "claim-timeout"
+#define CALL_REASON_SPENT "will-not-be-run-again"
+#define CALL_REASON_BAD_REQUEST "bad-request"
+#define CALL_REASON_HOP "hop-refused"
+
+/// @return "ran", "not-run" or "unknown"
+const char *call_outcome_name (enum call_outcome outcome);
+
+/// Reads the name of an outcome.
+/// @return STATUS_INVALID for other text or NULL
+enum status call_outcome_parse (const char *text, enum call_outcome *outcome);
+
+/// @return the reason sent for a refusal by admission
+const char *call_refusal_reason (enum admit_refusal refusal);
+
+/// Reads a deadline in decimal milliseconds.
+/// @param text      value of the header; NULL: the fallback is taken
+/// @param left_ms   set to at most CALL_DEADLINE_MAX_MS
+/// @return STATUS_INVALID when the text is not a number
+enum status call_deadline_parse (const char *text, uint32_t fallback_ms,
+                                 uint32_t *left_ms);
+
+/// Reads "in use/slots".
+/// @return STATUS_INVALID for anything else
+enum status call_load_parse (const char *text, uint32_t *in_use,
+                             uint32_t *slots);
+
+/// Reads 16 hexadecimal digits.
+enum status call_crash_parse (const char *text, uint64_t *crash);
+
+/// @return true for headers that end at each connection, for this system's own
+/// headers, and for framing, which every sender writes anew
+bool call_header_is_hop_by_hop (const char *name);
+
+/// What the hop header vouches for: another node of the mesh routed exactly
+/// this request to exactly this node. Without that proof a caller could pass a
+/// request to a target around the claim of its idempotency key.
+struct call_hop
+{
+  uint64_t destination_slot;
+  const char *method;
+  const char *uri;
+  const char *key; ///< Idempotency-Key or NULL
+};
+
+/// Writes "<key id> <slot> <code>", each in hexadecimal.
+void call_hop_write (const struct call_hop *hop, uint32_t key_id,
+                     const uint8_t key[32], char text[CALL_HOP_SIZE]);
+
+/// Reads the key id of a hop header.
+/// @return STATUS_INVALID when the text is malformed
+enum status call_hop_key_id (const char *text, uint32_t *key_id);
+
+/// @return true when the text is what call_hop_write gives for this request
+bool call_hop_check (const char *text, const struct call_hop *hop,
+                     uint32_t key_id, const uint8_t key[32]);
+
+#endif
