--- /dev/null
+++ b/src/transport/call_server_parts.h
@@ -0,0 +1,45 @@
+/// Records of the call server. Internal to the server.
+#ifndef HAWTHORNSEAM_TRANSPORT_CALL_SERVER_PARTS_H
+#define HAWTHORNSEAM_TRANSPORT_CALL_SERVER_PARTS_H
+
+#include "transport/call_server.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event_struct.h>
+
+struct server_connection
+{
+  struct server_connection *next; ///< in its bucket
+  struct call_server *server;
+  struct bufferevent *bev;
+  struct evhttp_connection *http;
+  struct call_request *request; ///< in progress or being flushed
+  struct event receive_timer;
+};
+
+struct call_request
+{
+  struct call_server *server;
+  struct server_connection *connection;
+  struct evhttp_request *http;
+  void *arena;
+  void *context;
+  bool ended; ///< the receiver no longer knows the request
+};
+
+struct call_server
+{
+  struct call_server *next;
+  struct event_base *base;
+  struct evhttp *http;
+  struct evhttp_bound_socket *bound; ///< NULL after close_listener
+  uint16_t port;
+  struct call_server_options options;
+  const struct call_server_ops *ops;
+  void *arg;
+  size_t in_progress;
+  bool close_after_answer;
+  bool stopping;
+};
+
+#endif
