--- /dev/null
+++ b/bench/config_bench.c
@@ -0,0 +1,119 @@
+/// Times config_apply, config_copy and route lookup at the size of the design
+/// page: 410 services, 1,000 routes, 100 moves.
+#include "base/clock.h"
+#include "state/config.h"
+#include "state/route_table.h"
+
+#include <stdio.h>
+#include <talloc.h>
+
+#define SERVICES 410
+#define ROUTES 1000
+#define MOVES 100
+#define ROUNDS 200
+
+static void
+print (const char *name, double value, const char *unit, double bound)
+{
+  printf ("%s %.3f %s %g %s\n", name, value, unit, bound,
+          value <= bound ? "ok" : "over");
+}
+
+static void
+build (struct config *config)
+{
+  char name[32], service[32], prefix[64];
+  config_init (config);
+  for (int i = 0; i < SERVICES; i++)
+    {
+      snprintf (name, sizeof name, "service-%03d", i);
+      config_set_service (config, &(struct config_service){ name, "v1" });
+    }
+  for (int i = 0; i < ROUTES; i++)
+    {
+      snprintf (name, sizeof name, "route-%04d", i);
+      snprintf (service, sizeof service, "service-%03d", i % SERVICES);
+      snprintf (prefix, sizeof prefix, "/service-%03d/part-%04d/",
+                i % SERVICES, i);
+      config_set_route (
+          config, &(struct config_route){ name, prefix, service, true, 2000 });
+    }
+  for (int i = 0; i < MOVES; i++)
+    {
+      snprintf (name, sizeof name, "move-%03d", i);
+      snprintf (service, sizeof service, "service-%03d", i);
+      config_set_move (config, &(struct config_move){
+                                   .name = name,
+                                   .service = service,
+                                   .from = "v1",
+                                   .to = "v2",
+                               });
+    }
+  config_rehash (config);
+}
+
+/// @return mean ms of one apply, or a negative number after a failure
+static double
+time_apply (struct config *config)
+{
+  uint64_t spent = 0;
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      struct config next;
+      uint8_t *delta;
+      size_t size;
+      void *arena = talloc_new (NULL);
+      config_copy (&next, config);
+      struct config_move move = next.moves[i % MOVES];
+      move.share_bp = (uint32_t)(100 + i);
+      config_set_move (&next, &move);
+      config_rehash (&next);
+      config_diff (config, &next, arena, &delta, &size);
+      struct config_record record = { .version = config->version + 1,
+                                      .previous_hash = config->hash,
+                                      .hash = next.hash,
+                                      .delta = delta,
+                                      .delta_size = size };
+      uint64_t start = clock_monotonic_us ();
+      enum status status = config_apply (config, &record);
+      spent += clock_monotonic_us () - start;
+      config_finish (&next);
+      talloc_free (arena);
+      if (status != STATUS_OK)
+        return -1;
+    }
+  return (double)spent / 1000 / ROUNDS;
+}
+
+/// @return mean microseconds of one lookup
+static double
+time_match (const struct config *config)
+{
+  struct route_table table;
+  char path[96];
+  unsigned found = 0;
+  if (route_table_init (&table, config) != STATUS_OK)
+    return -1;
+  snprintf (path, sizeof path, "/service-%03d/part-%04d/a/b/c/d?x=1", 57, 57);
+  uint64_t start = clock_monotonic_us ();
+  for (int i = 0; i < 100000; i++)
+    found += route_table_match (&table, path) != NULL;
+  double spent = (double)(clock_monotonic_us () - start) / 100000;
+  route_table_finish (&table);
+  return found == 100000 ? spent : -1;
+}
+
+int
+main (void)
+{
+  struct config config;
+  build (&config);
+  double apply = time_apply (&config);
+  double match = time_match (&config);
+  print ("config_apply_ms", apply, "ms", 4.0);
+  print ("config_memory_kb", (double)talloc_total_size (config.arena) / 1024,
+         "KiB", 256);
+  print ("route_match_us", match, "us", 2.0);
+  config_finish (&config);
+  return apply < 0 || match < 0;
+}
