Carry calls through the caller's node and the target's node

A call needs one path on which nothing is lost, doubled or mixed up. The caller's node chooses version and target, claims non-idempotent requests and retries; the target's node admits, runs and tells dead processes from broken connections by a probe of the port. Crash identities make the crash count the same however often a crash is reported.

The test of the path found that bytes left over after a whole answer were read as the answer to the next request on a kept connection. Such a connection is now closed.

Not yet run with real mesh nodes.

--- /dev/null
+++ b/src/node/node_call_groups.c
@@ -0,0 +1,145 @@
+/// Owns the groups of targets, read from the member table, and the choice of
+/// the route.
+#include "node/node_call_parts.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// The member table is read at most this often: with 5,100 members one reading
+/// takes a good part of a millisecond, and members change all the time.
+#define READ_PERIOD_MS 100
+
+static struct call_group **
+group_place (struct node_calls *calls, const char *service,
+             const char *version)
+{
+  uint64_t hash = hash_place_pair (hash_place_string (service),
+                                   hash_place_string (version));
+  struct call_group **place = &calls->groups[hash % NODE_CALL_GROUP_BUCKETS];
+  while (*place != NULL
+         && (strcmp ((*place)->service, service) != 0
+             || strcmp ((*place)->version, version) != 0))
+    place = &(*place)->next;
+  return place;
+}
+
+struct call_group *
+node_call_group (struct node_calls *calls, const char *service,
+                 const char *version)
+{
+  return *group_place (calls, service, version);
+}
+
+/// @return the group of a member's target, added when needed; NULL without
+/// memory
+static struct call_group *
+group_of (struct node_calls *calls, const struct member *member)
+{
+  struct call_group **place
+      = group_place (calls, member->service, member->target_version);
+  struct call_group *group = *place;
+  if (group == NULL)
+    {
+      group = calloc (1, sizeof *group);
+      if (group == NULL)
+        return NULL;
+      memcpy (group->service, member->service, sizeof group->service);
+      memcpy (group->version, member->target_version, sizeof group->version);
+      balance_init (&group->balance);
+      /* Only the groups of the first reading hold targets that may have been
+         warm before this node started. */
+      group->balance.started = calls->members_read;
+      *place = group;
+    }
+  if (!group->updated)
+    {
+      balance_begin_update (&group->balance);
+      group->updated = true;
+    }
+  return group;
+}
+
+static void
+end_updates (struct node_calls *calls)
+{
+  for (size_t i = 0; i < NODE_CALL_GROUP_BUCKETS; i++)
+    {
+      struct call_group **place = &calls->groups[i];
+      while (*place != NULL)
+        {
+          struct call_group *group = *place;
+          if (!group->updated)
+            balance_begin_update (&group->balance);
+          group->updated = false;
+          balance_end_update (&group->balance);
+          if (group->balance.count > 0 || group->calls > 0)
+            {
+              place = &group->next;
+              continue;
+            }
+          *place = group->next;
+          balance_finish (&group->balance);
+          free (group);
+        }
+    }
+}
+
+void
+node_call_read_members (struct node_calls *calls, uint64_t now_ms)
+{
+  const struct member_table *table = node_members (calls->node);
+  if (calls->members_read
+      && (table->generation == calls->members_generation
+          || now_ms - calls->members_read_ms < READ_PERIOD_MS))
+    return;
+  const char *zone = calls->node->settings.availability_zone;
+  for (uint32_t handle = 0; handle < table->count; handle++)
+    {
+      const struct member *member = member_get (table, handle);
+      if (member->state != MEMBER_ALIVE
+          || member->target_state != TARGET_READY)
+        continue;
+      struct call_group *group = group_of (calls, member);
+      if (group != NULL)
+        balance_offer (&group->balance, handle, member->slot_id,
+                       member->target_slots,
+                       strcmp (member->availability_zone, zone) == 0, now_ms);
+    }
+  end_updates (calls);
+  calls->members_generation = table->generation;
+  calls->members_read_ms = now_ms;
+  calls->members_read = true;
+}
+
+void
+node_call_free_groups (struct node_calls *calls)
+{
+  for (size_t i = 0; i < NODE_CALL_GROUP_BUCKETS; i++)
+    while (calls->groups[i] != NULL)
+      {
+        struct call_group *group = calls->groups[i];
+        calls->groups[i] = group->next;
+        balance_finish (&group->balance);
+        free (group);
+      }
+}
+
+const struct route_entry *
+node_call_route (struct node_calls *calls, const char *uri)
+{
+  const struct config *config = follow_current (node_follow (calls->node));
+  if (calls->routes.config.version != config->version)
+    {
+      struct route_table table;
+      if (route_table_init (&table, config) == STATUS_OK)
+        {
+          route_table_finish (&calls->routes);
+          calls->routes = table;
+        }
+    }
+  return route_table_match (&calls->routes, uri);
+}
--- /dev/null
+++ b/src/node/node_calls.c
@@ -0,0 +1,285 @@
+/// Owns the call server, the two call clients and the drain of a node, and
+/// passes each request to the part that handles it.
+#include "node/node_call_parts.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <assert.h>
+#include <event2/keyvalq_struct.h>
+#include <msgpack.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 50
+#define HEADERS_MAX (16 * 1024)
+#define RECEIVE_MS 10000
+#define SERVER_IDLE_MS 60000
+#define CONNECT_MS 1000
+#define STALL_MS 10000
+
+/// Connections to one other node; more calls than this at one node wait for
+/// none of them and are refused.
+#define NODE_CONNECTIONS_MAX 4096
+
+/// A draining node waits this long without any call before it reports the end,
+/// so that a request which was on its way is still answered.
+#define DRAIN_QUIET_MS 200
+
+static struct counter bad_suspects = COUNTER (
+    "calls_suspect_messages_refused", "malformed crash suspect broadcasts");
+
+void
+node_call_refuse (struct node_calls *calls, struct call_request *request,
+                  int status, enum call_outcome outcome, const char *reason)
+{
+  struct evkeyvalq *headers = call_request_answer_headers (request);
+  evhttp_add_header (headers, CALL_HEADER_OUTCOME,
+                     call_outcome_name (outcome));
+  evhttp_add_header (headers, CALL_HEADER_REASON, reason);
+  evhttp_add_header (headers, "Content-Type", "text/plain");
+  char text[128];
+  snprintf (text, sizeof text, "%s: %s\n", call_outcome_name (outcome),
+            reason);
+  call_request_reply (request, status, text, strlen (text));
+}
+
+void
+node_call_copy_headers (struct evkeyvalq *to, const struct evkeyvalq *from)
+{
+  const char *named = evhttp_find_header (from, "Connection");
+  for (struct evkeyval *header = from->tqh_first; header != NULL;
+       header = header->next.tqe_next)
+    if (!call_header_is_hop_by_hop (header->key)
+        && !call_header_is_named (named, header->key))
+      evhttp_add_header (to, header->key, header->value);
+}
+
+void
+node_call_copy_answer_headers (struct evkeyvalq *to,
+                               const struct evkeyvalq *from)
+{
+  node_call_copy_headers (to, from);
+  const char *length = evhttp_find_header (from, "Content-Length");
+  if (length != NULL && evhttp_find_header (from, "Transfer-Encoding") == NULL)
+    evhttp_add_header (to, "Content-Length", length);
+}
+
+static void
+on_request (void *arg, struct call_request *request)
+{
+  struct node_calls *calls = arg;
+  const char *hop = call_request_header (request, CALL_HEADER_HOP);
+  if (hop != NULL)
+    node_call_run_start (calls, request, hop);
+  else if (strncmp (call_request_uri (request), CALL_OWN_PREFIX,
+                    strlen (CALL_OWN_PREFIX))
+           == 0)
+    node_call_own_request (calls, request);
+  else
+    node_call_entry_start (calls, request);
+}
+
+static void
+on_gone (void *arg, struct call_request *request)
+{
+  struct call_part *part = call_request_context (request);
+  if (part == NULL)
+    return;
+  if (part->kind == CALL_KIND_ENTRY)
+    node_call_entry_gone ((struct call_entry *)part);
+  else
+    node_call_run_gone ((struct call_run *)part);
+}
+
+static void
+on_writable (void *arg, struct call_request *request)
+{
+  struct call_part *part = call_request_context (request);
+  assert (part != NULL);
+  if (part->kind == CALL_KIND_ENTRY)
+    node_call_entry_writable ((struct call_entry *)part);
+  else
+    node_call_run_writable ((struct call_run *)part);
+}
+
+static const struct call_server_ops server_ops
+    = { .request = on_request, .gone = on_gone, .writable = on_writable };
+
+/// Reads a msgpack array of unsigned numbers.
+/// @return the number of elements, 0 when it is malformed
+static size_t
+read_numbers (const uint8_t *body, size_t size, msgpack_unpacked *unpacked)
+{
+  msgpack_unpacked_init (unpacked);
+  if (msgpack_unpack_next (unpacked, (const char *)body, size, NULL)
+          == MSGPACK_UNPACK_SUCCESS
+      && unpacked->data.type == MSGPACK_OBJECT_ARRAY)
+    {
+      const msgpack_object_array *array = &unpacked->data.via.array;
+      uint32_t good = 0;
+      while (good < array->size
+             && array->ptr[good].type == MSGPACK_OBJECT_POSITIVE_INTEGER
+             && array->ptr[good].via.u64 != 0)
+        good++;
+      if (good == array->size && good > 0)
+        return good;
+    }
+  counter_add (&bad_suspects, 1);
+  return 0;
+}
+
+/// Broadcast kind 4: [identity of the crash, fingerprint...].
+static void
+on_suspects (void *arg, uint64_t origin_slot, const uint8_t *body, size_t size)
+{
+  struct node_calls *calls = arg;
+  msgpack_unpacked unpacked;
+  uint64_t now = clock_monotonic_ms ();
+  size_t count = read_numbers (body, size, &unpacked);
+  for (size_t i = 1; i < count; i++)
+    {
+      const msgpack_object *items = unpacked.data.via.array.ptr;
+      suspect_raise (&calls->suspects, items[i].via.u64, items[0].via.u64,
+                     now);
+    }
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+/// Broadcast kind 5: [fingerprint...].
+static void
+on_cleared (void *arg, uint64_t origin_slot, const uint8_t *body, size_t size)
+{
+  struct node_calls *calls = arg;
+  msgpack_unpacked unpacked;
+  size_t count = read_numbers (body, size, &unpacked);
+  for (size_t i = 0; i < count; i++)
+    suspect_clear (&calls->suspects, unpacked.data.via.array.ptr[i].via.u64);
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+/// Moves a drain forward. Calls at the own target end first, because they may
+/// call other services through this node; only then is the listener closed.
+static void
+drain_step (struct node_calls *calls, uint64_t now_ms)
+{
+  if (calls->runs != NULL)
+    return;
+  if (!calls->listener_closed)
+    {
+      calls->listener_closed = true;
+      calls->idle_since_ms = now_ms;
+      call_server_close_listener (calls->server);
+      call_server_close_after_answer (calls->server);
+    }
+  if (calls->entries != NULL || call_server_in_progress (calls->server) > 0)
+    {
+      calls->idle_since_ms = now_ms;
+      return;
+    }
+  if (now_ms - calls->idle_since_ms < DRAIN_QUIET_MS)
+    return;
+  void (*drained) (void *) = calls->drained;
+  calls->drained = NULL;
+  log_event (LOG_LEVEL_INFO, "calls_drained", "connections=%zu",
+             calls->nodes.connections + calls->target.connections);
+  drained (calls->drained_arg);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct node_calls *calls = arg;
+  uint64_t now = clock_monotonic_ms ();
+  admit_expire (&calls->admit, now);
+  if (++calls->ticks % (1000 / TICK_MS) == 0)
+    {
+      node_call_target_tick (calls, now);
+      suspect_expire (&calls->suspects, now);
+    }
+  if (calls->drained != NULL)
+    drain_step (calls, now);
+}
+
+enum status
+node_calls_start (struct node *node)
+{
+  assert (node->calls == NULL && node->settings.key_count > 0);
+  struct node_calls *calls = calloc (1, sizeof *calls);
+  if (calls == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for calls");
+  calls->node = node;
+  /* Writing to a connection that the other end has closed must not end the
+     process. */
+  signal (SIGPIPE, SIG_IGN);
+  enum status status = suspect_init (&calls->suspects, NODE_CALL_SUSPECTS);
+  struct call_server_options options = {
+    .body_max = node->settings.request_body_max,
+    .headers_max = HEADERS_MAX,
+    .receive_ms = RECEIVE_MS,
+    .idle_ms = SERVER_IDLE_MS,
+  };
+  if (status == STATUS_OK)
+    status = call_server_start (
+        &calls->server, node->base, node->settings.address,
+        node->settings.call_port, &options, &server_ops, calls);
+  if (status != STATUS_OK)
+    {
+      suspect_finish (&calls->suspects);
+      free (calls);
+      return status;
+    }
+  struct call_client_options client = {
+    .connect_ms = CONNECT_MS,
+    .idle_ms = NODE_CALL_IDLE_MS,
+    .stall_ms = STALL_MS,
+    .connections_max = NODE_CONNECTIONS_MAX,
+    .headers_max = HEADERS_MAX,
+  };
+  call_client_init (&calls->nodes, node->base, &client);
+  call_client_init (&calls->target, node->base, &client);
+  admit_init (&calls->admit, &node_call_run_admission, calls);
+  retry_init (&calls->budget, clock_monotonic_ms ());
+  node_mesh_on_broadcast (node, 4, on_suspects, calls);
+  node_mesh_on_broadcast (node, 5, on_cleared, calls);
+  event_assign (&calls->tick, node->base, -1, EV_PERSIST, on_tick, calls);
+  event_add (&calls->tick, &(struct timeval){ 0, TICK_MS * 1000 });
+  node->calls = calls;
+  return STATUS_OK;
+}
+
+void
+node_calls_drain (struct node *node, void (*done) (void *arg), void *arg)
+{
+  struct node_calls *calls = node->calls;
+  assert (calls->drained == NULL && !calls->draining);
+  calls->draining = true;
+  calls->drained = done;
+  calls->drained_arg = arg;
+  admit_drain (&calls->admit);
+  if (calls->own.state == TARGET_READY)
+    node_call_set_target_state (calls, TARGET_DRAINING);
+}
+
+void
+node_calls_stop (struct node *node)
+{
+  struct node_calls *calls = node->calls;
+  if (calls == NULL)
+    return;
+  event_del (&calls->tick);
+  if (calls->own.probe != NULL)
+    call_probe_cancel (calls->own.probe);
+  call_server_stop (calls->server);
+  call_client_finish (&calls->nodes);
+  call_client_finish (&calls->target);
+  node_call_entries_drop (calls);
+  node_call_runs_drop (calls);
+  node_call_free_groups (calls);
+  route_table_finish (&calls->routes);
+  suspect_finish (&calls->suspects);
+  free (calls);
+  node->calls = NULL;
+}
--- a/src/protocol/call_headers.c
+++ b/src/protocol/call_headers.c
@@ -154,6 +154,21 @@
   return false;
 }
 
+bool
+call_header_is_named (const char *connection, const char *name)
+{
+  size_t length = strlen (name);
+  for (const char *token = connection; token != NULL;
+       token = strchr (token, ','))
+    {
+      token += strspn (token, ", \t");
+      if (strncasecmp (token, name, length) == 0
+          && strchr (", \t", token[length]) != NULL)
+        return true;
+    }
+  return false;
+}
+
 static void
 add_text (crypto_generichash_state *state, const char *text)
 {
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -54,6 +54,8 @@
 #define CALL_REASON_CLAIM_TIMEOUT "claim-timeout"
 #define CALL_REASON_SPENT "will-not-be-run-again"
 #define CALL_REASON_BAD_REQUEST "bad-request"
+#define CALL_REASON_RECORDED "recorded"
+#define CALL_REASON_RECORDED_STATUS "recorded-status-only"
 #define CALL_REASON_HOP "hop-refused"
 
 /// @return "ran", "not-run" or "unknown"
@@ -85,6 +87,10 @@
 /// headers, and for framing, which every sender writes anew
 bool call_header_is_hop_by_hop (const char *name);
 
+/// @param connection  value of a Connection header or NULL
+/// @return true when the value lists a header's name
+bool call_header_is_named (const char *connection, const char *name);
+
 /// What the hop header vouches for: another node of the mesh routed exactly
 /// this request to exactly this node. Without that proof a caller could pass a
 /// request to a target around the claim of its idempotency key.
--- a/src/transport/call_client.c
+++ b/src/transport/call_client.c
@@ -57,6 +57,8 @@
   event_active (&exchange->timer, EV_TIMEOUT, 1);
 }
 
+/// A kept connection must hold no bytes: what is left after a whole answer
+/// would be read as the answer to the next request.
 static void
 deliver_end (struct call_exchange *exchange)
 {
@@ -64,8 +66,10 @@
   struct call_connection *connection = exchange->connection;
   event_del (&exchange->timer);
   connection->exchange = NULL;
-  bool keep = exchange->ops != NULL && exchange->end == CALL_EXCHANGE_COMPLETE
-              && bufferevent_getfd (connection->bev) != -1;
+  bool keep
+      = exchange->ops != NULL && exchange->end == CALL_EXCHANGE_COMPLETE
+        && bufferevent_getfd (connection->bev) != -1
+        && evbuffer_get_length (bufferevent_get_input (connection->bev)) == 0;
   if (keep)
     {
       call_pool_keep (connection);
--- a/src/transport/call_request.c
+++ b/src/transport/call_request.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 
 #include <assert.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -87,6 +88,21 @@
   return evhttp_find_header (call_request_headers (request), name);
 }
 
+bool
+call_request_is_from (const struct call_request *request, uint32_t address)
+{
+  struct sockaddr_in from;
+  memset (&from, 0, sizeof from);
+  socklen_t size = sizeof from;
+  if (getpeername (bufferevent_getfd (request->connection->bev),
+                   (struct sockaddr *)&from, &size)
+          != 0
+      || from.sin_family != AF_INET)
+    return false;
+  uint32_t peer = ntohl (from.sin_addr.s_addr);
+  return peer >> 24 == 127 || peer == address;
+}
+
 struct evbuffer *
 call_request_body (const struct call_request *request)
 {
@@ -139,13 +155,14 @@
 }
 
 void
-call_request_reply (struct call_request *request, int status, const char *text)
+call_request_reply (struct call_request *request, int status,
+                    const void *body_bytes, size_t size)
 {
   assert (!request->ended);
   request->ended = true;
   prepare_answer (request);
   struct evbuffer *body = evbuffer_new ();
-  evbuffer_add (body, text, strlen (text));
+  evbuffer_add (body, body_bytes, size);
   evhttp_send_reply (request->http, status, NULL, body);
   evbuffer_free (body);
 }
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -77,6 +77,10 @@
 /// @return value of a header, or NULL
 const char *call_request_header (const struct call_request *request,
                                  const char *name);
+
+/// @return true when the request came over loopback or from `address`
+bool call_request_is_from (const struct call_request *request,
+                           uint32_t address);
 struct evbuffer *call_request_body (const struct call_request *request);
 
 /// Headers of the answer, to be set before it is started.
@@ -97,7 +101,7 @@
 
 /// Sends an answer in one go; the request is no longer valid.
 void call_request_reply (struct call_request *request, int status,
-                         const char *text);
+                         const void *body_bytes, size_t size);
 
 /// Resets the connection, so that what was sent of the answer cannot be taken
 /// for the whole; the request is no longer valid.
