--- a/src/coordination/balance.c
+++ b/src/coordination/balance.c
@@ -10,9 +10,15 @@
 /// Weight of a new latency, 1 / 8.
 #define SMOOTHING 8
 
-/// Latency assumed before the first answer.
+/// Latency assumed before any target of the group has answered.
 #define LATENCY_START_US 1000
 
+/// A latency that is older than this counts as unknown, and a failure as past.
+/// Otherwise a target that was slow or failed once would stay unused as long
+/// as the others have room.
+#define LATENCY_KEPT_MS 3000
+#define FAILURE_KEPT_MS 5000
+
 /// A target that failed counts as this much slower for each failure, so that
 /// small groups, of which none may be ejected, avoid it as well.
 #define FAILURE_PENALTY 8
@@ -156,14 +162,40 @@
   return share < 0.1 ? 0.1 : share;
 }
 
+static bool
+latency_is_known (const struct balance_target *target, uint64_t now_ms)
+{
+  return target->latency_us != 0
+         && now_ms - target->answered_ms < LATENCY_KEPT_MS;
+}
+
+/// @return mean latency of the targets whose latency is known
+static double
+mean_latency (const struct balance *balance, uint64_t now_ms)
+{
+  double sum = 0;
+  size_t known = 0;
+  for (size_t i = 0; i < balance->count; i++)
+    if (latency_is_known (&balance->items[i], now_ms))
+      {
+        sum += balance->items[i].latency_us;
+        known++;
+      }
+  return known == 0 ? LATENCY_START_US : sum / (double)known;
+}
+
 /// @return expected waiting, lower is better
 static double
-score (const struct balance_target *target, uint64_t now_ms)
+score (const struct balance *balance, const struct balance_target *target,
+       uint64_t now_ms)
 {
-  double latency
-      = target->latency_us == 0 ? LATENCY_START_US : target->latency_us;
+  double latency = latency_is_known (target, now_ms)
+                       ? target->latency_us
+                       : mean_latency (balance, now_ms);
   unsigned failures = target->failures < FAILURES_COUNTED ? target->failures
                                                           : FAILURES_COUNTED;
+  if (now_ms - target->failed_ms >= FAILURE_KEPT_MS)
+    failures = 0;
   double slots = target->slots == 0 ? 1 : target->slots;
   return (slots_in_use (target, now_ms) + 1.0) * latency / slots
          * (1 + FAILURE_PENALTY * failures);
@@ -237,10 +269,8 @@
   if (second == BALANCE_NONE)
     return first;
   const struct balance_target *items = from->balance->items;
-  double first_score = score (&items[first], from->now_ms)
-                       / warmth (&items[first], from->now_ms);
-  double second_score = score (&items[second], from->now_ms)
-                        / warmth (&items[second], from->now_ms);
+  double first_score = score (from->balance, &items[first], from->now_ms);
+  double second_score = score (from->balance, &items[second], from->now_ms);
   return second_score < first_score ? second : first;
 }
 
@@ -330,13 +360,14 @@
   switch (result)
     {
     case BALANCE_ANSWERED:
-      if (target->latency_us == 0)
+      if (!latency_is_known (target, now_ms))
         target->latency_us = latency_us;
       else
         target->latency_us
             = (uint32_t)(((uint64_t)target->latency_us * (SMOOTHING - 1)
                           + latency_us)
                          / SMOOTHING);
+      target->answered_ms = now_ms;
       target->failures = 0;
       target->ejections = 0;
       return;
@@ -347,6 +378,7 @@
       return;
     case BALANCE_FAILED:
       target->failures++;
+      target->failed_ms = now_ms;
       if (target->failures >= EJECT_FAILURES && !is_ejected (target, now_ms))
         eject (balance, target, now_ms);
       return;
--- a/src/coordination/balance.h
+++ b/src/coordination/balance.h
@@ -30,8 +30,10 @@
   bool local;   ///< in this node's availability zone
   bool present; ///< offered in the update that runs
   uint32_t in_flight;
-  uint32_t latency_us; ///< smoothed; 0 before the first answer
-  uint32_t reported;   ///< slots in use, as the target's node said
+  uint32_t latency_us;  ///< smoothed; 0 before the first answer
+  uint64_t answered_ms; ///< last answer
+  uint64_t failed_ms;   ///< last failure
+  uint32_t reported;    ///< slots in use, as the target's node said
   uint64_t reported_ms;
   uint64_t since_ms; ///< first seen; slow start counts from here
   uint64_t ejected_until_ms;
--- /dev/null
+++ b/test/unit/suspect_test.c
@@ -0,0 +1,107 @@
+#include "state/suspect.h"
+#include "testing.h"
+
+static struct suspect_table table;
+
+static void
+test_counts_distinct_crashes (void)
+{
+  suspect_init (&table, 8);
+  CU_ASSERT_EQUAL (suspect_check (&table, 1, 0), SUSPECT_NONE);
+  CU_ASSERT (suspect_raise (&table, 1, 100, 0));
+  CU_ASSERT_FALSE (suspect_raise (&table, 1, 100, 0));
+  CU_ASSERT_EQUAL (suspect_check (&table, 1, 0), SUSPECT_SINGLE);
+  CU_ASSERT (suspect_raise (&table, 1, 101, 0));
+  CU_ASSERT_EQUAL (suspect_check (&table, 1, 0), SUSPECT_REFUSED);
+  suspect_finish (&table);
+}
+
+static void
+test_success_clears_only_one_crash (void)
+{
+  suspect_init (&table, 8);
+  suspect_raise (&table, 1, 100, 0);
+  CU_ASSERT (suspect_clear (&table, 1));
+  CU_ASSERT_EQUAL (suspect_check (&table, 1, 0), SUSPECT_NONE);
+  suspect_raise (&table, 2, 100, 0);
+  suspect_raise (&table, 2, 101, 0);
+  CU_ASSERT_FALSE (suspect_clear (&table, 2));
+  CU_ASSERT_EQUAL (suspect_check (&table, 2, 0), SUSPECT_REFUSED);
+  suspect_finish (&table);
+}
+
+static void
+test_one_at_a_time (void)
+{
+  suspect_init (&table, 8);
+  CU_ASSERT (suspect_begin (&table, 1));
+  suspect_raise (&table, 1, 100, 0);
+  CU_ASSERT (suspect_begin (&table, 1));
+  CU_ASSERT_FALSE (suspect_begin (&table, 1));
+  suspect_end (&table, 1);
+  CU_ASSERT (suspect_begin (&table, 1));
+  suspect_finish (&table);
+}
+
+static void
+test_expiry (void)
+{
+  suspect_init (&table, 8);
+  suspect_raise (&table, 1, 100, 1000);
+  suspect_raise (&table, 2, 100, 2000);
+  uint64_t later = 1000 + SUSPECT_TTL_MS;
+  CU_ASSERT_EQUAL (suspect_check (&table, 1, later - 1), SUSPECT_SINGLE);
+  CU_ASSERT_EQUAL (suspect_check (&table, 1, later), SUSPECT_NONE);
+  CU_ASSERT_EQUAL (suspect_expire (&table, later), 1);
+  CU_ASSERT_EQUAL (table.count, 1);
+  CU_ASSERT_EQUAL (suspect_check (&table, 2, later), SUSPECT_SINGLE);
+  suspect_finish (&table);
+}
+
+/// Requests that are refused are kept longest when the table is full.
+static void
+test_bounded_memory (void)
+{
+  suspect_init (&table, 4);
+  suspect_raise (&table, 7, 100, 0);
+  suspect_raise (&table, 7, 101, 0);
+  for (uint64_t i = 0; i < 1000; i++)
+    {
+      suspect_raise (&table, 1000 + i, 100, i);
+      CU_ASSERT (table.count <= 4);
+    }
+  CU_ASSERT_EQUAL (suspect_check (&table, 7, 1000), SUSPECT_REFUSED);
+  CU_ASSERT_EQUAL (suspect_check (&table, 1999, 1000), SUSPECT_SINGLE);
+  suspect_finish (&table);
+}
+
+static void
+test_fingerprints (void)
+{
+  uint64_t base = suspect_fingerprint (NULL, "GET", "/a?x=1", "b", 1);
+  CU_ASSERT_EQUAL (base, suspect_fingerprint (NULL, "GET", "/a?x=1", "b", 1));
+  CU_ASSERT_NOT_EQUAL (base,
+                       suspect_fingerprint (NULL, "PUT", "/a?x=1", "b", 1));
+  CU_ASSERT_NOT_EQUAL (base,
+                       suspect_fingerprint (NULL, "GET", "/a?x=2", "b", 1));
+  CU_ASSERT_NOT_EQUAL (base,
+                       suspect_fingerprint (NULL, "GET", "/a?x=1", "c", 1));
+  CU_ASSERT_EQUAL (suspect_fingerprint ("k", "GET", "/a", NULL, 0),
+                   suspect_fingerprint ("k", "PUT", "/b", "c", 1));
+}
+
+static const struct test_case cases[] = {
+  { "one crash reported twice counts as two", test_counts_distinct_crashes },
+  { "a request that killed two targets is let through again",
+    test_success_clears_only_one_crash },
+  { "a suspect runs twice at once", test_one_at_a_time },
+  { "a suspect is kept for ever or forgotten early", test_expiry },
+  { "crashes fill the memory", test_bounded_memory },
+  { "different requests share a fingerprint", test_fingerprints },
+};
+
+int
+main (void)
+{
+  return testing_run ("suspect", cases, sizeof cases / sizeof cases[0]);
+}
