--- a/test/standin/target.c
+++ b/test/standin/target.c
@@ -181,7 +181,11 @@
 static int
 run (struct target *target)
 {
-  target->base = event_base_new ();
+  /* The default clock of the loop is too coarse for a service time of 1 ms. */
+  struct event_config *config = event_config_new ();
+  event_config_set_flag (config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  target->base = event_base_new_with_config (config);
+  event_config_free (config);
   target->http = evhttp_new (target->base);
   evhttp_set_allowed_methods (target->http, 0x1ff & ~EVHTTP_REQ_CONNECT);
   evhttp_set_gencb (target->http, serve, target);
--- a/test/standin/target_work.h
+++ b/test/standin/target_work.h
@@ -6,8 +6,12 @@
 #include "target_state.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
+#include <sys/socket.h>
 #include <xxhash.h>
 
 #define WORK_BLOCK 4096
@@ -257,6 +261,10 @@
   work->request = request;
   work->connection = evhttp_request_get_connection (request);
   work->started_ms = clock_monotonic_ms ();
+  int on = 1;
+  setsockopt (
+      bufferevent_getfd (evhttp_connection_get_bufferevent (work->connection)),
+      IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   work->cut_at = UINT64_MAX;
   evhttp_parse_query_str (
       evhttp_uri_get_query (uri) == NULL ? "" : evhttp_uri_get_query (uri),
