Add frames, messages, peer connections, membership and spread

Change: frame and message codecs, peer connections on libevent, the member table, ring, rendezvous, backoff, membership, spread, follow and the report tree.

Conclusion: base for the mesh part of the node.

--- a/src/coordination/follow.h
+++ b/src/coordination/follow.h
@@ -8,16 +8,70 @@
 
 /// Records kept to serve peers that are a few versions behind.
 #define FOLLOW_HISTORY 64
+/// Contents that wait until another node recorded the floor of this slot.
+#define FOLLOW_WAITING_MAX 8
+/// Ready peers that must answer when the store cannot.
+#define FOLLOW_ANSWERS 3
+/// After this time fewer answers have to do.
+#define FOLLOW_ANSWERS_MS 3000
 
 struct follow;
 
 struct follow_ops
 {
-  /// Called after a version came into force.
+  /// Called after a version came into force. `record` is NULL when the version
+  /// came as a whole content.
   void (*in_force) (void *arg, const struct config *config,
                     const struct config_record *record);
+  /// Asks another node to record that this slot may hold a version; answered
+  /// by follow_floor_recorded. NULL: versions come into force at once.
+  void (*announce_floor) (void *arg, uint64_t version);
 };
 
+/// A version that is checked and about to come into force.
+struct follow_waiting
+{
+  struct config content;
+  void *arena; ///< of the record
+  struct config_record record;
+  bool has_record;
+};
+
+struct follow_floor
+{
+  uint64_t slot_id; ///< 0: free
+  uint64_t version;
+};
+
+/// Fields are private to follow*.c.
+struct follow
+{
+  const struct follow_ops *ops;
+  void *arg;
+  struct config current;
+  void *history_arenas[FOLLOW_HISTORY]; ///< NULL: no record
+  struct config_record history[FOLLOW_HISTORY];
+  struct follow_waiting waiting[FOLLOW_WAITING_MAX];
+  unsigned waiting_count;
+  uint64_t own_floor; ///< highest version that another node recorded for us
+  struct follow_floor *floors; ///< of other slots, open addressing
+  uint32_t floor_count, floor_size;
+  bool ready;
+  bool bound_known;
+  uint64_t bound; ///< the slot may have held this version before
+  uint64_t answers[FOLLOW_ANSWERS]; ///< slots of ready peers that answered
+  unsigned answer_count;
+  uint64_t answers_bound; ///< highest version among the answers
+  uint64_t any_bound;     ///< as before, with peers that are not ready
+  uint64_t asked_ms;      ///< first question to peers; 0: none
+};
+
+/// Starts with version 0, not ready.
+/// @param ops  outlives the follow
+void follow_init (struct follow *follow, const struct follow_ops *ops,
+                  void *arg);
+void follow_finish (struct follow *follow);
+
 /// @return the configuration in force; version 0 and empty before the first
 const struct config *follow_current (const struct follow *follow);
 
@@ -25,7 +79,8 @@
 bool follow_ready (const struct follow *follow);
 
 /// Offers a record from the store or a peer.
-/// @return STATUS_OK when it is in force now or was already,
+/// @return STATUS_OK when it is in force now, was already, or will be as soon
+///         as another node recorded the floor (at most a few hundred ms),
 ///         STATUS_UNAVAILABLE when versions between are missing (the caller
 ///         pulls them), STATUS_CORRUPT or STATUS_INVALID when it is refused
 enum status follow_offer_record (struct follow *follow,
@@ -43,4 +98,35 @@
 const struct config_record *follow_history (const struct follow *follow,
                                             uint64_t version);
 
+/// @return the highest version that is in force or about to be
+uint64_t follow_newest (const struct follow *follow);
+
+/// Tells that another node recorded this slot's floor up to a version; puts
+/// what waited for it in force.
+void follow_floor_recorded (struct follow *follow, uint64_t version);
+
+/// Records that another slot may hold a version.
+void follow_set_floor (struct follow *follow, uint64_t slot_id,
+                       uint64_t version);
+
+/// @return the version recorded for a slot, 0 when none
+uint64_t follow_get_floor (const struct follow *follow, uint64_t slot_id);
+
+/// Takes a confirmed head: the store's version after this process asked.
+void follow_head_confirmed (struct follow *follow, uint64_t version);
+
+/// Notes that peers are asked because the store does not answer.
+void follow_ask_peers (struct follow *follow, uint64_t now_ms);
+
+/// Takes a peer's answer.
+/// @param floor    version that the peer recorded for this slot
+/// @param version  in force at the peer
+/// @param ready    the peer is ready itself
+/// @param alive    live members other than this node
+void follow_floor_reply (struct follow *follow, uint64_t from, uint64_t floor,
+                         uint64_t version, bool ready, uint32_t alive);
+
+/// Settles for the answers that came when there are too few.
+void follow_tick (struct follow *follow, uint64_t now_ms);
+
 #endif
--- /dev/null
+++ b/src/coordination/membership_probe.c
@@ -0,0 +1,233 @@
+/// Owns the heartbeats of a membership: which members get them and what their
+/// silence means.
+#include "coordination/membership_parts.h"
+
+#include "base/counter.h"
+
+#include <string.h>
+
+static struct counter replaced
+    = COUNTER ("membership_connections_replaced",
+               "Connections closed because a heartbeat was not answered.");
+static struct counter suspicions
+    = COUNTER ("membership_suspicions", "Members suspected by this node.");
+
+/// A zone that was silent for this time is probed by both sides.
+#define ZONE_QUIET_MS 2000
+
+static struct membership_probe *
+find_probe (struct membership *m, uint64_t slot_id)
+{
+  for (uint32_t i = 0; i < m->probe_count; i++)
+    if (m->probes[i].slot_id == slot_id)
+      return &m->probes[i];
+  return NULL;
+}
+
+/// Takes over a heartbeat's state from the old list or starts one at a random
+/// phase, so that nodes that start together do not beat together.
+static void
+add_probe (struct membership *m, struct membership_probe *old,
+           uint32_t old_count, uint64_t slot_id, bool ring, uint64_t now_ms)
+{
+  if (slot_id == 0 || slot_id == m->self_id || find_probe (m, slot_id) != NULL
+      || m->probe_count == MEMBERSHIP_PROBES_MAX)
+    return;
+  struct membership_probe *probe = &m->probes[m->probe_count++];
+  *probe = (struct membership_probe){
+    .slot_id = slot_id,
+    .next_ms = now_ms + rng_below (m->rng, MEMBERSHIP_HEARTBEAT_MS)
+  };
+  for (uint32_t i = 0; i < old_count; i++)
+    if (old[i].slot_id == slot_id)
+      *probe = old[i];
+  probe->ring = ring;
+}
+
+/// Of two zones the one with the lower id sends the regular heartbeats, to the
+/// relay of the same rank; the other one only answers, unless it hears
+/// nothing.
+static void
+add_relay_probes (struct membership *m, struct membership_probe *old,
+                  uint32_t old_count, uint64_t now_ms)
+{
+  int rank = ring_relay_rank (ring_find_zone (&m->ring, m->ring.own_zone),
+                              m->self_id);
+  if (rank < 0)
+    return;
+  for (uint32_t i = 0; i < m->ring.zone_count; i++)
+    {
+      const struct ring_zone *zone = &m->ring.zones[i];
+      if (zone->id == m->ring.own_zone)
+        continue;
+      const struct membership_zone *state
+          = membership_zone_state (m, zone->name, now_ms);
+      bool quiet = state == NULL || now_ms - state->heard_ms > ZONE_QUIET_MS;
+      uint64_t same
+          = zone->relays[rank] != 0 ? zone->relays[rank] : zone->relays[0];
+      if (quiet || m->ring.own_zone < zone->id)
+        add_probe (m, old, old_count, same, false, now_ms);
+      if (quiet)
+        add_probe (m, old, old_count, zone->relays[1 - rank], false, now_ms);
+    }
+}
+
+static void
+choose_probes (struct membership *m, uint64_t now_ms)
+{
+  struct membership_probe old[MEMBERSHIP_PROBES_MAX];
+  uint32_t old_count = m->probe_count;
+  memcpy (old, m->probes, old_count * sizeof *old);
+  m->probe_count = 0;
+  uint64_t successors[MEMBERSHIP_SUCCESSORS];
+  uint32_t count = ring_successors (&m->ring, m->self_id, successors,
+                                    MEMBERSHIP_SUCCESSORS);
+  for (uint32_t i = 0; i < count; i++)
+    add_probe (m, old, old_count, successors[i], true, now_ms);
+  add_relay_probes (m, old, old_count, now_ms);
+}
+
+static void
+fill (struct membership *m, struct heartbeat *heartbeat)
+{
+  heartbeat->incarnation = membership_self (m)->incarnation;
+  heartbeat->states_version = true;
+  heartbeat->states_digest = true;
+  m->ops->version (m->arg, &heartbeat->version, heartbeat->hash);
+  heartbeat->digest = m->digest;
+}
+
+void
+membership_probe_once (struct membership *m, uint64_t slot_id)
+{
+  struct heartbeat heartbeat = { 0 };
+  fill (m, &heartbeat);
+  m->ops->send_heartbeat (m->arg, slot_id, &heartbeat, false);
+}
+
+static void
+send_probe (struct membership *m, struct membership_probe *probe)
+{
+  struct heartbeat heartbeat = { 0 };
+  fill (m, &heartbeat);
+  probe->seq = (probe->seq + 1) & 0xffff;
+  heartbeat.seq = probe->seq;
+  bool changed = heartbeat.version != probe->stated_version
+                 || heartbeat.digest != probe->stated_digest;
+  if (changed || probe->until_full == 0 || probe->replaced)
+    {
+      probe->until_full = MEMBERSHIP_FULL_EVERY - 1;
+      probe->stated_version = heartbeat.version;
+      probe->stated_digest = heartbeat.digest;
+    }
+  else
+    {
+      probe->until_full--;
+      heartbeat = (struct heartbeat){ .seq = probe->seq };
+    }
+  m->ops->send_heartbeat (m->arg, probe->slot_id, &heartbeat, false);
+}
+
+void
+membership_probe_answered (struct membership *m, uint64_t slot_id)
+{
+  struct membership_probe *probe = find_probe (m, slot_id);
+  if (probe == NULL)
+    return;
+  probe->waiting = false;
+  probe->replaced = false;
+}
+
+void
+membership_probe_resume (struct membership *m, uint64_t now_ms)
+{
+  for (uint32_t i = 0; i < m->probe_count; i++)
+    {
+      m->probes[i].waiting = false;
+      m->probes[i].replaced = false;
+      m->probes[i].next_ms = now_ms;
+    }
+}
+
+/// Only neighbours on the ring suspect a member. A relay that another zone
+/// cannot reach may be well; its own zone judges it.
+static void
+suspect (struct membership *m, struct membership_probe *probe, uint64_t now_ms)
+{
+  probe->waiting = false;
+  probe->replaced = false;
+  probe->next_ms = now_ms + MEMBERSHIP_HEARTBEAT_MS;
+  if (!probe->ring)
+    return;
+  uint32_t handle = member_find (&m->table, probe->slot_id);
+  if (handle == MEMBER_NONE)
+    return;
+  struct member record = *member_get (&m->table, handle);
+  if (record.state != MEMBER_ALIVE)
+    return;
+  record.state = MEMBER_SUSPECT;
+  if (!membership_merge (m, &record, now_ms))
+    return;
+  counter_add (&suspicions, 1);
+  membership_queue_event (m, handle, false, now_ms);
+}
+
+static void
+replace (struct membership *m, struct membership_probe *probe, uint64_t now_ms)
+{
+  counter_add (&replaced, 1);
+  probe->replaced = true;
+  probe->sent_ms = now_ms;
+  probe->next_ms = now_ms + MEMBERSHIP_HEARTBEAT_MS;
+  m->ops->replace_connection (m->arg, probe->slot_id);
+  send_probe (m, probe);
+}
+
+static void
+check (struct membership *m, struct membership_probe *probe, uint64_t now_ms)
+{
+  uint64_t limit
+      = probe->replaced ? MEMBERSHIP_RETRY_MS : MEMBERSHIP_SILENT_MS;
+  if (probe->waiting && now_ms - probe->sent_ms >= limit)
+    {
+      if (probe->replaced)
+        suspect (m, probe, now_ms);
+      else
+        replace (m, probe, now_ms);
+      return;
+    }
+  if (now_ms < probe->next_ms || probe->replaced)
+    return;
+  probe->next_ms = now_ms + MEMBERSHIP_HEARTBEAT_MS;
+  if (!probe->waiting)
+    {
+      probe->waiting = true;
+      probe->sent_ms = now_ms;
+    }
+  send_probe (m, probe);
+}
+
+void
+membership_connect_failed (struct membership *m, uint64_t slot_id,
+                           uint64_t now_ms)
+{
+  struct membership_probe *probe = find_probe (m, slot_id);
+  if (probe == NULL || !probe->waiting)
+    return;
+  if (probe->replaced)
+    suspect (m, probe, now_ms);
+}
+
+void
+membership_probe_tick (struct membership *m, uint64_t now_ms)
+{
+  if (m->leaving)
+    return;
+  /* Relays look at the silence of zones as well, which changes without the
+     table; their list is short. */
+  if (m->probes_generation != m->ring.generation || m->relay_since_ms != 0)
+    choose_probes (m, now_ms);
+  m->probes_generation = m->ring.generation;
+  for (uint32_t i = 0; i < m->probe_count; i++)
+    check (m, &m->probes[i], now_ms);
+}
--- /dev/null
+++ b/src/coordination/membership_zone.c
@@ -0,0 +1,139 @@
+/// Owns the reachability of zones in a membership.
+#include "coordination/membership_parts.h"
+
+#include "base/counter.h"
+#include "base/hash.h"
+
+#include <string.h>
+
+static struct counter zones_lost
+    = COUNTER ("membership_zones_lost", "Zones marked unreachable here.");
+
+/// The second relay gives the first one's mark time to arrive.
+#define SECOND_RELAY_MS 500
+/// Evidence of a zone that is younger than this outweighs another's mark.
+#define FRESH_MS 2000
+#define LOST_PROBE_MS 2000
+
+struct membership_zone *
+membership_zone_state (struct membership *m, const char *name, uint64_t now_ms)
+{
+  uint64_t id = hash_place_string (name);
+  for (uint32_t i = 0; i < m->zone_count; i++)
+    if (m->zones[i].id == id)
+      return &m->zones[i];
+  if (m->zone_count == RING_ZONES_MAX)
+    return NULL;
+  struct membership_zone *zone = &m->zones[m->zone_count++];
+  *zone = (struct membership_zone){ .id = id, .heard_ms = now_ms };
+  memcpy (zone->name, name, strlen (name) + 1);
+  return zone;
+}
+
+static void
+announce (struct membership *m, const struct membership_zone *zone)
+{
+  struct zone_mark mark = { .unreachable = zone->unreachable };
+  memcpy (mark.name, zone->name, sizeof mark.name);
+  m->ops->broadcast (m->arg, NULL, 0, &mark, true);
+}
+
+void
+membership_zone_heard (struct membership *m, const struct member *member,
+                       uint64_t now_ms)
+{
+  struct membership_zone *zone
+      = membership_zone_state (m, member->availability_zone, now_ms);
+  if (zone == NULL)
+    return;
+  zone->heard_ms = now_ms;
+  if (!zone->unreachable)
+    return;
+  zone->unreachable = false;
+  if (membership_is_relay (m))
+    announce (m, zone);
+}
+
+void
+membership_zone_marked (struct membership *m, const struct zone_mark *mark,
+                        uint64_t now_ms)
+{
+  struct membership_zone *zone = membership_zone_state (m, mark->name, now_ms);
+  if (zone == NULL || zone->id == m->ring.own_zone)
+    return;
+  if (mark->unreachable && membership_is_relay (m)
+      && now_ms - zone->heard_ms < FRESH_MS && m->relay_since_ms != 0
+      && zone->heard_ms > m->relay_since_ms)
+    announce (m, zone);
+  else
+    zone->unreachable = mark->unreachable;
+}
+
+/// Tries one random member of a lost zone: its relays may have been replaced
+/// by members that this side has not heard of.
+static void
+probe_lost (struct membership *m, const struct membership_zone *zone)
+{
+  if (m->table.count == 0)
+    return;
+  uint32_t start = (uint32_t)rng_below (m->rng, m->table.count);
+  for (uint32_t i = 0; i < m->table.count; i++)
+    {
+      const struct member *member
+          = &m->table.items[(start + i) % m->table.count];
+      if (member->state == MEMBER_ALIVE
+          && strcmp (member->availability_zone, zone->name) == 0)
+        {
+          membership_probe_once (m, member->slot_id);
+          return;
+        }
+    }
+}
+
+void
+membership_zone_tick (struct membership *m, uint64_t now_ms)
+{
+  int rank = ring_relay_rank (ring_find_zone (&m->ring, m->ring.own_zone),
+                              m->self_id);
+  if (rank < 0 || m->leaving)
+    {
+      m->relay_since_ms = 0;
+      return;
+    }
+  if (m->relay_since_ms == 0)
+    m->relay_since_ms = now_ms;
+  bool probe = now_ms >= m->zone_probe_ms;
+  if (probe)
+    m->zone_probe_ms = now_ms + LOST_PROBE_MS;
+  for (uint32_t i = 0; i < m->ring.zone_count; i++)
+    {
+      const struct ring_zone *seen = &m->ring.zones[i];
+      if (seen->id == m->ring.own_zone)
+        continue;
+      struct membership_zone *zone
+          = membership_zone_state (m, seen->name, now_ms);
+      if (zone == NULL)
+        continue;
+      uint64_t since = zone->heard_ms > m->relay_since_ms ? zone->heard_ms
+                                                          : m->relay_since_ms;
+      uint64_t limit = MEMBERSHIP_ZONE_MS + (rank == 0 ? 0 : SECOND_RELAY_MS);
+      if (!zone->unreachable && now_ms - since >= limit)
+        {
+          zone->unreachable = true;
+          counter_add (&zones_lost, 1);
+          announce (m, zone);
+        }
+      if (zone->unreachable && probe)
+        probe_lost (m, zone);
+    }
+}
+
+bool
+membership_zone_reachable (const struct membership *m, const char *name)
+{
+  uint64_t id = hash_place_string (name);
+  for (uint32_t i = 0; i < m->zone_count; i++)
+    if (m->zones[i].id == id)
+      return !m->zones[i].unreachable;
+  return true;
+}
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -3,16 +3,54 @@
 #ifndef HAWTHORNSEAM_TRANSPORT_PEER_H
 #define HAWTHORNSEAM_TRANSPORT_PEER_H
 
+#include "base/rng.h"
 #include "base/status.h"
+#include "protocol/settings.h"
 
+#include <event2/event.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /// Number of message types; a type indexes the table of handlers.
 #define PEER_TYPES 64
 
+#define PEER_HELLO_MS 2000        ///< connect and HELLO together
+#define PEER_IDLE_MS 60000        ///< connections unused for longer close
+#define PEER_OUTPUT_MAX (4 << 20) ///< bytes queued before a drop
+#define PEER_CONNECTIONS_MAX 2048 ///< further ones are not accepted
+
 struct peers;
 
+struct peers_options
+{
+  struct event_base *base;
+  const struct settings *settings; ///< mesh, keys, address and peer port
+  uint64_t slot_id;                ///< of this node
+  struct rng *rng;
+  /// Finds the address of a member.
+  /// @return false when the slot is not known
+  bool (*address) (void *arg, uint64_t slot_id, uint32_t *address,
+                   uint16_t *port);
+  /// Called when a connection to a member could not be opened.
+  void (*connect_failed) (void *arg, uint64_t slot_id);
+  void *arg;
+};
+
+/// Starts listening. `options` is copied, what it refers to outlives the
+/// peers.
+/// @param peers  set with STATUS_OK, released by peers_stop
+enum status peers_start (struct peers **peers,
+                         const struct peers_options *options);
+
+/// Closes all connections without waiting for queued output.
+void peers_stop (struct peers *peers);
+
+/// Stops accepting connections; open ones stay.
+void peers_stop_listening (struct peers *peers);
+
+/// @return true when bytes wait to be sent
+bool peers_has_output (const struct peers *peers);
+
 /// Registers the handler of a message type. `body` is the msgpack array that
 /// follows the type, borrowed for the time of the call.
 /// @param type  below PEER_TYPES, not yet registered
@@ -28,4 +66,15 @@
 enum status peer_send (struct peers *peers, uint64_t slot_id, unsigned type,
                        const uint8_t *body, size_t size);
 
+/// Queues a message for whoever listens at an address, as a seed whose slot is
+/// not known yet.
+/// @param address  IPv4, host byte order
+/// @return as peer_send
+enum status peer_send_address (struct peers *peers, uint32_t address,
+                               uint16_t port, unsigned type,
+                               const uint8_t *body, size_t size);
+
+/// Closes the connection to a member; the next message opens a new one.
+void peer_replace (struct peers *peers, uint64_t slot_id);
+
 #endif
