--- a/test/standin/fake_store_data.h
+++ b/test/standin/fake_store_data.h
@@ -67,7 +67,7 @@
   size_t entry_count;
   struct fake_entry *saved; ///< by fake_store_save
   size_t saved_count;
-  struct fake_lease leases[64];
+  struct fake_lease leases[256];
   size_t lease_count;
   uint64_t next_lease;
   struct fake_operation **operations;
