Add the store client and the codec of the store's interface

Cause: nodes reach the store over HTTP and must know whether a write that failed can have taken effect.

A call is UNKNOWN as soon as bytes of it reached a connected socket, and UNAVAILABLE otherwise.

--- /dev/null
+++ b/src/protocol/store_api.h
@@ -0,0 +1,52 @@
+/// The store's HTTP interface: paths and query strings of calls, and strict
+/// parsing of answers. Anything outside the interface is STATUS_CORRUPT.
+#ifndef HAWTHORNSEAM_PROTOCOL_STORE_API_H
+#define HAWTHORNSEAM_PROTOCOL_STORE_API_H
+
+#include "coordination/store.h"
+
+/// Keys hold 1 to this many bytes of [A-Za-z0-9._/-]; they need no escapes.
+#define STORE_API_KEY_MAX 255
+/// Bytes of a path with its query string, including the terminating zero.
+#define STORE_API_PATH_MAX 384
+/// Keys in the answer to one list call.
+#define STORE_API_LIST_MAX 65536
+
+enum store_call
+{
+  STORE_CALL_GET,
+  STORE_CALL_WATCH,
+  STORE_CALL_PUT,
+  STORE_CALL_REMOVE,
+  STORE_CALL_LIST,
+  STORE_CALL_LEASE_GRANT,
+  STORE_CALL_LEASE_KEEPALIVE
+};
+
+/// Arguments of a call; those that the call lacks are ignored.
+struct store_request
+{
+  enum store_call call;
+  const char *key;   ///< key, or prefix of a list (may be empty)
+  uint64_t revision; ///< expected revision, or `after` of a watch
+  uint64_t lease;    ///< of a put (0: none) or a keepalive
+  uint32_t ms;       ///< wait of a watch or time to live of a lease
+};
+
+/// Writes the path with its query string.
+/// @return STATUS_INVALID for a key that the interface does not allow
+enum status store_api_path (const struct store_request *request,
+                            char path[STORE_API_PATH_MAX]);
+
+/// Reads one answer.
+/// @param code      HTTP status
+/// @param revision  value of X-Revision or NULL
+/// @param body      borrowed; the reply points into it
+/// @param arena     talloc context that owns the list of keys
+/// @param reply     filled whatever the result; its status says how the call
+///                  went
+void store_api_answer (enum store_call call, int code, const char *revision,
+                       const uint8_t *body, size_t size, void *arena,
+                       struct store_reply *reply);
+
+#endif
--- /dev/null
+++ b/src/transport/store_client.c
@@ -0,0 +1,425 @@
+/// Owns the connections to the store and the operations in flight.
+#include "transport/store_client.h"
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "protocol/store_api.h"
+
+#include <assert.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <string.h>
+#include <talloc.h>
+
+/// Largest answer: a list of STORE_API_LIST_MAX keys of usual length.
+#define ANSWER_MAX (4 * 1024 * 1024)
+
+struct store_operation
+{
+  struct store_client *client;
+  struct store_connection *connection; ///< NULL while queued
+  enum store_call call;
+  char path[STORE_API_PATH_MAX];
+  uint8_t *body;
+  size_t body_size;
+  bool sent; ///< bytes of the request were handed to a connected socket
+  enum status refused; ///< answer that is due without any call, or STATUS_OK
+  struct event *timer;
+  void (*done) (void *arg, const struct store_reply *reply);
+  void *arg;
+  TAILQ_ENTRY (store_operation) link;
+};
+
+static struct counter calls_total
+    = COUNTER ("store_calls", "Calls made to the store.");
+static struct counter calls_unavailable = COUNTER (
+    "store_calls_unavailable", "Calls that certainly had no effect.");
+static struct counter calls_unknown
+    = COUNTER ("store_calls_unknown", "Calls whose effect is unknown.");
+static struct counter connections_replaced
+    = COUNTER ("store_connections_replaced",
+               "Connections closed because they stopped answering.");
+
+static void run_queue (struct store_client *client, bool watches);
+
+static bool
+is_watch (const struct store_operation *operation)
+{
+  return operation->call == STORE_CALL_WATCH;
+}
+
+static struct store_queue *
+queue_of (struct store_client *client, bool watches)
+{
+  return watches ? &client->watch_queue : &client->queue;
+}
+
+static void
+note_reachable (struct store_client *client, bool reachable)
+{
+  if (client->reachable == reachable)
+    return;
+  client->reachable = reachable;
+  log_event (LOG_LEVEL_INFO,
+             reachable ? "store_reachable" : "store_unreachable", "address=%s",
+             client->address);
+}
+
+/// Removes an operation from its list and frees it.
+static void
+operation_free (struct store_operation *operation)
+{
+  struct store_client *client = operation->client;
+  if (operation->connection != NULL)
+    {
+      operation->connection->operation = NULL;
+      TAILQ_REMOVE (&client->active, operation, link);
+    }
+  else
+    {
+      client->waiting--;
+      TAILQ_REMOVE (queue_of (client, is_watch (operation)), operation, link);
+    }
+  event_free (operation->timer);
+  talloc_free (operation);
+}
+
+/// Frees the operation, starts the next one, then calls back.
+static void
+operation_finish (struct store_operation *operation,
+                  const struct store_reply *reply)
+{
+  struct store_client *client = operation->client;
+  bool watches = is_watch (operation);
+  void (*done) (void *, const struct store_reply *) = operation->done;
+  void *arg = operation->arg;
+  if (reply->status == STATUS_UNAVAILABLE)
+    counter_add (&calls_unavailable, 1);
+  if (reply->status == STATUS_UNKNOWN)
+    counter_add (&calls_unknown, 1);
+  operation_free (operation);
+  run_queue (client, watches);
+  done (arg, reply);
+}
+
+static void
+operation_fail (struct store_operation *operation)
+{
+  note_reachable (operation->client, false);
+  struct store_reply reply
+      = { .status = operation->sent ? STATUS_UNKNOWN : STATUS_UNAVAILABLE };
+  operation_finish (operation, &reply);
+}
+
+/// Notes that bytes of the current request reached the connection's output.
+/// evhttp writes a request only after the connection is established.
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+           void *arg)
+{
+  struct store_connection *connection = arg;
+  if (info->n_added > 0 && connection->operation != NULL)
+    connection->operation->sent = true;
+}
+
+static void
+on_answer (struct evhttp_request *request, void *arg)
+{
+  struct store_connection *connection = arg;
+  struct store_operation *operation = connection->operation;
+  if (operation == NULL)
+    return;
+  if (request == NULL || evhttp_request_get_response_code (request) == 0)
+    {
+      operation_fail (operation);
+      return;
+    }
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (input);
+  const char *revision = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "X-Revision");
+  void *arena = talloc_new (NULL);
+  struct store_reply reply;
+  store_api_answer (operation->call,
+                    evhttp_request_get_response_code (request), revision,
+                    evbuffer_pullup (input, -1), size, arena, &reply);
+  note_reachable (connection->client, reply.status != STATUS_UNAVAILABLE);
+  operation_finish (operation, &reply);
+  talloc_free (arena);
+}
+
+static bool
+connection_open (struct store_connection *connection)
+{
+  struct store_client *client = connection->client;
+  if (connection->http != NULL)
+    return true;
+  connection->http = evhttp_connection_base_new (
+      client->base, NULL, client->address, client->port);
+  if (connection->http == NULL)
+    return false;
+  evhttp_connection_set_max_body_size (connection->http, ANSWER_MAX);
+  evhttp_connection_set_max_headers_size (connection->http, 16 * 1024);
+  struct bufferevent *stream
+      = evhttp_connection_get_bufferevent (connection->http);
+  evbuffer_add_cb (bufferevent_get_output (stream), on_output, connection);
+  return true;
+}
+
+static void
+connection_close (struct store_connection *connection)
+{
+  if (connection->http != NULL)
+    evhttp_connection_free (connection->http);
+  connection->http = NULL;
+}
+
+static enum evhttp_cmd_type
+method_of (enum store_call call)
+{
+  switch (call)
+    {
+    case STORE_CALL_PUT:
+      return EVHTTP_REQ_PUT;
+    case STORE_CALL_REMOVE:
+      return EVHTTP_REQ_DELETE;
+    case STORE_CALL_LEASE_GRANT:
+    case STORE_CALL_LEASE_KEEPALIVE:
+      return EVHTTP_REQ_POST;
+    default:
+      return EVHTTP_REQ_GET;
+    }
+}
+
+/// Sends an operation on an idle connection.
+/// @return false when evhttp refused it before anything was sent; the
+///         operation is freed in any case of failure
+static bool
+connection_send (struct store_connection *connection,
+                 struct store_operation *operation)
+{
+  struct evhttp_request *request = evhttp_request_new (on_answer, connection);
+  if (request == NULL || !connection_open (connection))
+    {
+      if (request != NULL)
+        evhttp_request_free (request);
+      return false;
+    }
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
+                     connection->client->address);
+  if (operation->body_size > 0)
+    evbuffer_add (evhttp_request_get_output_buffer (request), operation->body,
+                  operation->body_size);
+  counter_add (&calls_total, 1);
+  /* A connection that fails at once calls on_answer from here. */
+  return evhttp_make_request (connection->http, request,
+                              method_of (operation->call), operation->path)
+         == 0;
+}
+
+static struct store_connection *
+idle_connection (struct store_client *client, bool watches)
+{
+  struct store_connection *pool = watches ? client->watches : client->calls;
+  size_t count = watches ? STORE_CLIENT_WATCHES : STORE_CLIENT_CALLS;
+  for (size_t i = 0; i < count; i++)
+    if (pool[i].operation == NULL)
+      return &pool[i];
+  return NULL;
+}
+
+/// Gives queued operations to idle connections.
+static void
+run_queue (struct store_client *client, bool watches)
+{
+  struct store_queue *queue = queue_of (client, watches);
+  struct store_operation *operation = TAILQ_FIRST (queue);
+  while (operation != NULL)
+    {
+      struct store_operation *next = TAILQ_NEXT (operation, link);
+      struct store_connection *connection = idle_connection (client, watches);
+      if (connection == NULL)
+        return;
+      if (operation->refused == STATUS_OK)
+        {
+          TAILQ_REMOVE (queue, operation, link);
+          TAILQ_INSERT_TAIL (&client->active, operation, link);
+          client->waiting--;
+          operation->connection = connection;
+          connection->operation = operation;
+          if (!connection_send (connection, operation)
+              && connection->operation == operation)
+            event_active (operation->timer, EV_TIMEOUT, 0);
+        }
+      operation = next;
+    }
+}
+
+/// Ends an operation that got no answer in time or was refused at the start.
+static void
+on_timer (evutil_socket_t fd, short events, void *arg)
+{
+  struct store_operation *operation = arg;
+  if (operation->refused != STATUS_OK)
+    {
+      struct store_reply reply = { .status = operation->refused };
+      operation_finish (operation, &reply);
+      return;
+    }
+  if (operation->connection != NULL)
+    {
+      /* A connection that stopped answering is never used again. */
+      counter_add (&connections_replaced, 1);
+      connection_close (operation->connection);
+    }
+  operation_fail (operation);
+}
+
+static void
+start (struct store_client *client, const struct store_request *request,
+       const void *data, size_t size,
+       void (*done) (void *arg, const struct store_reply *reply), void *arg)
+{
+  struct store_operation *operation
+      = talloc_zero (NULL, struct store_operation);
+  assert (operation != NULL);
+  *operation = (struct store_operation){
+    .client = client, .call = request->call, .done = done, .arg = arg
+  };
+  operation->refused = store_api_path (request, operation->path);
+  if (size > STORE_VALUE_MAX)
+    operation->refused = STATUS_TOO_LARGE;
+  else if (size > 0)
+    {
+      operation->body = talloc_memdup (operation, data, size);
+      operation->body_size = size;
+    }
+  if (client->waiting >= STORE_CLIENT_QUEUE)
+    operation->refused = STATUS_UNAVAILABLE;
+  operation->timer = evtimer_new (client->base, on_timer, operation);
+  assert (operation->timer != NULL);
+  uint64_t wait_ms = STORE_CLIENT_TIMEOUT_MS;
+  if (is_watch (operation))
+    wait_ms += request->ms;
+  if (operation->refused != STATUS_OK)
+    wait_ms = 0;
+  struct timeval after
+      = { (time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000) * 1000 };
+  evtimer_add (operation->timer, &after);
+  TAILQ_INSERT_TAIL (queue_of (client, is_watch (operation)), operation, link);
+  client->waiting++;
+  run_queue (client, is_watch (operation));
+}
+
+static void
+client_get (void *store, const char *key,
+            void (*done) (void *, const struct store_reply *), void *arg)
+{
+  struct store_request request = { .call = STORE_CALL_GET, .key = key };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+static void
+client_watch (void *store, const char *key, uint64_t after, uint32_t wait_ms,
+              void (*done) (void *, const struct store_reply *), void *arg)
+{
+  struct store_request request = {
+    .call = STORE_CALL_WATCH, .key = key, .revision = after, .ms = wait_ms
+  };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+static void
+client_put (void *store, const char *key, uint64_t expected, uint64_t lease,
+            const void *data, size_t size,
+            void (*done) (void *, const struct store_reply *), void *arg)
+{
+  struct store_request request = {
+    .call = STORE_CALL_PUT, .key = key, .revision = expected, .lease = lease
+  };
+  start (store, &request, data, size, done, arg);
+}
+
+static void
+client_remove (void *store, const char *key, uint64_t expected,
+               void (*done) (void *, const struct store_reply *), void *arg)
+{
+  struct store_request request
+      = { .call = STORE_CALL_REMOVE, .key = key, .revision = expected };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+static void
+client_list (void *store, const char *prefix,
+             void (*done) (void *, const struct store_reply *), void *arg)
+{
+  struct store_request request = { .call = STORE_CALL_LIST, .key = prefix };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+static void
+client_lease_grant (void *store, uint32_t ttl_ms,
+                    void (*done) (void *, const struct store_reply *),
+                    void *arg)
+{
+  struct store_request request
+      = { .call = STORE_CALL_LEASE_GRANT, .ms = ttl_ms };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+static void
+client_lease_keepalive (void *store, uint64_t lease,
+                        void (*done) (void *, const struct store_reply *),
+                        void *arg)
+{
+  struct store_request request
+      = { .call = STORE_CALL_LEASE_KEEPALIVE, .lease = lease };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+const struct store_ops store_client_ops = {
+  .get = client_get,
+  .watch = client_watch,
+  .put = client_put,
+  .remove = client_remove,
+  .list = client_list,
+  .lease_grant = client_lease_grant,
+  .lease_keepalive = client_lease_keepalive,
+};
+
+enum status
+store_client_init (struct store_client *client, struct event_base *base,
+                   const char *address, uint16_t port)
+{
+  if (strlen (address) >= sizeof client->address)
+    return status_set (STATUS_INVALID, "store address '%.60s' is too long",
+                       address);
+  *client
+      = (struct store_client){ .base = base, .port = port, .reachable = true };
+  strcpy (client->address, address);
+  TAILQ_INIT (&client->queue);
+  TAILQ_INIT (&client->watch_queue);
+  TAILQ_INIT (&client->active);
+  for (size_t i = 0; i < STORE_CLIENT_CALLS; i++)
+    client->calls[i].client = client;
+  for (size_t i = 0; i < STORE_CLIENT_WATCHES; i++)
+    client->watches[i].client = client;
+  return STATUS_OK;
+}
+
+void
+store_client_finish (struct store_client *client)
+{
+  for (size_t i = 0; i < STORE_CLIENT_CALLS; i++)
+    connection_close (&client->calls[i]);
+  for (size_t i = 0; i < STORE_CLIENT_WATCHES; i++)
+    connection_close (&client->watches[i]);
+  while (!TAILQ_EMPTY (&client->active))
+    operation_free (TAILQ_FIRST (&client->active));
+  while (!TAILQ_EMPTY (&client->queue))
+    operation_free (TAILQ_FIRST (&client->queue));
+  while (!TAILQ_EMPTY (&client->watch_queue))
+    operation_free (TAILQ_FIRST (&client->watch_queue));
+}
--- /dev/null
+++ b/test/unit/store_client_test.c
@@ -0,0 +1,253 @@
+/// Runs the client against a small evhttp server in the same process.
+#include "testing.h"
+#include "transport/store_client.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum server_mode
+{
+  MODE_ANSWER,
+  MODE_SILENT, ///< never answers
+  MODE_CLOSE,  ///< closes after the request arrived
+  MODE_REFUSE, ///< 503
+  MODE_GARBAGE ///< 200 without X-Revision
+};
+
+struct fixture
+{
+  struct event_base *base;
+  struct evhttp *http;
+  uint16_t port;
+  enum server_mode mode;
+  int requests;
+  char last_path[256];
+  struct store_client client;
+  int answers;
+  enum status last;
+  uint64_t revision;
+  char data[64];
+};
+
+static void
+on_request (struct evhttp_request *request, void *arg)
+{
+  struct fixture *fixture = arg;
+  fixture->requests++;
+  snprintf (fixture->last_path, sizeof fixture->last_path, "%s",
+            evhttp_request_get_uri (request));
+  /* Long polls stay open, as at a store without changes. */
+  if (fixture->mode == MODE_SILENT || strstr (fixture->last_path, "wait_ms"))
+    return;
+  if (fixture->mode == MODE_CLOSE)
+    {
+      evhttp_connection_free (evhttp_request_get_connection (request));
+      return;
+    }
+  if (fixture->mode == MODE_REFUSE)
+    {
+      evhttp_send_reply (request, 503, NULL, NULL);
+      return;
+    }
+  struct evbuffer *body = evbuffer_new ();
+  evbuffer_add (body, "value", 5);
+  if (fixture->mode == MODE_ANSWER)
+    evhttp_add_header (evhttp_request_get_output_headers (request),
+                       "X-Revision", "42");
+  evhttp_send_reply (request, 200, NULL, body);
+  evbuffer_free (body);
+}
+
+static void
+on_done (void *arg, const struct store_reply *reply)
+{
+  struct fixture *fixture = arg;
+  fixture->answers++;
+  fixture->last = reply->status;
+  fixture->revision = reply->revision;
+  memset (fixture->data, 0, sizeof fixture->data);
+  if (reply->data != NULL && reply->size < sizeof fixture->data)
+    memcpy (fixture->data, reply->data, reply->size);
+}
+
+static void
+fixture_init (struct fixture *fixture, enum server_mode mode)
+{
+  *fixture = (struct fixture){ .mode = mode };
+  fixture->base = event_base_new ();
+  fixture->http = evhttp_new (fixture->base);
+  evhttp_set_allowed_methods (fixture->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT
+                                                 | EVHTTP_REQ_DELETE
+                                                 | EVHTTP_REQ_POST);
+  evhttp_set_gencb (fixture->http, on_request, fixture);
+  struct evhttp_bound_socket *bound
+      = evhttp_bind_socket_with_handle (fixture->http, "127.0.0.1", 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (bound);
+  struct sockaddr_in name;
+  socklen_t size = sizeof name;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&name,
+               &size);
+  fixture->port = ntohs (name.sin_port);
+  CU_ASSERT_EQUAL (store_client_init (&fixture->client, fixture->base,
+                                      "127.0.0.1", fixture->port),
+                   STATUS_OK);
+}
+
+static void
+fixture_finish (struct fixture *fixture)
+{
+  store_client_finish (&fixture->client);
+  evhttp_free (fixture->http);
+  event_base_free (fixture->base);
+}
+
+/// Runs the loop until a number of answers arrived, at most for a time.
+static void
+run (struct fixture *fixture, int answers, int limit_ms)
+{
+  for (int i = 0; i < limit_ms && fixture->answers < answers; i++)
+    {
+      struct timeval step = { 0, 1000 };
+      event_base_loopexit (fixture->base, &step);
+      event_base_dispatch (fixture->base);
+    }
+}
+
+static void
+test_answers_and_values (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, MODE_ANSWER);
+  store_client_ops.get (&fixture.client, "cfg/head", on_done, &fixture);
+  CU_ASSERT_EQUAL (fixture.answers, 0);
+  run (&fixture, 1, 1000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  CU_ASSERT_EQUAL (fixture.revision, 42);
+  CU_ASSERT_STRING_EQUAL (fixture.data, "value");
+  store_client_ops.put (&fixture.client, "k", 3, 0, "x", 1, on_done, &fixture);
+  run (&fixture, 2, 1000);
+  CU_ASSERT_STRING_EQUAL (fixture.last_path, "/kv/k?prev=3");
+  store_client_ops.get (&fixture.client, "bad key", on_done, &fixture);
+  CU_ASSERT_EQUAL (fixture.answers, 2);
+  run (&fixture, 3, 1000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_INVALID);
+  CU_ASSERT_EQUAL (fixture.requests, 2);
+  fixture.mode = MODE_GARBAGE;
+  store_client_ops.get (&fixture.client, "k", on_done, &fixture);
+  run (&fixture, 4, 1000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_CORRUPT);
+  fixture_finish (&fixture);
+}
+
+static void
+test_effect_is_never_assumed (void)
+{
+  static const struct
+  {
+    enum server_mode mode;
+    enum status status;
+  } rows[] = {
+    { MODE_CLOSE, STATUS_UNKNOWN },
+    { MODE_SILENT, STATUS_UNKNOWN },
+    { MODE_REFUSE, STATUS_UNAVAILABLE },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct fixture fixture;
+      fixture_init (&fixture, rows[i].mode);
+      store_client_ops.put (&fixture.client, "k", 0, 0, "x", 1, on_done,
+                            &fixture);
+      run (&fixture, 1, 4000);
+      CU_ASSERT_EQUAL (fixture.answers, 1);
+      CU_ASSERT_EQUAL (fixture.last, rows[i].status);
+      fixture_finish (&fixture);
+    }
+}
+
+static void
+test_refused_connection_is_unavailable (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, MODE_ANSWER);
+  struct store_client other;
+  /* A port that was just given up: nothing listens on it. */
+  evhttp_free (fixture.http);
+  store_client_init (&other, fixture.base, "127.0.0.1", fixture.port);
+  for (int i = 0; i < 20; i++)
+    store_client_ops.put (&other, "k", 0, 0, "x", 1, on_done, &fixture);
+  run (&fixture, 20, 3000);
+  CU_ASSERT_EQUAL (fixture.answers, 20);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_UNAVAILABLE);
+  store_client_finish (&other);
+  fixture.http = evhttp_new (fixture.base);
+  fixture_finish (&fixture);
+}
+
+static void
+test_silent_connections_are_replaced (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, MODE_SILENT);
+  for (int i = 0; i < STORE_CLIENT_CALLS + 2; i++)
+    store_client_ops.put (&fixture.client, "k", 0, 0, "x", 1, on_done,
+                          &fixture);
+  run (&fixture, STORE_CLIENT_CALLS + 2, 4000);
+  CU_ASSERT_EQUAL (fixture.answers, STORE_CLIENT_CALLS + 2);
+  fixture.mode = MODE_ANSWER;
+  store_client_ops.get (&fixture.client, "k", on_done, &fixture);
+  run (&fixture, STORE_CLIENT_CALLS + 3, 1000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  fixture_finish (&fixture);
+}
+
+static void
+test_long_polls_do_not_hold_up_calls (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, MODE_ANSWER);
+  for (int i = 0; i < STORE_CLIENT_CALLS * 2; i++)
+    store_client_ops.watch (&fixture.client, "k", 1, 60000, on_done, &fixture);
+  for (int i = 0; i < 50; i++)
+    store_client_ops.get (&fixture.client, "k", on_done, &fixture);
+  run (&fixture, 50, 1000);
+  CU_ASSERT_EQUAL (fixture.answers, 50);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  fixture_finish (&fixture);
+}
+
+static void
+test_queue_is_bounded (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, MODE_SILENT);
+  int calls = STORE_CLIENT_CALLS + STORE_CLIENT_QUEUE + 10;
+  for (int i = 0; i < calls; i++)
+    store_client_ops.get (&fixture.client, "k", on_done, &fixture);
+  run (&fixture, 10, 1000);
+  CU_ASSERT_EQUAL (fixture.answers, 10);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_UNAVAILABLE);
+  fixture_finish (&fixture);
+}
+
+static const struct test_case cases[] = {
+  { "an answer is lost or mixed up", test_answers_and_values },
+  { "a sent write without answer is taken for unavailable",
+    test_effect_is_never_assumed },
+  { "a refused connection counts as a possible effect",
+    test_refused_connection_is_unavailable },
+  { "a silent connection is used again",
+    test_silent_connections_are_replaced },
+  { "long polls use up the connections of calls",
+    test_long_polls_do_not_hold_up_calls },
+  { "the queue grows without bound", test_queue_is_bounded },
+};
+
+int
+main (void)
+{
+  return testing_run ("store client", cases, sizeof cases / sizeof cases[0]);
+}
