Read and write configuration versions in the store from the node

Cause: versions held by the store have to reach the relays, operators and move drivers have to write them, and a store that returns with older content must not pull the mesh back.

--- a/src/coordination/publish.c
+++ b/src/coordination/publish.c
@@ -2,11 +2,14 @@
 /// the encoding of records belong to the caller.
 #include "coordination/publish.h"
 
+#include "coordination/backoff.h"
+
 #include <assert.h>
 #include <string.h>
 
-#define RETRY_BASE_MS 50
-#define RETRY_MAX_MS 1000
+/// Bounds the retry delay to 1.6 s, so that an attempt with a deadline of ten
+/// seconds notices the return of the store.
+#define DOUBLINGS_MAX 5
 
 static void
 finish (struct publish *publish, enum status result, uint64_t version)
@@ -207,9 +210,7 @@
 {
   if (publish->attempts == 0)
     return 0;
-  uint32_t doublings = publish->attempts < 6 ? publish->attempts - 1 : 5;
-  uint64_t cap = (uint64_t)RETRY_BASE_MS << doublings;
-  if (cap > RETRY_MAX_MS)
-    cap = RETRY_MAX_MS;
-  return 1 + rng_below (rng, cap);
+  return backoff_delay_ms (rng, publish->attempts < DOUBLINGS_MAX
+                                    ? publish->attempts
+                                    : DOUBLINGS_MAX);
 }
--- a/src/coordination/publish.h
+++ b/src/coordination/publish.h
@@ -79,7 +79,7 @@
                            const struct publish_head *head, uint64_t now_ms);
 
 /// @return milliseconds to wait before the next action, 0 after progress, else
-/// full jitter that doubles from 50 ms to 1 s
+/// full jitter of at most 1.6 s
 uint64_t publish_delay_ms (const struct publish *publish, struct rng *rng);
 
 #endif
--- /dev/null
+++ b/src/node/node_restore.c
@@ -0,0 +1,147 @@
+/// Owns one job that repairs a store which returned with older content: it
+/// writes a snapshot, the record and the head of the version in force.
+#include "node/node_config.h"
+
+#include "base/counter.h"
+#include "base/log.h"
+
+#include <string.h>
+#include <talloc.h>
+
+static struct counter restored
+    = COUNTER ("config_heads_restored", "older heads replaced in the store");
+
+struct restore
+{
+  struct node *node;
+  uint64_t revision;
+  uint64_t version;
+  uint64_t nonce;
+  struct record_parts parts;
+  uint8_t *record_bytes;
+  size_t record_size;
+  uint8_t *head_bytes;
+  size_t head_size;
+  size_t written; ///< parts, then the record
+  void (*done) (void *arg, enum status status);
+  void *arg;
+};
+
+static void restore_next (struct restore *restore);
+
+static void
+finish (struct restore *restore, enum status status)
+{
+  void (*done) (void *, enum status) = restore->done;
+  void *arg = restore->arg;
+  if (status == STATUS_OK)
+    {
+      counter_add (&restored, 1);
+      log_event (LOG_LEVEL_WARNING, "store_head_restored", "version=%llu",
+                 (unsigned long long)restore->version);
+    }
+  talloc_free (restore);
+  done (arg, status);
+}
+
+static void
+on_written (void *arg, const struct store_reply *reply)
+{
+  struct restore *restore = arg;
+  /* A conflict on an immutable key means that it exists already. */
+  if (reply->status != STATUS_OK && reply->status != STATUS_CONFLICT)
+    {
+      finish (restore, reply->status);
+      return;
+    }
+  restore->written++;
+  restore_next (restore);
+}
+
+static void
+on_head_written (void *arg, const struct store_reply *reply)
+{
+  finish (arg, reply->status);
+}
+
+static void
+restore_next (struct restore *restore)
+{
+  struct node *node = restore->node;
+  char key[RECORD_KEY_MAX];
+  if (restore->written < restore->parts.count)
+    {
+      record_snapshot_key (key, restore->version, restore->nonce,
+                           (unsigned)restore->written);
+      node->store_ops->put (
+          node->store, key, 0, 0, restore->parts.bytes[restore->written],
+          restore->parts.sizes[restore->written], on_written, restore);
+    }
+  else if (restore->written == restore->parts.count)
+    {
+      record_version_key (key, restore->version, restore->nonce);
+      node->store_ops->put (node->store, key, 0, 0, restore->record_bytes,
+                            restore->record_size, on_written, restore);
+    }
+  else
+    node->store_ops->put (node->store, RECORD_HEAD_KEY, restore->revision, 0,
+                          restore->head_bytes, restore->head_size,
+                          on_head_written, restore);
+}
+
+static enum status
+prepare (struct restore *restore, const struct config_record *record)
+{
+  const struct config *config = follow_current (node_follow (restore->node));
+  uint8_t *content;
+  size_t size;
+  enum status status = config_encode (config, restore, &content, &size);
+  if (status == STATUS_OK)
+    status = record_snapshot_encode (config->version, content, size, restore,
+                                     &restore->parts);
+  if (status == STATUS_OK)
+    status = record_version_encode (record, restore, &restore->record_bytes,
+                                    &restore->record_size);
+  if (status != STATUS_OK)
+    return status;
+  struct record_head head = { 0 };
+  head.snapshot_version = record->version;
+  head.snapshot_nonce = record->nonce;
+  record_head_advance (&head, record->version, &record->hash, record->nonce);
+  return record_head_encode (&head, restore, &restore->head_bytes,
+                             &restore->head_size);
+}
+
+void
+node_restore (struct node *node, uint64_t revision,
+              void (*done) (void *arg, enum status status), void *arg)
+{
+  struct follow *follow = node_follow (node);
+  uint64_t version = follow_current (follow)->version;
+  const struct config_record *record = follow_history (follow, version);
+  if (record == NULL)
+    {
+      /* Held from a snapshot only; a relay that has the record restores. */
+      done (arg, STATUS_UNAVAILABLE);
+      return;
+    }
+  struct restore *restore = talloc_zero (NULL, struct restore);
+  if (restore == NULL)
+    {
+      done (arg, STATUS_NO_MEMORY);
+      return;
+    }
+  restore->node = node;
+  restore->revision = revision;
+  restore->version = version;
+  restore->nonce = record->nonce;
+  restore->done = done;
+  restore->arg = arg;
+  enum status status = prepare (restore, record);
+  if (status != STATUS_OK)
+    {
+      finish (restore, status);
+      return;
+    }
+  restore_next (restore);
+}
--- a/src/protocol/record.h
+++ b/src/protocol/record.h
@@ -25,8 +25,10 @@
 #define RECORD_PART_MAX 900000
 #define RECORD_PARTS_MAX 32
 
-/// A snapshot is written when the version is a multiple of this.
-#define RECORD_SNAPSHOT_INTERVAL 64
+/// A snapshot is written when the version is a multiple of this. It is below
+/// RECORD_RECENT_MAX, so that the head always lists the records that follow
+/// the newest snapshot.
+#define RECORD_SNAPSHOT_INTERVAL 16
 
 #define RECORD_KEY_MAX 160 ///< bytes of a key with its terminator
 #define RECORD_HEAD_KEY "cfg/head"
--- /dev/null
+++ b/test/functional/mesh.sh
@@ -0,0 +1,169 @@
+# Functions for functional tests: start the stand-ins and nodes of one mesh on
+# loopback, wait for conditions, and end exactly the processes started here.
+# Source this file; call mesh_begin first.
+
+REPOSITORY=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+BIN="$REPOSITORY/build/${MESH_VARIANT:-opt}"
+KEY=$(printf '%064d' 7)
+
+# mesh_begin NAME: takes a block of free ports below the ephemeral range.
+mesh_begin() {
+  RUN="$REPOSITORY/build/run-$1-$$"
+  mkdir -p "$RUN"
+  declare -gA PID=() ZONE=() INDEX=()
+  NODES=()
+  local try
+  for try in $(seq 1 50); do
+    BASE=$((10000 + (RANDOM % 200) * 100))
+    block_is_free && break
+  done
+  STORE_PORT=$((BASE + 99))
+  trap mesh_end EXIT
+  trap 'exit 1' INT TERM
+}
+
+block_is_free() {
+  local port
+  for port in $(seq "$BASE" 3 $((BASE + 2000))); do
+    (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && return 1
+  done
+  return 0
+}
+
+mesh_end() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill -CONT "${PID[$name]}" 2>/dev/null
+    kill -KILL "${PID[$name]}" 2>/dev/null
+  done
+  wait 2>/dev/null
+  [ -n "${KEEP_RUN:-}" ] || rm -rf "$RUN"
+}
+
+# start NAME COMMAND...: starts one process with its own log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$RUN/$name.out" 2>>"$RUN/$name.log" &
+  PID[$name]=$!
+}
+
+# stop NAME [SIGNAL]: ends one process and waits for it.
+stop() {
+  kill "-${2:-TERM}" "${PID[$1]}" 2>/dev/null
+  wait "${PID[$1]}" 2>/dev/null
+  unset "PID[$1]"
+}
+
+mesh_store() {
+  start store "$BIN/standin-store" --port "$STORE_PORT"
+  wait_for "store answers" 10 curl -sf -o /dev/null \
+    "http://127.0.0.1:$STORE_PORT/control"
+}
+
+# store_control QUERY: switches a fault of the store stand-in.
+store_control() {
+  curl -s -X POST "http://127.0.0.1:$STORE_PORT/control?$1" >/dev/null
+}
+
+# node_settings SLOT ZONE REGION INDEX: writes the settings of one node. Each
+# node takes ten ports: 0 peers, 1 calls, 2 admin, 3 target.
+node_settings() {
+  local port=$((BASE + 100 + 10 * $4))
+  ZONE[$1]=$2
+  INDEX[$1]=$4
+  cat >"$RUN/$1.yaml" <<YAML
+format: 1
+mesh: ${MESH:-zapis}
+slot: $1
+availability_zone: $2
+region: $3
+address: 127.0.0.1
+peer_port: $port
+call_port: $((port + 1))
+admin:
+  address: 127.0.0.1
+  port: $((port + 2))
+store:
+  address: 127.0.0.1
+  port: $STORE_PORT
+seeds:
+$(seeds)
+keys:
+  - id: 1
+    key: "$KEY"
+YAML
+}
+
+seeds() {
+  local index
+  for index in ${SEED_INDEXES:-0 1}; do
+    echo "  - \"127.0.0.1:$((BASE + 100 + 10 * index))\""
+  done
+}
+
+mesh_node() {
+  node_settings "$@"
+  NODES+=("$1")
+  node_run "$1"
+}
+
+node_run() { start "$1" "$BIN/hawthornseam-node" --settings "$RUN/$1.yaml"; }
+
+call_port() { echo $((BASE + 101 + 10 * ${INDEX[$1]})); }
+admin_port() { echo $((BASE + 102 + 10 * ${INDEX[$1]})); }
+target_port() { echo $((BASE + 103 + 10 * ${INDEX[$1]})); }
+
+# mesh_target SLOT SERVICE VERSION [OPTION...]: target beside a node.
+mesh_target() {
+  local slot=$1 service=$2 version=$3
+  shift 3
+  start "target-$slot" "$BIN/standin-target" --port "$(target_port "$slot")" \
+    --node-port "$(call_port "$slot")" --service "$service" \
+    --target-version "$version" "$@"
+}
+
+ctl() {
+  local slot=$1
+  shift
+  "$BIN/hawthornseam-ctl" --node "127.0.0.1:$(admin_port "$slot")" "$@"
+}
+
+# state SLOT FIELD: a field of the node's state, printed by curl and sed.
+state() {
+  curl -s -m 2 "http://127.0.0.1:$(admin_port "$1")/state" \
+    | tr -d ' \n' | sed -nE "s/.*\"$2\":\"?([^,\"}]*)\"?[,}].*/\1/p"
+}
+
+counter() {
+  curl -s -m 2 "http://127.0.0.1:$(admin_port "$1")/counters" \
+    | sed -nE "s/^$2 ([0-9]+).*/\1/p"
+}
+
+# wait_for WHAT SECONDS COMMAND...: polls a condition.
+wait_for() {
+  local what=$1 end=$((SECONDS + $2))
+  shift 2
+  until "$@" 2>/dev/null; do
+    if [ $SECONDS -ge $end ]; then
+      echo "gave up waiting: $what"
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# all_nodes_at VERSION
+all_nodes_at() {
+  local slot
+  for slot in "${NODES[@]}"; do
+    [ "$(state "$slot" version)" = "$1" ] || return 1
+  done
+}
+
+# fail TEXT: prints the ends of all logs and exits.
+fail() {
+  echo "FAILED: $1"
+  tail -n 5 "$RUN"/*.log
+  exit 1
+}
