--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -281,6 +281,12 @@
   m->tick_ms = now_ms;
   if (gap_ms > MEMBERSHIP_HEARTBEAT_MS)
     resume (m, gap_ms, now_ms);
+  uint64_t version;
+  uint8_t hash[8];
+  m->ops->version (m->arg, &version, hash);
+  if (version != m->told_version)
+    m->version_ms = now_ms;
+  m->told_version = version;
   suspect_tick (m, now_ms);
   ring_refresh (&m->ring);
   join_tick (m, now_ms);
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -24,6 +24,9 @@
 /// Each heartbeat between them states only what changed, which keeps an idle
 /// node below its byte goal.
 #define MEMBERSHIP_FULL_EVERY 4
+/// An answer states a version or digest that changed within this time, so that
+/// each member that sends heartbeats to this node hears of it at once.
+#define MEMBERSHIP_FRESH_MS 2500
 #define MEMBERSHIP_SUCCESSORS 2
 #define MEMBERSHIP_PROBES_MAX                                                 \
   (MEMBERSHIP_SUCCESSORS + RING_RELAYS * RING_ZONES_MAX)
@@ -126,9 +129,11 @@
   uint64_t join_ms; ///< next attempt to join
   uint64_t buckets[MEMBERSHIP_BUCKETS];
   uint64_t digest;
-  uint64_t digest_ms;   ///< last change of the digest
-  uint64_t mismatch_ms; ///< first of the current run of differing digests
-  uint64_t pull_ms;     ///< earliest next VIEW_PULL
+  uint64_t digest_ms;    ///< last change of the digest
+  uint64_t told_version; ///< version in force at the last tick
+  uint64_t version_ms;   ///< last change of it
+  uint64_t mismatch_ms;  ///< first of the current run of differing digests
+  uint64_t pull_ms;      ///< earliest next VIEW_PULL
   struct token_bucket snapshots;
   struct membership_probe probes[MEMBERSHIP_PROBES_MAX];
   uint32_t probe_count;
--- a/src/coordination/membership_messages.c
+++ b/src/coordination/membership_messages.c
@@ -36,6 +36,28 @@
   m->ops->send_view_pull (m->arg, from, m->buckets);
 }
 
+/// An answer states what differs from the heartbeat, or changed lately.
+static void
+answer_heartbeat (struct membership *m, uint64_t from,
+                  const struct heartbeat *heartbeat, uint64_t now_ms)
+{
+  struct heartbeat reply = { .seq = heartbeat->seq, .digest = m->digest };
+  m->ops->version (m->arg, &reply.version, reply.hash);
+  if (heartbeat->incarnation != 0)
+    reply.incarnation = membership_self (m)->incarnation;
+  if (heartbeat->states_version)
+    reply.states_version
+        = reply.version != heartbeat->version
+          || memcmp (reply.hash, heartbeat->hash, sizeof reply.hash) != 0;
+  else
+    reply.states_version = now_ms - m->version_ms < MEMBERSHIP_FRESH_MS;
+  if (heartbeat->states_digest)
+    reply.states_digest = reply.digest != heartbeat->digest;
+  else
+    reply.states_digest = now_ms - m->digest_ms < MEMBERSHIP_FRESH_MS;
+  m->ops->send_heartbeat (m->arg, from, &reply, true);
+}
+
 void
 membership_heartbeat (struct membership *m, uint64_t from,
                       const struct heartbeat *heartbeat, bool answer,
@@ -46,21 +68,7 @@
   if (answer)
     membership_probe_answered (m, from);
   else
-    {
-      struct heartbeat reply = { .seq = heartbeat->seq };
-      m->ops->version (m->arg, &reply.version, reply.hash);
-      if (heartbeat->incarnation != 0)
-        reply.incarnation = membership_self (m)->incarnation;
-      reply.digest = m->digest;
-      reply.states_version
-          = heartbeat->states_version
-            && (reply.version != heartbeat->version
-                || memcmp (reply.hash, heartbeat->hash, sizeof reply.hash)
-                       != 0);
-      reply.states_digest
-          = heartbeat->states_digest && reply.digest != heartbeat->digest;
-      m->ops->send_heartbeat (m->arg, from, &reply, true);
-    }
+    answer_heartbeat (m, from, heartbeat, now_ms);
   if (heartbeat->states_version)
     m->ops->heard_version (m->arg, from, heartbeat->version, heartbeat->hash);
   uint32_t handle = member_find (&m->table, from);
--- a/src/coordination/report.c
+++ b/src/coordination/report.c
@@ -87,6 +87,14 @@
     }
 }
 
+static bool
+same_report (const struct report *a, const struct report *b)
+{
+  return a->members == b->members && a->lowest == b->lowest
+         && a->lagging_count == b->lagging_count
+         && memcmp (a->lagging, b->lagging, sizeof a->lagging) == 0;
+}
+
 uint64_t
 report_due (struct report_tree *tree, uint64_t version, uint64_t now_ms,
             struct report *sum)
@@ -99,7 +107,7 @@
     return 0;
   report_sum (tree, version, now_ms, sum);
   if (parent == tree->sent_parent && age_ms < REPORT_IDLE_MS
-      && memcmp (sum, &tree->sent, sizeof *sum) == 0)
+      && same_report (sum, &tree->sent))
     return 0;
   tree->sent = *sum;
   tree->sent_ms = now_ms;
--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -5,8 +5,8 @@
 #include "base/hash.h"
 
 #include <assert.h>
-#include <stdlib.h>
 #include <string.h>
+#include <talloc.h>
 
 static struct counter started
     = COUNTER ("spread_started", "Broadcasts that this node started.");
@@ -28,7 +28,7 @@
 static struct spread_body *
 body_new (const uint8_t *bytes, size_t size)
 {
-  struct spread_body *body = malloc (sizeof *body + size);
+  struct spread_body *body = talloc_size (NULL, sizeof *body + size);
   if (body == NULL)
     return NULL;
   body->references = 1;
@@ -41,8 +41,9 @@
 static void
 body_release (struct spread_body *body)
 {
+  assert (body != NULL && body->references > 0);
   if (--body->references == 0)
-    free (body);
+    talloc_free (body);
 }
 
 static bool
@@ -286,10 +287,11 @@
                              .ring = ring,
                              .self = self,
                              .number = rng_u64 (rng) };
-  spread->seen = calloc ((size_t)SPREAD_SEEN_SETS * SPREAD_SEEN_WAYS,
-                         sizeof *spread->seen);
-  spread->seen_next = calloc (SPREAD_SEEN_SETS, 1);
-  spread->parts = calloc (SPREAD_PENDING_MAX, sizeof *spread->parts);
+  spread->seen = talloc_zero_array (NULL, struct spread_seen,
+                                    SPREAD_SEEN_SETS * SPREAD_SEEN_WAYS);
+  spread->seen_next = talloc_zero_array (NULL, uint8_t, SPREAD_SEEN_SETS);
+  spread->parts
+      = talloc_zero_array (NULL, struct spread_part, SPREAD_PENDING_MAX);
   if (spread->seen != NULL && spread->seen_next != NULL
       && spread->parts != NULL)
     return STATUS_OK;
@@ -302,9 +304,9 @@
 {
   for (uint32_t i = 0; i < spread->part_count; i++)
     body_release (spread->parts[i].body);
-  free (spread->seen);
-  free (spread->seen_next);
-  free (spread->parts);
+  talloc_free (spread->seen);
+  talloc_free (spread->seen_next);
+  talloc_free (spread->parts);
   *spread = (struct spread){ 0 };
 }
 
--- /dev/null
+++ b/src/node/node_mesh_config.c
@@ -0,0 +1,527 @@
+/// Owns the way of configuration versions between nodes: pushes in the zone,
+/// pulls of missing versions, snapshots and floors.
+#include "node/node_mesh.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "protocol/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static struct counter records_sent
+    = COUNTER ("mesh_config_records_sent", "Version records sent to pulls.");
+static struct counter snapshots_sent
+    = COUNTER ("mesh_config_snapshots_sent", "Snapshots sent to pulls.");
+static struct counter pulls_deferred
+    = COUNTER ("mesh_config_pulls_deferred",
+               "Pulls that were answered with RETRY_AFTER.");
+static struct counter pulls
+    = COUNTER ("mesh_config_pulls", "Pulls sent by this node.");
+static struct counter refused
+    = COUNTER ("mesh_config_refused", "Offers from peers that were refused.");
+static struct counter floors_unrecorded
+    = COUNTER ("follow_floor_unrecorded",
+               "Versions put in force without a recorded floor.");
+
+#define SNAPSHOTS_PER_S 4
+/// A pull without answer is repeated elsewhere after this time.
+#define PULL_WAIT_MS 1000
+#define FLOOR_WAIT_MS 200
+#define FLOOR_ATTEMPTS 3
+/// The second relay broadcasts a record only when the first one did not.
+#define SECOND_RELAY_MS 300
+/// Bound on the records in one CONFIG_RECORDS, bytes.
+#define RECORDS_BYTES_MAX (900 * 1024)
+
+/// @return the version of an encoded record, 0 when it cannot be read
+static uint64_t
+record_version (const uint8_t *body, size_t size)
+{
+  void *arena = talloc_new (NULL);
+  struct config_record record;
+  uint64_t version = 0;
+  if (record_version_decode (arena, body, size, &record) == STATUS_OK)
+    version = record.version;
+  talloc_free (arena);
+  return version;
+}
+
+static bool
+is_relay_rank (struct node_mesh *mesh, int *rank)
+{
+  struct ring *ring = &mesh->membership.ring;
+  ring_refresh (ring);
+  *rank = ring_relay_rank (ring_find_zone (ring, ring->own_zone),
+                           mesh->node->slot_id);
+  return *rank >= 0;
+}
+
+static void
+note_wanted (struct node_mesh *mesh, uint64_t from, uint64_t version)
+{
+  if (version <= follow_newest (&mesh->follow) || version < mesh->pull.wanted)
+    return;
+  if (version > mesh->pull.wanted)
+    mesh->pull.attempts = 0;
+  mesh->pull.wanted = version;
+  mesh->pull.source = from;
+}
+
+/// Asks for what is missing, now or when the last request had its time.
+static void
+pull_tick (struct node_mesh *mesh, uint64_t now_ms)
+{
+  struct mesh_pull *pull = &mesh->pull;
+  if (pull->wanted <= follow_newest (&mesh->follow) || now_ms < pull->next_ms)
+    return;
+  uint64_t source = pull->source;
+  if (source == 0 || pull->attempts > 0)
+    source = membership_random_neighbour (&mesh->membership);
+  if (source == 0)
+    source = pull->source;
+  if (source == 0)
+    return;
+  pull->attempts++;
+  /* The stated source may be the only one that has it: back to it at every
+     second attempt. */
+  if (pull->attempts % 2 == 1 && pull->source != 0)
+    source = pull->source;
+  pull->next_ms = now_ms + PULL_WAIT_MS;
+  struct message_config_pull request
+      = { .version = follow_current (&mesh->follow)->version,
+          .hash = follow_current (&mesh->follow)->hash };
+  msgpack_sbuffer body;
+  msgpack_sbuffer_init (&body);
+  message_write_config_pull (&body, &request);
+  mesh_send (mesh, source, MESSAGE_CONFIG_PULL, &body);
+  counter_add (&pulls, 1);
+}
+
+void
+mesh_config_heard (struct node_mesh *mesh, uint64_t from, uint64_t version,
+                   const uint8_t hash[8])
+{
+  note_wanted (mesh, from, version);
+  pull_tick (mesh, clock_monotonic_ms ());
+}
+
+void
+mesh_config_retry (struct node_mesh *mesh, uint32_t delay_ms)
+{
+  struct mesh_pull *pull = &mesh->pull;
+  /* Another neighbour may have caught up meanwhile. */
+  pull->source = 0;
+  pull->next_ms = clock_monotonic_ms () + delay_ms
+                  + rng_below (&mesh->node->rng, (uint64_t)delay_ms + 1);
+}
+
+/// Offers a record that its sender counted in this node's floor.
+static enum status
+offer (struct node_mesh *mesh, const uint8_t *body, size_t size,
+       uint64_t *version)
+{
+  void *arena = talloc_new (NULL);
+  struct config_record record;
+  *version = 0;
+  enum status status = record_version_decode (arena, body, size, &record);
+  if (status == STATUS_OK)
+    {
+      *version = record.version;
+      follow_floor_recorded (&mesh->follow, record.version);
+      status = follow_offer_record (&mesh->follow, &record,
+                                    clock_monotonic_ms ());
+    }
+  talloc_free (arena);
+  if (status != STATUS_OK && status != STATUS_UNAVAILABLE)
+    {
+      counter_add (&refused, 1);
+      log_event (LOG_LEVEL_WARNING, "record_refused",
+                 "version=%llu status=%s reason=\"%s\"",
+                 (unsigned long long)*version, status_name (status),
+                 status_message ());
+    }
+  return status;
+}
+
+static void
+start_spread (struct node_mesh *mesh, uint64_t version, const uint8_t *body,
+              size_t size)
+{
+  if (version <= mesh->spread_version)
+    return;
+  mesh->spread_version = version;
+  spread_start (&mesh->spread, SPREAD_VERSION_RECORD, body, size, true,
+                clock_monotonic_ms ());
+}
+
+static void
+drop_delayed (struct node_mesh *mesh)
+{
+  free (mesh->delayed);
+  mesh->delayed = NULL;
+  mesh->delayed_ms = 0;
+}
+
+void
+mesh_config_spread (struct node_mesh *mesh, const uint8_t *body, size_t size)
+{
+  uint64_t version = record_version (body, size);
+  if (version <= mesh->spread_version)
+    return;
+  int rank;
+  if (!is_relay_rank (mesh, &rank) || rank == 0 || mesh->delayed != NULL)
+    {
+      start_spread (mesh, version, body, size);
+      return;
+    }
+  mesh->delayed = malloc (size);
+  if (mesh->delayed == NULL)
+    return;
+  memcpy (mesh->delayed, body, size);
+  mesh->delayed_size = size;
+  mesh->delayed_version = version;
+  mesh->delayed_ms = clock_monotonic_ms () + SECOND_RELAY_MS;
+}
+
+void
+mesh_config_broadcast (struct node_mesh *mesh, const uint8_t *body,
+                       size_t size)
+{
+  uint64_t version;
+  enum status status = offer (mesh, body, size, &version);
+  if (version > mesh->spread_version)
+    mesh->spread_version = version;
+  if (status == STATUS_UNAVAILABLE || status == STATUS_CORRUPT)
+    {
+      note_wanted (mesh, 0, version);
+      pull_tick (mesh, clock_monotonic_ms ());
+    }
+}
+
+void
+mesh_config_pushed (struct node_mesh *mesh, uint64_t slot_id,
+                    const uint8_t *body, size_t size)
+{
+  follow_set_floor (&mesh->follow, slot_id, record_version (body, size));
+}
+
+/* Answers to pulls */
+
+/// @return the number of kept records that lead from the pulled version to the
+/// current one, 0 when one of them is missing
+static size_t
+records_since (const struct follow *follow,
+               const struct message_config_pull *pull)
+{
+  uint64_t current = follow_current (follow)->version;
+  if (current - pull->version > FOLLOW_HISTORY)
+    return 0;
+  for (uint64_t v = pull->version + 1; v <= current; v++)
+    if (follow_history (follow, v) == NULL)
+      return 0;
+  const struct config_record *first
+      = follow_history (follow, pull->version + 1);
+  if (!hash_equal (&first->previous_hash, &pull->hash))
+    return 0;
+  return (size_t)(current - pull->version);
+}
+
+static void
+send_records (struct node_mesh *mesh, uint64_t to, uint64_t version,
+              size_t count)
+{
+  void *arena = talloc_new (NULL);
+  struct message_bytes records[MESSAGE_RECORDS_MAX];
+  size_t filled = 0;
+  size_t bytes = 0;
+  for (size_t i = 0; i < count && filled < MESSAGE_RECORDS_MAX; i++)
+    {
+      uint8_t *encoded;
+      size_t size;
+      if (record_version_encode (
+              follow_history (&mesh->follow, version + 1 + i), arena, &encoded,
+              &size)
+              != STATUS_OK
+          || (filled > 0 && bytes + size > RECORDS_BYTES_MAX))
+        break;
+      records[filled++] = (struct message_bytes){ encoded, size };
+      bytes += size;
+    }
+  if (filled > 0)
+    {
+      follow_set_floor (&mesh->follow, to, version + filled);
+      counter_add (&records_sent, filled);
+    }
+  msgpack_sbuffer body;
+  msgpack_sbuffer_init (&body);
+  message_write_config_records (&body, records, filled);
+  mesh_send (mesh, to, MESSAGE_CONFIG_RECORDS, &body);
+  talloc_free (arena);
+}
+
+/// Compresses the current content once for all pulls of the same version.
+static bool
+prepare_snapshot (struct node_mesh *mesh)
+{
+  const struct config *config = follow_current (&mesh->follow);
+  if (mesh->snapshot != NULL && mesh->snapshot_version == config->version)
+    return true;
+  talloc_free (mesh->snapshot);
+  mesh->snapshot = NULL;
+  void *arena = talloc_new (NULL);
+  uint8_t *content;
+  size_t size;
+  if (config_encode (config, arena, &content, &size) == STATUS_OK
+      && record_compress (content, size, NULL, &mesh->snapshot,
+                          &mesh->snapshot_size)
+             == STATUS_OK)
+    mesh->snapshot_version = config->version;
+  talloc_free (arena);
+  return mesh->snapshot != NULL;
+}
+
+static void
+send_snapshot (struct node_mesh *mesh, uint64_t to)
+{
+  if (!prepare_snapshot (mesh))
+    return;
+  const struct config *config = follow_current (&mesh->follow);
+  struct message_config_snapshot snapshot
+      = { .version = config->version,
+          .hash = config->hash,
+          .content = { mesh->snapshot, mesh->snapshot_size } };
+  follow_set_floor (&mesh->follow, to, config->version);
+  counter_add (&snapshots_sent, 1);
+  msgpack_sbuffer body;
+  msgpack_sbuffer_init (&body);
+  message_write_config_snapshot (&body, &snapshot);
+  mesh_send (mesh, to, MESSAGE_CONFIG_SNAPSHOT, &body);
+}
+
+static void
+on_config_pull (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_config_pull pull;
+  if (message_read_config_pull (body, size, &pull) != STATUS_OK)
+    return;
+  /* An empty list tells that there is nothing newer here. */
+  if (pull.version >= follow_current (&mesh->follow)->version)
+    {
+      send_records (mesh, from, pull.version, 0);
+      return;
+    }
+  size_t count = records_since (&mesh->follow, &pull);
+  if (count > 0)
+    {
+      send_records (mesh, from, pull.version, count);
+      return;
+    }
+  if (token_bucket_take (&mesh->snapshots, clock_monotonic_ms ()))
+    {
+      send_snapshot (mesh, from);
+      return;
+    }
+  counter_add (&pulls_deferred, 1);
+  struct message_retry_after retry
+      = { .delay_ms = (uint32_t)(250 + rng_below (&mesh->node->rng, 1000)),
+          .type = MESSAGE_CONFIG_PULL };
+  msgpack_sbuffer answer;
+  msgpack_sbuffer_init (&answer);
+  message_write_retry_after (&answer, &retry);
+  mesh_send (mesh, from, MESSAGE_RETRY_AFTER, &answer);
+}
+
+static bool
+from_other_zone (const struct node_mesh *mesh, uint64_t slot_id)
+{
+  const struct member_table *table = &mesh->membership.table;
+  uint32_t handle = member_find (table, slot_id);
+  return handle != MEMBER_NONE
+         && strcmp (member_get (table, handle)->availability_zone,
+                    membership_self (&mesh->membership)->availability_zone)
+                != 0;
+}
+
+static void
+on_config_records (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_bytes records[MESSAGE_RECORDS_MAX];
+  size_t count;
+  if (message_read_config_records (body, size, records, &count) != STATUS_OK)
+    return;
+  int rank;
+  /* What a relay learns from another zone its own zone lacks too. */
+  bool pass_on = is_relay_rank (mesh, &rank) && from_other_zone (mesh, from);
+  uint64_t before = follow_newest (&mesh->follow);
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t version;
+      if (offer (mesh, records[i].data, records[i].size, &version)
+          != STATUS_OK)
+        break;
+      if (pass_on)
+        start_spread (mesh, version, records[i].data, records[i].size);
+    }
+  struct mesh_pull *pull = &mesh->pull;
+  if (follow_newest (&mesh->follow) > before)
+    {
+      pull->attempts = 0;
+      pull->next_ms = 0;
+    }
+  pull_tick (mesh, clock_monotonic_ms ());
+}
+
+static void
+on_config_snapshot (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_config_snapshot snapshot;
+  if (message_read_config_snapshot (body, size, &snapshot) != STATUS_OK)
+    return;
+  void *arena = talloc_new (NULL);
+  uint8_t *content;
+  size_t content_size;
+  enum status status
+      = record_decompress (snapshot.content.data, snapshot.content.size, arena,
+                           &content, &content_size);
+  if (status == STATUS_OK)
+    {
+      follow_floor_recorded (&mesh->follow, snapshot.version);
+      status = follow_offer_snapshot (&mesh->follow, snapshot.version,
+                                      &snapshot.hash, content, content_size,
+                                      clock_monotonic_ms ());
+    }
+  if (status != STATUS_OK && status != STATUS_CONFLICT)
+    {
+      counter_add (&refused, 1);
+      log_event (LOG_LEVEL_WARNING, "snapshot_refused",
+                 "version=%llu reason=\"%s\"",
+                 (unsigned long long)snapshot.version, status_message ());
+    }
+  talloc_free (arena);
+}
+
+/* Floors */
+
+/// Sends the own floor to the next neighbour, or gives up.
+static void
+announce (struct node_mesh *mesh, uint64_t now_ms)
+{
+  struct mesh_floor *floor = &mesh->floor;
+  uint64_t neighbours[FLOOR_ATTEMPTS];
+  ring_refresh (&mesh->membership.ring);
+  uint32_t count = ring_successors (
+      &mesh->membership.ring, mesh->node->slot_id, neighbours, FLOOR_ATTEMPTS);
+  floor->due_ms = now_ms + FLOOR_WAIT_MS;
+  if (floor->attempts < count)
+    {
+      struct message_floor message
+          = { .slot_id = mesh->node->slot_id, .version = floor->version };
+      msgpack_sbuffer body;
+      msgpack_sbuffer_init (&body);
+      message_write_floor (&body, &message);
+      mesh_send (mesh, neighbours[floor->attempts++], MESSAGE_FLOOR, &body);
+      return;
+    }
+  if (floor->attempts == 0)
+    {
+      /* Nobody lives nearby; one wait covers a member that just joins. */
+      floor->attempts = FLOOR_ATTEMPTS;
+      return;
+    }
+  uint64_t version = floor->version;
+  floor->version = 0;
+  counter_add (&floors_unrecorded, 1);
+  follow_floor_recorded (&mesh->follow, version);
+}
+
+static void
+announce_floor (void *arg, uint64_t version)
+{
+  struct node_mesh *mesh = arg;
+  if (version <= mesh->floor.version)
+    return;
+  mesh->floor.version = version;
+  mesh->floor.attempts = 0;
+  announce (mesh, clock_monotonic_ms ());
+}
+
+static void
+on_floor (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_floor floor;
+  if (message_read_floor (body, size, &floor) != STATUS_OK)
+    return;
+  follow_set_floor (&mesh->follow, floor.slot_id, floor.version);
+  msgpack_sbuffer answer;
+  msgpack_sbuffer_init (&answer);
+  message_write_floor (&answer, &floor);
+  mesh_send (mesh, from, MESSAGE_FLOOR_ACK, &answer);
+}
+
+static void
+on_floor_ack (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_floor floor;
+  if (message_read_floor (body, size, &floor) != STATUS_OK
+      || floor.slot_id != mesh->node->slot_id)
+    return;
+  if (floor.version >= mesh->floor.version)
+    mesh->floor.version = 0;
+  follow_floor_recorded (&mesh->follow, floor.version);
+}
+
+static void
+in_force (void *arg, const struct config *config,
+          const struct config_record *record)
+{
+  struct node_mesh *mesh = arg;
+  log_event (LOG_LEVEL_INFO, "version_in_force", "version=%llu ready=%d",
+             (unsigned long long)config->version,
+             follow_ready (&mesh->follow));
+  for (unsigned i = 0; i < mesh->version_handler_count; i++)
+    mesh->version_handlers[i].call (mesh->version_handlers[i].arg, config);
+}
+
+const struct follow_ops mesh_follow_ops
+    = { .in_force = in_force, .announce_floor = announce_floor };
+
+void
+mesh_config_start (struct node_mesh *mesh)
+{
+  token_bucket_init (&mesh->snapshots, SNAPSHOTS_PER_S, SNAPSHOTS_PER_S,
+                     clock_monotonic_ms ());
+  peer_handle (mesh->peers, MESSAGE_CONFIG_PULL, on_config_pull, mesh);
+  peer_handle (mesh->peers, MESSAGE_CONFIG_RECORDS, on_config_records, mesh);
+  peer_handle (mesh->peers, MESSAGE_CONFIG_SNAPSHOT, on_config_snapshot, mesh);
+  peer_handle (mesh->peers, MESSAGE_FLOOR, on_floor, mesh);
+  peer_handle (mesh->peers, MESSAGE_FLOOR_ACK, on_floor_ack, mesh);
+}
+
+void
+mesh_config_stop (struct node_mesh *mesh)
+{
+  talloc_free (mesh->snapshot);
+  drop_delayed (mesh);
+}
+
+void
+mesh_config_tick (struct node_mesh *mesh, uint64_t now_ms)
+{
+  pull_tick (mesh, now_ms);
+  if (mesh->floor.version != 0 && now_ms >= mesh->floor.due_ms)
+    announce (mesh, now_ms);
+  if (mesh->delayed != NULL && now_ms >= mesh->delayed_ms)
+    {
+      start_spread (mesh, mesh->delayed_version, mesh->delayed,
+                    mesh->delayed_size);
+      drop_delayed (mesh);
+    }
+}
--- /dev/null
+++ b/src/node/node_mesh_head.c
@@ -0,0 +1,264 @@
+/// Owns the way to readiness: reads of the store's head, for this node and for
+/// the nodes that ask this relay, and questions to peers while the store is
+/// out.
+#include "node/node_mesh.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "protocol/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static struct counter reads
+    = COUNTER ("mesh_head_reads", "Reads of the head for waiting nodes.");
+static struct counter queries
+    = COUNTER ("mesh_head_queries", "Head queries from other nodes.");
+
+#define READ_INTERVAL_MS 100 ///< at most 10 reads a second
+#define QUERY_WAIT_MS 1000
+/// A node that has joined nobody by then reads the store itself.
+#define ALONE_MS 3000
+#define FLOOR_PEERS 6
+
+static void
+answer_query (struct node_mesh *mesh, const struct mesh_query *query,
+              uint64_t version, bool confirmed)
+{
+  if (query->slot_id != 0)
+    {
+      struct message_head_reply reply
+          = { .seq = query->seq, .version = version, .confirmed = confirmed };
+      msgpack_sbuffer body;
+      msgpack_sbuffer_init (&body);
+      message_write_head_reply (&body, &reply);
+      mesh_send (mesh, query->slot_id, MESSAGE_HEAD_REPLY, &body);
+    }
+  else if (confirmed)
+    follow_head_confirmed (&mesh->follow, version);
+  else
+    follow_ask_peers (&mesh->follow, clock_monotonic_ms ());
+}
+
+static void
+on_head_read (void *arg, const struct store_reply *reply)
+{
+  struct node *node = arg;
+  struct node_mesh *mesh = node->mesh;
+  if (mesh == NULL)
+    return;
+  struct mesh_head *head = &mesh->head;
+  struct record_head record = { 0 };
+  bool confirmed = reply->status == STATUS_NOT_FOUND;
+  if (reply->status == STATUS_OK)
+    confirmed
+        = record_head_decode (&record, reply->data, reply->size) == STATUS_OK;
+  head->running = false;
+  size_t count = head->reading_count;
+  head->reading_count = 0;
+  for (size_t i = 0; i < count; i++)
+    answer_query (mesh, &head->reading[i], record.version, confirmed);
+}
+
+/// Starts one read for all queries that wait. A query that arrives later waits
+/// for the next read, because this one may see an older head.
+static void
+start_read (struct node_mesh *mesh, uint64_t now_ms)
+{
+  struct mesh_head *head = &mesh->head;
+  if (head->running || head->waiting_count == 0 || now_ms < head->next_ms)
+    return;
+  struct mesh_query *spare = head->reading;
+  head->reading = head->waiting;
+  head->reading_count = head->waiting_count;
+  head->waiting = spare;
+  head->waiting_count = 0;
+  head->next_ms = now_ms + READ_INTERVAL_MS;
+  if (mesh->node->store_ops == NULL)
+    {
+      struct store_reply reply = { .status = STATUS_UNAVAILABLE };
+      on_head_read (mesh->node, &reply);
+      return;
+    }
+  head->running = true;
+  counter_add (&reads, 1);
+  mesh->node->store_ops->get (mesh->node->store, RECORD_HEAD_KEY, on_head_read,
+                              mesh->node);
+}
+
+static void
+add_query (struct node_mesh *mesh, uint64_t slot_id, uint64_t seq)
+{
+  struct mesh_head *head = &mesh->head;
+  if (head->waiting == NULL || head->reading == NULL)
+    return;
+  for (size_t i = 0; i < head->waiting_count; i++)
+    if (head->waiting[i].slot_id == slot_id)
+      {
+        head->waiting[i].seq = seq;
+        return;
+      }
+  if (head->waiting_count < MESH_QUERIES_MAX)
+    head->waiting[head->waiting_count++]
+        = (struct mesh_query){ .slot_id = slot_id, .seq = seq };
+}
+
+static void
+on_head_query (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  uint64_t seq;
+  if (message_read_head_query (body, size, &seq) != STATUS_OK)
+    return;
+  counter_add (&queries, 1);
+  add_query (mesh, from, seq);
+  start_read (mesh, clock_monotonic_ms ());
+}
+
+static void
+on_head_reply (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_head_reply reply;
+  if (message_read_head_reply (body, size, &reply) != STATUS_OK
+      || reply.seq != mesh->head.seq)
+    return;
+  if (reply.confirmed)
+    {
+      follow_head_confirmed (&mesh->follow, reply.version);
+      mesh_config_heard (mesh, from, reply.version, (uint8_t[8]){ 0 });
+    }
+  else
+    follow_ask_peers (&mesh->follow, clock_monotonic_ms ());
+}
+
+static void
+on_floor_query (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  uint64_t slot_id;
+  if (message_read_floor_query (body, size, &slot_id) != STATUS_OK)
+    return;
+  struct message_floor_reply reply
+      = { .slot_id = slot_id,
+          .floor = follow_get_floor (&mesh->follow, slot_id),
+          .version = follow_current (&mesh->follow)->version,
+          .ready = follow_ready (&mesh->follow) };
+  msgpack_sbuffer answer;
+  msgpack_sbuffer_init (&answer);
+  message_write_floor_reply (&answer, &reply);
+  mesh_send (mesh, from, MESSAGE_FLOOR_REPLY, &answer);
+}
+
+static void
+on_floor_reply (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_floor_reply reply;
+  if (message_read_floor_reply (body, size, &reply) != STATUS_OK
+      || reply.slot_id != mesh->node->slot_id)
+    return;
+  follow_floor_reply (&mesh->follow, from, reply.floor, reply.version,
+                      reply.ready, mesh_live_others (mesh));
+  mesh_config_heard (mesh, from, reply.version, (uint8_t[8]){ 0 });
+}
+
+/// Asks the zone's relay; a relay, and a node without others, reads itself.
+static void
+query_head (struct node_mesh *mesh, uint64_t now_ms)
+{
+  struct mesh_head *head = &mesh->head;
+  head->seq++;
+  head->queries++;
+  head->sent_ms = now_ms;
+  const struct ring *ring = &mesh->membership.ring;
+  const struct ring_zone *zone = ring_find_zone (ring, ring->own_zone);
+  uint64_t relay
+      = zone != NULL ? zone->relays[head->queries % RING_RELAYS] : 0;
+  if (relay == 0 && zone != NULL)
+    relay = zone->relays[0];
+  if (relay == 0 || relay == mesh->node->slot_id || node_is_relay (mesh->node))
+    {
+      add_query (mesh, 0, head->seq);
+      start_read (mesh, now_ms);
+      return;
+    }
+  msgpack_sbuffer body;
+  msgpack_sbuffer_init (&body);
+  message_write_head_query (&body, head->seq);
+  mesh_send (mesh, relay, MESSAGE_HEAD_QUERY, &body);
+}
+
+/// Asks neighbours and relays for the floor of the own slot.
+static void
+query_floors (struct node_mesh *mesh)
+{
+  uint64_t slots[FLOOR_PEERS];
+  uint32_t count = ring_successors (
+      &mesh->membership.ring, mesh->node->slot_id, slots, FLOOR_PEERS - 2);
+  const struct ring *ring = &mesh->membership.ring;
+  for (uint32_t i = 0; i < ring->zone_count; i++)
+    if (ring->zones[i].relays[0] != 0 && count < FLOOR_PEERS
+        && ring->zones[i].relays[0] != mesh->node->slot_id)
+      slots[count++] = ring->zones[i].relays[0];
+  for (uint32_t i = 0; i < count; i++)
+    {
+      msgpack_sbuffer body;
+      msgpack_sbuffer_init (&body);
+      message_write_floor_query (&body, mesh->node->slot_id);
+      mesh_send (mesh, slots[i], MESSAGE_FLOOR_QUERY, &body);
+    }
+}
+
+void
+mesh_head_start (struct node_mesh *mesh)
+{
+  mesh->head.waiting = calloc (MESH_QUERIES_MAX, sizeof *mesh->head.waiting);
+  mesh->head.reading = calloc (MESH_QUERIES_MAX, sizeof *mesh->head.reading);
+  mesh->head.query_ms = clock_monotonic_ms () + ALONE_MS;
+  peer_handle (mesh->peers, MESSAGE_HEAD_QUERY, on_head_query, mesh);
+  peer_handle (mesh->peers, MESSAGE_HEAD_REPLY, on_head_reply, mesh);
+  peer_handle (mesh->peers, MESSAGE_FLOOR_QUERY, on_floor_query, mesh);
+  peer_handle (mesh->peers, MESSAGE_FLOOR_REPLY, on_floor_reply, mesh);
+}
+
+void
+mesh_head_stop (struct node_mesh *mesh)
+{
+  free (mesh->head.waiting);
+  free (mesh->head.reading);
+}
+
+void
+mesh_head_tick (struct node_mesh *mesh, uint64_t now_ms)
+{
+  start_read (mesh, now_ms);
+  struct mesh_head *head = &mesh->head;
+  struct follow *follow = &mesh->follow;
+  if (follow_ready (follow) && !head->ready_logged)
+    {
+      head->ready_logged = true;
+      log_event (LOG_LEVEL_INFO, "ready", "version=%llu bound=%llu",
+                 (unsigned long long)follow_current (follow)->version,
+                 (unsigned long long)follow->bound);
+    }
+  if (follow_ready (follow) || follow->bound_known)
+    return;
+  bool first = head->queries == 0 && mesh->membership.joined;
+  if (now_ms < head->query_ms && !first)
+    return;
+  head->query_ms = now_ms + QUERY_WAIT_MS;
+  /* A query without any answer counts like a store without answer. */
+  if (head->queries > 1)
+    follow_ask_peers (follow, now_ms);
+  ring_refresh (&mesh->membership.ring);
+  query_head (mesh, now_ms);
+  if (follow->asked_ms != 0)
+    query_floors (mesh);
+  bool was_ready = follow_ready (follow);
+  follow_tick (follow, now_ms);
+  if (!was_ready && follow->bound_known)
+    log_event (LOG_LEVEL_WARNING, "floor_unconfirmed", "version=%llu",
+               (unsigned long long)follow->bound);
+}
--- /dev/null
+++ b/test/unit/node_mesh_test.c
@@ -0,0 +1,306 @@
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "node/node_mesh.h"
+#include "protocol/record.h"
+#include "testing.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+/* Six nodes in two zones share one event loop and talk over loopback. The
+   store is a table in memory that answers from the loop. */
+
+#define NODES 6
+
+struct fake_store
+{
+  struct event_base *base;
+  bool outage;
+  uint8_t head[4096];
+  size_t head_size;
+  unsigned gets;
+};
+
+struct fake_call
+{
+  struct fake_store *store;
+  bool head;
+  enum status status;
+  void (*done) (void *arg, const struct store_reply *reply);
+  void *arg;
+};
+
+static void
+answer (evutil_socket_t fd, short what, void *arg)
+{
+  struct fake_call *call = arg;
+  struct store_reply reply = { .status = call->status, .revision = 1 };
+  if (call->store->outage)
+    reply.status = STATUS_UNAVAILABLE;
+  else if (call->head && call->store->head_size > 0)
+    {
+      reply.data = call->store->head;
+      reply.size = call->store->head_size;
+    }
+  else if (call->head)
+    reply.status = STATUS_NOT_FOUND;
+  call->done (call->arg, &reply);
+  free (call);
+}
+
+static void
+enqueue (struct fake_store *store, bool head, enum status status,
+         void (*done) (void *arg, const struct store_reply *reply), void *arg)
+{
+  struct fake_call *call = malloc (sizeof *call);
+  *call = (struct fake_call){ store, head, status, done, arg };
+  struct timeval soon = { .tv_usec = 2000 };
+  event_base_once (store->base, -1, EV_TIMEOUT, answer, call, &soon);
+}
+
+static void
+fake_get (void *store, const char *key,
+          void (*done) (void *arg, const struct store_reply *reply), void *arg)
+{
+  ((struct fake_store *)store)->gets++;
+  enqueue (store, strcmp (key, RECORD_HEAD_KEY) == 0, STATUS_NOT_FOUND, done,
+           arg);
+}
+
+static void
+fake_list (void *store, const char *prefix,
+           void (*done) (void *arg, const struct store_reply *reply),
+           void *arg)
+{
+  enqueue (store, false, STATUS_OK, done, arg);
+}
+
+static void
+fake_put (void *store, const char *key, uint64_t expected, uint64_t lease,
+          const void *data, size_t size,
+          void (*done) (void *arg, const struct store_reply *reply), void *arg)
+{
+  enqueue (store, false, STATUS_OK, done, arg);
+}
+
+static void
+fake_lease_grant (void *store, uint32_t ttl_ms,
+                  void (*done) (void *arg, const struct store_reply *reply),
+                  void *arg)
+{
+  enqueue (store, false, STATUS_OK, done, arg);
+}
+
+static void
+fake_keepalive (void *store, uint64_t lease,
+                void (*done) (void *arg, const struct store_reply *reply),
+                void *arg)
+{
+  enqueue (store, false, STATUS_OK, done, arg);
+}
+
+static const struct store_ops fake_ops = { .get = fake_get,
+                                           .put = fake_put,
+                                           .list = fake_list,
+                                           .lease_grant = fake_lease_grant,
+                                           .lease_keepalive = fake_keepalive };
+
+static struct event_base *base;
+static struct fake_store store;
+static struct node nodes[NODES];
+static struct config content; ///< newest accepted content
+
+static void
+start_node (int i)
+{
+  struct node *node = &nodes[i];
+  memset (node, 0, sizeof *node);
+  node->base = base;
+  node->store_ops = &fake_ops;
+  node->store = &store;
+  rng_init (&node->rng, 100 + (uint64_t)i);
+  struct settings *settings = &node->settings;
+  uint16_t first = (uint16_t)(20000 + getpid () % 2000 * 8);
+  snprintf (settings->mesh, sizeof settings->mesh, "test");
+  snprintf (settings->slot, sizeof settings->slot, "slot-%d", i);
+  snprintf (settings->availability_zone, sizeof settings->availability_zone,
+            "zone-%c", 'a' + i / 3);
+  snprintf (settings->region, sizeof settings->region, "region");
+  settings->address = 0x7f000001;
+  settings->peer_port = (uint16_t)(first + i);
+  settings->seeds[0] = (struct settings_endpoint){ 0x7f000001, first };
+  settings->seeds[1]
+      = (struct settings_endpoint){ 0x7f000001, (uint16_t)(first + 3) };
+  settings->seed_count = 2;
+  settings->keys[0].id = 1;
+  memset (settings->keys[0].bytes, 7, SETTINGS_KEY_SIZE);
+  settings->key_count = 1;
+  CU_ASSERT_EQUAL_FATAL (node_mesh_start (node), STATUS_OK);
+}
+
+/// Runs the loop until a condition holds.
+/// @return the time that it took, ms; limit_ms when it did not hold
+static uint64_t
+run_until (bool (*holds) (void), uint64_t limit_ms)
+{
+  uint64_t start_ms = clock_monotonic_ms ();
+  for (;;)
+    {
+      uint64_t passed_ms = clock_monotonic_ms () - start_ms;
+      if (passed_ms >= limit_ms || (holds != NULL && holds ()))
+        return passed_ms;
+      struct timeval slice = { .tv_usec = 10000 };
+      event_base_loopexit (base, &slice);
+      event_base_dispatch (base);
+    }
+}
+
+static bool
+all_joined (void)
+{
+  for (int i = 0; i < NODES; i++)
+    if (mesh_live_others (nodes[i].mesh) != NODES - 1
+        || !follow_ready (node_follow (&nodes[i])))
+      return false;
+  return true;
+}
+
+static bool
+all_hold_newest (void)
+{
+  for (int i = 0; i < NODES; i++)
+    if (follow_current (node_follow (&nodes[i]))->version != content.version)
+      return false;
+  return true;
+}
+
+static bool
+fifth_is_dead (void)
+{
+  uint32_t handle = member_find (node_members (&nodes[0]), nodes[5].slot_id);
+  return member_get (node_members (&nodes[0]), handle)->state == MEMBER_DEAD;
+}
+
+static bool
+fifth_is_ready (void)
+{
+  return follow_ready (node_follow (&nodes[5]));
+}
+
+/// Makes the next version and offers it to one node as its store watch would.
+static void
+publish (int at)
+{
+  struct config next;
+  void *arena = talloc_new (NULL);
+  config_copy (&next, &content);
+  char name[16];
+  snprintf (name, sizeof name, "service-%d", (int)content.version);
+  config_set_service (&next, &(struct config_service){ name, "v1" });
+  config_rehash (&next);
+  next.version = content.version + 1;
+  struct config_record record = { .version = next.version,
+                                  .previous_hash = content.hash,
+                                  .hash = next.hash,
+                                  .nonce = 5,
+                                  .author = "test",
+                                  .note = "" };
+  uint8_t *delta, *bytes;
+  size_t size;
+  config_diff (&content, &next, arena, &delta, &record.delta_size);
+  record.delta = delta;
+  struct record_head head = { 0 };
+  record_head_advance (&head, record.version, &record.hash, record.nonce);
+  record_head_encode (&head, arena, &bytes, &size);
+  memcpy (store.head, bytes, size);
+  store.head_size = size;
+  record_version_encode (&record, arena, &bytes, &size);
+  CU_ASSERT_EQUAL (follow_offer_record (node_follow (&nodes[at]), &record,
+                                        clock_monotonic_ms ()),
+                   STATUS_OK);
+  node_mesh_broadcast (&nodes[at], 1, bytes, size);
+  config_finish (&content);
+  content = next;
+  talloc_free (arena);
+}
+
+static void
+test_nodes_join_and_follow (void)
+{
+  for (int i = 0; i < NODES; i++)
+    start_node (i);
+  uint64_t joined_ms = run_until (all_joined, 15000);
+  printf (" joined in %d ms;", (int)joined_ms);
+  CU_ASSERT (joined_ms < 15000);
+  publish (1);
+  uint64_t first_ms = run_until (all_hold_newest, 7000);
+  for (int i = 0; i < 5; i++)
+    publish (4);
+  uint64_t second_ms = run_until (all_hold_newest, 7000);
+  printf (" versions in force everywhere in %d and %d ms;", (int)first_ms,
+          (int)second_ms);
+  CU_ASSERT (first_ms < 7000);
+  CU_ASSERT (second_ms < 7000);
+}
+
+static void
+test_restart_without_store (void)
+{
+  node_mesh_stop (&nodes[5]);
+  uint64_t dead_ms = run_until (fifth_is_dead, 15000);
+  printf (" dead in %d ms;", (int)dead_ms);
+  CU_ASSERT (dead_ms < 9000);
+  store.outage = true;
+  publish (0);
+  start_node (5);
+  uint64_t ready_ms = run_until (fifth_is_ready, 20000);
+  printf (" ready in %d ms;", (int)ready_ms);
+  CU_ASSERT (ready_ms < 7000);
+  CU_ASSERT (run_until (all_hold_newest, 7000) < 7000);
+  store.outage = false;
+}
+
+static void
+test_zone_sums (void)
+{
+  run_until (NULL, 1000);
+  struct node_zone_report zones[4];
+  bool found = false;
+  for (int i = 0; i < NODES; i++)
+    {
+      CU_ASSERT_EQUAL (node_mesh_zones (&nodes[i], zones, 4), 2);
+      if (zones[0].reported && zones[1].reported && zones[0].reporting == 3
+          && zones[1].reporting == 3 && zones[0].lowest == content.version
+          && zones[1].lowest == content.version)
+        found = true;
+    }
+  CU_ASSERT (found);
+  for (int i = 0; i < NODES; i++)
+    node_mesh_stop (&nodes[i]);
+}
+
+static const struct test_case cases[] = {
+  { "nodes do not find each other or miss versions",
+    test_nodes_join_and_follow },
+  { "a restarted node does not become ready without the store",
+    test_restart_without_store },
+  { "versions in force are not summed up for both zones", test_zone_sums },
+};
+
+int
+main (void)
+{
+  log_set_level (getenv ("VERBOSE") != NULL ? LOG_LEVEL_DEBUG
+                                            : LOG_LEVEL_ERROR);
+  base = event_base_new ();
+  store.base = base;
+  config_init (&content);
+  int code = testing_run ("node_mesh", cases, sizeof cases / sizeof cases[0]);
+  config_finish (&content);
+  event_base_free (base);
+  return code;
+}
