--- a/src/state/config_delta.c
+++ b/src/state/config_delta.c
@@ -19,13 +19,6 @@
   struct config removals; ///< only names are set
 };
 
-/// Receives the differences of two configurations in ascending order.
-struct difference_ops
-{
-  void (*upsert) (void *arg, enum config_kind kind, const void *item);
-  void (*remove) (void *arg, enum config_kind kind, const void *item);
-};
-
 struct delta_writer
 {
   msgpack_packer upserts;
@@ -35,7 +28,8 @@
 };
 
 static void
-write_upsert (void *arg, enum config_kind kind, const void *item)
+write_upsert (void *arg, enum config_kind kind, const void *before,
+              const void *item)
 {
   struct delta_writer *writer = arg;
   writer->upsert_count++;
@@ -57,7 +51,7 @@
 
 static void
 compare_kind (const struct config *from, const struct config *to,
-              enum config_kind kind, const struct difference_ops *ops,
+              enum config_kind kind, const struct config_difference_ops *ops,
               void *arg)
 {
   size_t from_count, to_count, i = 0, j = 0;
@@ -74,17 +68,26 @@
       if (order < 0)
         ops->remove (arg, kind, a);
       else if (order > 0 || !config_item_equal (kind, a, b))
-        ops->upsert (arg, kind, b);
+        ops->upsert (arg, kind, order == 0 ? a : NULL, b);
       i += order <= 0;
       j += order >= 0;
     }
 }
 
+void
+config_compare (const struct config *from, const struct config *to,
+                const struct config_difference_ops *ops, void *arg)
+{
+  for (int kind = CONFIG_SERVICE; kind <= CONFIG_KIND_LAST; kind++)
+    compare_kind (from, to, kind, ops, arg);
+}
+
 enum status
 config_diff (const struct config *from, const struct config *to, void *arena,
              uint8_t **delta, size_t *size)
 {
-  static const struct difference_ops ops = { write_upsert, write_removal };
+  static const struct config_difference_ops ops
+      = { write_upsert, write_removal };
   msgpack_sbuffer upserts, removals, whole;
   msgpack_sbuffer_init (&upserts);
   msgpack_sbuffer_init (&removals);
@@ -92,8 +95,7 @@
   struct delta_writer writer = { 0 };
   msgpack_packer_init (&writer.upserts, &upserts, msgpack_sbuffer_write);
   msgpack_packer_init (&writer.removals, &removals, msgpack_sbuffer_write);
-  for (int kind = CONFIG_SERVICE; kind <= CONFIG_KIND_LAST; kind++)
-    compare_kind (from, to, kind, &ops, &writer);
+  config_compare (from, to, &ops, &writer);
   msgpack_packer packer;
   msgpack_packer_init (&packer, &whole, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, 3);
@@ -278,22 +280,65 @@
   return status;
 }
 
+/// @param delta  started and finished by the caller
 static enum status
-apply_delta (struct config *next, const struct config *base,
-             const uint8_t *bytes, size_t size)
+read_delta (struct delta *delta, const uint8_t *bytes, size_t size)
 {
   msgpack_unpacked unpacked;
   enum status status = unpack_one (&unpacked, bytes, size);
   if (status != STATUS_OK)
     return status;
-  struct delta delta = { .upserts = { .arena = talloc_new (NULL) },
-                         .removals = { .arena = talloc_new (NULL) } };
-  status = unpack_delta (&delta, &unpacked.data, size);
+  status = unpack_delta (delta, &unpacked.data, size);
+  msgpack_unpacked_destroy (&unpacked);
+  return status;
+}
+
+static void
+start_delta (struct delta *delta)
+{
+  *delta = (struct delta){ .upserts = { .arena = talloc_new (NULL) },
+                           .removals = { .arena = talloc_new (NULL) } };
+}
+
+static void
+finish_delta (struct delta *delta)
+{
+  talloc_free (delta->upserts.arena);
+  talloc_free (delta->removals.arena);
+}
+
+enum status
+config_delta_read (const uint8_t *bytes, size_t size,
+                   const struct config_difference_ops *ops, void *arg)
+{
+  struct delta delta;
+  start_delta (&delta);
+  enum status status = read_delta (&delta, bytes, size);
+  for (int kind = CONFIG_SERVICE;
+       kind <= CONFIG_KIND_LAST && status == STATUS_OK; kind++)
+    {
+      size_t count;
+      const void *items = config_items (&delta.upserts, kind, &count);
+      for (size_t i = 0; i < count; i++)
+        ops->upsert (arg, kind, NULL, config_item_at (items, kind, i));
+      items = config_items (&delta.removals, kind, &count);
+      for (size_t i = 0; i < count; i++)
+        ops->remove (arg, kind, config_item_at (items, kind, i));
+    }
+  finish_delta (&delta);
+  return status;
+}
+
+static enum status
+apply_delta (struct config *next, const struct config *base,
+             const uint8_t *bytes, size_t size)
+{
+  struct delta delta;
+  start_delta (&delta);
+  enum status status = read_delta (&delta, bytes, size);
   if (status == STATUS_OK)
     status = merge (next, base, &delta);
-  msgpack_unpacked_destroy (&unpacked);
-  talloc_free (delta.upserts.arena);
-  talloc_free (delta.removals.arena);
+  finish_delta (&delta);
   return status;
 }
 
--- a/src/state/config_fields.h
+++ b/src/state/config_fields.h
@@ -86,6 +86,26 @@
 /// @return "running", "done", "taken_back" or "cancelled"
 const char *move_phase_name (enum move_phase phase);
 
+/// Receives differences in ascending order of kind and name.
+struct config_difference_ops
+{
+  /// @param before  object that is replaced; NULL when it is new or unknown
+  void (*upsert) (void *arg, enum config_kind kind, const void *before,
+                  const void *item);
+  /// @param item  only its name is known when it comes from a delta
+  void (*remove) (void *arg, enum config_kind kind, const void *item);
+};
+
+/// Reports the differences of two configurations.
+void config_compare (const struct config *from, const struct config *to,
+                     const struct config_difference_ops *ops, void *arg);
+
+/// Reports the changes of a delta without its base.
+/// @return as config_apply for a delta that cannot be read
+enum status config_delta_read (const uint8_t *delta, size_t size,
+                               const struct config_difference_ops *ops,
+                               void *arg);
+
 /* Shared by the files of the module. */
 
 /// Points a kind's array of a configuration elsewhere.
