Report unknown when an earlier try may have run

A target was killed under load; idempotent calls in flight were tried again, the second try was refused, and the caller was told not-run although the first try may have run. The call now stays unknown.

Measured: the new case of the path test failed before and passes now.

--- a/bench/load.c
+++ b/bench/load.c
@@ -132,9 +132,13 @@
   struct load *load = caller->load;
   uint64_t now = clock_monotonic_us ();
   enum load_class class = LOAD_NO_ANSWER;
-  if (answer != NULL && evhttp_request_get_response_code (answer) != 0)
-    class = classify (caller, answer);
-  caller->broken = class == LOAD_NO_ANSWER || load->close_each;
+  /* evhttp passes a request without a status when it could not connect. */
+  if (answer != NULL)
+    class = evhttp_request_get_response_code (answer) == 0
+                ? LOAD_NOT_CONNECTED
+                : classify (caller, answer);
+  caller->broken = class == LOAD_NO_ANSWER || class == LOAD_NOT_CONNECTED
+                   || load->close_each;
   load_report_add (&load->report, class, now - caller->due_us, caller->bytes);
   caller->busy = false;
   event_active (&caller->step, EV_TIMEOUT, 1);
--- a/bench/load_report.h
+++ b/bench/load_report.h
@@ -19,7 +19,8 @@
   LOAD_RECORDED,      ///< the recorded answer of an earlier call
   LOAD_NOT_RUN,       ///< the node said so
   LOAD_UNKNOWN,       ///< the node said so
-  LOAD_NO_ANSWER,     ///< no connection, reset, cut off or timeout
+  LOAD_NOT_CONNECTED, ///< nothing was sent
+  LOAD_NO_ANSWER,     ///< reset, cut off or timeout after it was sent
   LOAD_UNFRAMED,      ///< wrong: the end of the answer cannot be verified
   LOAD_TRUNCATED,     ///< wrong: shorter than announced, but ended as whole
   LOAD_WRONG_ID,      ///< wrong: the answer to another request
@@ -28,8 +29,9 @@
 };
 
 static const char *const load_class_names[LOAD_CLASSES] = {
-  "ran",       "ran_error", "recorded",  "not_run",  "unknown",
-  "no_answer", "unframed",  "truncated", "wrong_id", "wrong_content",
+  "ran",       "ran_error",     "recorded",      "not_run",
+  "unknown",   "not_connected", "no_answer",     "unframed",
+  "truncated", "wrong_id",      "wrong_content",
 };
 
 struct load_report
--- a/src/node/node_call_entry.c
+++ b/src/node/node_call_entry.c
@@ -73,6 +73,12 @@
 {
   struct node_calls *calls = entry->calls;
   struct call_request *request = entry->request;
+  if (outcome == CALL_NOT_RUN && entry->may_have_run)
+    {
+      /* Only the last try did not run. */
+      outcome = CALL_UNKNOWN;
+      status = 502;
+    }
   finish_claim (entry, outcome);
   counter_add (outcome == CALL_UNKNOWN ? &unknown : &not_run, 1);
   char text[64];
@@ -432,6 +438,8 @@
   };
   if (entry->request != NULL && retry_take (&calls->budget, &last))
     {
+      if (retry_outcome (end) != CALL_NOT_RUN)
+        entry->may_have_run = true;
       counter_add (&retried, 1);
       try_target (entry);
       return;
--- a/src/node/node_call_entry.h
+++ b/src/node/node_call_entry.h
@@ -24,6 +24,7 @@
   uint64_t fingerprint;
   uint64_t deadline_ms;
   unsigned tries;
+  bool may_have_run; ///< an earlier try ended without a certain outcome
 
   /* The last try. */
   uint64_t slot_id;
--- a/test/unit/call_path_test.c
+++ b/test/unit/call_path_test.c
@@ -55,6 +55,7 @@
   { "/s/reset", 200, "502 ", "unknown", false, 2 },
   { "/s/shed", 200, "503 ", "not-run", false, 2 },
   { "/none", 60, "404 ", "not-run", false, 0 },
+  { "/s/crash", 300, "502 ", "unknown", false, 1 },
   { "/s/silent", 1200, "504 ", "unknown", false, 2 },
 };
 
