Match the test harness to the settings format

Cause: the harness wrote settings that the reader refuses, with a finding for each line. Change: addresses with ports in one value, no format line.

--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -73,7 +73,6 @@
   ZONE[$1]=$2
   INDEX[$1]=$4
   cat >"$RUN/$1.yaml" <<YAML
-format: 1
 mesh: ${MESH:-zapis}
 slot: $1
 availability_zone: $2
@@ -81,12 +80,8 @@
 address: 127.0.0.1
 peer_port: $port
 call_port: $((port + 1))
-admin:
-  address: 127.0.0.1
-  port: $((port + 2))
-store:
-  address: 127.0.0.1
-  port: $STORE_PORT
+admin: "127.0.0.1:$((port + 2))"
+store: "127.0.0.1:$STORE_PORT"
 seeds:
 $(seeds)
 keys:
