Add the operators' interface and hawthornseam-ctl

Cause: operators need to see the mesh, apply documents, follow and cancel moves, look into the audit trail and go back to an older version.

The node's endpoints build on node.h. A change asks the head first whether its nonce was accepted, so a lost answer is resolved by asking again. History walks back from the head by the previous hashes, so attempts that lost a race do not appear.

Conclusion: the interface works on node.h as it is; /status shows what one node knows, since node.h has no aggregated report.

--- /dev/null
+++ b/src/ctl/ctl_http.c
@@ -0,0 +1,187 @@
+/// Owns the loop and the connection of one request.
+#include "ctl/ctl.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// Longer than the node's own attempts at the store.
+#define REQUEST_TIMEOUT_S 30
+
+#define FILE_MAX (1024 * 1024)
+
+struct exchange
+{
+  struct event_base *base;
+  struct ctl_answer *answer;
+  bool answered;
+};
+
+static void
+exchange_done (struct evhttp_request *request, void *arg)
+{
+  struct exchange *exchange = arg;
+  event_base_loopbreak (exchange->base);
+  if (request == NULL || evhttp_request_get_response_code (request) == 0)
+    return;
+  struct evbuffer *buffer = evhttp_request_get_input_buffer (request);
+  size_t size = evbuffer_get_length (buffer);
+  char *body = malloc (size + 1);
+  if (body == NULL)
+    return;
+  evbuffer_copyout (buffer, body, size);
+  body[size] = '\0';
+  *exchange->answer
+      = (struct ctl_answer){ .code
+                             = evhttp_request_get_response_code (request),
+                             .body = body,
+                             .size = size };
+  exchange->answered = true;
+}
+
+static bool
+add_headers (struct evhttp_request *request, const struct ctl *ctl,
+             const char *const *headers)
+{
+  struct evkeyvalq *output = evhttp_request_get_output_headers (request);
+  bool added = evhttp_add_header (output, "Host", ctl->host) == 0;
+  for (; added && headers != NULL && *headers != NULL; headers += 2)
+    added = evhttp_add_header (output, headers[0], headers[1]) == 0;
+  return added;
+}
+
+enum status
+ctl_request (const struct ctl *ctl, const char *method, const char *path,
+             const char *const *headers, const char *body, size_t size,
+             struct ctl_answer *answer)
+{
+  struct exchange exchange = { .base = event_base_new (), .answer = answer };
+  if (exchange.base == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory");
+  struct evhttp_connection *connection
+      = evhttp_connection_base_new (exchange.base, NULL, ctl->host, ctl->port);
+  struct evhttp_request *request
+      = evhttp_request_new (exchange_done, &exchange);
+  enum status status = STATUS_OK;
+  if (connection == NULL || request == NULL)
+    status = status_set (STATUS_NO_MEMORY, "no memory");
+  else if (!add_headers (request, ctl, headers))
+    status = status_set (STATUS_INVALID,
+                         "a header contains a line break or is too long");
+  if (status != STATUS_OK)
+    {
+      if (request != NULL)
+        evhttp_request_free (request);
+    }
+  else
+    {
+      evhttp_connection_set_timeout (connection, REQUEST_TIMEOUT_S);
+      if (size > 0)
+        evbuffer_add (evhttp_request_get_output_buffer (request), body, size);
+      if (evhttp_make_request (connection, request,
+                               strcmp (method, "POST") == 0 ? EVHTTP_REQ_POST
+                                                            : EVHTTP_REQ_GET,
+                               path)
+          == 0)
+        event_base_dispatch (exchange.base);
+      if (!exchange.answered)
+        status = status_set (STATUS_UNKNOWN, "no answer from %s:%u", ctl->host,
+                             ctl->port);
+    }
+  if (connection != NULL)
+    evhttp_connection_free (connection);
+  event_base_free (exchange.base);
+  return status;
+}
+
+void
+ctl_answer_free (struct ctl_answer *answer)
+{
+  free (answer->body);
+  *answer = (struct ctl_answer){ 0 };
+}
+
+json_t *
+ctl_get_json (const struct ctl *ctl, const char *path)
+{
+  struct ctl_answer answer = { 0 };
+  if (ctl_request (ctl, "GET", path, NULL, NULL, 0, &answer) != STATUS_OK)
+    {
+      fprintf (stderr, "hawthornseam-ctl: %s\n", status_message ());
+      return NULL;
+    }
+  json_t *value = NULL;
+  if (answer.code != 200)
+    ctl_print_error (ctl, &answer, NULL);
+  else
+    {
+      value = json_loadb (answer.body, answer.size, 0, NULL);
+      if (value == NULL)
+        fputs ("hawthornseam-ctl: the answer is no JSON\n", stderr);
+    }
+  ctl_answer_free (&answer);
+  return value;
+}
+
+char *
+ctl_read_file (const char *path, size_t *size)
+{
+  bool standard = strcmp (path, "-") == 0;
+  FILE *stream = standard ? stdin : fopen (path, "re");
+  if (stream == NULL)
+    {
+      perror (path);
+      return NULL;
+    }
+  char *bytes = malloc (FILE_MAX + 1);
+  *size = bytes == NULL ? 0 : fread (bytes, 1, FILE_MAX + 1, stream);
+  bool failed = bytes == NULL || ferror (stream) || *size > FILE_MAX;
+  if (!standard)
+    fclose (stream);
+  if (!failed)
+    return bytes;
+  fprintf (stderr, "%s: cannot be read, or is larger than 1 MiB\n", path);
+  free (bytes);
+  return NULL;
+}
+
+const char *
+ctl_string (const json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+  return text == NULL ? "" : text;
+}
+
+void
+ctl_print_json (const json_t *value)
+{
+  json_dumpf (value, stdout, JSON_INDENT (1));
+  putchar ('\n');
+}
+
+void
+ctl_print_error (const struct ctl *ctl, const struct ctl_answer *answer,
+                 const char *file)
+{
+  json_t *value = json_loadb (answer->body, answer->size, 0, NULL);
+  if (ctl->json && value != NULL)
+    ctl_print_json (value);
+  else
+    fprintf (stderr, "hawthornseam-ctl: refused (%d %s): %s\n", answer->code,
+             ctl_string (value, "status"), ctl_string (value, "message"));
+  const json_t *findings = json_object_get (value, "findings");
+  for (size_t i = 0; !ctl->json && i < json_array_size (findings); i++)
+    {
+      const json_t *item = json_array_get (findings, i);
+      fprintf (
+          stderr, "%s:%lld:%lld: %s: %s\n", file == NULL ? "document" : file,
+          (long long)json_integer_value (json_object_get (item, "line")),
+          (long long)json_integer_value (json_object_get (item, "column")),
+          ctl_string (item, "path"), ctl_string (item, "message"));
+    }
+  json_decref (value);
+}
--- /dev/null
+++ b/test/standin/admin.c
@@ -0,0 +1,60 @@
+/// Serves the operators' interface of a fake node on 127.0.0.1, for tests of
+/// hawthornseam-ctl. Usage: standin-admin PORT LOST_ANSWERS SECONDS. The first
+/// LOST_ANSWERS changes take effect without a usable answer; a move is done
+/// 300 ms after it was declared; the process ends after SECONDS.
+#include "../unit/fake_node.h"
+
+/// Sets the moves that run to done.
+static void
+finish_moves (evutil_socket_t fd, short events, void *arg)
+{
+  struct config next;
+  const struct config *current = &fake.follow.config;
+  if (config_copy (&next, current) != STATUS_OK)
+    return;
+  for (size_t i = 0; i < current->move_count; i++)
+    {
+      if (current->moves[i].phase != MOVE_RUNNING)
+        continue;
+      struct config_move move = current->moves[i];
+      struct config_service service = { move.service, move.to };
+      move.phase = MOVE_DONE;
+      move.share_bp = CONFIG_SHARE_ALL;
+      config_set_move (&next, &move);
+      config_set_service (&next, &service);
+    }
+  config_rehash (&next);
+  if (!hash_equal (&next.hash, &current->hash))
+    fake_accept (&next, "move-driver pecet-1", "", rng_u64 (&fake.node.rng));
+  config_finish (&next);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc != 4)
+    {
+      fprintf (stderr, "usage: %s PORT LOST_ANSWERS SECONDS\n", argv[0]);
+      return 2;
+    }
+  struct timeval period = { 0, 300000 };
+  struct timeval life = { atoi (argv[3]), 0 };
+  fake_start ((uint16_t)atoi (argv[1]));
+  fake.lost_answers = atoi (argv[2]);
+  if (node_admin_start (&fake.node) != STATUS_OK)
+    {
+      fprintf (stderr, "%s\n", status_message ());
+      return 1;
+    }
+  struct event *timer
+      = event_new (fake.node.base, -1, EV_PERSIST, finish_moves, NULL);
+  event_add (timer, &period);
+  puts ("ready");
+  fflush (stdout);
+  event_base_loopexit (fake.node.base, &life);
+  event_base_dispatch (fake.node.base);
+  event_free (timer);
+  node_admin_stop (&fake.node);
+  fake_finish ();
+  return 0;
+}
--- /dev/null
+++ b/test/unit/fake_node.h
@@ -0,0 +1,329 @@
+/// A node for tests of the operators' interface: a store and a configuration
+/// in memory behind the functions of node.h. Answers come from the loop.
+#ifndef HAWTHORNSEAM_TEST_FAKE_NODE_H
+#define HAWTHORNSEAM_TEST_FAKE_NODE_H
+
+#include "base/clock.h"
+#include "node/node.h"
+#include "protocol/record.h"
+#include "state/config.h"
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define FAKE_KEYS_MAX 1024
+#define FAKE_SNAPSHOT_INTERVAL 8
+
+struct follow
+{
+  struct config config;
+  bool ready;
+};
+
+struct fake_value
+{
+  char key[RECORD_KEY_MAX];
+  uint8_t *data;
+  size_t size;
+};
+
+struct fake
+{
+  struct node node;
+  struct follow follow;
+  struct member members[4];
+  struct member_table table;
+  struct fake_value values[FAKE_KEYS_MAX];
+  size_t value_count;
+  struct record_head head;
+  bool outage;      ///< the store answers STATUS_UNAVAILABLE
+  int lost_answers; ///< publishes that take effect and end as unknown
+  int conflicts;    ///< publishes that meet another writer
+  bool losers;      ///< write an attempt that lost beside each record
+};
+
+static struct fake fake;
+
+struct fake_call
+{
+  struct store_reply reply;
+  struct store_key keys[FAKE_KEYS_MAX];
+  void (*done) (void *arg, const struct store_reply *reply);
+  void *arg;
+};
+
+struct fake_publish
+{
+  enum status status;
+  uint64_t version;
+  void (*done) (void *arg, enum status status, uint64_t version);
+  void *arg;
+};
+
+static void
+fake_answer (evutil_socket_t fd, short events, void *arg)
+{
+  struct fake_call *call = arg;
+  call->done (call->arg, &call->reply);
+  free (call);
+}
+
+static void
+fake_later (struct fake_call *call)
+{
+  struct timeval now = { 0, 0 };
+  if (fake.outage)
+    call->reply = (struct store_reply){ .status = STATUS_UNAVAILABLE };
+  event_base_once (fake.node.base, -1, EV_TIMEOUT, fake_answer, call, &now);
+}
+
+static struct fake_call *
+fake_call (void (*done) (void *arg, const struct store_reply *reply),
+           void *arg)
+{
+  struct fake_call *call = calloc (1, sizeof *call);
+  call->done = done;
+  call->arg = arg;
+  return call;
+}
+
+static void
+fake_get (void *store, const char *key,
+          void (*done) (void *arg, const struct store_reply *reply), void *arg)
+{
+  struct fake_call *call = fake_call (done, arg);
+  call->reply.status = STATUS_NOT_FOUND;
+  for (size_t i = 0; i < fake.value_count; i++)
+    if (strcmp (fake.values[i].key, key) == 0)
+      call->reply = (struct store_reply){ .status = STATUS_OK,
+                                          .revision = 1,
+                                          .data = fake.values[i].data,
+                                          .size = fake.values[i].size };
+  fake_later (call);
+}
+
+static void
+fake_list (void *store, const char *prefix,
+           void (*done) (void *arg, const struct store_reply *reply),
+           void *arg)
+{
+  struct fake_call *call = fake_call (done, arg);
+  call->reply.keys = call->keys;
+  for (size_t i = 0; i < fake.value_count; i++)
+    if (strncmp (fake.values[i].key, prefix, strlen (prefix)) == 0)
+      call->keys[call->reply.key_count++]
+          = (struct store_key){ fake.values[i].key, 1 };
+  fake_later (call);
+}
+
+static const struct store_ops fake_ops
+    = { .get = fake_get, .list = fake_list };
+
+/// Writes a value; the bytes are copied.
+static void
+fake_put (const char *key, const uint8_t *data, size_t size)
+{
+  size_t at = 0;
+  while (at < fake.value_count && strcmp (fake.values[at].key, key) != 0)
+    at++;
+  if (at == fake.value_count)
+    {
+      if (at == FAKE_KEYS_MAX)
+        abort ();
+      fake.value_count++;
+      fake.values[at].data = NULL;
+    }
+  free (fake.values[at].data);
+  snprintf (fake.values[at].key, RECORD_KEY_MAX, "%s", key);
+  fake.values[at].data = malloc (size + 1);
+  fake.values[at].size = size;
+  memcpy (fake.values[at].data, data, size);
+}
+
+static void
+fake_write_record (const struct config_record *record, void *arena)
+{
+  char key[RECORD_KEY_MAX];
+  uint8_t *bytes;
+  size_t size;
+  record_version_key (key, record->version, record->nonce);
+  if (record_version_encode (record, arena, &bytes, &size) == STATUS_OK)
+    fake_put (key, bytes, size);
+}
+
+static void
+fake_write_snapshot (const struct config *config, uint64_t nonce, void *arena)
+{
+  struct record_parts parts;
+  char key[RECORD_KEY_MAX];
+  uint8_t *content;
+  size_t size;
+  config_encode (config, arena, &content, &size);
+  record_snapshot_encode (config->version, content, size, arena, &parts);
+  for (size_t i = 0; i < parts.count; i++)
+    {
+      record_snapshot_key (key, config->version, nonce, (unsigned)i);
+      fake_put (key, parts.bytes[i], parts.sizes[i]);
+    }
+  fake.head.snapshot_version = config->version;
+  fake.head.snapshot_nonce = nonce;
+}
+
+/// Puts a content in force as the next version.
+static enum status
+fake_accept (const struct config *content, const char *author,
+             const char *note, uint64_t nonce)
+{
+  struct config *config = &fake.follow.config;
+  void *arena = talloc_new (NULL);
+  uint8_t *bytes;
+  size_t size;
+  struct config_record record = { .version = config->version + 1,
+                                  .previous_hash = config->hash,
+                                  .hash = content->hash,
+                                  .nonce = nonce,
+                                  .author = author,
+                                  .note = note,
+                                  .wall_ms = clock_wall_ms (),
+                                  .base_version = config->version };
+  uint8_t *delta;
+  config_diff (config, content, arena, &delta, &record.delta_size);
+  record.delta = delta;
+  enum status status = config_apply (config, &record);
+  if (status == STATUS_OK)
+    {
+      if (fake.losers)
+        {
+          struct config_record loser = record;
+          loser.nonce = nonce - 1;
+          loser.hash.bytes[0] ^= 1;
+          fake_write_record (&loser, arena);
+        }
+      fake_write_record (&record, arena);
+      record_head_advance (&fake.head, record.version, &record.hash, nonce);
+      if (record.version % FAKE_SNAPSHOT_INTERVAL == 0)
+        fake_write_snapshot (config, nonce, arena);
+      record_head_encode (&fake.head, arena, &bytes, &size);
+      fake_put (RECORD_HEAD_KEY, bytes, size);
+    }
+  talloc_free (arena);
+  return status;
+}
+
+static void
+fake_published (evutil_socket_t fd, short events, void *arg)
+{
+  struct fake_publish *publish = arg;
+  publish->done (publish->arg, publish->status, publish->version);
+  free (publish);
+}
+
+void
+node_config_publish (
+    struct node *node, const struct config *content, uint64_t base_version,
+    const char *author, const char *note, uint64_t nonce,
+    void (*done) (void *arg, enum status status, uint64_t version), void *arg)
+{
+  struct timeval now = { 0, 0 };
+  struct fake_publish *publish = calloc (1, sizeof *publish);
+  publish->done = done;
+  publish->arg = arg;
+  if (fake.conflicts > 0)
+    {
+      fake.conflicts--;
+      publish->status = STATUS_CONFLICT;
+    }
+  else
+    publish->status = fake_accept (content, author, note, nonce);
+  publish->version = fake.follow.config.version;
+  if (publish->status == STATUS_OK && fake.lost_answers > 0)
+    {
+      fake.lost_answers--;
+      publish->status = STATUS_UNKNOWN;
+    }
+  event_base_once (node->base, -1, EV_TIMEOUT, fake_published, publish, &now);
+}
+
+struct follow *
+node_follow (struct node *node)
+{
+  return &fake.follow;
+}
+
+const struct config *
+follow_current (const struct follow *follow)
+{
+  return &follow->config;
+}
+
+bool
+follow_ready (const struct follow *follow)
+{
+  return follow->ready;
+}
+
+const struct member_table *
+node_members (const struct node *node)
+{
+  return &fake.table;
+}
+
+bool
+node_is_relay (const struct node *node)
+{
+  return true;
+}
+
+bool
+member_serves (const struct member *member, const char *service,
+               const char *target_version)
+{
+  return member->state == MEMBER_ALIVE && member->target_state == TARGET_READY
+         && strcmp (member->service, service) == 0
+         && strcmp (member->target_version, target_version) == 0;
+}
+
+/// Starts the fake with targets pecet v1, pecet v2 and archiv v1.
+static void
+fake_start (uint16_t admin_port)
+{
+  static const char *const services[] = { "pecet", "pecet", "archiv" };
+  static const char *const versions[] = { "v1", "v2", "v1" };
+  memset (&fake, 0, sizeof fake);
+  fake.node.base = event_base_new ();
+  fake.node.store_ops = &fake_ops;
+  rng_init (&fake.node.rng, 7);
+  strcpy (fake.node.settings.mesh, "zapis");
+  strcpy (fake.node.settings.slot, "pecet-1");
+  strcpy (fake.node.settings.availability_zone, "praha-a");
+  strcpy (fake.node.settings.region, "cz-central");
+  fake.node.settings.admin.address = 0x7f000001;
+  fake.node.settings.admin.port = admin_port;
+  fake.follow.ready = true;
+  config_init (&fake.follow.config);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct member *member = &fake.members[i];
+      member->slot_id = i;
+      member->target_state = TARGET_READY;
+      strcpy (member->availability_zone, "praha-a");
+      strcpy (member->service, services[i]);
+      strcpy (member->target_version, versions[i]);
+    }
+  fake.table.items = fake.members;
+  fake.table.count = 3;
+}
+
+static void
+fake_finish (void)
+{
+  for (size_t i = 0; i < fake.value_count; i++)
+    free (fake.values[i].data);
+  config_finish (&fake.follow.config);
+  event_base_free (fake.node.base);
+}
+
+#endif
