--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -16,6 +16,10 @@
 
 #define SNAPSHOTS_PER_S 4
 #define DEAD_RETRY_MS 10000
+#define FIRST_NODE_MS 3000
+/// Nodes that start together through different seeds may form meshes that do
+/// not know each other; relays compare their view with a seed's now and then.
+#define SEED_CHECK_MS 30000
 
 static bool
 grow (void **items, uint32_t *capacity, uint32_t needed, size_t item_size)
@@ -145,7 +149,8 @@
                             .rng = rng,
                             .self_id = self->slot_id,
                             .tick_ms = now_ms,
-                            .join_ms = now_ms };
+                            .join_ms = now_ms,
+                            .start_ms = now_ms };
   member_table_init (&m->table);
   ring_init (&m->ring, &m->table, self->availability_zone);
   token_bucket_init (&m->snapshots, SNAPSHOTS_PER_S, SNAPSHOTS_PER_S, now_ms);
@@ -166,17 +171,37 @@
   free (m->events);
 }
 
+void
+membership_joined (struct membership *m, uint64_t now_ms)
+{
+  m->joined = true;
+  m->joined_ms = now_ms;
+  m->join_failures = 0;
+  m->join_ms = now_ms + SEED_CHECK_MS;
+  membership_queue_event (m, m->self, false, now_ms);
+}
+
 static void
 join_tick (struct membership *m, uint64_t now_ms)
 {
-  if (now_ms < m->join_ms)
-    return;
   uint32_t live = 0;
   for (uint32_t i = 0; i < m->ring.zone_count; i++)
     live += m->ring.zones[i].live;
-  if (m->joined && live > 1)
+  /* The first node has nobody to join; the others come to it. */
+  if (!m->joined && live > 1 && now_ms - m->start_ms >= FIRST_NODE_MS)
+    membership_joined (m, now_ms);
+  if (now_ms < m->join_ms)
+    return;
+  bool settled = m->joined && live > 1;
+  if (settled && m->relay_since_ms == 0)
     return;
   m->ops->send_join (m->arg, m->buckets, m->self);
+  if (settled)
+    {
+      m->join_ms
+          = now_ms + SEED_CHECK_MS / 2 + rng_below (m->rng, SEED_CHECK_MS);
+      return;
+    }
   m->join_failures++;
   /* The floor keeps a node whose seeds answer slowly from asking twice. */
   m->join_ms = now_ms + BACKOFF_FIRST_MS
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -49,6 +49,7 @@
 {
   char name[MEMBER_NAME_MAX + 1];
   bool unreachable;
+  uint32_t number; ///< grows with each change; of equal ones reachable wins
 };
 
 struct membership_ops
@@ -56,8 +57,9 @@
   void (*send_heartbeat) (void *arg, uint64_t slot_id,
                           const struct heartbeat *heartbeat, bool answer);
   /// Sends records of the table by handle.
+  /// @param answer  the message answers a VIEW_PULL
   void (*send_members) (void *arg, uint64_t slot_id, const uint32_t *handles,
-                        size_t count);
+                        size_t count, bool answer);
   void (*send_view_pull) (void *arg, uint64_t slot_id,
                           const uint64_t digests[MEMBERSHIP_BUCKETS]);
   void (*send_retry_after) (void *arg, uint64_t slot_id, uint32_t delay_ms);
@@ -104,6 +106,9 @@
   char name[MEMBER_NAME_MAX + 1];
   uint64_t heard_ms; ///< last heartbeat from any of its members
   bool unreachable;
+  uint32_t number;      ///< of the last mark
+  uint64_t changed_ms;  ///< last mark
+  uint64_t announce_ms; ///< next repetition of the mark
 };
 
 struct membership_event
@@ -127,6 +132,7 @@
   uint64_t tick_ms; ///< last tick
   unsigned join_failures;
   uint64_t join_ms; ///< next attempt to join
+  uint64_t start_ms;
   uint64_t buckets[MEMBERSHIP_BUCKETS];
   uint64_t digest;
   uint64_t digest_ms;    ///< last change of the digest
@@ -171,9 +177,10 @@
                            uint64_t now_ms);
 
 /// Takes a MEMBERS message.
+/// @param answer  it answers a VIEW_PULL, so this node has joined
 void membership_members (struct membership *membership, uint64_t from,
                          const struct member *records, size_t count,
-                         uint64_t now_ms);
+                         bool answer, uint64_t now_ms);
 
 /// Takes a VIEW_PULL.
 void membership_view_pull (struct membership *membership, uint64_t from,
--- a/src/coordination/membership_messages.c
+++ b/src/coordination/membership_messages.c
@@ -78,7 +78,7 @@
       if (!m->joined)
         {
           m->ops->send_view_pull (m->arg, from, m->buckets);
-          m->ops->send_members (m->arg, from, &m->self, 1);
+          m->ops->send_members (m->arg, from, &m->self, 1, false);
         }
       else if (heartbeat->states_digest)
         compare_digest (m, from, heartbeat->digest, now_ms);
@@ -88,7 +88,7 @@
   membership_zone_heard (m, member, now_ms);
   if (member->state != MEMBER_ALIVE
       && heartbeat->incarnation <= member->incarnation)
-    m->ops->send_members (m->arg, from, &handle, 1);
+    m->ops->send_members (m->arg, from, &handle, 1, false);
   if (heartbeat->states_digest)
     compare_digest (m, from, heartbeat->digest, now_ms);
 }
@@ -114,7 +114,7 @@
 
 void
 membership_members (struct membership *m, uint64_t from,
-                    const struct member *records, size_t count,
+                    const struct member *records, size_t count, bool answer,
                     uint64_t now_ms)
 {
   bool settled = m->joined && now_ms - m->joined_ms >= SETTLE_MS;
@@ -141,16 +141,11 @@
         continue;
       handle = member_find (&m->table, record.slot_id);
       if (contested && notices++ < NOTICES_MAX)
-        m->ops->send_members (m->arg, record.slot_id, &handle, 1);
+        m->ops->send_members (m->arg, record.slot_id, &handle, 1, false);
       pass_on (m, from, handle, settled, now_ms);
     }
-  if (!m->joined && count > 0 && from != m->self_id)
-    {
-      m->joined = true;
-      m->joined_ms = now_ms;
-      m->join_failures = 0;
-      membership_queue_event (m, m->self, false, now_ms);
-    }
+  if (!m->joined && answer)
+    membership_joined (m, now_ms);
 }
 
 void
@@ -176,7 +171,8 @@
       m->ops->send_members (m->arg, from, handles + i,
                             count - i < MEMBERSHIP_RECORDS_MAX
                                 ? count - i
-                                : MEMBERSHIP_RECORDS_MAX);
+                                : MEMBERSHIP_RECORDS_MAX,
+                            true);
   free (handles);
 }
 
--- a/src/coordination/membership_parts.h
+++ b/src/coordination/membership_parts.h
@@ -26,6 +26,9 @@
   return (unsigned)(slot_id % MEMBERSHIP_BUCKETS);
 }
 
+/// Notes that this node knows the mesh, and announces it.
+void membership_joined (struct membership *m, uint64_t now_ms);
+
 /// Queues a record for the next broadcast.
 void membership_queue_event (struct membership *m, uint32_t handle,
                              bool zone_only, uint64_t now_ms);
--- a/src/coordination/membership_zone.c
+++ b/src/coordination/membership_zone.c
@@ -14,6 +14,10 @@
 /// Evidence of a zone that is younger than this outweighs another's mark.
 #define FRESH_MS 2000
 #define LOST_PROBE_MS 2000
+/// Marks are no part of view digests, because zones differ in them. The first
+/// relay repeats a mark for a while instead, for members that missed it.
+#define REPEAT_MS 10000
+#define REPEAT_FOR_MS 35000
 
 struct membership_zone *
 membership_zone_state (struct membership *m, const char *name, uint64_t now_ms)
@@ -30,10 +34,21 @@
   return zone;
 }
 
+/// Changes a zone's state by this node's own evidence.
+static void
+change (struct membership_zone *zone, bool unreachable, uint64_t now_ms)
+{
+  zone->unreachable = unreachable;
+  zone->number++;
+  zone->changed_ms = now_ms;
+  zone->announce_ms = now_ms + REPEAT_MS;
+}
+
 static void
 announce (struct membership *m, const struct membership_zone *zone)
 {
-  struct zone_mark mark = { .unreachable = zone->unreachable };
+  struct zone_mark mark
+      = { .unreachable = zone->unreachable, .number = zone->number };
   memcpy (mark.name, zone->name, sizeof mark.name);
   m->ops->broadcast (m->arg, NULL, 0, &mark, true);
 }
@@ -49,7 +64,7 @@
   zone->heard_ms = now_ms;
   if (!zone->unreachable)
     return;
-  zone->unreachable = false;
+  change (zone, false, now_ms);
   if (membership_is_relay (m))
     announce (m, zone);
 }
@@ -61,12 +76,24 @@
   struct membership_zone *zone = membership_zone_state (m, mark->name, now_ms);
   if (zone == NULL || zone->id == m->ring.own_zone)
     return;
-  if (mark->unreachable && membership_is_relay (m)
-      && now_ms - zone->heard_ms < FRESH_MS && m->relay_since_ms != 0
-      && zone->heard_ms > m->relay_since_ms)
-    announce (m, zone);
-  else
-    zone->unreachable = mark->unreachable;
+  if (mark->number < zone->number
+      || (mark->number == zone->number && mark->unreachable))
+    return;
+  bool changed = zone->unreachable != mark->unreachable;
+  zone->unreachable = mark->unreachable;
+  zone->number = mark->number;
+  if (changed)
+    zone->changed_ms = now_ms;
+  /* The other relay's evidence counts as this one's, or each would undo the
+     mark of the other. */
+  if (!mark->unreachable)
+    zone->heard_ms = now_ms;
+  else if (m->relay_since_ms != 0 && zone->heard_ms > m->relay_since_ms
+           && now_ms - zone->heard_ms < FRESH_MS)
+    {
+      change (zone, false, now_ms);
+      announce (m, zone);
+    }
 }
 
 /// Tries one random member of a lost zone: its relays may have been replaced
@@ -119,10 +146,17 @@
       uint64_t limit = MEMBERSHIP_ZONE_MS + (rank == 0 ? 0 : SECOND_RELAY_MS);
       if (!zone->unreachable && now_ms - since >= limit)
         {
-          zone->unreachable = true;
+          change (zone, true, now_ms);
           counter_add (&zones_lost, 1);
           announce (m, zone);
         }
+      else if (rank == 0 && zone->changed_ms != 0
+               && now_ms - zone->changed_ms < REPEAT_FOR_MS
+               && now_ms >= zone->announce_ms)
+        {
+          zone->announce_ms = now_ms + REPEAT_MS;
+          announce (m, zone);
+        }
       if (zone->unreachable && probe)
         probe_lost (m, zone);
     }
--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -120,8 +120,8 @@
   return ring->slots[index % ring->count];
 }
 
-/// @return a member of [lo, hi) to ask, alive and not `except` if there is
-/// one; 0 when there is nobody to ask
+/// @return a member of [lo, hi) to ask: alive and not `except` if there is
+/// one, otherwise any, `except` last; 0 when there is nobody
 static uint64_t
 choose (struct spread *spread, uint64_t lo, uint64_t hi, uint64_t except)
 {
@@ -134,11 +134,12 @@
   for (uint32_t i = 0; i < count; i++)
     {
       uint64_t slot = ring_at (spread->ring, first + (start + i) % count);
-      if (slot == spread->self || slot == except)
+      if (slot == spread->self)
         continue;
-      if (is_live (spread, slot))
+      if (slot != except && is_live (spread, slot))
         return slot;
-      fallback = slot;
+      if (fallback == 0 || fallback == except)
+        fallback = slot;
     }
   return fallback;
 }
@@ -184,6 +185,24 @@
   return true;
 }
 
+static bool
+reserve_part (struct spread *spread)
+{
+  if (spread->part_count < spread->part_capacity)
+    return true;
+  if (spread->part_count == SPREAD_PENDING_MAX)
+    return false;
+  uint32_t capacity
+      = spread->part_capacity == 0 ? 16 : spread->part_capacity * 2;
+  struct spread_part *parts
+      = talloc_realloc (NULL, spread->parts, struct spread_part, capacity);
+  if (parts == NULL)
+    return false;
+  spread->parts = parts;
+  spread->part_capacity = capacity;
+  return true;
+}
+
 /// Keeps a part until it is acknowledged.
 static void
 add_part (struct spread *spread, const struct spread_part *template,
@@ -192,47 +211,92 @@
   struct spread_part part = *template;
   if (send_now && !send_part (spread, &part, now_ms))
     return;
-  if (spread->part_count == SPREAD_PENDING_MAX)
+  if (!reserve_part (spread))
     return;
   part.body->references++;
   spread->parts[spread->part_count++] = part;
 }
 
-/// Splits an interval and sends each part to one of its members.
+/// Splits an interval without this node into parts and sends each one to one
+/// of its members.
 static void
-cover (struct spread *spread, const struct spread_message *message,
-       struct spread_body *body, uint64_t now_ms)
+cover_side (struct spread *spread, const struct spread_message *message,
+            uint64_t lo, uint64_t hi, uint32_t parts, struct spread_body *body,
+            uint64_t now_ms)
 {
   uint32_t first;
-  uint32_t count = interval_members (spread, message->lo, message->hi, &first);
-  const struct ring *ring = spread->ring;
-  if (count == 0)
-    return;
-  /* This node's own place is cut out so that the parts have equal sizes. */
-  uint32_t own = ring_lower_bound (ring, spread->self);
-  bool inside = own < ring->count && ring->slots[own] == spread->self
-                && (own + ring->count - first) % ring->count < count;
-  uint32_t skip = inside ? (own + ring->count - first) % ring->count : count;
-  uint32_t others = count - (inside ? 1 : 0);
-  uint32_t parts = others < SPREAD_PARTS ? others : SPREAD_PARTS;
-  uint64_t lo = message->lo;
+  uint32_t count = interval_members (spread, lo, hi, &first);
+  if (parts > count)
+    parts = count;
   for (uint32_t i = 0; i < parts; i++)
     {
-      uint64_t hi = message->hi;
-      if (i + 1 < parts)
+      uint32_t next = (uint32_t)((uint64_t)(i + 1) * count / parts);
+      struct spread_part part
+          = { .id = message->id,
+              .lo = lo,
+              .hi = i + 1 < parts ? ring_at (spread->ring, first + next) : hi,
+              .kind = message->kind,
+              .zone_only = message->zone_only,
+              .body = body };
+      add_part (spread, &part, true, now_ms);
+      lo = part.hi;
+    }
+}
+
+/// @return the number of parts for the members before this node that makes the
+/// largest part on either side smallest
+static uint32_t
+parts_before (uint32_t before, uint32_t after)
+{
+  if (before == 0)
+    return 0;
+  if (after == 0)
+    return SPREAD_PARTS;
+  uint32_t best = 1;
+  uint32_t best_size = UINT32_MAX;
+  for (uint32_t parts = 1; parts < SPREAD_PARTS; parts++)
+    {
+      uint32_t first = (before + parts - 1) / parts;
+      uint32_t second
+          = (after + SPREAD_PARTS - parts - 1) / (SPREAD_PARTS - parts);
+      uint32_t size = first > second ? first : second;
+      if (size < best_size)
         {
-          uint32_t next = (uint32_t)((uint64_t)(i + 1) * others / parts);
-          hi = ring_at (ring, first + next + (next >= skip ? 1 : 0));
+          best_size = size;
+          best = parts;
         }
-      struct spread_part part = { .id = message->id,
-                                  .lo = lo,
-                                  .hi = hi,
-                                  .kind = message->kind,
-                                  .zone_only = message->zone_only,
-                                  .body = body };
-      add_part (spread, &part, true, now_ms);
-      lo = hi;
     }
+  return best;
+}
+
+/// Covers an interval on both sides of this node: a part that contained it
+/// would come back to it.
+static void
+cover (struct spread *spread, const struct spread_message *message,
+       struct spread_body *body, uint64_t now_ms)
+{
+  uint64_t lo = message->lo;
+  uint64_t hi = message->hi;
+  uint64_t self = spread->self;
+  bool inside = lo == hi || self - lo < hi - lo;
+  if (!inside)
+    {
+      cover_side (spread, message, lo, hi, SPREAD_PARTS, body, now_ms);
+      return;
+    }
+  uint32_t first;
+  uint32_t before
+      = lo == self ? 0 : interval_members (spread, lo, self, &first);
+  uint32_t after
+      = hi == self + 1 ? 0 : interval_members (spread, self + 1, hi, &first);
+  if (before + after == 0)
+    return;
+  uint32_t parts = parts_before (before, after);
+  if (before > 0)
+    cover_side (spread, message, lo, self, parts, body, now_ms);
+  if (after > 0)
+    cover_side (spread, message, self + 1, hi, SPREAD_PARTS - parts, body,
+                now_ms);
 }
 
 /// Kinds that heartbeats or view digests repair need no second sender.
@@ -273,8 +337,12 @@
 {
   if (slot_id == spread->self)
     return true;
-  uint32_t i = ring_lower_bound (spread->ring, slot_id);
-  return i < spread->ring->count && spread->ring->slots[i] == slot_id;
+  /* Not the ring: a member that announces that it leaves is not on it. */
+  uint32_t handle = member_find (spread->ring->table, slot_id);
+  return handle != MEMBER_NONE
+         && hash_place_string (
+                member_get (spread->ring->table, handle)->availability_zone)
+                == spread->ring->own_zone;
 }
 
 enum status
@@ -290,10 +358,7 @@
   spread->seen = talloc_zero_array (NULL, struct spread_seen,
                                     SPREAD_SEEN_SETS * SPREAD_SEEN_WAYS);
   spread->seen_next = talloc_zero_array (NULL, uint8_t, SPREAD_SEEN_SETS);
-  spread->parts
-      = talloc_zero_array (NULL, struct spread_part, SPREAD_PENDING_MAX);
-  if (spread->seen != NULL && spread->seen_next != NULL
-      && spread->parts != NULL)
+  if (spread->seen != NULL && spread->seen_next != NULL)
     return STATUS_OK;
   spread_finish (spread);
   return status_set (STATUS_NO_MEMORY, "no memory for broadcasts");
--- a/src/coordination/spread.h
+++ b/src/coordination/spread.h
@@ -14,8 +14,8 @@
 /// The second relay repeats a broadcast to the other zones after this time.
 #define SPREAD_SECOND_MS 600
 /// Broadcast ids remembered to recognise duplicates. At 100 broadcasts a
-/// second, far above the design load, an id is kept for about 40 s.
-#define SPREAD_SEEN_SETS 1024
+/// second, far above the design load, an id is kept for about 20 s.
+#define SPREAD_SEEN_SETS 512
 #define SPREAD_SEEN_WAYS 4
 /// Parts that wait for an acknowledgement; further ones are sent once.
 #define SPREAD_PENDING_MAX 1024
@@ -90,7 +90,7 @@
   struct spread_seen *seen;
   uint8_t *seen_next; ///< way to replace next, per set
   struct spread_part *parts;
-  uint32_t part_count;
+  uint32_t part_count, part_capacity;
 };
 
 /// @param ring  outlives the spread and is kept fresh by it
--- a/src/node/node_mesh.c
+++ b/src/node/node_mesh.c
@@ -52,12 +52,13 @@
 
 static void
 send_members (void *arg, uint64_t slot_id, const uint32_t *handles,
-              size_t count)
+              size_t count, bool answer)
 {
   struct node_mesh *mesh = arg;
   msgpack_sbuffer body;
   msgpack_sbuffer_init (&body);
-  message_write_members (&body, &mesh->membership.table, handles, count);
+  message_write_members (&body, &mesh->membership.table, handles, count,
+                         answer);
   mesh_send (mesh, slot_id, MESSAGE_MEMBERS, &body);
 }
 
@@ -233,9 +234,11 @@
   void *arena = talloc_new (NULL);
   struct member *records;
   size_t count;
+  bool answer;
   bool joined = mesh->membership.joined;
-  if (message_read_members (body, size, arena, &records, &count) == STATUS_OK)
-    membership_members (&mesh->membership, from, records, count,
+  if (message_read_members (body, size, arena, &records, &count, &answer)
+      == STATUS_OK)
+    membership_members (&mesh->membership, from, records, count, answer,
                         clock_monotonic_ms ());
   else
     counter_add (&malformed, 1);
--- a/src/node/node_mesh_entry.c
+++ b/src/node/node_mesh_entry.c
@@ -162,7 +162,7 @@
                      (const uint8_t *)body.data, body.size);
   msgpack_sbuffer_clear (&body);
   message_write_members (&body, &mesh->membership.table,
-                         &mesh->membership.self, 1);
+                         &mesh->membership.self, 1, false);
   peer_send_address (mesh->peers, address, port, MESSAGE_MEMBERS,
                      (const uint8_t *)body.data, body.size);
   msgpack_sbuffer_destroy (&body);
@@ -211,7 +211,8 @@
   peer_send_address (mesh->peers, seed->address, seed->port, MESSAGE_VIEW_PULL,
                      (const uint8_t *)body.data, body.size);
   msgpack_sbuffer_clear (&body);
-  message_write_members (&body, &mesh->membership.table, &own_handle, 1);
+  message_write_members (&body, &mesh->membership.table, &own_handle, 1,
+                         false);
   peer_send_address (mesh->peers, seed->address, seed->port, MESSAGE_MEMBERS,
                      (const uint8_t *)body.data, body.size);
   msgpack_sbuffer_destroy (&body);
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -103,7 +103,8 @@
                               const struct heartbeat *heartbeat);
 void message_write_members (msgpack_sbuffer *out,
                             const struct member_table *table,
-                            const uint32_t *handles, size_t count);
+                            const uint32_t *handles, size_t count,
+                            bool answer);
 void message_write_view_pull (msgpack_sbuffer *out,
                               const uint64_t digests[MEMBERSHIP_BUCKETS]);
 void message_write_config_pull (msgpack_sbuffer *out,
@@ -144,9 +145,10 @@
                                     struct heartbeat *heartbeat);
 
 /// @param arena    talloc context of the records
+/// @param answer   set to true when the message answers a VIEW_PULL
 enum status message_read_members (const uint8_t *body, size_t size,
                                   void *arena, struct member **records,
-                                  size_t *count);
+                                  size_t *count, bool *answer);
 enum status message_read_view_pull (const uint8_t *body, size_t size,
                                     uint64_t digests[MEMBERSHIP_BUCKETS]);
 enum status message_read_config_pull (const uint8_t *body, size_t size,
--- a/src/protocol/message_members.c
+++ b/src/protocol/message_members.c
@@ -112,22 +112,36 @@
 
 void
 message_write_members (msgpack_sbuffer *out, const struct member_table *table,
-                       const uint32_t *handles, size_t count)
+                       const uint32_t *handles, size_t count, bool answer)
 {
   msgpack_packer packer;
   msgpack_packer_init (&packer, out, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 1);
+  msgpack_pack_array (&packer, answer ? 2 : 1);
   pack_records (&packer, table, handles, count);
+  if (answer)
+    msgpack_pack_true (&packer);
 }
 
 enum status
 message_read_members (const uint8_t *body, size_t size, void *arena,
-                      struct member **records, size_t *count)
+                      struct member **records, size_t *count, bool *answer)
 {
-  struct zone_mark mark;
-  bool has_mark;
-  return message_read_events (body, size, arena, records, count, &mark,
-                              &has_mark);
+  msgpack_unpacked unpacked;
+  enum status status = unpack_one (&unpacked, body, size);
+  if (status != STATUS_OK)
+    return status;
+  const msgpack_object *fields = unpack_array (&unpacked.data, 1);
+  if (fields == NULL)
+    status = status_set (STATUS_CORRUPT, "malformed member list");
+  else
+    {
+      status = read_records (&fields[0], arena, records, count);
+      *answer = unpacked.data.via.array.size > 1
+                && fields[1].type == MSGPACK_OBJECT_BOOLEAN
+                && fields[1].via.boolean;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  return status;
 }
 
 void
@@ -141,22 +155,27 @@
   pack_records (&packer, table, handles, count);
   if (mark == NULL)
     return;
-  msgpack_pack_array (&packer, 2);
+  msgpack_pack_array (&packer, 3);
   pack_string (&packer, mark->name);
   if (mark->unreachable)
     msgpack_pack_true (&packer);
   else
     msgpack_pack_false (&packer);
+  msgpack_pack_uint32 (&packer, mark->number);
 }
 
 static bool
 read_mark (const msgpack_object *object, struct zone_mark *mark)
 {
-  const msgpack_object *parts = unpack_array (object, 2);
+  const msgpack_object *parts = unpack_array (object, 3);
+  uint64_t number;
   if (parts == NULL || !read_name (&parts[0], mark->name)
-      || parts[1].type != MSGPACK_OBJECT_BOOLEAN)
+      || parts[1].type != MSGPACK_OBJECT_BOOLEAN
+      /* Numbers above this could not be followed by others. */
+      || !unpack_number (&parts[2], UINT32_MAX / 2, &number))
     return false;
   mark->unreachable = parts[1].via.boolean;
+  mark->number = (uint32_t)number;
   return true;
 }
 
--- /dev/null
+++ b/test/unit/spread_test.c
@@ -0,0 +1,192 @@
+#include "mesh_sim.h"
+#include "testing.h"
+
+static unsigned
+reached (const struct sim *sim)
+{
+  unsigned count = 0;
+  for (unsigned i = 0; i < sim->count; i++)
+    count += sim->nodes[i].up && sim->nodes[i].delivered > 0;
+  return count;
+}
+
+static unsigned
+delivered_twice (const struct sim *sim)
+{
+  unsigned count = 0;
+  for (unsigned i = 0; i < sim->count; i++)
+    count += sim->nodes[i].delivered > 1;
+  return count;
+}
+
+/// Broadcasts from a node to all zones and lets time pass.
+static void
+broadcast (struct sim *sim, unsigned from, unsigned kind, uint64_t wait_ms)
+{
+  for (unsigned i = 0; i < sim->count; i++)
+    sim->nodes[i].delivered = 0;
+  spread_start (&sim->nodes[from].s, kind, (const uint8_t *)"trip", 4, false,
+                sim->now_ms);
+  sim_run (sim, wait_ms);
+}
+
+static void
+test_reaches_all_in_three_hops (void)
+{
+  struct sim sim;
+  sim_init (&sim, 510, 1, 1);
+  sim_start_settled (&sim);
+  sim.delay_ms = 0;
+  broadcast (&sim, 17, SPREAD_TRIP, 20);
+  CU_ASSERT_EQUAL (reached (&sim), 509);
+  CU_ASSERT_EQUAL (delivered_twice (&sim), 0);
+  unsigned hops = 0;
+  for (unsigned i = 0; i < sim.count; i++)
+    if (sim.nodes[i].hops > hops)
+      hops = sim.nodes[i].hops;
+  CU_ASSERT_EQUAL (hops, 3);
+  sim_finish (&sim);
+}
+
+static void
+test_crosses_zones (void)
+{
+  struct sim sim;
+  sim_init (&sim, 100, 10, 2);
+  sim_start_settled (&sim);
+  for (unsigned from = 0; from < 20; from++)
+    {
+      broadcast (&sim, from, SPREAD_TRIP, 1500);
+      CU_ASSERT_EQUAL (reached (&sim), 99);
+      CU_ASSERT_EQUAL (delivered_twice (&sim), 0);
+    }
+  sim_finish (&sim);
+}
+
+static void
+test_survives_loss (void)
+{
+  struct sim sim;
+  sim_init (&sim, 200, 4, 3);
+  sim_start_settled (&sim);
+  sim.drop_permille = 50;
+  sim.duplicate_permille = 50;
+  sim.delay_ms = 100;
+  for (unsigned from = 0; from < 10; from++)
+    {
+      broadcast (&sim, from, SPREAD_TRIP, 4000);
+      CU_ASSERT_EQUAL (reached (&sim), 199);
+      CU_ASSERT_EQUAL (delivered_twice (&sim), 0);
+    }
+  sim_finish (&sim);
+}
+
+static void
+test_survives_dead_members (void)
+{
+  struct sim sim;
+  sim_init (&sim, 200, 2, 4);
+  sim_start_settled (&sim);
+  sim_run (&sim, 200);
+  /* A third of the members is gone and nobody noticed so far. */
+  for (unsigned i = 1; i < 200; i += 3)
+    sim_kill (&sim, i, true);
+  broadcast (&sim, 0, SPREAD_TRIP, 3000);
+  printf (" %u of 132 reached;", reached (&sim));
+  CU_ASSERT_EQUAL (reached (&sim), 132);
+  sim_finish (&sim);
+}
+
+static void
+test_survives_dead_relay (void)
+{
+  struct sim sim;
+  sim_init (&sim, 60, 3, 5);
+  sim_start_settled (&sim);
+  sim_run (&sim, 200);
+  const struct ring *ring = &sim.nodes[1].m.ring;
+  for (uint32_t i = 0; i < ring->zone_count; i++)
+    sim_kill (&sim, sim_find (&sim, ring->zones[i].relays[0])->index, true);
+  unsigned from = sim.nodes[1].up ? 1 : 4;
+  broadcast (&sim, from, SPREAD_TRIP, 3000);
+  CU_ASSERT_EQUAL (reached (&sim), 56);
+  sim_finish (&sim);
+}
+
+static void
+test_views_may_differ (void)
+{
+  struct sim sim;
+  sim_init (&sim, 60, 1, 6);
+  sim_start_settled (&sim);
+  /* Each node holds others for dead that are alive. */
+  for (unsigned i = 0; i < sim.count; i++)
+    for (unsigned j = 0; j < 4; j++)
+      {
+        struct member record = sim.nodes[(i * 7 + j * 13 + 1) % 60].record;
+        record.state = MEMBER_DEAD;
+        if (record.slot_id != sim.nodes[i].record.slot_id)
+          membership_events (&sim.nodes[i].m, &record, 1, NULL, sim.now_ms);
+      }
+  unsigned total = 0;
+  for (unsigned from = 0; from < 10; from++)
+    {
+      broadcast (&sim, from, SPREAD_TRIP, 100);
+      total += reached (&sim);
+      CU_ASSERT_EQUAL (delivered_twice (&sim), 0);
+    }
+  printf (" %u of 590 reached;", total);
+  /* Nobody can reach a member that its whole path holds for dead. */
+  CU_ASSERT (total >= 560);
+  sim_finish (&sim);
+}
+
+static void
+test_duplicates_do_not_multiply (void)
+{
+  struct sim sim;
+  sim_init (&sim, 100, 1, 7);
+  sim_start_settled (&sim);
+  sim_run (&sim, 100);
+  sim.duplicate_permille = 1000;
+  broadcast (&sim, 0, SPREAD_TRIP, 50);
+  CU_ASSERT_EQUAL (sim.sent[MESSAGE_BROADCAST], 99);
+  CU_ASSERT_EQUAL (sim.sent[MESSAGE_BROADCAST_ACK], 198);
+  CU_ASSERT_EQUAL (delivered_twice (&sim), 0);
+  sim_finish (&sim);
+}
+
+static void
+test_size_limit (void)
+{
+  struct sim sim;
+  sim_init (&sim, 2, 1, 8);
+  sim_start_settled (&sim);
+  uint8_t *large = calloc (1, SPREAD_BODY_MAX + 1);
+  CU_ASSERT_EQUAL (spread_start (&sim.nodes[0].s, SPREAD_TRIP, large,
+                                 SPREAD_BODY_MAX + 1, false, sim.now_ms),
+                   STATUS_TOO_LARGE);
+  CU_ASSERT_EQUAL (spread_start (&sim.nodes[0].s, SPREAD_TRIP, large,
+                                 SPREAD_BODY_MAX, false, sim.now_ms),
+                   STATUS_OK);
+  free (large);
+  sim_finish (&sim);
+}
+
+static const struct test_case cases[] = {
+  { "a broadcast needs more than 3 hops for 510",
+    test_reaches_all_in_three_hops },
+  { "a broadcast stays in its zone", test_crosses_zones },
+  { "lost messages leave members out", test_survives_loss },
+  { "unnoticed deaths leave members out", test_survives_dead_members },
+  { "a dead first relay cuts a zone off", test_survives_dead_relay },
+  { "differing views leave members out", test_views_may_differ },
+  { "duplicates multiply", test_duplicates_do_not_multiply },
+  { "a body passes the frame limit", test_size_limit },
+};
+
+int
+main (void)
+{
+  return testing_run ("spread", cases, sizeof cases / sizeof cases[0]);
+}
