Add claims: table, log, owner and client of non-idempotent requests

Cause: a request with an idempotency key must run at most once, with two owners, paused processes, lost answers and late writes.

Change: claim_table (claims of a partition), claim_log (numbered segments in a ring of 256 keys written by compare-and-swap, chunks of 64 segments, takeover, repair after the store went back), claim_owner (group commit every 50 ms, decisions from committed segments only), claim_client (one nonce per attempt, resends, release after giving up) and the codec of segments.

msgpack-c asks for 64 GB on a 5-byte array header, so values from outside are read by pack_reader, which allocates nothing.

Conclusion: ready to be connected to the node.

--- /dev/null
+++ b/src/coordination/claim_log_read.c
@@ -0,0 +1,285 @@
+/// Owns the reading of a partition's log: list, chunks in order, then segments
+/// until one is absent.
+#include "base/counter.h"
+#include "base/log.h"
+#include "coordination/claim_log_parts.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static struct counter values_corrupt = COUNTER (
+    "claim_log_values_corrupt", "Segments or chunks that could not be read.");
+static struct counter loads
+    = COUNTER ("claim_log_loads", "Partition logs read from the start.");
+
+static struct claim_log_part *
+part_of (struct claim_log *log, uint64_t index)
+{
+  return &log->parts[index % CLAIM_LOG_WINDOW];
+}
+
+/// Sends reads up to the window.
+static void
+read_more (struct claim_log *log)
+{
+  while (log->next_read < log->next_apply + log->window)
+    {
+      char key[CLAIM_LOG_KEY_MAX];
+      if (log->state == CLAIM_LOG_SEGMENTS)
+        claim_log_segment_key (log, log->next_read, key);
+      else if (log->next_read < log->chunk_count)
+        claim_log_chunk_key (log, log->chunks[log->next_read].number, key);
+      else
+        return;
+      struct claim_log_part *part = part_of (log, log->next_read);
+      talloc_free (part->bytes);
+      *part = (struct claim_log_part){ 0 };
+      uint32_t index = (uint32_t)log->next_read++;
+      log->ops->get (log->arg, key,
+                     claim_log_token (CLAIM_OP_READ, log->read_epoch, index));
+    }
+}
+
+static void
+read_fail (struct claim_log *log, uint64_t now_ms)
+{
+  log->read_epoch++;
+  log->read_failed = true;
+  claim_log_back_off (log, now_ms);
+}
+
+static void
+finish_reading (struct claim_log *log)
+{
+  for (int i = 0; i < CLAIM_LOG_WINDOW; i++)
+    {
+      talloc_free (log->parts[i].bytes);
+      log->parts[i] = (struct claim_log_part){ 0 };
+    }
+  log->read_epoch++;
+  log->failures = 0;
+  log->state = CLAIM_LOG_READY;
+  log->ops->changed (log->arg);
+}
+
+/// Applies the chunk at next_apply.
+/// @return STATUS_OK, or STATUS_CORRUPT
+static enum status
+apply_chunk (struct claim_log *log, const struct claim_log_part *part)
+{
+  struct claim_chunk *chunk = &log->chunks[log->next_apply];
+  /* Only chunks whose claims have all expired are removed. */
+  if (!part->found)
+    return STATUS_OK;
+  struct claim_segment segment;
+  void *arena = talloc_new (log->arena);
+  enum status status
+      = log->codec->decode (part->bytes, part->size, arena, &segment);
+  if (status == STATUS_OK
+      && (!segment.chunk || segment.number != chunk->number
+          || segment.partition != log->partition))
+    status = STATUS_CORRUPT;
+  chunk->revision = part->revision;
+  for (size_t i = 0; status == STATUS_OK && i < segment.count; i++)
+    {
+      claim_table_set (&log->table, &segment.records[i]);
+      if (segment.records[i].created_s > chunk->newest_s)
+        chunk->newest_s = segment.records[i].created_s;
+    }
+  talloc_free (arena);
+  return status;
+}
+
+/// Applies the segment at next_apply.
+/// @return STATUS_OK; STATUS_NOT_FOUND at the end of the log;
+///         STATUS_CONFLICT when the log moved on; STATUS_CORRUPT
+static enum status
+apply_segment (struct claim_log *log, const struct claim_log_part *part)
+{
+  uint64_t number = log->next_apply;
+  uint64_t *revision = &log->slot_revision[number % log->ring];
+  *revision = part->revision;
+  if (!part->found)
+    return STATUS_NOT_FOUND;
+  struct claim_segment segment;
+  void *arena = talloc_new (log->arena);
+  enum status status
+      = log->codec->decode (part->bytes, part->size, arena, &segment);
+  if (status == STATUS_OK
+      && (segment.chunk || segment.partition != log->partition))
+    status = STATUS_CORRUPT;
+  if (status == STATUS_OK && segment.number < number)
+    status = STATUS_NOT_FOUND;
+  else if (status == STATUS_OK && segment.number > number)
+    status = STATUS_CONFLICT;
+  else if (status == STATUS_OK)
+    claim_log_apply (log, &segment, part->revision);
+  talloc_free (arena);
+  return status;
+}
+
+/// Applies the parts that have arrived, in order.
+static void
+apply_parts (struct claim_log *log, uint64_t now_ms)
+{
+  for (;;)
+    {
+      struct claim_log_part *part = part_of (log, log->next_apply);
+      if (log->state == CLAIM_LOG_CHUNKS
+          && log->next_apply == log->chunk_count)
+        {
+          claim_log_read_segments (log, CLAIM_LOG_WINDOW, now_ms);
+          return;
+        }
+      if (log->next_apply == log->next_read || !part->present)
+        break;
+      bool chunks = log->state == CLAIM_LOG_CHUNKS;
+      enum status status
+          = chunks ? apply_chunk (log, part) : apply_segment (log, part);
+      if (status == STATUS_NOT_FOUND)
+        {
+          finish_reading (log);
+          return;
+        }
+      if (status == STATUS_CONFLICT)
+        {
+          claim_log_reload (log, now_ms);
+          return;
+        }
+      if (status != STATUS_OK)
+        {
+          counter_add (&values_corrupt, 1);
+          log_event (LOG_LEVEL_ERROR, "claim_log_corrupt",
+                     "partition=%u number=%" PRIu64, log->partition,
+                     log->next_apply);
+          claim_log_reload (log, now_ms);
+          log->retry_ms = now_ms + 5000;
+          return;
+        }
+      talloc_free (part->bytes);
+      *part = (struct claim_log_part){ 0 };
+      log->next_apply++;
+      if (!chunks && log->window < CLAIM_LOG_WINDOW)
+        log->window *= 2;
+    }
+  read_more (log);
+}
+
+static int
+compare_chunks (const void *a, const void *b)
+{
+  uint64_t x = ((const struct claim_chunk *)a)->number;
+  uint64_t y = ((const struct claim_chunk *)b)->number;
+  return x < y ? -1 : x > y;
+}
+
+/// Notes the slots and chunks that exist.
+static void
+read_list (struct claim_log *log, const struct store_reply *reply)
+{
+  char prefix[CLAIM_LOG_KEY_MAX];
+  size_t size
+      = (size_t)snprintf (prefix, sizeof prefix, "claims/%u/", log->partition);
+  log->chunks = talloc_realloc (log->arena, log->chunks, struct claim_chunk,
+                                reply->key_count + 1);
+  log->chunk_count = 0;
+  for (size_t i = 0; i < reply->key_count; i++)
+    {
+      const struct store_key *key = &reply->keys[i];
+      if (strncmp (key->key, prefix, size) != 0)
+        continue;
+      const char *name = key->key + size;
+      bool chunk = strncmp (name, "chunk/", 6) == 0;
+      char *end;
+      uint64_t number = strtoull (chunk ? name + 6 : name, &end, 10);
+      if (*end != '\0')
+        continue;
+      if (chunk)
+        log->chunks[log->chunk_count++]
+            = (struct claim_chunk){ .number = number,
+                                    .revision = key->revision };
+      else if (number < log->ring)
+        log->slot_revision[number] = key->revision;
+    }
+  qsort (log->chunks, log->chunk_count, sizeof *log->chunks, compare_chunks);
+  log->chunk_high
+      = log->chunk_count > 0 ? log->chunks[log->chunk_count - 1].number : 0;
+  log->tip = log->chunk_high * log->chunk_segments;
+}
+
+void
+claim_log_listed (struct claim_log *log, const struct store_reply *reply,
+                  uint64_t now_ms)
+{
+  if (reply->status != STATUS_OK)
+    {
+      read_fail (log, now_ms);
+      return;
+    }
+  counter_add (&loads, 1);
+  read_list (log, reply);
+  log->state = CLAIM_LOG_CHUNKS;
+  log->next_apply = 0;
+  log->next_read = 0;
+  log->window = CLAIM_LOG_WINDOW;
+  apply_parts (log, now_ms);
+}
+
+void
+claim_log_read (struct claim_log *log, uint32_t index,
+                const struct store_reply *reply, uint64_t now_ms)
+{
+  bool found = reply->status == STATUS_OK;
+  if (!found && reply->status != STATUS_NOT_FOUND)
+    {
+      read_fail (log, now_ms);
+      return;
+    }
+  struct claim_log_part *part = part_of (log, index);
+  *part = (struct claim_log_part){ .present = true,
+                                   .found = found,
+                                   .revision = found ? reply->revision : 0 };
+  if (found)
+    {
+      part->bytes = talloc_memdup (log->arena, reply->data, reply->size);
+      part->size = reply->size;
+      if (part->bytes == NULL)
+        abort ();
+    }
+  apply_parts (log, now_ms);
+}
+
+void
+claim_log_read_segments (struct claim_log *log, uint32_t window,
+                         uint64_t now_ms)
+{
+  log->read_epoch++;
+  log->state = CLAIM_LOG_SEGMENTS;
+  log->next_apply = log->tip + 1;
+  log->next_read = log->tip + 1;
+  log->window = window;
+  read_more (log);
+}
+
+void
+claim_log_read_again (struct claim_log *log, uint64_t now_ms)
+{
+  log->read_failed = false;
+  if (log->state == CLAIM_LOG_SEGMENTS)
+    claim_log_read_segments (log, log->window, now_ms);
+  else if (log->state == CLAIM_LOG_CHUNKS)
+    {
+      log->next_read = log->next_apply;
+      read_more (log);
+    }
+  else
+    {
+      char prefix[CLAIM_LOG_KEY_MAX];
+      snprintf (prefix, sizeof prefix, "claims/%u/", log->partition);
+      log->ops->list (log->arg, prefix,
+                      claim_log_token (CLAIM_OP_LIST, log->read_epoch, 0));
+    }
+}
--- /dev/null
+++ b/src/state/claim_table.c
@@ -0,0 +1,340 @@
+/// Owns the claims of a partition, their index and the bodies of outcomes.
+#include "state/claim_table.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define NONE UINT32_MAX
+#define INITIAL_CAPACITY 64
+
+static uint32_t
+place_of (const struct claim_table *table, const struct content_hash *key)
+{
+  uint32_t bits;
+  memcpy (&bits, key->bytes, sizeof bits);
+  return bits & (table->index_size - 1);
+}
+
+/// @return place in the index that holds the key or is free for it
+static uint32_t
+index_probe (const struct claim_table *table, const struct content_hash *key)
+{
+  assert (table->items != NULL && table->index != NULL);
+  uint32_t place = place_of (table, key);
+  while (table->index[place] != NONE
+         && !hash_equal (&table->items[table->index[place]].key, key))
+    place = (place + 1) & (table->index_size - 1);
+  return place;
+}
+
+static void *
+resize (void *memory, size_t count, size_t size)
+{
+  void *resized = realloc (memory, count * size);
+  /* A table that lost records could grant a key twice, so the process must
+     not go on without memory for one. */
+  if (resized == NULL)
+    abort ();
+  return resized;
+}
+
+static void
+grow (struct claim_table *table)
+{
+  table->capacity
+      = table->capacity == 0 ? INITIAL_CAPACITY : table->capacity * 2;
+  table->items = resize (table->items, table->capacity, sizeof *table->items);
+  table->index_size = table->capacity * 2;
+  table->index
+      = resize (table->index, table->index_size, sizeof *table->index);
+  memset (table->index, 0xff, table->index_size * sizeof *table->index);
+  for (uint32_t i = 0; i < table->count; i++)
+    table->index[index_probe (table, &table->items[i].key)] = i;
+}
+
+static struct claim *
+find (const struct claim_table *table, const struct content_hash *key)
+{
+  if (table->count == 0)
+    return NULL;
+  uint32_t handle = table->index[index_probe (table, key)];
+  return handle == NONE ? NULL : &table->items[handle];
+}
+
+static struct claim *
+add (struct claim_table *table, const struct content_hash *key)
+{
+  if (table->count == table->capacity)
+    grow (table);
+  assert (table->items != NULL);
+  uint32_t handle = table->count++;
+  table->items[handle] = (struct claim){ .key = *key };
+  table->index[index_probe (table, key)] = handle;
+  return &table->items[handle];
+}
+
+static void
+drop_body (struct claim_table *table, struct claim *claim)
+{
+  table->body_bytes -= claim->body_size;
+  free (claim->body);
+  claim->body = NULL;
+  claim->body_size = 0;
+}
+
+/// Frees a place of the index and closes the gap in the probe sequence.
+static void
+index_remove (struct claim_table *table, uint32_t place)
+{
+  uint32_t mask = table->index_size - 1;
+  uint32_t next = (place + 1) & mask;
+  while (table->index[next] != NONE)
+    {
+      uint32_t home = place_of (table, &table->items[table->index[next]].key);
+      if (((next - home) & mask) >= ((next - place) & mask))
+        {
+          table->index[place] = table->index[next];
+          place = next;
+        }
+      next = (next + 1) & mask;
+    }
+  table->index[place] = NONE;
+}
+
+static void
+remove_item (struct claim_table *table, uint32_t handle)
+{
+  struct claim *claim = &table->items[handle];
+  drop_body (table, claim);
+  index_remove (table, index_probe (table, &claim->key));
+  uint32_t last = --table->count;
+  if (handle == last)
+    return;
+  table->index[index_probe (table, &table->items[last].key)] = handle;
+  table->items[handle] = table->items[last];
+  table->items[last].body = NULL;
+}
+
+static void
+touch (struct claim_table *table, struct claim *claim)
+{
+  if (claim->touched)
+    return;
+  claim->touched = true;
+  if (table->touched_count == table->touched_capacity)
+    {
+      table->touched_capacity = table->touched_capacity == 0
+                                    ? INITIAL_CAPACITY
+                                    : table->touched_capacity * 2;
+      table->touched = resize (table->touched, table->touched_capacity,
+                               sizeof *table->touched);
+    }
+  table->touched[table->touched_count++] = claim->key;
+}
+
+static enum claim_state
+state_after (enum claim_record_kind kind)
+{
+  switch (kind)
+    {
+    case CLAIM_RECORD_RELEASE:
+      return CLAIM_FREE;
+    case CLAIM_RECORD_OUTCOME:
+      return CLAIM_DONE;
+    case CLAIM_RECORD_SPENT:
+      return CLAIM_LOST;
+    default:
+      return CLAIM_HELD;
+    }
+}
+
+static void
+take (struct claim_table *table, struct claim *claim,
+      const struct claim_record *record)
+{
+  drop_body (table, claim);
+  claim->nonce = record->nonce;
+  claim->created_s = record->created_s;
+  claim->status = record->status;
+  claim->state = state_after (record->kind);
+  claim->body_complete = record->body_complete;
+  if (record->kind != CLAIM_RECORD_OUTCOME || record->body_size == 0)
+    return;
+  assert (record->body_size <= CLAIM_BODY_MAX);
+  uint8_t *body = NULL;
+  if (table->body_bytes + record->body_size <= table->body_bytes_max)
+    body = malloc (record->body_size);
+  if (body == NULL)
+    {
+      claim->body_complete = false;
+      return;
+    }
+  memcpy (body, record->body, record->body_size);
+  claim->body = body;
+  claim->body_size = record->body_size;
+  table->body_bytes += record->body_size;
+}
+
+static bool
+set_floor (struct claim_table *table, const struct claim_record *record)
+{
+  if (record->created_s <= table->floor_s)
+    return false;
+  table->floor_s = record->created_s;
+  return true;
+}
+
+/// Rules of the log; every owner must come to the same result.
+static bool
+takes_effect (const struct claim *claim, const struct claim_record *record)
+{
+  if (claim == NULL)
+    return true;
+  bool same = claim->nonce == record->nonce;
+  if (claim->state == CLAIM_FREE)
+    return !same || record->kind == CLAIM_RECORD_OUTCOME
+           || record->kind == CLAIM_RECORD_SPENT;
+  if (claim->state == CLAIM_HELD)
+    return same && record->kind != CLAIM_RECORD_CLAIM;
+  /* An outcome that arrives after the claim was given up as spent. */
+  return claim->state == CLAIM_LOST && same
+         && record->kind == CLAIM_RECORD_OUTCOME;
+}
+
+void
+claim_table_init (struct claim_table *table, uint32_t count_max,
+                  size_t body_bytes_max)
+{
+  *table = (struct claim_table){ .count_max = count_max,
+                                 .body_bytes_max = body_bytes_max };
+}
+
+void
+claim_table_finish (struct claim_table *table)
+{
+  for (uint32_t i = 0; i < table->count; i++)
+    free (table->items[i].body);
+  free (table->items);
+  free (table->index);
+  free (table->touched);
+  *table = (struct claim_table){ 0 };
+}
+
+const struct claim *
+claim_table_find (const struct claim_table *table,
+                  const struct content_hash *key)
+{
+  return find (table, key);
+}
+
+bool
+claim_table_apply (struct claim_table *table,
+                   const struct claim_record *record)
+{
+  if (record->kind == CLAIM_RECORD_FLOOR)
+    return set_floor (table, record);
+  struct claim *claim = find (table, &record->key);
+  if (!takes_effect (claim, record))
+    return false;
+  if (claim == NULL)
+    claim = add (table, &record->key);
+  take (table, claim, record);
+  touch (table, claim);
+  return true;
+}
+
+void
+claim_table_set (struct claim_table *table, const struct claim_record *record)
+{
+  if (record->kind == CLAIM_RECORD_FLOOR)
+    {
+      set_floor (table, record);
+      return;
+    }
+  struct claim *claim = find (table, &record->key);
+  if (claim == NULL)
+    claim = add (table, &record->key);
+  take (table, claim, record);
+}
+
+uint32_t
+claim_table_expire (struct claim_table *table, uint32_t now_s, uint32_t keep_s,
+                    uint32_t steps)
+{
+  uint32_t removed = 0;
+  if (steps > table->count)
+    steps = table->count;
+  for (; steps > 0 && table->count > 0; steps--)
+    {
+      if (table->sweep >= table->count)
+        table->sweep = 0;
+      if ((uint64_t)table->items[table->sweep].created_s + keep_s < now_s)
+        {
+          remove_item (table, table->sweep);
+          removed++;
+        }
+      else
+        table->sweep++;
+    }
+  return removed;
+}
+
+struct claim_record
+claim_table_record (const struct claim *claim)
+{
+  static const enum claim_record_kind kinds[]
+      = { [CLAIM_FREE] = CLAIM_RECORD_RELEASE,
+          [CLAIM_HELD] = CLAIM_RECORD_CLAIM,
+          [CLAIM_DONE] = CLAIM_RECORD_OUTCOME,
+          [CLAIM_LOST] = CLAIM_RECORD_SPENT };
+  return (struct claim_record){
+    .kind = kinds[claim->state],
+    .key = claim->key,
+    .nonce = claim->nonce,
+    .created_s = claim->created_s,
+    .status = claim->status,
+    .body_complete = claim->body_complete,
+    .body_size = claim->body_size,
+    .body = claim->body,
+  };
+}
+
+size_t
+claim_table_take_touched (struct claim_table *table, void *arena,
+                          struct claim_record **records)
+{
+  struct claim_record *list
+      = talloc_array (arena, struct claim_record, table->touched_count + 1);
+  if (list == NULL)
+    abort ();
+  size_t count = 0;
+  for (uint32_t i = 0; i < table->touched_count; i++)
+    {
+      struct claim *claim = find (table, &table->touched[i]);
+      /* A key that expired and came back is listed twice, but set once. */
+      if (claim == NULL || !claim->touched)
+        continue;
+      claim->touched = false;
+      list[count++] = claim_table_record (claim);
+    }
+  table->touched_count = 0;
+  *records = list;
+  return count;
+}
+
+bool
+claim_table_full (const struct claim_table *table)
+{
+  return table->count >= table->count_max;
+}
+
+size_t
+claim_table_bytes (const struct claim_table *table)
+{
+  return (size_t)table->capacity * sizeof *table->items
+         + (size_t)table->index_size * sizeof *table->index
+         + (size_t)table->touched_capacity * sizeof *table->touched
+         + table->body_bytes;
+}
--- a/test/standin/fake_store.h
+++ b/test/standin/fake_store.h
@@ -149,8 +149,10 @@
   if (operation->lost)
     reply = (struct store_reply){ .status = STATUS_UNKNOWN };
   operation->answer_ms = UINT64_MAX;
-  if (operation->done != NULL)
-    operation->done (operation->arg, &reply);
+  void (*done) (void *, const struct store_reply *) = operation->done;
+  operation->done = NULL;
+  if (done != NULL)
+    done (operation->arg, &reply);
 }
 
 /// Moves virtual time forward; effects and answers happen in time order.
--- /dev/null
+++ b/test/unit/claim_client_test.c
@@ -0,0 +1,222 @@
+#include "coordination/claim_client.h"
+#include "testing.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define NOW_MS 5000
+#define WALL_MS 1790000000000ull
+
+static struct
+{
+  int claims;
+  int reports;
+  uint64_t nonce;
+  uint32_t partition;
+  uint32_t deadline_ms;
+  struct claim_record report;
+  uint8_t body[CLAIM_BODY_MAX];
+  int answers;
+  enum claim_verdict verdict;
+} seen;
+
+static void
+see_claim (void *arg, uint32_t partition, uint64_t seq,
+           const struct claim_record *record, uint32_t deadline_ms)
+{
+  CU_ASSERT (seen.claims == 0 || seen.nonce == record->nonce);
+  seen.claims++;
+  seen.nonce = record->nonce;
+  seen.partition = partition;
+  seen.deadline_ms = deadline_ms;
+  CU_ASSERT_EQUAL (seq, record->nonce);
+}
+
+static void
+see_report (void *arg, uint32_t partition, uint64_t seq,
+            const struct claim_record *record)
+{
+  seen.reports++;
+  seen.report = *record;
+  if (record->body_size > 0)
+    memcpy (seen.body, record->body, record->body_size);
+}
+
+static void
+see_answer (void *arg, uint32_t attempt, enum claim_verdict verdict,
+            const struct claim_record *outcome)
+{
+  seen.answers++;
+  seen.verdict = verdict;
+}
+
+static const struct claim_client_ops ops
+    = { see_claim, see_report, see_answer };
+
+static struct rng rng;
+
+static uint32_t
+begin (struct claim_client *client, uint32_t deadline_ms)
+{
+  memset (&seen, 0, sizeof seen);
+  rng_init (&rng, 3);
+  claim_client_init (client, &ops, NULL, &rng, 10, 900);
+  uint32_t attempt;
+  CU_ASSERT_EQUAL (claim_client_begin (client, "1790000000-abcdefgh",
+                                       deadline_ms, NOW_MS, WALL_MS, &attempt),
+                   STATUS_OK);
+  return attempt;
+}
+
+static void
+test_keys (void)
+{
+  static const struct
+  {
+    const char *key;
+    enum status status;
+  } rows[] = {
+    { "1790000000-abcdefgh", STATUS_OK },
+    { "1789999100-abcdefgh", STATUS_OK },      /* 900 s old */
+    { "1789999099-abcdefgh", STATUS_INVALID }, /* 901 s old */
+    { "1790000120-abcdefgh", STATUS_OK },      /* 120 s ahead */
+    { "1790000121-abcdefgh", STATUS_INVALID },
+    { "1790000000-abcdefg", STATUS_INVALID }, /* too little randomness */
+    { "1790000000abcdefgh", STATUS_INVALID },
+    { "-abcdefgh", STATUS_INVALID },
+    { "", STATUS_INVALID },
+    { "99999999999999999999-abcdefgh", STATUS_INVALID },
+    { "1790000000-abc defgh", STATUS_INVALID },
+    { "1790000000-abcdefg\n", STATUS_INVALID },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct claim_client client;
+      claim_client_init (&client, &ops, NULL, &rng, 10, 900);
+      uint32_t attempt;
+      enum status status = claim_client_begin (&client, rows[i].key, 1000,
+                                               NOW_MS, WALL_MS, &attempt);
+      if (status != rows[i].status)
+        printf ("key %s\n", rows[i].key);
+      CU_ASSERT_EQUAL (status, rows[i].status);
+      claim_client_finish_all (&client);
+    }
+  char longest[200];
+  uint32_t created_s;
+  memset (longest, 'x', sizeof longest);
+  memcpy (longest, "1790000000-", 11);
+  longest[CLAIM_KEY_MAX + 1] = '\0';
+  CU_ASSERT_EQUAL (claim_key_parse (longest, &created_s), STATUS_INVALID);
+}
+
+static void
+test_resends_with_the_same_nonce (void)
+{
+  struct claim_client client;
+  begin (&client, 3000);
+  for (uint64_t now = NOW_MS; now < NOW_MS + 2900; now += 10)
+    claim_client_tick (&client, now);
+  CU_ASSERT (seen.claims >= 3 && seen.claims <= 6);
+  CU_ASSERT (seen.deadline_ms < 3000);
+  int claims = seen.claims;
+  claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_ELSEWHERE, NULL,
+                      NOW_MS + 2890);
+  claim_client_tick (&client, NOW_MS + 2990);
+  CU_ASSERT_EQUAL (seen.claims, claims + 1);
+  claim_client_finish_all (&client);
+}
+
+static void
+test_deadline_gives_up_for_good (void)
+{
+  struct claim_client client;
+  begin (&client, 300);
+  claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_GRANTED, NULL,
+                      NOW_MS + 300);
+  CU_ASSERT (seen.answers == 1 && seen.verdict == CLAIM_VERDICT_TIMED_OUT);
+  CU_ASSERT (seen.reports == 1 && seen.report.kind == CLAIM_RECORD_RELEASE);
+  claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_GRANTED, NULL,
+                      NOW_MS + 301);
+  CU_ASSERT_EQUAL (seen.answers, 1);
+  claim_client_tick (&client, NOW_MS + 900);
+  CU_ASSERT_EQUAL (seen.reports, 2);
+  claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_STORED, NULL,
+                      NOW_MS + 901);
+  claim_client_tick (&client, NOW_MS + 9000);
+  CU_ASSERT (seen.reports == 2 && client.active == 0);
+  claim_client_finish_all (&client);
+}
+
+static void
+test_second_grant_does_not_run (void)
+{
+  struct claim_client client;
+  uint32_t attempt = begin (&client, 3000);
+  for (int i = 0; i < 3; i++)
+    claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_GRANTED, NULL,
+                        NOW_MS + 10);
+  CU_ASSERT_EQUAL (seen.answers, 1);
+  uint8_t body[CLAIM_BODY_MAX + 8] = { 9 };
+  struct claim_record outcome = { .status = 200,
+                                  .body = body,
+                                  .body_size = sizeof body,
+                                  .body_complete = true };
+  claim_client_finish (&client, attempt, CLAIM_RECORD_OUTCOME, &outcome,
+                       NOW_MS + 20);
+  CU_ASSERT (seen.report.kind == CLAIM_RECORD_OUTCOME
+             && seen.report.body_size == CLAIM_BODY_MAX
+             && !seen.report.body_complete && seen.body[0] == 9);
+  claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_GRANTED, NULL,
+                      NOW_MS + 30);
+  CU_ASSERT_EQUAL (seen.answers, 1);
+  claim_client_finish_all (&client);
+}
+
+static void
+test_known_holder_is_not_called_not_run (void)
+{
+  struct claim_client client;
+  begin (&client, 300);
+  claim_client_reply (&client, seen.nonce, CLAIM_VERDICT_WAIT, NULL, NOW_MS);
+  CU_ASSERT_EQUAL (seen.answers, 0);
+  claim_client_tick (&client, NOW_MS + 300);
+  CU_ASSERT (seen.answers == 1 && seen.verdict == CLAIM_VERDICT_SPENT);
+  claim_client_finish_all (&client);
+}
+
+static void
+test_attempts_are_bounded (void)
+{
+  struct claim_client client;
+  begin (&client, 300);
+  enum status status = STATUS_OK;
+  uint32_t attempt;
+  int open = 1;
+  char key[64];
+  for (; status == STATUS_OK && open <= CLAIM_CLIENT_ATTEMPTS; open++)
+    {
+      memset (&seen, 0, sizeof seen);
+      snprintf (key, sizeof key, "1790000000-%08d", open);
+      status
+          = claim_client_begin (&client, key, 300, NOW_MS, WALL_MS, &attempt);
+    }
+  CU_ASSERT_EQUAL (status, STATUS_UNAVAILABLE);
+  CU_ASSERT_EQUAL (client.active, CLAIM_CLIENT_ATTEMPTS);
+  claim_client_finish_all (&client);
+}
+
+static const struct test_case cases[] = {
+  { "a key outside the window is claimed", test_keys },
+  { "a resend is another attempt", test_resends_with_the_same_nonce },
+  { "an attempt runs after it was given up", test_deadline_gives_up_for_good },
+  { "a repeated grant runs a second time", test_second_grant_does_not_run },
+  { "a key that another attempt holds is called not run",
+    test_known_holder_is_not_called_not_run },
+  { "attempts grow without bound", test_attempts_are_bounded },
+};
+
+int
+main (void)
+{
+  return testing_run ("claim client", cases, sizeof cases / sizeof cases[0]);
+}
