Test versions and herds with real processes

Cause: the order of versions, operator races, lost answers, store outages and mass restarts had only been tested in simulation.

--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -36,7 +36,6 @@
     kill -CONT "${PID[$name]}" 2>/dev/null
     kill -KILL "${PID[$name]}" 2>/dev/null
   done
-  wait 2>/dev/null
   [ -n "${KEEP_RUN:-}" ] || rm -rf "$RUN"
 }
 
@@ -46,12 +45,15 @@
   shift
   "$@" >"$RUN/$name.out" 2>>"$RUN/$name.log" &
   PID[$name]=$!
+  disown $!
 }
 
+has_ended() { ! kill -0 "$1" 2>/dev/null; }
+
 # stop NAME [SIGNAL]: ends one process and waits for it.
 stop() {
   kill "-${2:-TERM}" "${PID[$1]}" 2>/dev/null
-  wait "${PID[$1]}" 2>/dev/null
+  wait_for "end of $1" 30 has_ended "${PID[$1]}"
   unset "PID[$1]"
 }
 
@@ -103,7 +105,7 @@
   node_run "$1"
 }
 
-node_run() { start "$1" "$BIN/hawthornseam-node" --settings "$RUN/$1.yaml"; }
+node_run() { start "$1" "${NODE_BIN:-$BIN/hawthornseam-node}" --settings "$RUN/$1.yaml"; }
 
 call_port() { echo $((BASE + 101 + 10 * ${INDEX[$1]})); }
 admin_port() { echo $((BASE + 102 + 10 * ${INDEX[$1]})); }
@@ -124,10 +126,10 @@
   "$BIN/hawthornseam-ctl" --node "127.0.0.1:$(admin_port "$slot")" "$@"
 }
 
-# state SLOT FIELD: a field of the node's state, printed by curl and sed.
+# state SLOT FIELD: a top-level field of the node's state.
 state() {
   curl -s -m 2 "http://127.0.0.1:$(admin_port "$1")/state" \
-    | tr -d ' \n' | sed -nE "s/.*\"$2\":\"?([^,\"}]*)\"?[,}].*/\1/p"
+    | sed -nE "s/^ \"$2\": \"?([^,\"]*)\"?,?$/\1/p"
 }
 
 counter() {
@@ -156,6 +158,65 @@
   done
 }
 
+# mesh_six: store, six nodes in three zones, a target of zapisy beside each.
+mesh_six() {
+  mesh_store
+  local index=0 zone place
+  for zone in praha-a praha-b kladno-c; do
+    for place in 1 2; do
+      mesh_node "$zone-$place" "$zone" cz-central $index
+      index=$((index + 1))
+    done
+  done
+  for zone in "${NODES[@]}"; do
+    mesh_target "$zone" zapisy v1 --slots 12
+  done
+  "$BIN/example-zapis" >"$RUN/zapis.yaml"
+  local slot
+  for slot in "${NODES[@]}"; do
+    wait_for "$slot is ready" 20 is_ready "$slot" || fail "no start"
+  done
+}
+
+is_ready() { [ "$(state "$1" ready)" = true ]; }
+
+# change_document N: a document whose content differs for each N.
+change_document() {
+  sed -E "0,/timeout_ms: [0-9]+/s//timeout_ms: $((3000 + $1))/" \
+    "$RUN/zapis.yaml" >"$RUN/change-$1.yaml"
+  echo "$RUN/change-$1.yaml"
+}
+
+store_count() {
+  curl -s "http://127.0.0.1:$STORE_PORT/control" \
+    | sed -E "s/.*\"$1\":([0-9]+).*/\1/"
+}
+
+# versions_only_grow: the versions that a process logs never go down, and a
+# restarted process is not ready below what its slot had in force before.
+versions_only_grow() {
+  local slot
+  for slot in "${NODES[@]}"; do
+    awk -v slot="$slot" '
+      /event=started/ { last = 0 }
+      /event=version_in_force/ {
+        match($0, /version=[0-9]+/)
+        version = substr($0, RSTART + 8, RLENGTH - 8) + 0
+        if (version < last) { print slot ": " last " then " version; bad = 1 }
+        last = version
+        if (version > highest) highest = version
+      }
+      /event=ready/ {
+        match($0, /version=[0-9]+/)
+        version = substr($0, RSTART + 8, RLENGTH - 8) + 0
+        if (version < highest) {
+          print slot ": ready at " version " after " highest; bad = 1
+        }
+      }
+      END { exit bad }' "$RUN/$slot.log" || return 1
+  done
+}
+
 # fail TEXT: prints the ends of all logs and exits.
 fail() {
   echo "FAILED: $1"
