Show the versions in force per zone and accept endpoints as maps

Cause: the mesh part now sums up the versions in force per zone, and the functional tests' settings write endpoints as maps and a format number.

Settings take an endpoint as "10.0.0.1:7000" or as a map, and `format: 1`. The tests' fake node uses the real follow and member modules.

--- a/src/ctl/ctl_change.c
+++ b/src/ctl/ctl_change.c
@@ -107,17 +107,35 @@
   return false;
 }
 
+/// @return true when the node and all zones that it can reach and that have
+/// reported hold a version
+static bool
+in_force (const json_t *status, json_int_t version)
+{
+  const json_t *zones = json_object_get (status, "zones");
+  if (json_integer_value (json_object_get (status, "version")) < version)
+    return false;
+  for (size_t i = 0; i < json_array_size (zones); i++)
+    {
+      const json_t *zone = json_array_get (zones, i);
+      if (json_is_true (json_object_get (zone, "reachable"))
+          && json_is_true (json_object_get (zone, "reported"))
+          && json_integer_value (json_object_get (zone, "lowest_version"))
+                 < version)
+        return false;
+    }
+  return true;
+}
+
 /// Looks once whether the version is in force and its new moves have ended.
 /// @return CTL_OK, CTL_FAILED, or -1 to look again
 static int
 look (const struct ctl *ctl, const json_t *change)
 {
-  json_t *value = ctl_get_json (ctl, "/moves");
-  int result = value == NULL ? -1 : CTL_OK;
-  if (value != NULL
-      && json_integer_value (json_object_get (value, "version"))
-             < json_integer_value (json_object_get (change, "version")))
-    result = -1;
+  json_t *value = ctl_get_json (ctl, "/status");
+  json_int_t version
+      = json_integer_value (json_object_get (change, "version"));
+  int result = value == NULL || !in_force (value, version) ? -1 : CTL_OK;
   const json_t *moves = json_object_get (value, "moves");
   for (size_t i = 0; result != -1 && i < json_array_size (moves); i++)
     {
--- a/src/ctl/ctl_show.c
+++ b/src/ctl/ctl_show.c
@@ -193,6 +193,29 @@
     }
 }
 
+/// Prints the versions in force in each zone.
+static void
+print_zones (const json_t *zones)
+{
+  for (size_t i = 0; i < json_array_size (zones); i++)
+    {
+      const json_t *zone = json_array_get (zones, i);
+      const json_t *lagging = json_object_get (zone, "lagging");
+      printf ("zone %s: %lld members", ctl_string (zone, "name"),
+              (long long)number (zone, "members"));
+      if (!json_is_true (json_object_get (zone, "reachable")))
+        printf (", unreachable");
+      if (json_is_true (json_object_get (zone, "reported")))
+        printf (", %lld report version %lld or later",
+                (long long)number (zone, "reporting"),
+                (long long)number (zone, "lowest_version"));
+      for (size_t j = 0; j < json_array_size (lagging); j++)
+        printf ("%s%s", j == 0 ? ", behind: " : " ",
+                json_string_value (json_array_get (lagging, j)));
+      putchar ('\n');
+    }
+}
+
 int
 ctl_status (const struct ctl *ctl)
 {
@@ -218,6 +241,7 @@
             json_string_value (json_object_iter_value (row)));
   print_table ("ready targets of", json_object_get (value, "targets"));
   print_table ("members in", json_object_get (value, "members"));
+  print_zones (json_object_get (value, "zones"));
   const json_t *moves = json_object_get (value, "moves");
   for (size_t i = 0; i < json_array_size (moves); i++)
     print_move (json_array_get (moves, i));
--- a/src/node/node_admin_read.c
+++ b/src/node/node_admin_read.c
@@ -2,6 +2,7 @@
 #include "node/node_admin.h"
 
 #include "base/counter.h"
+#include "node/node_mesh.h"
 #include "protocol/declaration.h"
 #include "state/config_fields.h"
 
@@ -140,6 +141,35 @@
   return list;
 }
 
+/// @return list of the zones with the versions in force in them
+static json_t *
+zone_list (struct node *node)
+{
+  static struct node_zone_report zones[RING_ZONES_MAX];
+  const struct member_table *table = node_members (node);
+  size_t count = node_mesh_zones (node, zones, RING_ZONES_MAX);
+  json_t *list = json_array ();
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct node_zone_report *zone = &zones[i];
+      json_t *lagging = json_array ();
+      for (uint32_t j = 0; zone->reported && j < zone->lagging_count; j++)
+        for (uint32_t k = 0; k < table->count; k++)
+          if (table->items[k].slot_id == zone->lagging[j])
+            json_array_append_new (lagging,
+                                   node_admin_text (table->items[k].slot));
+      json_array_append_new (
+          list,
+          json_pack ("{s:s, s:i, s:b, s:b, s:i, s:I, s:I, s:o}", "name",
+                     zone->name, "members", (int)zone->members, "reachable",
+                     (int)zone->reachable, "reported", (int)zone->reported,
+                     "reporting", (int)zone->reporting, "lowest_version",
+                     (json_int_t)zone->lowest, "age_ms",
+                     (json_int_t)zone->age_ms, "lagging", lagging));
+    }
+  return list;
+}
+
 void
 node_admin_status (void *arg, struct admin_request *request)
 {
@@ -151,13 +181,13 @@
                          node_admin_text (config->services[i].version));
   node_admin_reply_json (
       request, 200,
-      json_pack ("{s:s, s:b, s:I, s:i, s:o, s:o, s:o, s:o}", "mesh",
+      json_pack ("{s:s, s:b, s:I, s:i, s:o, s:o, s:o, s:o, s:o}", "mesh",
                  node->settings.mesh, "ready",
                  (int)follow_ready (node_follow (node)), "version",
                  (json_int_t)config->version, "routes",
                  (int)config->route_count, "services", versions, "targets",
                  targets_by_version (node), "members", members_by_zone (node),
-                 "moves", move_list (config)));
+                 "zones", zone_list (node), "moves", move_list (config)));
 }
 
 void
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -26,6 +26,7 @@
   FIELD_ADDRESS,
   FIELD_STORE,
   FIELD_KEYS,
+  FIELD_FORMAT,
   FIELD_PEER_PORT,
   FIELD_CALL_PORT,
   FIELD_ADMIN,
@@ -44,6 +45,7 @@
                                                       "address",
                                                       "store",
                                                       "keys",
+                                                      "format",
                                                       "peer_port",
                                                       "call_port",
                                                       "admin",
@@ -104,10 +106,37 @@
                       "\"%.40s\" is no IPv4 address such as 10.0.0.1", text);
 }
 
+/// Reads an endpoint that is written as a map of address and port.
+static void
+read_endpoint_map (struct reader *reader, const struct document_node *node,
+                   const char *path, struct settings_endpoint *endpoint)
+{
+  static const char *const names[] = { "address", "port" };
+  const struct document_node *values[2];
+  char field[DOCUMENT_PATH_MAX];
+  uint64_t port = 0;
+  if (!document_fields (node, path, names, 2, 0x3, values, reader->findings))
+    return;
+  document_path (field, path, "address");
+  const char *text = document_text (values[0], field, reader->findings);
+  if (text != NULL && !parse_address (text, &endpoint->address))
+    document_problem (reader->findings, values[0], field,
+                      "\"%.40s\" is no IPv4 address such as 10.0.0.1", text);
+  document_path (field, path, "port");
+  if (document_number (values[1], field, 1, 65535, &port, reader->findings))
+    endpoint->port = (uint16_t)port;
+}
+
+/// Reads an endpoint: "10.0.0.1:7000" or a map.
 static void
 read_endpoint (struct reader *reader, const struct document_node *node,
                const char *path, struct settings_endpoint *endpoint)
 {
+  if (node != NULL && node->kind == DOCUMENT_MAP)
+    {
+      read_endpoint_map (reader, node, path, endpoint);
+      return;
+    }
   const char *text = document_text (node, path, reader->findings);
   if (text == NULL)
     return;
@@ -244,6 +273,9 @@
   if (!document_fields (document->root, "", field_names, FIELD_COUNT,
                         FIELDS_REQUIRED, reader->values, reader->findings))
     return;
+  uint64_t format;
+  document_number (reader->values[FIELD_FORMAT], "format", 1, 1, &format,
+                   reader->findings);
   read_name (reader, FIELD_MESH, settings->mesh);
   read_name (reader, FIELD_SLOT, settings->slot);
   read_name (reader, FIELD_AVAILABILITY_ZONE, settings->availability_zone);
--- a/test/functional/ctl_test.sh
+++ b/test/functional/ctl_test.sh
@@ -65,6 +65,7 @@
 expect 0 'version: v2' "${node[@]}" get
 expect 0 '"pecet-v2"' "${node[@]}" --json get
 expect 0 '^service pecet: version v2' "${node[@]}" status
+expect 0 '^zone praha-a: 3 members, 3 report version 3' "${node[@]}" status
 expect 0 'done, share 100.00%' "${node[@]}" move status pecet-v2
 expect 1 'no move' "${node[@]}" move status other
 expect 1 'has ended' "${node[@]}" move cancel pecet-v2
--- a/test/standin/admin.c
+++ b/test/standin/admin.c
@@ -9,7 +9,7 @@
 finish_moves (evutil_socket_t fd, short events, void *arg)
 {
   struct config next;
-  const struct config *current = &fake.follow.config;
+  const struct config *current = fake_current ();
   if (config_copy (&next, current) != STATUS_OK)
     return;
   for (size_t i = 0; i < current->move_count; i++)
@@ -39,7 +39,7 @@
     }
   struct timeval period = { 0, 300000 };
   struct timeval life = { atoi (argv[3]), 0 };
-  fake_start ((uint16_t)atoi (argv[1]));
+  fake_start ((uint16_t)atoi (argv[1]), true);
   fake.lost_answers = atoi (argv[2]);
   if (node_admin_start (&fake.node) != STATUS_OK)
     {
--- a/test/unit/fake_node.h
+++ b/test/unit/fake_node.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "node/node.h"
+#include "node/node_mesh.h"
 #include "protocol/record.h"
 #include "state/config.h"
 
@@ -17,12 +18,6 @@
 #define FAKE_KEYS_MAX 1024
 #define FAKE_SNAPSHOT_INTERVAL 8
 
-struct follow
-{
-  struct config config;
-  bool ready;
-};
-
 struct fake_value
 {
   char key[RECORD_KEY_MAX];
@@ -47,6 +42,12 @@
 
 static struct fake fake;
 
+static const struct config *
+fake_current (void)
+{
+  return follow_current (&fake.follow);
+}
+
 struct fake_call
 {
   struct store_reply reply;
@@ -177,7 +178,7 @@
 fake_accept (const struct config *content, const char *author,
              const char *note, uint64_t nonce)
 {
-  struct config *config = &fake.follow.config;
+  const struct config *config = fake_current ();
   void *arena = talloc_new (NULL);
   uint8_t *bytes;
   size_t size;
@@ -192,7 +193,8 @@
   uint8_t *delta;
   config_diff (config, content, arena, &delta, &record.delta_size);
   record.delta = delta;
-  enum status status = config_apply (config, &record);
+  enum status status
+      = follow_offer_record (&fake.follow, &record, clock_monotonic_ms ());
   if (status == STATUS_OK)
     {
       if (fake.losers)
@@ -238,7 +240,7 @@
     }
   else
     publish->status = fake_accept (content, author, note, nonce);
-  publish->version = fake.follow.config.version;
+  publish->version = fake_current ()->version;
   if (publish->status == STATUS_OK && fake.lost_answers > 0)
     {
       fake.lost_answers--;
@@ -253,18 +255,6 @@
   return &fake.follow;
 }
 
-const struct config *
-follow_current (const struct follow *follow)
-{
-  return &follow->config;
-}
-
-bool
-follow_ready (const struct follow *follow)
-{
-  return follow->ready;
-}
-
 const struct member_table *
 node_members (const struct node *node)
 {
@@ -277,18 +267,31 @@
   return true;
 }
 
-bool
-member_serves (const struct member *member, const char *service,
-               const char *target_version)
+size_t
+node_mesh_zones (struct node *node, struct node_zone_report *zones, size_t max)
 {
-  return member->state == MEMBER_ALIVE && member->target_state == TARGET_READY
-         && strcmp (member->service, service) == 0
-         && strcmp (member->target_version, target_version) == 0;
+  zones[0] = (struct node_zone_report){ .name = "praha-a",
+                                        .members = 3,
+                                        .reachable = true,
+                                        .reported = true,
+                                        .reporting = 3,
+                                        .lowest = fake_current ()->version,
+                                        .lagging = { 1 },
+                                        .lagging_count = 1 };
+  return 1;
 }
 
+static void
+fake_in_force (void *arg, const struct config *config,
+               const struct config_record *record)
+{
+}
+
+static const struct follow_ops fake_follow_ops = { .in_force = fake_in_force };
+
 /// Starts the fake with targets pecet v1, pecet v2 and archiv v1.
 static void
-fake_start (uint16_t admin_port)
+fake_start (uint16_t admin_port, bool ready)
 {
   static const char *const services[] = { "pecet", "pecet", "archiv" };
   static const char *const versions[] = { "v1", "v2", "v1" };
@@ -302,12 +305,14 @@
   strcpy (fake.node.settings.region, "cz-central");
   fake.node.settings.admin.address = 0x7f000001;
   fake.node.settings.admin.port = admin_port;
-  fake.follow.ready = true;
-  config_init (&fake.follow.config);
+  follow_init (&fake.follow, &fake_follow_ops, NULL);
+  if (ready)
+    follow_head_confirmed (&fake.follow, 0);
   for (uint32_t i = 0; i < 3; i++)
     {
       struct member *member = &fake.members[i];
       member->slot_id = i;
+      snprintf (member->slot, sizeof member->slot, "slot-%u", i);
       member->target_state = TARGET_READY;
       strcpy (member->availability_zone, "praha-a");
       strcpy (member->service, services[i]);
@@ -322,7 +327,7 @@
 {
   for (size_t i = 0; i < fake.value_count; i++)
     free (fake.values[i].data);
-  config_finish (&fake.follow.config);
+  follow_finish (&fake.follow);
   event_base_free (fake.node.base);
 }
 
--- a/test/unit/node_admin_test.c
+++ b/test/unit/node_admin_test.c
@@ -109,7 +109,7 @@
 static void
 start (void)
 {
-  fake_start (0);
+  fake_start (0, true);
   CU_ASSERT_EQUAL_FATAL (node_admin_start (&fake.node), STATUS_OK);
 }
 
@@ -130,6 +130,8 @@
   CU_ASSERT_EQUAL (number ("version"), 1);
   CU_ASSERT_EQUAL (ask ("/status", NULL, NULL), 200);
   CU_ASSERT (contains ("\"v2\": 1"));
+  CU_ASSERT (contains ("\"lowest_version\": 1"));
+  CU_ASSERT (contains ("\"slot-1\""));
   CU_ASSERT_EQUAL (ask ("/config", NULL, NULL), 200);
   CU_ASSERT (contains ("prefix: /seal/\n"));
   CU_ASSERT_EQUAL (ask ("/config/json", NULL, NULL), 200);
@@ -154,7 +156,7 @@
   CU_ASSERT_EQUAL (number ("version"), 1);
   CU_ASSERT_EQUAL (change ("/config/apply", SERVICES, "a2"), 200);
   CU_ASSERT (contains ("\"changed\": false"));
-  CU_ASSERT_EQUAL (fake.follow.config.version, 1);
+  CU_ASSERT_EQUAL (fake_current ()->version, 1);
   stop ();
 }
 
@@ -182,18 +184,26 @@
   fake.outage = true;
   CU_ASSERT_EQUAL (change ("/config/apply", SERVICES, "5"), 503);
   fake.outage = false;
-  fake.follow.ready = false;
-  CU_ASSERT_EQUAL (change ("/config/apply", SERVICES, "5"), 503);
-  fake.follow.ready = true;
   fake.conflicts = 1;
   CU_ASSERT_EQUAL (change ("/config/apply", SERVICES, "5"), 409);
   CU_ASSERT (contains ("\"retry\": true"));
-  CU_ASSERT_EQUAL (fake.follow.config.version, 0);
+  CU_ASSERT_EQUAL (fake_current ()->version, 0);
   CU_ASSERT_EQUAL (ask ("/config/validate", SERVICES, NULL), 200);
   CU_ASSERT (contains ("+ service pecet version=v1"));
   stop ();
 }
 
+static void
+test_unready_node_refuses (void)
+{
+  fake_start (0, false);
+  CU_ASSERT_EQUAL_FATAL (node_admin_start (&fake.node), STATUS_OK);
+  CU_ASSERT_EQUAL (change ("/config/apply", SERVICES, "5"), 503);
+  CU_ASSERT (contains ("\"retry\": true"));
+  CU_ASSERT_EQUAL (fake_current ()->version, 0);
+  stop ();
+}
+
 static void
 test_cancel_ends_once (void)
 {
@@ -207,7 +217,7 @@
   CU_ASSERT_EQUAL (change ("/moves/pecet-v2/cancel", " ", "3"), 200);
   CU_ASSERT_EQUAL (number ("version"), 2);
   CU_ASSERT_EQUAL (change ("/moves/pecet-v2/cancel", " ", "4"), 409);
-  CU_ASSERT_EQUAL (fake.follow.config.moves[0].phase, MOVE_CANCELLED);
+  CU_ASSERT_EQUAL (fake_current ()->moves[0].phase, MOVE_CANCELLED);
   stop ();
 }
 
@@ -269,7 +279,7 @@
       snprintf (nonce, sizeof nonce, "f%d0", i);
       CU_ASSERT_EQUAL (change (path, " ", nonce), 200);
       CU_ASSERT_EQUAL (number ("version"), 41 + i);
-      CU_ASSERT_EQUAL (fake.follow.config.routes[0].timeout_ms,
+      CU_ASSERT_EQUAL (fake_current ()->routes[0].timeout_ms,
                        (uint32_t)versions[i]);
     }
   CU_ASSERT_EQUAL (change ("/rollback?version=45", " ", "e0"), 400);
@@ -287,7 +297,7 @@
   CU_ASSERT_EQUAL (change ("/moves/pecet-v2/cancel", " ", "20"), 200);
   CU_ASSERT_EQUAL (change ("/rollback?version=1", " ", "30"), 200);
   CU_ASSERT (contains ("\"changed\": false"));
-  CU_ASSERT_EQUAL (fake.follow.config.moves[0].phase, MOVE_CANCELLED);
+  CU_ASSERT_EQUAL (fake_current ()->moves[0].phase, MOVE_CANCELLED);
   stop ();
 }
 
@@ -331,6 +341,7 @@
   { "a change takes effect twice after a lost answer",
     test_nonce_applies_once },
   { "a refused change takes effect", test_refusals_change_nothing },
+  { "a node that may be behind takes a change", test_unready_node_refuses },
   { "a move is cancelled twice", test_cancel_ends_once },
   { "history shows an attempt that lost", test_history_follows_hashes },
   { "a rollback restores another content", test_rollback_restores },
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -53,6 +53,9 @@
     { BASE KEYS "call_port: 7000\n", 10, 12, "call_port" },
     { BASE KEYS "admin: localhost:1\n", 10, 8, "admin" },
     { BASE KEYS "admin: 10.0.0.5:7001\n", 10, 8, "admin" },
+    { BASE KEYS "admin: {address: x, port: 1}\n", 10, 18, "admin.address" },
+    { BASE KEYS "admin: {address: 127.0.0.1}\n", 10, 8, "admin.port" },
+    { BASE KEYS "format: 2\n", 10, 9, "format" },
     { BASE KEYS "seeds: [10.0.0.1:7000, 10.0.0.1]\n", 10, 24, "seeds[1]" },
     { BASE KEYS "seeds: 10.0.0.1:7000\n", 10, 8, "seeds" },
     { BASE KEYS "claim_window_s: 5\n", 10, 17, "claim_window_s" },
@@ -92,6 +95,23 @@
   findings_finish (&findings);
 }
 
+static void
+test_endpoints_as_maps (void)
+{
+  static const char yaml[]
+      = "format: 1\n" BASE KEYS "admin:\n  address: 127.0.0.1\n  port: 7005\n"
+        "seeds:\n  - \"10.0.0.1:7000\"\n";
+  struct settings settings;
+  struct findings findings;
+  findings_init (&findings, "node.yaml");
+  CU_ASSERT_EQUAL (
+      settings_parse (&settings, "node.yaml", yaml, strlen (yaml), &findings),
+      STATUS_OK);
+  CU_ASSERT_EQUAL (settings.admin.port, 7005);
+  CU_ASSERT_EQUAL (settings.seeds[0].port, 7000);
+  findings_finish (&findings);
+}
+
 static void
 test_missing_file (void)
 {
@@ -108,6 +128,8 @@
   { "a wrong setting is accepted or reported at another place",
     test_findings_have_places },
   { "a finding shows a key", test_keys_stay_secret },
+  { "an endpoint as a map is refused or read differently",
+    test_endpoints_as_maps },
   { "an absent file starts a node", test_missing_file },
 };
 
