Add the move policy, its sequential test, trips and a model to measure them

Cause: moves need a decision that takes bad versions back and finishes good ones in time (design section 10).

Open: load differences between the versions, a second judge beside the driver, a longer careful phase.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,9 @@
 STANDINS := $(patsubst test/standin/%.c,$(BUILD)/standin-%, \
   $(wildcard test/standin/*.c))
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
-BENCHES := $(patsubst bench/%.c,$(BUILD)/bench-%,$(wildcard bench/*.c))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench-%, \
+  $(filter-out bench/move_model.c bench/move_scenarios.c bench/move_run.c, \
+  $(wildcard bench/*.c)))
 UNIT_TESTS := $(patsubst test/unit/%.c,$(BUILD)/unit-%, \
   $(wildcard test/unit/*_test.c))
 FUZZERS := $(patsubst test/fuzz/%.c,$(BUILD)/fuzz-%, \
@@ -72,6 +74,12 @@
 $(BUILD)/bench-%: $(BUILD)/obj/bench/%.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+# A benchmark of several files.
+$(BUILD)/bench-move_bench: $(BUILD)/obj/bench/move_bench.o \
+  $(BUILD)/obj/bench/move_run.o $(BUILD)/obj/bench/move_model.o \
+  $(BUILD)/obj/bench/move_scenarios.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/unit-%: $(BUILD)/obj/test/unit/%.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcunit
 
--- /dev/null
+++ b/src/coordination/move.c
@@ -0,0 +1,455 @@
+/// Owns the plan of a move and the choice of the next action.
+#include "coordination/move.h"
+
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+/// Pause between two writes.
+#define RETRY_MS 500
+
+/// Share 0 is kept this part of the time, within these limits, to learn the
+/// old version's traffic and percentiles before the first share is chosen.
+#define LEARN_PART 60
+#define LEARN_MIN_MS 2000
+#define LEARN_MAX_MS 10000
+
+/// A share is lowered when the slots bound falls this much below it; less is
+/// the normal coming and going of targets.
+#define SLOTS_HYSTERESIS 1.25
+
+/* The tolerated ratios keep small real differences from counting as faults: a
+   new version may answer about a tenth slower. docs/decisions/move-policy.md
+   has the trials.
+
+   90% and not more is held until the end: the fewer calls stay on the old
+   version, the less can be told from the comparison. */
+const struct move_settings move_defaults = {
+  .judge = { .false_alarm = 1.0 / 400,
+             .restart_ms = 2000,
+             .block_calls = 8,
+             .ratios = { { 1.3, { 2, 4, 12, 60, 500 } },
+                         { 1.6, { 2.2, 3.5, 7, 20, 100 } },
+                         { 2.0, { 3, 5, 10, 30, 200 } } } },
+  .shares_bp = { 100, 200, 500, 1000, 2500, 5000, 9000 },
+  .share_count = 7,
+  .careful_count = 3,
+  .careful_part = 0.5,
+  .reserve_part = 0.1,
+  .reserve_min_ms = 5000,
+  .reserve_max_ms = 90000,
+  .dwell_min_ms = 2000,
+  .warm_part = 0.05,
+  .warm_min_ms = 3000,
+  .warm_max_ms = 30000,
+  .route_calls = 20,
+  .expected_calls = 3,
+  .slots_part = 0.75,
+};
+
+static uint64_t
+clamp (double value, uint64_t low, uint64_t high)
+{
+  return value < (double)low    ? low
+         : value > (double)high ? high
+                                : (uint64_t)value;
+}
+
+static uint64_t
+reserve_ms (const struct move *move)
+{
+  const struct move_settings *settings = move->settings;
+  return clamp (settings->reserve_part * (double)move->duration_ms,
+                settings->reserve_min_ms, settings->reserve_max_ms);
+}
+
+/// @return index of the largest share that does not exceed a share, or the
+/// number of shares when it is below all of them
+static uint32_t
+index_of_share (const struct move_settings *settings, uint32_t share_bp)
+{
+  uint32_t index = settings->share_count;
+  for (uint32_t i = 0; i < settings->share_count; i++)
+    if (settings->shares_bp[i] <= share_bp)
+      index = i;
+  return index;
+}
+
+static uint64_t
+learn_ms (const struct move *move)
+{
+  return clamp ((double)move->duration_ms / LEARN_PART, LEARN_MIN_MS,
+                LEARN_MAX_MS);
+}
+
+uint64_t
+move_due (const struct move *move, uint32_t share_index)
+{
+  const struct move_settings *settings = move->settings;
+  double duration = (double)move->duration_ms;
+  double reserve = (double)reserve_ms (move);
+  double count = settings->share_count;
+  if (reserve > duration)
+    reserve = duration;
+  if (share_index >= settings->share_count)
+    return (uint64_t)reserve;
+  if (move->start_index >= settings->careful_count)
+    return (uint64_t)(reserve
+                      + (duration - reserve) * (count - share_index)
+                            / (count - move->start_index));
+  double careful = settings->careful_part * duration;
+  if (careful > duration - reserve)
+    careful = duration - reserve;
+  if (share_index < settings->careful_count)
+    return (uint64_t)(duration
+                      - careful * share_index
+                            / (2.0 * settings->careful_count));
+  return (uint64_t)(reserve
+                    + (duration - careful - reserve) * (count - share_index)
+                          / (count - settings->careful_count));
+}
+
+/// @return bound of the share by the slots of the new targets, basis points
+static uint32_t
+slots_bound (const struct move *move, const struct move_input *input)
+{
+  double needed = move->settings->slots_part * input->old_slots;
+  if (input->new_slots == 0)
+    return 0;
+  if (input->new_slots >= needed)
+    return CONFIG_SHARE_ALL;
+  return (uint32_t)(CONFIG_SHARE_ALL * input->new_slots / needed);
+}
+
+enum evidence
+{
+  EVIDENCE_MISSING, ///< calls were expected at this share, but none came
+  EVIDENCE_THIN,    ///< too few calls to judge, but all that can be expected
+  EVIDENCE_FULL
+};
+
+/// @return state of the evidence on the weakest route that carries traffic
+static enum evidence
+evidence_at_share (const struct move *move, uint64_t *weakest)
+{
+  enum evidence result = EVIDENCE_FULL;
+  *weakest = 0;
+  for (uint32_t i = 0; i < move->judge.route_count; i++)
+    {
+      const struct move_route *route = &move->judge.routes[i];
+      uint64_t old_calls = route->calls[OUTCOME_OLD];
+      uint64_t new_calls = route->calls[OUTCOME_NEW];
+      uint64_t least = old_calls < new_calls ? old_calls : new_calls;
+      if (old_calls + new_calls == 0 || least >= move->settings->route_calls)
+        continue;
+      double expected = (double)(old_calls + new_calls) * move->share_bp
+                        / CONFIG_SHARE_ALL;
+      enum evidence state
+          = new_calls == 0 && expected >= move->settings->expected_calls
+                ? EVIDENCE_MISSING
+                : EVIDENCE_THIN;
+      if (state >= result)
+        continue;
+      result = state;
+      *weakest = route->route;
+    }
+  return result;
+}
+
+static const char *
+route_name (const struct move *move, uint64_t route)
+{
+  const char *name = NULL;
+  if (move->names.route != NULL)
+    name = move->names.route (move->names.arg, route);
+  return name != NULL ? name : "(unknown)";
+}
+
+static void __attribute__ ((format (printf, 3, 4)))
+act (struct move_action *action, enum move_action_type type,
+     const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  action->type = type;
+  vsnprintf (action->reason, sizeof action->reason, format, args);
+  va_end (args);
+}
+
+static void
+describe_finding (struct move *move, const struct move_input *input,
+                  const struct move_finding *finding)
+{
+  static const char *const measures[MOVE_MEASURES]
+      = { "fails more often", "answers slower (50th percentile)",
+          "has more slow answers (99th percentile)" };
+  const char *place = NULL;
+  const char *kind = "";
+  if (finding->route != 0)
+    {
+      kind = " on route ";
+      place = route_name (move, finding->route);
+    }
+  else if (finding->availability_zone != 0)
+    {
+      kind = " in zone ";
+      if (move->names.zone != NULL)
+        place = move->names.zone (move->names.arg, finding->availability_zone);
+      if (place == NULL)
+        place = "(unknown)";
+    }
+  snprintf (move->verdict, sizeof move->verdict, "%s %s than %s%s%s",
+            input->move->to, measures[finding->measure], input->move->from,
+            kind, place != NULL ? place : "");
+}
+
+/// Follows the configuration: a new step begins new evidence.
+static void
+follow_step (struct move *move, const struct move_input *input)
+{
+  if (input->move->step == move->step
+      && input->move->share_bp == move->share_bp)
+    return;
+  move->step = input->move->step;
+  move->share_bp = input->move->share_bp;
+  move->step_ms = input->now_ms;
+  move->warning[0] = 0;
+  move_judge_step (&move->judge);
+}
+
+/// Gives each warning once.
+static void
+warn (struct move *move, struct move_action *action, const char *text)
+{
+  if (strcmp (move->warning, text) == 0)
+    return;
+  snprintf (move->warning, sizeof move->warning, "%s", text);
+  act (action, MOVE_WARN, "%s", text);
+  action->share_bp = move->share_bp;
+}
+
+/// @return index of the share to start with: the smallest one that gives
+/// enough calls in its part of the plan
+static uint32_t
+first_index (const struct move *move, uint64_t elapsed_ms)
+{
+  const struct move_settings *settings = move->settings;
+  uint64_t calls = 0;
+  for (uint32_t i = 0; i < move->judge.route_count; i++)
+    calls += move->judge.routes[i].calls[OUTCOME_OLD];
+  double per_ms = (double)calls / (double)(elapsed_ms > 0 ? elapsed_ms : 1);
+  for (uint32_t i = 0; i + 1 < settings->careful_count; i++)
+    {
+      double span = (double)(move_due (move, i) - move_due (move, i + 1));
+      if (per_ms * span * settings->shares_bp[i] / CONFIG_SHARE_ALL
+          >= settings->route_calls)
+        return i;
+    }
+  return settings->careful_count - 1;
+}
+
+/// @return least time at the present share, ms; less than planned when the
+/// move is behind its plan
+static uint64_t
+dwell_ms (const struct move *move, uint32_t next, uint64_t left)
+{
+  const struct move_settings *settings = move->settings;
+  uint64_t planned
+      = next < settings->share_count
+            ? (move_due (move, next) - move_due (move, next + 1)) / 2
+            : move_due (move, next) / 2;
+  uint64_t half_reserve = reserve_ms (move) / 2;
+  double free_ms = left > half_reserve ? (double)(left - half_reserve) : 0;
+  double each = free_ms / (settings->share_count - next + 1);
+  if (planned < settings->dwell_min_ms)
+    return settings->dwell_min_ms;
+  return clamp (each, settings->dwell_min_ms, planned);
+}
+
+/// Writes the next step, or the end after the last share.
+static void
+advance (struct move *move, struct move_action *action, uint32_t next,
+         enum evidence evidence, uint64_t weakest)
+{
+  const char *thin
+      = evidence == EVIDENCE_THIN ? route_name (move, weakest) : NULL;
+  bool last = next == move->settings->share_count;
+  const char *what = last ? "no fault found" : "evidence in order";
+  enum move_action_type type = last ? MOVE_FINISH : MOVE_STEP;
+  if (thin != NULL)
+    act (action, type, "%s; too little traffic to judge route %s", what, thin);
+  else
+    act (action, type, "%s", what);
+  action->share_bp = last ? CONFIG_SHARE_ALL : move->settings->shares_bp[next];
+}
+
+/// Decides about a move that is neither at its end nor condemned.
+static void
+plan (struct move *move, const struct move_input *input, uint64_t left,
+      struct move_action *action)
+{
+  const struct move_settings *settings = move->settings;
+  uint32_t index = index_of_share (settings, move->share_bp);
+  uint32_t bound = slots_bound (move, input);
+  uint64_t elapsed = input->now_ms - move->step_ms;
+  char text[MOVE_REASON_MAX + 1];
+  if (move->share_bp > bound * SLOTS_HYSTERESIS)
+    {
+      uint32_t lower = index_of_share (settings, bound);
+      act (action, MOVE_STEP, "lowered: the new targets have only %u slots",
+           input->new_slots);
+      action->share_bp
+          = lower < settings->share_count ? settings->shares_bp[lower] : 0;
+      return;
+    }
+  bool starting = index == settings->share_count;
+  if (starting && elapsed < learn_ms (move))
+    return;
+  uint32_t next = starting ? first_index (move, elapsed) : index + 1;
+  if (!starting && left > move_due (move, next))
+    return;
+  bool late
+      = left < (next < settings->share_count
+                    ? (move_due (move, next) + move_due (move, next + 1)) / 2
+                    : move_due (move, next) / 2);
+  uint32_t wanted = next < settings->share_count ? settings->shares_bp[next]
+                                                 : CONFIG_SHARE_ALL;
+  if (wanted > bound)
+    {
+      snprintf (text, sizeof text,
+                "late: the new targets have %u slots, %.0f are needed",
+                input->new_slots,
+                settings->slots_part * input->old_slots * wanted
+                    / CONFIG_SHARE_ALL);
+      if (late || starting)
+        warn (move, action, text);
+      return;
+    }
+  if (!starting && elapsed < dwell_ms (move, next, left))
+    return;
+  uint64_t weakest = 0;
+  enum evidence evidence
+      = starting ? EVIDENCE_FULL : evidence_at_share (move, &weakest);
+  if (evidence == EVIDENCE_MISSING || (evidence == EVIDENCE_THIN && !late))
+    {
+      snprintf (text, sizeof text,
+                "late: no calls to %s on route %s at this share",
+                input->move->to, route_name (move, weakest));
+      if (late)
+        warn (move, action, text);
+      return;
+    }
+  advance (move, action, next, evidence, weakest);
+}
+
+/// Reason of a move that is not done at its stated time.
+static void
+give_up (struct move *move, const struct move_input *input)
+{
+  const char *cause = "the evidence did not suffice in time";
+  if (move->store_out)
+    cause = "the store was out";
+  else if (slots_bound (move, input) < CONFIG_SHARE_ALL)
+    cause = "the new targets have too few slots";
+  snprintf (move->verdict, sizeof move->verdict,
+            "not done by the stated time: %s", cause);
+  move->condemned = true;
+}
+
+void
+move_init (struct move *move, const struct move_settings *settings,
+           const struct move_input *input, uint32_t expected_routes,
+           uint32_t expected_zones, const struct move_names *names)
+{
+  assert (settings->share_count >= 1
+          && settings->share_count <= MOVE_SHARES_MAX);
+  assert (settings->careful_count >= 1
+          && settings->careful_count < settings->share_count);
+  uint64_t by_ms = input->move->by_ms;
+  uint64_t left = by_ms > input->wall_ms ? by_ms - input->wall_ms : 0;
+  memset (move, 0, sizeof *move);
+  move->settings = settings;
+  move->names = *names;
+  move->by_ms = by_ms;
+  move->duration_ms = left;
+  move->step = input->move->step;
+  move->share_bp = input->move->share_bp;
+  move->step_ms = input->now_ms;
+  uint32_t index = index_of_share (settings, move->share_bp);
+  move->start_index = index < settings->share_count ? index : 0;
+  move_judge_init (&move->judge, &settings->judge, expected_routes,
+                   expected_zones, left, input->now_ms);
+}
+
+enum status
+move_observe (struct move *move, const struct outcome_key *key,
+              const struct outcome_counts *counts, uint64_t now_ms)
+{
+  if (key->step != move->step)
+    return STATUS_CONFLICT;
+  if (!outcome_counts_valid (counts))
+    return status_set (STATUS_INVALID, "outcome counts contradict each other");
+  if (key->side == OUTCOME_NEW && counts->calls > 0 && move->first_new_ms == 0)
+    move->first_new_ms = now_ms;
+  uint64_t warm_ms
+      = clamp (move->settings->warm_part * (double)move->duration_ms,
+               move->settings->warm_min_ms, move->settings->warm_max_ms);
+  bool warm
+      = move->first_new_ms != 0 && now_ms >= move->first_new_ms + warm_ms;
+  move_judge_add (&move->judge, key->route, key->availability_zone, key->side,
+                  counts, warm);
+  return STATUS_OK;
+}
+
+void
+move_tick (struct move *move, const struct move_input *input,
+           struct move_action *action)
+{
+  memset (action, 0, sizeof *action);
+  if (input->move->phase != MOVE_RUNNING)
+    return;
+  follow_step (move, input);
+  struct move_finding finding = { 0 };
+  move->evidence = move_judge_update (&move->judge, input->now_ms, &finding);
+  uint64_t left
+      = move->by_ms > input->wall_ms ? move->by_ms - input->wall_ms : 0;
+  bool finishing = move->write_pending && move->written == MOVE_FINISH;
+  if (!move->condemned && input->trip_reason != NULL)
+    {
+      snprintf (move->verdict, sizeof move->verdict, "%s", input->trip_reason);
+      move->condemned = true;
+    }
+  if (!move->condemned && move->evidence >= 1)
+    {
+      describe_finding (move, input, &finding);
+      move->condemned = true;
+    }
+  /* A write of the end without a result may be in force already; the move
+     must not get a second end. */
+  if (!move->condemned && left == 0 && !finishing)
+    give_up (move, input);
+  if (move->condemned)
+    act (action, MOVE_TAKE_BACK, "%s", move->verdict);
+  else if (!move->write_pending && input->now_ms >= move->retry_ms && left > 0)
+    plan (move, input, left, action);
+  if (action->type == MOVE_WAIT)
+    return;
+  action->write = !move->write_pending && input->now_ms >= move->retry_ms;
+  if (!action->write)
+    return;
+  move->write_pending = true;
+  move->written = action->type;
+}
+
+void
+move_written (struct move *move, enum status status, uint64_t now_ms)
+{
+  assert (move->write_pending);
+  move->write_pending = false;
+  move->store_out = status != STATUS_OK && status != STATUS_CONFLICT;
+  /* Also after a success: the version takes a moment to come into force. */
+  move->retry_ms = now_ms + RETRY_MS;
+  if (status != STATUS_OK && move->written == MOVE_WARN)
+    move->warning[0] = 0;
+}
--- /dev/null
+++ b/src/state/outcome.c
@@ -0,0 +1,219 @@
+/// Owns the cells of outcome tables and the latency buckets.
+#include "state/outcome.h"
+
+#include "base/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/// Answers needed before percentiles are used. Any limit is fair, because both
+/// versions are measured with it; fewer answers only make it less telling.
+#define PERCENTILE_ANSWERS_MIN 40
+
+/// The buckets are halved at most this often, and only while they hold enough
+/// answers, so that rarely called routes keep their limits.
+#define PERCENTILE_HALF_LIFE_MS 10000
+#define PERCENTILE_HALVE_ABOVE 400
+
+#define FREE_ENTRY UINT32_MAX
+
+static uint64_t
+key_hash (const struct outcome_key *key)
+{
+  uint64_t place = hash_place_pair (key->move, key->route);
+  place = hash_place_pair (place, key->availability_zone);
+  return hash_place_pair (place, ((uint64_t)key->step << 1) | key->side);
+}
+
+static bool
+key_equal (const struct outcome_key *a, const struct outcome_key *b)
+{
+  return a->move == b->move && a->route == b->route
+         && a->availability_zone == b->availability_zone && a->step == b->step
+         && a->side == b->side;
+}
+
+/// @return index entry of a key, or the free entry where it belongs
+static uint32_t *
+find_entry (const struct outcome_table *table, const struct outcome_key *key)
+{
+  uint32_t mask = table->index_size - 1;
+  uint32_t at = (uint32_t)key_hash (key) & mask;
+  while (table->index[at] != FREE_ENTRY
+         && !key_equal (&table->cells[table->index[at]].key, key))
+    at = (at + 1) & mask;
+  return &table->index[at];
+}
+
+static enum status
+grow (struct outcome_table *table)
+{
+  uint32_t capacity = table->capacity == 0 ? 64 : table->capacity * 2;
+  struct outcome_cell *cells
+      = realloc (table->cells, capacity * sizeof *cells);
+  if (cells == NULL)
+    return status_set (STATUS_NO_MEMORY, "outcome table: no memory");
+  table->cells = cells;
+  uint32_t *index = malloc ((size_t)capacity * 2 * sizeof *index);
+  if (index == NULL)
+    return status_set (STATUS_NO_MEMORY, "outcome table: no memory");
+  free (table->index);
+  table->index = index;
+  table->index_size = capacity * 2;
+  table->capacity = capacity;
+  memset (index, 0xff, (size_t)table->index_size * sizeof *index);
+  for (uint32_t i = 0; i < table->count; i++)
+    *find_entry (table, &table->cells[i].key) = i;
+  return STATUS_OK;
+}
+
+static uint32_t
+add_saturating (uint32_t a, uint32_t b)
+{
+  return a > UINT32_MAX - b ? UINT32_MAX : a + b;
+}
+
+/// @return bucket whose range contains the latency
+static uint32_t
+bucket_of (uint32_t latency_us)
+{
+  if (latency_us < 64)
+    return 0;
+  uint32_t octave = 31 - (uint32_t)__builtin_clz (latency_us);
+  uint32_t eighth = (latency_us >> (octave - 3)) & 7;
+  uint32_t bucket = (octave - 6) * 8 + eighth;
+  return bucket < OUTCOME_BUCKETS ? bucket : OUTCOME_BUCKETS - 1;
+}
+
+/// @return upper end of a bucket in microseconds
+static uint32_t
+bucket_end (uint32_t bucket)
+{
+  return (9 + bucket % 8) << (bucket / 8 + 3);
+}
+
+void
+outcome_table_init (struct outcome_table *table)
+{
+  memset (table, 0, sizeof *table);
+}
+
+void
+outcome_table_finish (struct outcome_table *table)
+{
+  free (table->cells);
+  free (table->index);
+  memset (table, 0, sizeof *table);
+}
+
+void
+outcome_table_clear (struct outcome_table *table)
+{
+  table->count = 0;
+  if (table->index != NULL)
+    memset (table->index, 0xff,
+            (size_t)table->index_size * sizeof *table->index);
+}
+
+bool
+outcome_counts_valid (const struct outcome_counts *counts)
+{
+  return counts->errors <= counts->calls
+         && counts->timed <= counts->calls - counts->errors
+         && counts->slow50 <= counts->timed
+         && counts->slow99 <= counts->slow50;
+}
+
+void
+outcome_counts_add (struct outcome_counts *sum,
+                    const struct outcome_counts *delta)
+{
+  sum->calls = add_saturating (sum->calls, delta->calls);
+  sum->errors = add_saturating (sum->errors, delta->errors);
+  sum->timed = add_saturating (sum->timed, delta->timed);
+  sum->slow50 = add_saturating (sum->slow50, delta->slow50);
+  sum->slow99 = add_saturating (sum->slow99, delta->slow99);
+}
+
+enum status
+outcome_add (struct outcome_table *table, const struct outcome_key *key,
+             const struct outcome_counts *delta)
+{
+  if (!outcome_counts_valid (delta))
+    return status_set (STATUS_INVALID, "outcome counts contradict each other");
+  uint32_t *entry = table->count == 0 ? NULL : find_entry (table, key);
+  if (entry != NULL && *entry != FREE_ENTRY)
+    {
+      outcome_counts_add (&table->cells[*entry].counts, delta);
+      return STATUS_OK;
+    }
+  if (table->count >= OUTCOME_CELLS_MAX)
+    return status_set (STATUS_TOO_LARGE, "outcome table: more than %d cells",
+                       OUTCOME_CELLS_MAX);
+  if (table->count == table->capacity && grow (table) != STATUS_OK)
+    return STATUS_NO_MEMORY;
+  *find_entry (table, key) = table->count;
+  table->cells[table->count].key = *key;
+  table->cells[table->count].counts = *delta;
+  table->count++;
+  return STATUS_OK;
+}
+
+void
+outcome_percentiles_init (struct outcome_percentiles *percentiles,
+                          uint64_t now_ms)
+{
+  memset (percentiles, 0, sizeof *percentiles);
+  percentiles->halved_ms = now_ms;
+}
+
+void
+outcome_percentiles_add (struct outcome_percentiles *percentiles,
+                         uint32_t latency_us)
+{
+  percentiles->buckets[bucket_of (latency_us)]++;
+  percentiles->total++;
+}
+
+void
+outcome_percentiles_refresh (struct outcome_percentiles *percentiles,
+                             uint64_t now_ms)
+{
+  if (percentiles->total < PERCENTILE_ANSWERS_MIN)
+    return;
+  uint64_t seen = 0;
+  percentiles->p50_us = 0;
+  for (uint32_t i = 0; i < OUTCOME_BUCKETS; i++)
+    {
+      seen += percentiles->buckets[i];
+      if (percentiles->p50_us == 0 && seen * 2 >= percentiles->total)
+        percentiles->p50_us = bucket_end (i);
+      if (seen * 100 < (uint64_t)percentiles->total * 99)
+        continue;
+      percentiles->p99_us = bucket_end (i);
+      break;
+    }
+  if (percentiles->total < PERCENTILE_HALVE_ABOVE
+      || now_ms < percentiles->halved_ms + PERCENTILE_HALF_LIFE_MS)
+    return;
+  percentiles->halved_ms = now_ms;
+  percentiles->total = 0;
+  for (uint32_t i = 0; i < OUTCOME_BUCKETS; i++)
+    {
+      percentiles->buckets[i] /= 2;
+      percentiles->total += percentiles->buckets[i];
+    }
+}
+
+struct outcome_counts
+outcome_of_call (const struct outcome_percentiles *limits, bool failed,
+                 uint32_t latency_us)
+{
+  struct outcome_counts counts = { .calls = 1, .errors = failed };
+  if (failed || limits == NULL || limits->p50_us == 0)
+    return counts;
+  counts.timed = 1;
+  counts.slow50 = latency_us >= limits->p50_us;
+  counts.slow99 = latency_us >= limits->p99_us;
+  return counts;
+}
--- /dev/null
+++ b/test/unit/seqtest_test.c
@@ -0,0 +1,156 @@
+#include "base/rng.h"
+#include "coordination/seqtest.h"
+#include "testing.h"
+
+#include <math.h>
+#include <stddef.h>
+
+static const struct seqtest_ratios plain = { 1, { 2, 4, 8, 16, 64 } };
+
+static double
+choose (unsigned n, unsigned k)
+{
+  return exp (lgamma (n + 1.0) - lgamma (k + 1.0) - lgamma (n - k + 1.0));
+}
+
+/// Sums the expected likelihood ratio over all outcomes of blocks; a value
+/// above 1 would break the bound on false alarms.
+static void
+test_ratio_has_mean_one (void)
+{
+  static const unsigned blocks[][3] = {
+    { 1, 9, 3 }, { 5, 20, 1 }, { 18, 2, 6 }, { 30, 30, 25 }, { 400, 400, 390 }
+  };
+  for (size_t b = 0; b < sizeof blocks / sizeof blocks[0]; b++)
+    {
+      unsigned new_calls = blocks[b][0], old_calls = blocks[b][1];
+      unsigned events = blocks[b][2];
+      double mean[SEQTEST_RATIOS] = { 0 };
+      for (unsigned k = 0; k <= events && k <= new_calls; k++)
+        {
+          if (events - k > old_calls)
+            continue;
+          double logs[SEQTEST_RATIOS];
+          struct seqtest_block block = { new_calls, k, old_calls, events - k };
+          double weight = choose (new_calls, k)
+                          * choose (old_calls, events - k)
+                          / choose (new_calls + old_calls, events);
+          seqtest_log_ratios (&plain, &block, logs);
+          for (int i = 0; i < SEQTEST_RATIOS; i++)
+            mean[i] += weight * exp (logs[i]);
+        }
+      for (int i = 0; i < SEQTEST_RATIOS; i++)
+        CU_ASSERT (mean[i] < 1 + 1e-6);
+    }
+}
+
+static void
+test_equal_versions_rarely_alarm (void)
+{
+  struct rng rng;
+  unsigned alarms = 0;
+  rng_init (&rng, 1);
+  for (int run = 0; run < 400; run++)
+    {
+      struct seqtest test;
+      seqtest_init (&test);
+      seqtest_start (&test, 1);
+      for (int i = 0; i < 300; i++)
+        {
+          double logs[SEQTEST_RATIOS];
+          double rate = i % 50 < 5 ? 0.5 : 0.02; /* changes for both */
+          struct seqtest_block block = { 4, 0, 40, 0 };
+          for (int k = 0; k < 4; k++)
+            block.new_events += rng_unit (&rng) < rate;
+          for (int k = 0; k < 40; k++)
+            block.old_events += rng_unit (&rng) < rate;
+          seqtest_log_ratios (&plain, &block, logs);
+          seqtest_update (&test, logs);
+          if (seqtest_value (&test) < 20)
+            continue;
+          alarms++;
+          break;
+        }
+    }
+  CU_ASSERT (alarms <= 20); /* 1 in 20 */
+}
+
+static void
+test_better_version_never_alarms (void)
+{
+  struct seqtest test;
+  double logs[SEQTEST_RATIOS];
+  struct seqtest_block block = { 50, 0, 50, 25 };
+  seqtest_init (&test);
+  seqtest_start (&test, 1);
+  for (int i = 0; i < 100; i++)
+    {
+      seqtest_log_ratios (&plain, &block, logs);
+      seqtest_update (&test, logs);
+    }
+  CU_ASSERT (seqtest_value (&test) < 1);
+}
+
+static void
+test_late_start_finds_late_fault (void)
+{
+  struct seqtest test;
+  double logs[SEQTEST_RATIOS];
+  struct seqtest_block good = { 10, 1, 90, 9 };
+  struct seqtest_block bad = { 10, 9, 90, 9 };
+  seqtest_init (&test);
+  seqtest_start (&test, 0.5);
+  for (int i = 0; i < 10000; i++)
+    {
+      seqtest_log_ratios (&plain, &good, logs);
+      seqtest_update (&test, logs);
+    }
+  CU_ASSERT (seqtest_value (&test) < 1e-6);
+  seqtest_start (&test, 0.001);
+  for (int i = 0; i < 3; i++)
+    {
+      seqtest_log_ratios (&plain, &bad, logs);
+      seqtest_update (&test, logs);
+    }
+  CU_ASSERT (seqtest_value (&test) > 400);
+}
+
+static void
+test_extreme_blocks_stay_finite (void)
+{
+  static const struct seqtest_block blocks[] = {
+    { 0, 0, 0, 0 },
+    { UINT32_MAX, UINT32_MAX, 1, 0 },
+    { 1, 1, UINT32_MAX, 0 },
+    { UINT32_MAX, UINT32_MAX, UINT32_MAX, 0 },
+    { 160, 160, 100000, 50000 },
+  };
+  struct seqtest test;
+  seqtest_init (&test);
+  seqtest_start (&test, 1);
+  for (size_t i = 0; i < sizeof blocks / sizeof blocks[0]; i++)
+    {
+      double logs[SEQTEST_RATIOS];
+      seqtest_log_ratios (&plain, &blocks[i], logs);
+      for (int k = 0; k < SEQTEST_RATIOS; k++)
+        CU_ASSERT (isfinite (logs[k]));
+      seqtest_update (&test, logs);
+      CU_ASSERT (isfinite (seqtest_value (&test)));
+    }
+}
+
+static const struct test_case cases[] = {
+  { "a likelihood ratio whose mean exceeds 1", test_ratio_has_mean_one },
+  { "alarms by incidents that hit both versions",
+    test_equal_versions_rarely_alarm },
+  { "an alarm against a better version", test_better_version_never_alarms },
+  { "a late fault hidden by earlier good calls",
+    test_late_start_finds_late_fault },
+  { "infinite scores from extreme counts", test_extreme_blocks_stay_finite },
+};
+
+int
+main (void)
+{
+  return testing_run ("seqtest", cases, sizeof cases / sizeof cases[0]);
+}
