Finish every claim and refuse late queued calls in time

node_claim_begin's attempts stay until they are finished, also those that were not granted. Queued calls that become late were refused up to 50 ms after their deadline, when the caller's node could only report unknown; a timer now follows the head of the queue. Connections to the target stay within what it announced.

--- a/src/coordination/admit.c
+++ b/src/coordination/admit.c
@@ -223,3 +223,13 @@
   while (admit->queued > 0 && is_late (admit, admit->queue[0], now_ms))
     refuse_queued (admit, admit->queue[0], ADMIT_REFUSED_LATE);
 }
+
+uint64_t
+admit_next_expiry (const struct admit *admit)
+{
+  if (admit->queued == 0)
+    return UINT64_MAX;
+  uint64_t deadline_ms = admit->queue[0]->deadline_ms;
+  uint64_t service_ms = admit->service_us / 1000;
+  return deadline_ms > service_ms ? deadline_ms - service_ms : 0;
+}
--- a/src/coordination/admit.h
+++ b/src/coordination/admit.h
@@ -89,6 +89,9 @@
 /// Admits again after a drained target was replaced by a new process.
 void admit_undrain (struct admit *admit);
 
+/// @return when the next queued ticket becomes late, UINT64_MAX without one
+uint64_t admit_next_expiry (const struct admit *admit);
+
 /// Refuses queued tickets that can no longer be done in time.
 void admit_expire (struct admit *admit, uint64_t now_ms);
 
--- a/src/node/node_call_accept.c
+++ b/src/node/node_call_accept.c
@@ -51,9 +51,11 @@
   evhttp_add_header (headers, CALL_HEADER_REASON,
                      outcome->body_complete ? CALL_REASON_RECORDED
                                             : CALL_REASON_RECORDED_STATUS);
+  struct node_claim *claim = entry->claim;
   node_call_entry_release (entry);
   call_request_reply (request, outcome->status, outcome->body,
                       outcome->body_complete ? outcome->body_size : 0);
+  node_claim_finish (claim, false, NULL);
 }
 
 static void
@@ -61,7 +63,8 @@
           const struct claim_outcome *outcome)
 {
   struct call_entry *entry = arg;
-  entry->claim = result == CLAIM_GRANTED ? claim : NULL;
+  /* Every claim is finished, granted or not, when the call ends. */
+  entry->claim = claim;
   switch (result)
     {
     case CLAIM_GRANTED:
--- a/src/node/node_call_parts.h
+++ b/src/node/node_call_parts.h
@@ -85,6 +85,7 @@
   struct call_run *runs;      ///< list of all
   struct call_entry *entries; ///< list of all
   size_t entry_count;
+  struct event expiry; ///< when the next queued call becomes late
   struct event tick;
   unsigned ticks;
   bool draining;
@@ -101,6 +102,9 @@
                        int status, enum call_outcome outcome,
                        const char *reason);
 
+/// Sets the timer of the queue; called after a call was queued.
+void node_call_arm_expiry (struct node_calls *calls);
+
 /// Copies headers except those that end at each connection.
 void node_call_copy_headers (struct evkeyvalq *to,
                              const struct evkeyvalq *from);
--- a/src/node/node_call_run.c
+++ b/src/node/node_call_run.c
@@ -360,6 +360,8 @@
     }
   if (run->ticket.state == ADMIT_RUNNING)
     start (run);
+  else
+    node_call_arm_expiry (calls);
 }
 
 void
--- a/src/node/node_call_target.c
+++ b/src/node/node_call_target.c
@@ -54,6 +54,7 @@
     counter_add (&downs, 1);
   uint64_t now = clock_monotonic_ms ();
   size_t slots = own->slots < own->connections ? own->slots : own->connections;
+  calls->target.options.connections_max = own->connections;
   bool serves = state == TARGET_READY || state == TARGET_DRAINING;
   if (state == TARGET_DRAINING || calls->draining)
     admit_drain (&calls->admit);
--- a/src/node/node_calls.c
+++ b/src/node/node_calls.c
@@ -188,12 +188,35 @@
   drained (calls->drained_arg);
 }
 
+/// A refusal must reach the caller's node before the deadline, or that node
+/// can only say that it does not know.
+static void
+on_expiry (evutil_socket_t fd, short what, void *arg)
+{
+  struct node_calls *calls = arg;
+  admit_expire (&calls->admit, clock_monotonic_ms ());
+  node_call_arm_expiry (calls);
+}
+
+void
+node_call_arm_expiry (struct node_calls *calls)
+{
+  uint64_t at_ms = admit_next_expiry (&calls->admit);
+  uint64_t now = clock_monotonic_ms ();
+  if (at_ms == UINT64_MAX || evtimer_pending (&calls->expiry, NULL))
+    return;
+  uint64_t left = at_ms > now ? at_ms - now : 1;
+  /* The head of the queue may change: look again soon. */
+  if (left > TICK_MS)
+    left = TICK_MS;
+  event_add (&calls->expiry, &(struct timeval){ 0, (suseconds_t)left * 1000 });
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
   struct node_calls *calls = arg;
   uint64_t now = clock_monotonic_ms ();
-  admit_expire (&calls->admit, now);
   if (++calls->ticks % (1000 / TICK_MS) == 0)
     {
       node_call_target_tick (calls, now);
@@ -244,6 +267,7 @@
   retry_init (&calls->budget, clock_monotonic_ms ());
   node_mesh_on_broadcast (node, 4, on_suspects, calls);
   node_mesh_on_broadcast (node, 5, on_cleared, calls);
+  evtimer_assign (&calls->expiry, node->base, on_expiry, calls);
   event_assign (&calls->tick, node->base, -1, EV_PERSIST, on_tick, calls);
   event_add (&calls->tick, &(struct timeval){ 0, TICK_MS * 1000 });
   node->calls = calls;
@@ -270,6 +294,7 @@
   if (calls == NULL)
     return;
   event_del (&calls->tick);
+  event_del (&calls->expiry);
   if (calls->own.probe != NULL)
     call_probe_cancel (calls->own.probe);
   call_server_stop (calls->server);
--- a/test/unit/call_path_test.c
+++ b/test/unit/call_path_test.c
@@ -383,6 +383,10 @@
         most = mesh.nodes[1].calls->admit.running;
     }
   CU_ASSERT_EQUAL (most, 4);
+  size_t connections = 0;
+  for (size_t i = 0; i < TARGET_CONNECTIONS; i++)
+    connections += target.connections[i].bev != NULL;
+  CU_ASSERT (connections <= 4);
   unsigned answered = 0;
   unsigned refused = 0;
   for (size_t i = 0; i < 20; i++)
