--- a/bench/load.c
+++ b/bench/load.c
@@ -102,7 +102,7 @@
   const char *outcome = evhttp_find_header (headers, "Hawthornseam-Outcome");
   const char *reason = evhttp_find_header (headers, "Hawthornseam-Reason");
   const char *length = evhttp_find_header (headers, "Content-Length");
-  if (length == NULL
+  if (length == NULL && caller->path->method != EVHTTP_REQ_HEAD
       && evhttp_find_header (headers, "Transfer-Encoding") == NULL
       && status != 204 && status != 304)
     return LOAD_UNFRAMED;
