--- a/src/node/node_call_target.c
+++ b/src/node/node_call_target.c
@@ -40,12 +40,11 @@
   return crash == 0 ? 1 : crash;
 }
 
-void
-node_call_set_target_state (struct node_calls *calls, enum target_state state)
+/// Puts the announcement and the state in force and spreads them.
+static void
+apply_state (struct node_calls *calls, enum target_state state)
 {
   struct own_target *own = &calls->own;
-  if (own->state == state)
-    return;
   log_event (LOG_LEVEL_INFO, "target_state",
              "service=%s version=%s from=%s to=%s", own->service, own->version,
              state_names[own->state], state_names[state]);
@@ -65,6 +64,13 @@
                         state);
 }
 
+void
+node_call_set_target_state (struct node_calls *calls, enum target_state state)
+{
+  if (calls->own.state != state)
+    apply_state (calls, state);
+}
+
 static void
 target_died (struct node_calls *calls)
 {
@@ -221,8 +227,7 @@
   own->port = (uint16_t)found->port;
   own->slots = (uint16_t)found->slots;
   own->connections = (uint16_t)found->connections;
-  own->state = TARGET_ABSENT; /* so that the change is announced */
-  node_call_set_target_state (calls, state);
+  apply_state (calls, state);
 }
 
 static void
