Bound the memory of all received requests together

Bodies are held whole, up to 1 MiB each, so a thousand slow uploads could take eight times the memory of a node. Above 64 MiB for all of them together the connection that adds to it is closed. The stand-in target states not-run when it sheds, since only that makes a second try safe.

--- a/src/node/node_calls.c
+++ b/src/node/node_calls.c
@@ -15,6 +15,8 @@
 
 #define TICK_MS 50
 #define HEADERS_MAX (16 * 1024)
+/// Half of the memory that a node may use.
+#define BUFFERED_MAX (64u * 1024 * 1024)
 #define RECEIVE_MS 10000
 #define SERVER_IDLE_MS 60000
 #define CONNECT_MS 1000
@@ -240,6 +242,7 @@
   enum status status = suspect_init (&calls->suspects, NODE_CALL_SUSPECTS);
   struct call_server_options options = {
     .body_max = node->settings.request_body_max,
+    .buffered_max = BUFFERED_MAX,
     .headers_max = HEADERS_MAX,
     .receive_ms = RECEIVE_MS,
     .idle_ms = SERVER_IDLE_MS,
--- a/src/transport/call_server.c
+++ b/src/transport/call_server.c
@@ -34,6 +34,9 @@
 
 static struct counter slow = COUNTER ("call_server_slow_requests",
                                       "connections closed: request too slow");
+static struct counter overfull
+    = COUNTER ("call_server_requests_over_memory",
+               "connections closed: too many bytes of requests held");
 static struct counter malformed
     = COUNTER ("call_server_malformed_requests",
                "requests refused because of their framing or version");
@@ -67,6 +70,7 @@
 release_request (struct call_request *request)
 {
   request->server->in_progress--;
+  request->server->buffered -= request->body_size;
   request->connection->request = NULL;
   talloc_free (request->arena);
 }
@@ -77,6 +81,7 @@
   struct server_connection *connection = arg;
   struct call_request *request = connection->request;
   event_del (&connection->receive_timer);
+  connection->server->buffered -= connection->input_size;
   struct server_connection **place = connection_place (connection->bev);
   assert (*place == connection);
   *place = connection->next;
@@ -101,15 +106,22 @@
   free (connection);
 }
 
+/// Lets evhttp close a connection as after its own timeout.
+static void
+close_later (struct server_connection *connection)
+{
+  bufferevent_trigger_event (connection->bev,
+                             BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
+                             BEV_OPT_DEFER_CALLBACKS);
+}
+
 /// The request did not arrive whole in time.
 static void
 on_receive_timer (evutil_socket_t fd, short what, void *arg)
 {
   struct server_connection *connection = arg;
   counter_add (&slow, 1);
-  bufferevent_trigger_event (connection->bev,
-                             BEV_EVENT_READING | BEV_EVENT_TIMEOUT,
-                             BEV_OPT_DEFER_CALLBACKS);
+  close_later (connection);
 }
 
 static void
@@ -157,13 +169,24 @@
           void *arg)
 {
   struct bufferevent *bev = arg;
-  if (info->n_added == 0)
-    return;
   struct server_connection *connection = *connection_place (bev);
-  if (connection == NULL)
+  if (connection == NULL && info->n_added > 0)
     connection = add_connection (bev);
-  if (connection != NULL && connection->request == NULL)
-    arm_receive_timer (connection);
+  if (connection == NULL)
+    return;
+  struct call_server *server = connection->server;
+  size_t size = evbuffer_get_length (buffer);
+  server->buffered += size;
+  server->buffered -= connection->input_size;
+  connection->input_size = size;
+  if (info->n_added == 0 || connection->request != NULL)
+    return;
+  arm_receive_timer (connection);
+  if (server->buffered > server->options.buffered_max)
+    {
+      counter_add (&overfull, 1);
+      close_later (connection);
+    }
 }
 
 static struct bufferevent *
@@ -285,6 +308,9 @@
   request->arena = arena;
   connection->request = request;
   server->in_progress++;
+  request->body_size
+      = evbuffer_get_length (evhttp_request_get_input_buffer (http));
+  server->buffered += request->body_size;
   evhttp_request_set_on_complete_cb (http, on_complete, request);
   bufferevent_event_cb on_event;
   bufferevent_data_cb on_write;
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -16,6 +16,8 @@
 struct call_server_options
 {
   size_t body_max;     ///< bytes of a request's body; 413 above
+  size_t buffered_max; ///< bytes of all requests together, received or held;
+                       ///< a connection that goes above is closed
   size_t headers_max;  ///< bytes of a request's headers
   uint32_t receive_ms; ///< from the first byte of a request to its last
   uint32_t idle_ms;    ///< between requests; also for a stalled answer
--- a/src/transport/call_server_parts.h
+++ b/src/transport/call_server_parts.h
@@ -14,6 +14,7 @@
   struct bufferevent *bev;
   struct evhttp_connection *http;
   struct call_request *request; ///< in progress or being flushed
+  size_t input_size;            ///< bytes received and not yet handed over
   struct event receive_timer;
 };
 
@@ -24,6 +25,7 @@
   struct evhttp_request *http;
   void *arena;
   void *context;
+  size_t body_size;
   bool ended; ///< the receiver no longer knows the request
 };
 
@@ -38,6 +40,7 @@
   const struct call_server_ops *ops;
   void *arg;
   size_t in_progress;
+  size_t buffered; ///< input and bodies of all connections
   bool close_after_answer;
   bool stopping;
 };
--- a/test/standin/target.c
+++ b/test/standin/target.c
@@ -85,7 +85,9 @@
   if (target->in_use >= (unsigned)options->slots)
     {
       target->shed++;
-      evhttp_send_error (request, 503, "No free slot");
+      evhttp_add_header (evhttp_request_get_output_headers (request),
+                         "Hawthornseam-Outcome", "not-run");
+      evhttp_send_reply (request, 503, "No free slot", NULL);
       return;
     }
   work_start (target, request);
--- a/test/unit/call_path_test.c
+++ b/test/unit/call_path_test.c
@@ -218,9 +218,11 @@
 static void
 test_slow_request (void)
 {
-  struct call_server_options options = {
-    .body_max = 1000, .headers_max = 1000, .receive_ms = 200, .idle_ms = 60000
-  };
+  struct call_server_options options = { .body_max = 1000,
+                                         .buffered_max = 400,
+                                         .headers_max = 1000,
+                                         .receive_ms = 200,
+                                         .idle_ms = 60000 };
   set_up ();
   struct call_server *server;
   CU_ASSERT_EQUAL_FATAL (
@@ -237,6 +239,19 @@
     }
   CU_ASSERT (caller.closed);
   caller_finish (&caller);
+  /* Together, the parts of three bodies are more than may be held. */
+  struct caller many[3];
+  char text[256];
+  snprintf (text, sizeof text,
+            "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n%0150d", 0);
+  for (size_t i = 0; i < 3; i++)
+    {
+      caller_start (&many[i], 2, text);
+      mesh_run (20);
+      CU_ASSERT_EQUAL (many[i].closed, i == 2);
+    }
+  for (size_t i = 0; i < 3; i++)
+    caller_finish (&many[i]);
   mesh.members[2].call_port = port;
   call_server_stop (server);
   tear_down ();
@@ -411,7 +426,7 @@
     test_refused_connection_is_not_run },
   { "bad requests are refused before the target sees them",
     test_bad_requests },
-  { "a request that arrives too slowly is cut off", test_slow_request },
+  { "slow or many requests hold connections and memory", test_slow_request },
   { "a non-idempotent request is sent once", test_once },
   { "a caller that goes away frees its slot", test_caller_goes_away },
   { "a request that crashes targets kills two at most", test_crash_suspect },
