Let the stand-in target notice cancelled calls

It also leaked a connection for each announcement that failed. The load generator now requires the echoed id in every answer that is no error.

--- a/bench/load.c
+++ b/bench/load.c
@@ -117,7 +117,8 @@
     return LOAD_RECORDED; /* an answer to the request with the same key */
   const char *id = evhttp_find_header (headers, "X-Request-Id");
   const char *checksum = evhttp_find_header (headers, "X-Checksum");
-  if (id != NULL && strcmp (id, caller->id) != 0)
+  /* Targets echo the id in every answer that is not an error. */
+  if (id == NULL ? status < 300 : strcmp (id, caller->id) != 0)
     return LOAD_WRONG_ID;
   if (checksum != NULL && caller->path->method != EVHTTP_REQ_HEAD
       && strtoull (checksum, NULL, 16) != XXH3_64bits_digest (caller->hash))
--- a/test/standin/target.c
+++ b/test/standin/target.c
@@ -93,23 +93,47 @@
   work_start (target, request);
 }
 
+/// One request to the node, on its own connection.
+struct message
+{
+  struct target *target;
+  struct evhttp_connection *connection;
+  bool drain;
+};
+
 static void
-request_done (struct evhttp_request *answer, void *arg)
+free_message (evutil_socket_t fd, short what, void *arg)
 {
-  /* The connection closes itself; the next announcement is a second away. */
+  struct message *message = arg;
+  evhttp_connection_free (message->connection);
+  free (message);
+}
+
+static void
+message_done (struct evhttp_request *answer, void *arg)
+{
+  struct message *message = arg;
+  /* Without an answer the node is gone, and with it the way to the target. */
+  if (message->drain)
+    message->target->drain_told = true;
+  /* evhttp uses the connection until this callback has returned. */
+  event_base_once (message->target->base, -1, EV_TIMEOUT, free_message,
+                   message, NULL);
 }
 
-/// Sends one request to the node on a connection that closes itself.
 static void
 tell_node (struct target *target, enum evhttp_cmd_type method,
-           const char *path, json_t *object,
-           void (*done) (struct evhttp_request *, void *))
+           const char *path, json_t *object)
 {
-  struct evhttp_connection *connection = evhttp_connection_base_new (
+  struct message *message = calloc (1, sizeof *message);
+  if (message == NULL)
+    abort ();
+  message->target = target;
+  message->drain = method == EVHTTP_REQ_POST;
+  message->connection = evhttp_connection_base_new (
       target->base, NULL, "127.0.0.1", (uint16_t)target->options.node_port);
-  evhttp_connection_set_timeout (connection, 2);
-  evhttp_connection_free_on_completion (connection);
-  struct evhttp_request *request = evhttp_request_new (done, target);
+  evhttp_connection_set_timeout (message->connection, 2);
+  struct evhttp_request *request = evhttp_request_new (message_done, message);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
   evhttp_add_header (headers, "Host", "node");
   evhttp_add_header (headers, "Content-Type", "application/json");
@@ -118,7 +142,7 @@
   evbuffer_add_printf (evhttp_request_get_output_buffer (request), "%s", text);
   free (text);
   json_decref (object);
-  evhttp_make_request (connection, request, method, path);
+  evhttp_make_request (message->connection, request, method, path);
 }
 
 static json_t *
@@ -137,7 +161,7 @@
   struct target *target = arg;
   if (target->drain_ms == 0)
     tell_node (target, EVHTTP_REQ_PUT, "/_hawthornseam/target",
-               announcement (target), request_done);
+               announcement (target));
 }
 
 static void
@@ -156,14 +180,6 @@
     event_base_loopexit (target->base, NULL);
 }
 
-static void
-drain_told (struct evhttp_request *answer, void *arg)
-{
-  struct target *target = arg;
-  /* Without an answer the node is gone, and with it the way to the target. */
-  target->drain_told = true;
-}
-
 static void
 terminate (evutil_socket_t fd, short what, void *arg)
 {
@@ -173,7 +189,7 @@
   target->drain_ms = clock_monotonic_ms ();
   if (target->options.node_port != 0)
     tell_node (target, EVHTTP_REQ_POST, "/_hawthornseam/drain",
-               announcement (target), drain_told);
+               announcement (target));
   else
     target->drain_told = true;
   struct timeval step = { 0, 20000 };
--- a/test/standin/target_work.h
+++ b/test/standin/target_work.h
@@ -261,10 +261,19 @@
   work->request = request;
   work->connection = evhttp_request_get_connection (request);
   work->started_ms = clock_monotonic_ms ();
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (work->connection);
   int on = 1;
-  setsockopt (
-      bufferevent_getfd (evhttp_connection_get_bufferevent (work->connection)),
-      IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (bufferevent_getfd (bev), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+  /* evhttp stops reading while a request is handled. Reading without a read
+     callback notices that the caller has closed: a cancellation. */
+  bufferevent_data_cb on_write;
+  bufferevent_event_cb on_event;
+  void *context;
+  bufferevent_getcb (bev, NULL, &on_write, &on_event, &context);
+  bufferevent_setcb (bev, NULL, on_write, on_event, context);
+  bufferevent_enable (bev, EV_READ);
   work->cut_at = UINT64_MAX;
   evhttp_parse_query_str (
       evhttp_uri_get_query (uri) == NULL ? "" : evhttp_uri_get_query (uri),
