--- a/src/transport/admin.c
+++ b/src/transport/admin.c
@@ -236,7 +236,8 @@
       talloc_free (started);
       return status_set (STATUS_NO_MEMORY, "no memory for the admin server");
     }
-  evhtp_set_max_body_size (started->http, ADMIN_BODY_MAX);
+  /* libevhtp closes the connection of a body that reaches its limit. */
+  evhtp_set_max_body_size (started->http, ADMIN_BODY_MAX + 1);
   evhtp_set_timeouts (started->http, &timeout, &timeout);
   evhtp_set_post_accept_cb (started->http, connection_accepted, started);
   evhtp_set_gencb (started->http, dispatch, started);
--- a/src/transport/admin.h
+++ b/src/transport/admin.h
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/// Largest body; the connection of a larger one is closed without an answer.
 #define ADMIN_BODY_MAX (1024 * 1024)
 
 struct admin_server;
--- a/test/unit/node_admin_test.c
+++ b/test/unit/node_admin_test.c
@@ -329,7 +329,7 @@
   memset (body, '#', ADMIN_BODY_MAX + 1);
   body[ADMIN_BODY_MAX + 1] = '\0';
   CU_ASSERT_NOT_EQUAL (ask ("/config/validate", body, NULL), 200);
-  body[ADMIN_BODY_MAX - 1] = '\0';
+  body[ADMIN_BODY_MAX] = '\0';
   CU_ASSERT_EQUAL (ask ("/config/validate", body, NULL), 400);
   CU_ASSERT_EQUAL (ask ("/state", NULL, NULL), 200);
   free (body);
