--- a/src/node/node_mesh.h
+++ b/src/node/node_mesh.h
@@ -147,12 +147,22 @@
   uint32_t sum_count;
 };
 
+/// @return live members other than this node
+uint32_t mesh_live_others (struct node_mesh *mesh);
+
+/* node_mesh_wire.c */
+extern const struct membership_ops mesh_membership_ops;
+extern const struct spread_ops mesh_spread_ops;
+void mesh_wire_start (struct node_mesh *mesh);
 /// Sends a message body and releases the buffer's content.
 void mesh_send (struct node_mesh *mesh, uint64_t slot_id, unsigned type,
                 msgpack_sbuffer *body);
 
-/// @return live members other than this node
-uint32_t mesh_live_others (struct node_mesh *mesh);
+/* node_mesh_floor.c */
+void mesh_floor_start (struct node_mesh *mesh);
+void mesh_floor_tick (struct node_mesh *mesh, uint64_t now_ms);
+/// Asks a neighbour to record the floor of this slot.
+void mesh_floor_announce (void *mesh, uint64_t version);
 
 /* node_mesh_config.c */
 extern const struct follow_ops mesh_follow_ops;
--- a/src/node/node_mesh_config.c
+++ b/src/node/node_mesh_config.c
@@ -22,17 +22,16 @@
     = COUNTER ("mesh_config_pulls", "Pulls sent by this node.");
 static struct counter refused
     = COUNTER ("mesh_config_refused", "Offers from peers that were refused.");
-static struct counter floors_unrecorded
-    = COUNTER ("follow_floor_unrecorded",
-               "Versions put in force without a recorded floor.");
-
 #define SNAPSHOTS_PER_S 4
 /// A pull without answer is repeated elsewhere after this time.
 #define PULL_WAIT_MS 1000
-#define FLOOR_WAIT_MS 200
-#define FLOOR_ATTEMPTS 3
 /// The second relay broadcasts a record only when the first one did not.
 #define SECOND_RELAY_MS 300
+/// First field of a broadcast that only tells a version; records start with
+/// their format number instead.
+#define NOTICE 0
+/// Members of a zone that lack a snapshot pull it spread over this time.
+#define NOTICE_DELAY_MS 2000
 /// Bound on the records in one CONFIG_RECORDS, bytes.
 #define RECORDS_BYTES_MAX (900 * 1024)
 
@@ -77,18 +76,16 @@
   struct mesh_pull *pull = &mesh->pull;
   if (pull->wanted <= follow_newest (&mesh->follow) || now_ms < pull->next_ms)
     return;
-  uint64_t source = pull->source;
-  if (source == 0 || pull->attempts > 0)
+  /* The node that stated the version may be the only one that has it, or may
+     be gone: it is asked at every second attempt. */
+  uint64_t source = 0;
+  if (pull->source == 0 || pull->attempts % 2 == 1)
     source = membership_random_neighbour (&mesh->membership);
   if (source == 0)
     source = pull->source;
   if (source == 0)
     return;
   pull->attempts++;
-  /* The stated source may be the only one that has it: back to it at every
-     second attempt. */
-  if (pull->attempts % 2 == 1 && pull->source != 0)
-    source = pull->source;
   pull->next_ms = now_ms + PULL_WAIT_MS;
   struct message_config_pull request
       = { .version = follow_current (&mesh->follow)->version,
@@ -186,10 +183,41 @@
   mesh->delayed_ms = clock_monotonic_ms () + SECOND_RELAY_MS;
 }
 
+/// Tells the own zone of a version that came as a snapshot, so that there is
+/// no record to broadcast.
+static void
+spread_notice (struct node_mesh *mesh, uint64_t version)
+{
+  struct message_floor notice = { .slot_id = NOTICE, .version = version };
+  msgpack_sbuffer body;
+  msgpack_sbuffer_init (&body);
+  message_write_floor (&body, &notice);
+  start_spread (mesh, version, (const uint8_t *)body.data, body.size);
+  msgpack_sbuffer_destroy (&body);
+}
+
+/// @return true when the body was a notice
+static bool
+take_notice (struct node_mesh *mesh, const uint8_t *body, size_t size)
+{
+  struct message_floor notice;
+  if (message_read_floor (body, size, &notice) != STATUS_OK
+      || notice.slot_id != NOTICE)
+    return false;
+  if (notice.version > mesh->spread_version)
+    mesh->spread_version = notice.version;
+  note_wanted (mesh, 0, notice.version);
+  mesh->pull.next_ms
+      = clock_monotonic_ms () + rng_below (&mesh->node->rng, NOTICE_DELAY_MS);
+  return true;
+}
+
 void
 mesh_config_broadcast (struct node_mesh *mesh, const uint8_t *body,
                        size_t size)
 {
+  if (take_notice (mesh, body, size))
+    return;
   uint64_t version;
   enum status status = offer (mesh, body, size, &version);
   if (version > mesh->spread_version)
@@ -404,78 +432,10 @@
                  (unsigned long long)snapshot.version, status_message ());
     }
   talloc_free (arena);
-}
-
-/* Floors */
-
-/// Sends the own floor to the next neighbour, or gives up.
-static void
-announce (struct node_mesh *mesh, uint64_t now_ms)
-{
-  struct mesh_floor *floor = &mesh->floor;
-  uint64_t neighbours[FLOOR_ATTEMPTS];
-  ring_refresh (&mesh->membership.ring);
-  uint32_t count = ring_successors (
-      &mesh->membership.ring, mesh->node->slot_id, neighbours, FLOOR_ATTEMPTS);
-  floor->due_ms = now_ms + FLOOR_WAIT_MS;
-  if (floor->attempts < count)
-    {
-      struct message_floor message
-          = { .slot_id = mesh->node->slot_id, .version = floor->version };
-      msgpack_sbuffer body;
-      msgpack_sbuffer_init (&body);
-      message_write_floor (&body, &message);
-      mesh_send (mesh, neighbours[floor->attempts++], MESSAGE_FLOOR, &body);
-      return;
-    }
-  if (floor->attempts == 0)
-    {
-      /* Nobody lives nearby; one wait covers a member that just joins. */
-      floor->attempts = FLOOR_ATTEMPTS;
-      return;
-    }
-  uint64_t version = floor->version;
-  floor->version = 0;
-  counter_add (&floors_unrecorded, 1);
-  follow_floor_recorded (&mesh->follow, version);
-}
-
-static void
-announce_floor (void *arg, uint64_t version)
-{
-  struct node_mesh *mesh = arg;
-  if (version <= mesh->floor.version)
-    return;
-  mesh->floor.version = version;
-  mesh->floor.attempts = 0;
-  announce (mesh, clock_monotonic_ms ());
-}
-
-static void
-on_floor (void *arg, uint64_t from, const uint8_t *body, size_t size)
-{
-  struct node_mesh *mesh = arg;
-  struct message_floor floor;
-  if (message_read_floor (body, size, &floor) != STATUS_OK)
-    return;
-  follow_set_floor (&mesh->follow, floor.slot_id, floor.version);
-  msgpack_sbuffer answer;
-  msgpack_sbuffer_init (&answer);
-  message_write_floor (&answer, &floor);
-  mesh_send (mesh, from, MESSAGE_FLOOR_ACK, &answer);
-}
-
-static void
-on_floor_ack (void *arg, uint64_t from, const uint8_t *body, size_t size)
-{
-  struct node_mesh *mesh = arg;
-  struct message_floor floor;
-  if (message_read_floor (body, size, &floor) != STATUS_OK
-      || floor.slot_id != mesh->node->slot_id)
-    return;
-  if (floor.version >= mesh->floor.version)
-    mesh->floor.version = 0;
-  follow_floor_recorded (&mesh->follow, floor.version);
+  int rank;
+  if (status == STATUS_OK && is_relay_rank (mesh, &rank)
+      && from_other_zone (mesh, from))
+    spread_notice (mesh, snapshot.version);
 }
 
 static void
@@ -491,7 +451,7 @@
 }
 
 const struct follow_ops mesh_follow_ops
-    = { .in_force = in_force, .announce_floor = announce_floor };
+    = { .in_force = in_force, .announce_floor = mesh_floor_announce };
 
 void
 mesh_config_start (struct node_mesh *mesh)
@@ -501,8 +461,6 @@
   peer_handle (mesh->peers, MESSAGE_CONFIG_PULL, on_config_pull, mesh);
   peer_handle (mesh->peers, MESSAGE_CONFIG_RECORDS, on_config_records, mesh);
   peer_handle (mesh->peers, MESSAGE_CONFIG_SNAPSHOT, on_config_snapshot, mesh);
-  peer_handle (mesh->peers, MESSAGE_FLOOR, on_floor, mesh);
-  peer_handle (mesh->peers, MESSAGE_FLOOR_ACK, on_floor_ack, mesh);
 }
 
 void
@@ -516,8 +474,6 @@
 mesh_config_tick (struct node_mesh *mesh, uint64_t now_ms)
 {
   pull_tick (mesh, now_ms);
-  if (mesh->floor.version != 0 && now_ms >= mesh->floor.due_ms)
-    announce (mesh, now_ms);
   if (mesh->delayed != NULL && now_ms >= mesh->delayed_ms)
     {
       start_spread (mesh, mesh->delayed_version, mesh->delayed,
--- /dev/null
+++ b/src/node/node_mesh_floor.c
@@ -0,0 +1,101 @@
+/// Owns the announcement of this node's floor to its neighbours.
+#include "node/node_mesh.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+
+static struct counter floors_unrecorded
+    = COUNTER ("follow_floor_unrecorded",
+               "Versions put in force without a recorded floor.");
+
+#define FLOOR_WAIT_MS 200
+#define FLOOR_ATTEMPTS 3
+
+/// Sends the own floor to the next neighbour, or gives up.
+static void
+announce (struct node_mesh *mesh, uint64_t now_ms)
+{
+  struct mesh_floor *floor = &mesh->floor;
+  uint64_t neighbours[FLOOR_ATTEMPTS];
+  const struct ring *ring = &mesh->membership.ring;
+  ring_refresh (&mesh->membership.ring);
+  uint32_t count = ring_successors (ring, mesh->node->slot_id, neighbours,
+                                    FLOOR_ATTEMPTS);
+  /* A node that is alone in its zone asks relays of other zones. */
+  for (uint32_t i = 0; i < ring->zone_count && count < FLOOR_ATTEMPTS; i++)
+    if (ring->zones[i].id != ring->own_zone && ring->zones[i].relays[0] != 0)
+      neighbours[count++] = ring->zones[i].relays[0];
+  floor->due_ms = now_ms + FLOOR_WAIT_MS;
+  if (floor->attempts < count)
+    {
+      struct message_floor message
+          = { .slot_id = mesh->node->slot_id, .version = floor->version };
+      msgpack_sbuffer body;
+      msgpack_sbuffer_init (&body);
+      message_write_floor (&body, &message);
+      mesh_send (mesh, neighbours[floor->attempts++], MESSAGE_FLOOR, &body);
+      return;
+    }
+  if (floor->attempts == 0)
+    {
+      /* Nobody lives nearby; one wait covers a member that just joins. */
+      floor->attempts = FLOOR_ATTEMPTS;
+      return;
+    }
+  uint64_t version = floor->version;
+  floor->version = 0;
+  counter_add (&floors_unrecorded, 1);
+  follow_floor_recorded (&mesh->follow, version);
+}
+
+void
+mesh_floor_announce (void *arg, uint64_t version)
+{
+  struct node_mesh *mesh = arg;
+  if (version <= mesh->floor.version)
+    return;
+  mesh->floor.version = version;
+  mesh->floor.attempts = 0;
+  announce (mesh, clock_monotonic_ms ());
+}
+
+static void
+on_floor (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_floor floor;
+  if (message_read_floor (body, size, &floor) != STATUS_OK)
+    return;
+  follow_set_floor (&mesh->follow, floor.slot_id, floor.version);
+  msgpack_sbuffer answer;
+  msgpack_sbuffer_init (&answer);
+  message_write_floor (&answer, &floor);
+  mesh_send (mesh, from, MESSAGE_FLOOR_ACK, &answer);
+}
+
+static void
+on_floor_ack (void *arg, uint64_t from, const uint8_t *body, size_t size)
+{
+  struct node_mesh *mesh = arg;
+  struct message_floor floor;
+  if (message_read_floor (body, size, &floor) != STATUS_OK
+      || floor.slot_id != mesh->node->slot_id)
+    return;
+  if (floor.version >= mesh->floor.version)
+    mesh->floor.version = 0;
+  follow_floor_recorded (&mesh->follow, floor.version);
+}
+
+void
+mesh_floor_start (struct node_mesh *mesh)
+{
+  peer_handle (mesh->peers, MESSAGE_FLOOR, on_floor, mesh);
+  peer_handle (mesh->peers, MESSAGE_FLOOR_ACK, on_floor_ack, mesh);
+}
+
+void
+mesh_floor_tick (struct node_mesh *mesh, uint64_t now_ms)
+{
+  if (mesh->floor.version != 0 && now_ms >= mesh->floor.due_ms)
+    announce (mesh, now_ms);
+}
--- a/test/unit/node_mesh_test.c
+++ b/test/unit/node_mesh_test.c
@@ -1,7 +1,9 @@
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "node/node_mesh.h"
+#include "ports.h"
 #include "protocol/record.h"
 #include "testing.h"
 
@@ -9,17 +11,27 @@
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
-#include <unistd.h>
 
 /* Six nodes in two zones share one event loop and talk over loopback. The
    store is a table in memory that answers from the loop. */
 
 #define NODES 6
 
+#define ENTRIES_MAX 8
+
+struct fake_entry
+{
+  char key[128];
+  uint8_t value[64];
+  size_t size;
+};
+
 struct fake_store
 {
   struct event_base *base;
   bool outage;
+  struct fake_entry entries[ENTRIES_MAX];
+  unsigned entry_count;
   uint8_t head[4096];
   size_t head_size;
   unsigned gets;
@@ -28,36 +40,64 @@
 struct fake_call
 {
   struct fake_store *store;
-  bool head;
-  enum status status;
+  const char *key; ///< of a get, NULL otherwise
+  bool list;
   void (*done) (void *arg, const struct store_reply *reply);
   void *arg;
 };
 
+static const struct fake_entry *
+find_entry (const struct fake_store *store, const char *key)
+{
+  for (unsigned i = 0; i < store->entry_count; i++)
+    if (strcmp (store->entries[i].key, key) == 0)
+      return &store->entries[i];
+  return NULL;
+}
+
 static void
 answer (evutil_socket_t fd, short what, void *arg)
 {
   struct fake_call *call = arg;
-  struct store_reply reply = { .status = call->status, .revision = 1 };
-  if (call->store->outage)
+  struct fake_store *store = call->store;
+  struct store_reply reply = { .status = STATUS_OK, .revision = 1 };
+  struct store_key keys[ENTRIES_MAX];
+  bool head = call->key != NULL && strcmp (call->key, RECORD_HEAD_KEY) == 0;
+  const struct fake_entry *entry
+      = call->key != NULL ? find_entry (store, call->key) : NULL;
+  if (store->outage)
     reply.status = STATUS_UNAVAILABLE;
-  else if (call->head && call->store->head_size > 0)
+  else if (head && store->head_size > 0)
     {
-      reply.data = call->store->head;
-      reply.size = call->store->head_size;
+      reply.data = store->head;
+      reply.size = store->head_size;
     }
-  else if (call->head)
+  else if (entry != NULL)
+    {
+      reply.data = entry->value;
+      reply.size = entry->size;
+    }
+  else if (call->key != NULL)
     reply.status = STATUS_NOT_FOUND;
+  else if (call->list)
+    {
+      for (unsigned i = 0; i < store->entry_count; i++)
+        keys[i] = (struct store_key){ store->entries[i].key, 1 };
+      reply.keys = keys;
+      reply.key_count = store->entry_count;
+    }
   call->done (call->arg, &reply);
+  free ((char *)call->key);
   free (call);
 }
 
 static void
-enqueue (struct fake_store *store, bool head, enum status status,
+enqueue (struct fake_store *store, const char *key, bool list,
          void (*done) (void *arg, const struct store_reply *reply), void *arg)
 {
   struct fake_call *call = malloc (sizeof *call);
-  *call = (struct fake_call){ store, head, status, done, arg };
+  *call = (struct fake_call){ store, key != NULL ? strdup (key) : NULL, list,
+                              done, arg };
   struct timeval soon = { .tv_usec = 2000 };
   event_base_once (store->base, -1, EV_TIMEOUT, answer, call, &soon);
 }
@@ -67,8 +107,7 @@
           void (*done) (void *arg, const struct store_reply *reply), void *arg)
 {
   ((struct fake_store *)store)->gets++;
-  enqueue (store, strcmp (key, RECORD_HEAD_KEY) == 0, STATUS_NOT_FOUND, done,
-           arg);
+  enqueue (store, key, false, done, arg);
 }
 
 static void
@@ -76,7 +115,7 @@
            void (*done) (void *arg, const struct store_reply *reply),
            void *arg)
 {
-  enqueue (store, false, STATUS_OK, done, arg);
+  enqueue (store, NULL, true, done, arg);
 }
 
 static void
@@ -84,7 +123,15 @@
           const void *data, size_t size,
           void (*done) (void *arg, const struct store_reply *reply), void *arg)
 {
-  enqueue (store, false, STATUS_OK, done, arg);
+  struct fake_store *fake = store;
+  if (find_entry (store, key) == NULL && fake->entry_count < ENTRIES_MAX)
+    {
+      struct fake_entry *entry = &fake->entries[fake->entry_count++];
+      snprintf (entry->key, sizeof entry->key, "%s", key);
+      memcpy (entry->value, data, size);
+      entry->size = size;
+    }
+  enqueue (store, NULL, false, done, arg);
 }
 
 static void
@@ -92,7 +139,7 @@
                   void (*done) (void *arg, const struct store_reply *reply),
                   void *arg)
 {
-  enqueue (store, false, STATUS_OK, done, arg);
+  enqueue (store, NULL, false, done, arg);
 }
 
 static void
@@ -100,7 +147,7 @@
                 void (*done) (void *arg, const struct store_reply *reply),
                 void *arg)
 {
-  enqueue (store, false, STATUS_OK, done, arg);
+  enqueue (store, NULL, false, done, arg);
 }
 
 static const struct store_ops fake_ops = { .get = fake_get,
@@ -112,10 +159,11 @@
 static struct event_base *base;
 static struct fake_store store;
 static struct node nodes[NODES];
+static uint16_t first_port;
 static struct config content; ///< newest accepted content
 
 static void
-start_node (int i)
+start_node (int i, size_t seeds)
 {
   struct node *node = &nodes[i];
   memset (node, 0, sizeof *node);
@@ -124,18 +172,17 @@
   node->store = &store;
   rng_init (&node->rng, 100 + (uint64_t)i);
   struct settings *settings = &node->settings;
-  uint16_t first = (uint16_t)(20000 + getpid () % 2000 * 8);
   snprintf (settings->mesh, sizeof settings->mesh, "test");
   snprintf (settings->slot, sizeof settings->slot, "slot-%d", i);
   snprintf (settings->availability_zone, sizeof settings->availability_zone,
             "zone-%c", 'a' + i / 3);
   snprintf (settings->region, sizeof settings->region, "region");
   settings->address = 0x7f000001;
-  settings->peer_port = (uint16_t)(first + i);
-  settings->seeds[0] = (struct settings_endpoint){ 0x7f000001, first };
+  settings->peer_port = (uint16_t)(first_port + i);
+  settings->seeds[0] = (struct settings_endpoint){ 0x7f000001, first_port };
   settings->seeds[1]
-      = (struct settings_endpoint){ 0x7f000001, (uint16_t)(first + 3) };
-  settings->seed_count = 2;
+      = (struct settings_endpoint){ 0x7f000001, (uint16_t)(first_port + 3) };
+  settings->seed_count = seeds;
   settings->keys[0].id = 1;
   memset (settings->keys[0].bytes, 7, SETTINGS_KEY_SIZE);
   settings->key_count = 1;
@@ -232,7 +279,7 @@
 test_nodes_join_and_follow (void)
 {
   for (int i = 0; i < NODES; i++)
-    start_node (i);
+    start_node (i, 2);
   uint64_t joined_ms = run_until (all_joined, 15000);
   printf (" joined in %d ms;", (int)joined_ms);
   CU_ASSERT (joined_ms < 15000);
@@ -256,7 +303,7 @@
   CU_ASSERT (dead_ms < 9000);
   store.outage = true;
   publish (0);
-  start_node (5);
+  start_node (5, 2);
   uint64_t ready_ms = run_until (fifth_is_ready, 20000);
   printf (" ready in %d ms;", (int)ready_ms);
   CU_ASSERT (ready_ms < 7000);
@@ -264,6 +311,39 @@
   store.outage = false;
 }
 
+static uint64_t
+counter_value (const char *name)
+{
+  const struct counter *counter = counter_first ();
+  while (counter != NULL && strcmp (counter->name, name) != 0)
+    counter = counter->next;
+  return counter != NULL ? counter->value : 0;
+}
+
+static void
+test_snapshot_through_entry_point (void)
+{
+  node_mesh_stop (&nodes[5]);
+  /* More versions than the others keep as records. */
+  for (int i = 0; i < FOLLOW_HISTORY + 6; i++)
+    {
+      publish (0);
+      run_until (NULL, 20);
+    }
+  /* Nobody sends heartbeats to a dead member, which would let it join too. */
+  run_until (fifth_is_dead, 15000);
+  CU_ASSERT (store.entry_count >= 4);
+  uint64_t snapshots = counter_value ("mesh_config_snapshots_sent");
+  uint64_t lists = counter_value ("mesh_entry_lists");
+  start_node (5, 0);
+  uint64_t ready_ms = run_until (fifth_is_ready, 20000);
+  printf (" ready in %d ms;", (int)ready_ms);
+  CU_ASSERT (ready_ms < 7000);
+  CU_ASSERT (run_until (all_hold_newest, 7000) < 7000);
+  CU_ASSERT (counter_value ("mesh_config_snapshots_sent") > snapshots);
+  CU_ASSERT (counter_value ("mesh_entry_lists") > lists);
+}
+
 static void
 test_zone_sums (void)
 {
@@ -288,6 +368,8 @@
     test_nodes_join_and_follow },
   { "a restarted node does not become ready without the store",
     test_restart_without_store },
+  { "a node without seeds does not join or get a snapshot",
+    test_snapshot_through_entry_point },
   { "versions in force are not summed up for both zones", test_zone_sums },
 };
 
@@ -297,6 +379,7 @@
   log_set_level (getenv ("VERBOSE") != NULL ? LOG_LEVEL_DEBUG
                                             : LOG_LEVEL_ERROR);
   base = event_base_new ();
+  first_port = free_ports (NODES);
   store.base = base;
   config_init (&content);
   int code = testing_run ("node_mesh", cases, sizeof cases / sizeof cases[0]);
