--- /dev/null
+++ b/src/protocol/claim_message.h
@@ -0,0 +1,41 @@
+/// Codec of the peer messages about claims (types 18 to 20). A body is a
+/// msgpack array of the fields after the type; further fields are skipped.
+///
+/// CLAIM [seq, key (16 B), nonce, deadline ms, created s, partition]
+/// CLAIM_REPLY [seq, result, status, body, complete]
+/// CLAIM_OUTCOME [key (16 B), nonce, outcome, status, body, complete,
+///                created s, partition, seq]
+#ifndef HAWTHORNSEAM_PROTOCOL_CLAIM_MESSAGE_H
+#define HAWTHORNSEAM_PROTOCOL_CLAIM_MESSAGE_H
+
+#include "coordination/claim_owner.h"
+
+#define CLAIM_MESSAGE_CLAIM 18
+#define CLAIM_MESSAGE_REPLY 19
+#define CLAIM_MESSAGE_OUTCOME 20
+/// Bytes of the largest encoding.
+#define CLAIM_MESSAGE_MAX (CLAIM_BODY_MAX + 96)
+
+struct claim_message
+{
+  uint32_t partition;
+  uint64_t seq;
+  uint32_t deadline_ms;       ///< of a claim: time left
+  enum claim_verdict verdict; ///< of a reply
+  struct claim_record record; ///< the claim, the report, or in a reply the
+                              ///< recorded status and body
+};
+
+/// Encodes a message.
+/// @param type  one of the three types
+/// @return number of bytes
+size_t claim_message_encode (unsigned type,
+                             const struct claim_message *message,
+                             uint8_t bytes[CLAIM_MESSAGE_MAX]);
+
+/// Reads a message; bodies point into `bytes`.
+/// @return STATUS_CORRUPT when a field is missing or malformed
+enum status claim_message_decode (unsigned type, const uint8_t *bytes,
+                                  size_t size, struct claim_message *message);
+
+#endif
--- a/test/fuzz/claim_fuzz.c
+++ b/test/fuzz/claim_fuzz.c
@@ -203,7 +203,7 @@
 run_event (struct oracle *oracle, struct input *input)
 {
   struct world *world = &oracle->world;
-  uint8_t event = next_byte (input) % 21;
+  uint8_t event = next_byte (input) % 22;
   uint8_t a = next_byte (input);
   uint8_t b = next_byte (input);
   uint32_t node = a % WORLD_NODES;
@@ -260,6 +260,9 @@
       world->store.repeat_writes = b % 4;
       world->store.repeat_after_ms = b * 100u;
       break;
+    case 21:
+      world->store.refuse_keys = a & 1 ? "/chunk/" : NULL;
+      break;
     case 20:
       /* Short attempts one after the other fill the ring of segments. */
       for (uint32_t i = 0; i < 16; i++)
@@ -282,6 +285,7 @@
   struct world *world = &oracle->world;
   world->drop = world->repeat = world->delay = 0;
   world->store.outage = false;
+  world->store.refuse_keys = NULL;
   world->store.lose_answers = world->store.lose_requests = 0;
   world->store.delay_writes = world->store.repeat_writes = 0;
   for (uint32_t i = 0; i < WORLD_NODES; i++)
--- a/test/standin/fake_store.h
+++ b/test/standin/fake_store.h
@@ -218,7 +218,9 @@
     .arg = arg,
   };
   store->counts[call]++;
-  if (store->outage)
+  if (store->outage
+      || (store->refuse_keys != NULL && key != NULL
+          && strstr (key, store->refuse_keys) != NULL))
     {
       operation->effect_ms = UINT64_MAX;
       operation->reply.status = STATUS_UNAVAILABLE;
--- a/test/standin/fake_store_data.h
+++ b/test/standin/fake_store_data.h
@@ -78,6 +78,7 @@
   uint32_t latency_ms; ///< of every operation; the effect is at half of it
   uint32_t timeout_ms; ///< after which a lost answer is reported, default 2000
   bool outage;         ///< new operations get STATUS_UNAVAILABLE
+  const char *refuse_keys;  ///< keys that contain this get UNAVAILABLE too
   uint32_t lose_answers;    ///< next writes that act, but answer UNKNOWN
   uint32_t delay_writes;    ///< next writes that answer UNKNOWN, act later
   uint32_t delay_writes_ms; ///< how much later
--- a/test/unit/claim_owner_test.c
+++ b/test/unit/claim_owner_test.c
@@ -145,6 +145,30 @@
   scene_free (scene);
 }
 
+static void
+test_displaced_reports_are_stored (void)
+{
+  struct scene *scene = scene_new (0, 0);
+  uint32_t a = begin (scene, 0, 1, 0, 3000);
+  uint32_t b = begin (scene, 1, 2, 0, 3000);
+  world_run (&scene->world, 500, 1);
+  /* Both owners write their report as the same segment; one is second. */
+  scene->world.nodes[1].view = 1;
+  begin (scene, 1, 3, 0, 3000);
+  world_run (&scene->world, 500, 1);
+  finish (scene, 0, a, CLAIM_RECORD_OUTCOME);
+  finish (scene, 1, b, CLAIM_RECORD_OUTCOME);
+  world_run (&scene->world, 1000, 1);
+  CU_ASSERT_EQUAL (scene->world.nodes[0].client.active, 0);
+  set_view (scene, 2);
+  uint32_t again_a = begin (scene, 2, 1, 0, 3000);
+  uint32_t again_b = begin (scene, 2, 2, 0, 3000);
+  world_run (&scene->world, 1000, 1);
+  CU_ASSERT_EQUAL (scene->verdicts[2][again_a], CLAIM_VERDICT_RECORDED);
+  CU_ASSERT_EQUAL (scene->verdicts[2][again_b], CLAIM_VERDICT_RECORDED);
+  scene_free (scene);
+}
+
 static void
 test_resend_gets_the_outcome_from_a_new_owner (void)
 {
@@ -242,6 +266,23 @@
   scene_free (scene);
 }
 
+static void
+test_segments_wait_for_their_chunk (void)
+{
+  struct scene *scene = scene_new (8, 2);
+  scene->world.store.refuse_keys = "/chunk/";
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      begin (scene, 0, i, 0, 20000);
+      world_run (&scene->world, 100, 5);
+    }
+  CU_ASSERT_EQUAL (scene->world.nodes[0].owner.log.tip, 8);
+  scene->world.store.refuse_keys = NULL;
+  world_run (&scene->world, 2000, 5);
+  CU_ASSERT_EQUAL (scene->verdicts[0][19], CLAIM_VERDICT_GRANTED);
+  scene_free (scene);
+}
+
 static void
 test_expired_chunks_are_removed (void)
 {
@@ -329,6 +370,8 @@
   { "a lost answer writes a claim twice or never",
     test_lost_answer_commits_once },
   { "two owners grant the same key", test_two_owners_grant_once },
+  { "a report is confirmed although another segment took its number",
+    test_displaced_reports_are_stored },
   { "a new owner forgets an outcome",
     test_resend_gets_the_outcome_from_a_new_owner },
   { "a released key stays blocked", test_release_lets_a_waiting_resend_run },
@@ -336,6 +379,8 @@
     test_late_write_cannot_reuse_a_number },
   { "a reader misses claims that were compacted",
     test_chunks_hold_every_claim },
+  { "a segment is overwritten before its chunk exists",
+    test_segments_wait_for_their_chunk },
   { "expired chunks pile up", test_expired_chunks_are_removed },
   { "a forgotten key is granted again",
     test_old_key_is_refused_before_it_is_forgotten },
