--- a/src/coordination/claim_owner.c
+++ b/src/coordination/claim_owner.c
@@ -54,7 +54,10 @@
     {
       struct claim_request *request = owner->requests[i];
       if (request->answered)
-        talloc_free (request);
+        {
+          owner->report_count -= !is_claim (request);
+          talloc_free (request);
+        }
       else
         owner->requests[kept++] = request;
     }
@@ -203,7 +206,9 @@
 static struct claim_request *
 add_request (struct claim_owner *owner, const struct claim_record *record)
 {
-  if (owner->request_count == CLAIM_OWNER_REQUESTS)
+  bool report = record->kind != CLAIM_RECORD_CLAIM;
+  if (owner->request_count == CLAIM_OWNER_REQUESTS
+      || (report && owner->report_count == CLAIM_OWNER_REPORTS))
     {
       counter_add (&overflows, 1);
       return NULL;
@@ -217,6 +222,7 @@
     request->record.body
         = talloc_memdup (request, record->body, record->body_size);
   owner->requests[owner->request_count++] = request;
+  owner->report_count += report;
   return request;
 }
 
--- a/src/coordination/claim_owner.h
+++ b/src/coordination/claim_owner.h
@@ -28,6 +28,9 @@
 /// Requests that wait at an owner; further ones are dropped and sent again by
 /// their clients.
 #define CLAIM_OWNER_REQUESTS 4096
+/// Releases and outcomes among them. They have no deadline and pile up while
+/// the store is out; claims must still find room after it.
+#define CLAIM_OWNER_REPORTS (CLAIM_OWNER_REQUESTS / 2)
 /// While a request waits for another attempt, the log is read this often to
 /// see what another owner wrote, ms.
 #define CLAIM_OWNER_REFRESH_MS 250
@@ -69,9 +72,10 @@
   void *arena;
   struct claim_request **requests; ///< in order of arrival
   uint32_t request_count;
-  uint64_t commit_ms;  ///< when to write the waiting records; 0: none wait
-  uint64_t refresh_ms; ///< when to look for segments of other owners
-  uint64_t used_ms;    ///< time of the last request
+  uint32_t report_count; ///< of them
+  uint64_t commit_ms;    ///< when to write the waiting records; 0: none wait
+  uint64_t refresh_ms;   ///< when to look for segments of other owners
+  uint64_t used_ms;      ///< time of the last request
 };
 
 /// @param window_s  keys older than this are refused
--- a/test/functional/store_test.sh
+++ b/test/functional/store_test.sh
@@ -74,6 +74,15 @@
 control "restore=1"
 check "restore kept later content" 404 "$(code "$url/kv/other")"
 
+if [ -x build/san/unit-store_client_test ]; then
+  port=${url##*:}
+  if ! build/san/unit-store_client_test "$port" >build/store-client.log 2>&1
+  then
+    cat build/store-client.log
+    failed=1
+  fi
+fi
+
 control "reads_per_s=20&refuse_excess=1"
 for _ in 1 2 3 4 5; do code "$url/kv/a/b" >/dev/null; done
 check "excess not refused" 1 "$(($(count refused) >= 3))"
@@ -86,5 +95,7 @@
 code "$url/kv/a/b" >/dev/null
 check "slow period" 1 "$((($(date +%s%N) - start) / 1000000 >= 200))"
 control "slow_ms=0"
-check "a watch counts as one call" 2 "$(count watch)"
+before=$(count watch)
+code "$url/kv/a/b?after=99999&wait_ms=300" >/dev/null
+check "a watch counts as one call" 1 "$(($(count watch) - before))"
 exit $failed
--- a/test/fuzz/segment_fuzz.c
+++ b/test/fuzz/segment_fuzz.c
@@ -1,5 +1,6 @@
-/// Feeds arbitrary bytes to the codec of segments. What is accepted must
-/// encode again and give the same records.
+/// Feeds arbitrary bytes to the codecs of segments and of claim messages. What
+/// is accepted must encode again and give the same fields.
+#include "protocol/claim_message.h"
 #include "protocol/segment.h"
 
 #include <string.h>
@@ -13,9 +14,28 @@
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
+static void
+check_messages (const uint8_t *data, size_t size)
+{
+  for (unsigned type = 18; type <= 20; type++)
+    {
+      struct claim_message message, back;
+      uint8_t bytes[CLAIM_MESSAGE_MAX];
+      if (claim_message_decode (type, data, size, &message) != STATUS_OK)
+        continue;
+      size_t encoded = claim_message_encode (type, &message, bytes);
+      CHECK (claim_message_decode (type, bytes, encoded, &back) == STATUS_OK);
+      CHECK (back.seq == message.seq && back.partition == message.partition
+             && back.record.kind == message.record.kind
+             && back.record.nonce == message.record.nonce
+             && back.record.body_size == message.record.body_size);
+    }
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
+  check_messages (data, size);
   void *arena = talloc_new (NULL);
   struct claim_segment segment, back;
   uint8_t *bytes;
--- a/test/unit/claim_owner_test.c
+++ b/test/unit/claim_owner_test.c
@@ -353,6 +353,29 @@
   scene_free (scene);
 }
 
+static void
+test_reports_leave_room_for_claims (void)
+{
+  struct scene *scene = scene_new (0, 0);
+  struct claim_owner *owner = &scene->world.nodes[0].owner;
+  scene->world.store.outage = true;
+  for (uint64_t i = 0; i < CLAIM_OWNER_REQUESTS; i++)
+    {
+      struct claim_record release = { .kind = CLAIM_RECORD_RELEASE,
+                                      .nonce = i + 1,
+                                      .created_s = WORLD_WALL_MS / 1000 };
+      hash_content (&release.key, &i, sizeof i);
+      claim_owner_report (owner, 2, i + 1, &release, scene->world.now_ms);
+    }
+  CU_ASSERT_EQUAL (owner->request_count, CLAIM_OWNER_REPORTS);
+  uint32_t attempt = begin (scene, 1, 1, 0, 9000);
+  scene->world.store.outage = false;
+  world_run (&scene->world, 4000, 5);
+  CU_ASSERT_EQUAL (scene->verdicts[1][attempt], CLAIM_VERDICT_GRANTED);
+  CU_ASSERT (owner->request_count == 0 && owner->report_count == 0);
+  scene_free (scene);
+}
+
 static void
 test_corrupt_segment_grants_nothing (void)
 {
@@ -385,6 +408,8 @@
   { "a forgotten key is granted again",
     test_old_key_is_refused_before_it_is_forgotten },
   { "claims that the store lost are granted again", test_store_gone_back },
+  { "reports of an outage keep claims out",
+    test_reports_leave_room_for_claims },
   { "a corrupt segment is skipped", test_corrupt_segment_grants_nothing },
 };
 
--- a/test/unit/store_client_test.c
+++ b/test/unit/store_client_test.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,6 +31,7 @@
   int answers;
   enum status last;
   uint64_t revision;
+  size_t keys;
   char data[64];
 };
 
@@ -69,6 +71,7 @@
   fixture->answers++;
   fixture->last = reply->status;
   fixture->revision = reply->revision;
+  fixture->keys = reply->key_count;
   memset (fixture->data, 0, sizeof fixture->data);
   if (reply->data != NULL && reply->size < sizeof fixture->data)
     memcpy (fixture->data, reply->data, reply->size);
@@ -233,6 +236,70 @@
   fixture_finish (&fixture);
 }
 
+static uint16_t standin_port;
+
+/// Runs one operation against the stand-in and waits for its answer.
+#define LIVE(operation, ...)                                                  \
+  do                                                                          \
+    {                                                                         \
+      int before = fixture.answers;                                           \
+      store_client_ops.operation (&client, __VA_ARGS__, on_done, &fixture);   \
+      run (&fixture, before + 1, 5000);                                       \
+      CU_ASSERT_EQUAL (fixture.answers, before + 1);                          \
+    }                                                                         \
+  while (0)
+
+static void
+test_standin_speaks_the_interface (void)
+{
+  struct fixture fixture;
+  struct store_client client;
+  fixture_init (&fixture, MODE_ANSWER);
+  store_client_init (&client, fixture.base, "127.0.0.1", standin_port);
+  LIVE (get, "live/a");
+  CU_ASSERT_EQUAL (fixture.last, STATUS_NOT_FOUND);
+  LIVE (put, "live/a", 0, 0, "one", 3);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  uint64_t revision = fixture.revision;
+  LIVE (put, "live/a", 0, 0, "two", 3);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_CONFLICT);
+  CU_ASSERT_EQUAL (fixture.revision, revision);
+  CU_ASSERT_STRING_EQUAL (fixture.data, "one");
+  LIVE (put, "live/none", 7, 0, "", 0);
+  CU_ASSERT (fixture.last == STATUS_CONFLICT && fixture.revision == 0);
+  LIVE (list, "live/");
+  CU_ASSERT (fixture.last == STATUS_OK && fixture.keys == 1);
+  LIVE (watch, "live/a", revision, 50);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_TIMEOUT);
+  LIVE (watch, "live/a", revision - 1, 5000);
+  CU_ASSERT (fixture.last == STATUS_OK && fixture.revision == revision);
+  LIVE (lease_grant, 60000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  uint64_t lease = fixture.revision;
+  LIVE (lease_keepalive, lease);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  LIVE (lease_keepalive, lease + 1000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_NOT_FOUND);
+  LIVE (put, "live/leased", 0, lease, "x", 1);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  LIVE (remove, "live/a", revision + 1000);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_CONFLICT);
+  LIVE (remove, "live/a", revision);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  static char value[STORE_VALUE_MAX];
+  LIVE (put, "live/big", 0, 0, value, sizeof value);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_OK);
+  LIVE (put, "live/big", 0, 0, value, sizeof value);
+  CU_ASSERT_EQUAL (fixture.last, STATUS_CONFLICT);
+  store_client_finish (&client);
+  fixture_finish (&fixture);
+}
+
+static const struct test_case live_cases[] = {
+  { "client and stand-in read the interface differently",
+    test_standin_speaks_the_interface },
+};
+
 static const struct test_case cases[] = {
   { "an answer is lost or mixed up", test_answers_and_values },
   { "a sent write without answer is taken for unavailable",
@@ -246,8 +313,14 @@
   { "the queue grows without bound", test_queue_is_bounded },
 };
 
+/// With the port of a running stand-in as argument, tests against that.
 int
-main (void)
+main (int argc, char **argv)
 {
+  if (argc > 1)
+    {
+      standin_port = (uint16_t)strtoul (argv[1], NULL, 10);
+      return testing_run ("store client and stand-in", live_cases, 1);
+    }
   return testing_run ("store client", cases, sizeof cases / sizeof cases[0]);
 }
