--- a/test/functional/store_test.sh
+++ b/test/functional/store_test.sh
@@ -69,7 +69,13 @@
 control "outage=2"
 check "silent outage" 000 "$(curl -s -m 0.3 -o /dev/null -w '%{http_code}' \
   "$url/kv/a/b")"
-control "outage=0&snapshot=1"
+control "outage=0"
+last=$(curl -s -o /dev/null "$url/kv/a/b" \
+  --next -s -o /dev/null -X POST "$url/control?hang_connections=1" \
+  --next -s -m 0.5 -o /dev/null -w '%{http_code}' "$url/kv/a/b")
+check "a hung connection answered" 000 "$last"
+check "a new connection did not work" 200 "$(code "$url/kv/a/b")"
+control "snapshot=1"
 code -X PUT -d new "$url/kv/other?prev=0" >/dev/null
 control "restore=1"
 check "restore kept later content" 404 "$(code "$url/kv/other")"
