Connect moves to the node: evidence, driver, watcher, trips

Cause: the policy needs counts from every caller's node, a place that judges them, and a way to take a move back without the store.

A write of the end whose result stays unknown is repeated and never followed by a take-back for lateness.

--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -414,7 +414,8 @@
   move->evidence = move_judge_update (&move->judge, input->now_ms, &finding);
   uint64_t left
       = move->by_ms > input->wall_ms ? move->by_ms - input->wall_ms : 0;
-  bool finishing = move->write_pending && move->written == MOVE_FINISH;
+  bool finishing = move->finish_unknown
+                   || (move->write_pending && move->written == MOVE_FINISH);
   if (!move->condemned && input->trip_reason != NULL)
     {
       snprintf (move->verdict, sizeof move->verdict, "%s", input->trip_reason);
@@ -431,7 +432,14 @@
     give_up (move, input);
   if (move->condemned)
     act (action, MOVE_TAKE_BACK, "%s", move->verdict);
-  else if (!move->write_pending && input->now_ms >= move->retry_ms && left > 0)
+  else if (move->write_pending || input->now_ms < move->retry_ms)
+    return;
+  else if (finishing && left == 0)
+    {
+      act (action, MOVE_FINISH, "no fault found");
+      action->share_bp = CONFIG_SHARE_ALL;
+    }
+  else if (left > 0)
     plan (move, input, left, action);
   if (action->type == MOVE_WAIT)
     return;
@@ -447,6 +455,10 @@
 {
   assert (move->write_pending);
   move->write_pending = false;
+  if (status == STATUS_UNKNOWN && move->written == MOVE_FINISH)
+    move->finish_unknown = true;
+  else if (status == STATUS_OK || status == STATUS_CONFLICT)
+    move->finish_unknown = false;
   move->store_out = status != STATUS_OK && status != STATUS_CONFLICT;
   /* Also after a success: the version takes a moment to come into force. */
   move->retry_ms = now_ms + RETRY_MS;
--- a/src/coordination/move.h
+++ b/src/coordination/move.h
@@ -84,6 +84,7 @@
   uint64_t first_new_ms; ///< first call to a warm new target, 0: none yet
   uint64_t retry_ms;     ///< no write before
   bool write_pending;    ///< no definite result yet
+  bool finish_unknown;   ///< a write of the end may have taken effect
   bool store_out;        ///< the last write was refused by the store
   enum move_action_type written; ///< action of the last write
   bool condemned;                ///< evidence was significant; permanent
--- /dev/null
+++ b/src/node/node_moves.c
@@ -0,0 +1,293 @@
+/// Owns the running moves as calls see them, the node's trips and the tick.
+#include "node/node_moves.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define TICK_MS 250
+#define BROADCAST_TRIP 3
+
+/// A relay repeats a trip of another node only when it is not recorded after
+/// this time; by then the driver should have done it.
+#define RELAY_REPEAT_MS 10000
+
+static struct counter trips_made
+    = COUNTER ("moves_trips", "moves taken back first by this node");
+static struct counter trips_received
+    = COUNTER ("moves_trips_received", "broadcasts of trips received");
+static struct counter malformed
+    = COUNTER ("moves_trips_malformed", "broadcasts of trips not understood");
+static struct counter cells_dropped = COUNTER (
+    "moves_calls_not_counted", "calls without a place in the evidence table");
+
+static struct moves_entry *
+find_entry (const struct node_moves *moves, uint64_t service_id)
+{
+  for (uint32_t i = 0; i < moves->entry_count; i++)
+    if (moves->entries[i]->service_id == service_id)
+      return moves->entries[i];
+  return NULL;
+}
+
+static struct moves_entry *
+find_named (const struct node_moves *moves, const char *name)
+{
+  for (uint32_t i = 0; i < moves->entry_count; i++)
+    if (strcmp (moves->entries[i]->name, name) == 0)
+      return moves->entries[i];
+  return NULL;
+}
+
+static struct moves_entry *
+add_entry (struct node_moves *moves, const struct config_move *move)
+{
+  struct moves_entry **entries = talloc_realloc (
+      moves, moves->entries, struct moves_entry *, moves->entry_count + 1);
+  if (entries == NULL)
+    return NULL;
+  moves->entries = entries;
+  struct moves_entry *entry = talloc_zero (moves, struct moves_entry);
+  if (entry == NULL)
+    return NULL;
+  snprintf (entry->name, sizeof entry->name, "%s", move->name);
+  snprintf (entry->service, sizeof entry->service, "%s", move->service);
+  snprintf (entry->from, sizeof entry->from, "%s", move->from);
+  snprintf (entry->to, sizeof entry->to, "%s", move->to);
+  entry->id = hash_place_string (entry->name);
+  entry->service_id = hash_place_string (entry->service);
+  entry->step = move->step;
+  trip_watch_init (&entry->watch, clock_monotonic_ms ());
+  entries[moves->entry_count++] = entry;
+  return entry;
+}
+
+/// Follows the configuration in force.
+static void
+follow_config (void *arg, const struct config *config)
+{
+  struct node_moves *moves = arg;
+  trip_follow (&moves->trips, config);
+  for (size_t i = 0; i < config->move_count; i++)
+    {
+      const struct config_move *move = &config->moves[i];
+      if (move->phase != MOVE_RUNNING)
+        continue;
+      struct moves_entry *entry = find_named (moves, move->name);
+      if (entry == NULL)
+        entry = add_entry (moves, move);
+      if (entry == NULL)
+        continue;
+      if (entry->step != move->step)
+        trip_watch_step (&entry->watch);
+      entry->step = move->step;
+      entry->share_bp = move->share_bp;
+      entry->listed = true;
+    }
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < moves->entry_count; i++)
+    {
+      struct moves_entry *entry = moves->entries[i];
+      if (!entry->listed)
+        {
+          talloc_free (entry);
+          continue;
+        }
+      entry->listed = false;
+      moves->entries[kept++] = entry;
+    }
+  moves->entry_count = kept;
+}
+
+static struct moves_route *
+find_route (struct moves_entry *entry, uint64_t route)
+{
+  for (uint32_t i = 0; i < entry->route_count; i++)
+    if (entry->routes[i].route == route)
+      return &entry->routes[i];
+  if (entry->route_count == MOVE_ROUTES_MAX)
+    return NULL;
+  struct moves_route *routes = talloc_realloc (
+      entry, entry->routes, struct moves_route, entry->route_count + 1);
+  if (routes == NULL)
+    return NULL;
+  entry->routes = routes;
+  struct moves_route *added = &routes[entry->route_count++];
+  added->route = route;
+  outcome_percentiles_init (&added->percentiles, clock_monotonic_ms ());
+  return added;
+}
+
+static void
+receive_trip (void *arg, uint64_t origin_slot, const uint8_t *body,
+              size_t size)
+{
+  struct node_moves *moves = arg;
+  struct trip trip;
+  bool added = false;
+  counter_add (&trips_received, 1);
+  if (trip_decode (body, size, &trip) != STATUS_OK
+      || trip_add (&moves->trips, trip.move, trip.reason,
+                   node_is_relay (moves->node),
+                   clock_monotonic_ms () + RELAY_REPEAT_MS, &added)
+             != STATUS_OK)
+    {
+      counter_add (&malformed, 1);
+      return;
+    }
+  trip_follow (&moves->trips, follow_current (node_follow (moves->node)));
+  if (added)
+    log_event (LOG_LEVEL_WARNING, "move_tripped",
+               "move=%s origin=%016llx reason=\"%s\"", trip.move,
+               (unsigned long long)origin_slot, trip.reason);
+}
+
+static void
+send_trip (void *arg, const struct trip *trip)
+{
+  struct node_moves *moves = arg;
+  uint8_t *bytes = NULL;
+  size_t size = 0;
+  if (trip_encode (trip->move, trip->reason, moves, &bytes, &size)
+      != STATUS_OK)
+    return;
+  node_mesh_broadcast (moves->node, BROADCAST_TRIP, bytes, size);
+  talloc_free (bytes);
+}
+
+/// Refreshes the limits and checks the node's own evidence.
+static void
+watch_entries (struct node_moves *moves, uint64_t now_ms)
+{
+  for (uint32_t i = 0; i < moves->entry_count; i++)
+    {
+      struct moves_entry *entry = moves->entries[i];
+      for (uint32_t k = 0; k < entry->route_count; k++)
+        outcome_percentiles_refresh (&entry->routes[k].percentiles, now_ms);
+      if (!trip_watch_check (&entry->watch, now_ms)
+          || trip_find (&moves->trips, entry->name) != NULL)
+        continue;
+      char reason[TRIP_REASON_MAX + 1];
+      snprintf (reason, sizeof reason,
+                "%s fails more often than %s, seen by node %s alone",
+                entry->to, entry->from, moves->node->settings.slot);
+      node_moves_trip (moves, entry->name, reason);
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short events, void *arg)
+{
+  struct node_moves *moves = arg;
+  uint64_t now_ms = clock_monotonic_ms ();
+  watch_entries (moves, now_ms);
+  node_moves_send (moves, now_ms);
+  node_moves_judge (moves, now_ms);
+  trip_repeat (&moves->trips, now_ms, send_trip, moves);
+}
+
+void
+node_moves_trip (struct node_moves *moves, const char *name,
+                 const char *reason)
+{
+  bool added = false;
+  uint64_t now_ms = clock_monotonic_ms ();
+  enum status status
+      = trip_add (&moves->trips, name, reason, true, now_ms, &added);
+  if (status != STATUS_OK || !added)
+    return;
+  counter_add (&trips_made, 1);
+  log_event (LOG_LEVEL_WARNING, "move_tripped",
+             "move=%s origin=self reason=\"%s\"", name, reason);
+  trip_repeat (&moves->trips, now_ms, send_trip, moves);
+}
+
+enum status
+node_moves_start (struct node *node)
+{
+  struct node_moves *moves = talloc_zero (NULL, struct node_moves);
+  if (moves == NULL)
+    return status_set (STATUS_NO_MEMORY, "moves: no memory");
+  moves->node = node;
+  moves->boot = rng_u64 (&node->rng);
+  trip_table_init (&moves->trips);
+  outcome_table_init (&moves->own);
+  moves->tick = event_new (node->base, -1, EV_PERSIST, on_tick, moves);
+  struct timeval interval = { 0, TICK_MS * 1000 };
+  if (moves->tick == NULL || event_add (moves->tick, &interval) != 0)
+    {
+      if (moves->tick != NULL)
+        event_free (moves->tick);
+      talloc_free (moves);
+      return status_set (STATUS_NO_MEMORY, "moves: no timer");
+    }
+  node->moves = moves;
+  peer_handle (node_peers (node), EVIDENCE_TYPE, node_moves_receive, moves);
+  node_mesh_on_broadcast (node, BROADCAST_TRIP, receive_trip, moves);
+  node_mesh_on_version (node, follow_config, moves);
+  follow_config (moves, follow_current (node_follow (node)));
+  return STATUS_OK;
+}
+
+void
+node_moves_stop (struct node *node)
+{
+  struct node_moves *moves = node->moves;
+  if (moves == NULL)
+    return;
+  event_free (moves->tick);
+  node_moves_driver_finish (moves);
+  node_moves_evidence_finish (moves);
+  trip_table_finish (&moves->trips);
+  outcome_table_finish (&moves->own);
+  node->moves = NULL;
+  talloc_free (moves);
+}
+
+uint32_t
+node_moves_share (const struct node *node, const char *service,
+                  const char **to)
+{
+  const struct node_moves *moves = node->moves;
+  *to = NULL;
+  if (moves == NULL || moves->entry_count == 0)
+    return 0;
+  const struct moves_entry *entry
+      = find_entry (moves, hash_place_string (service));
+  if (entry == NULL)
+    return 0;
+  *to = entry->to;
+  return trip_find (&moves->trips, entry->name) != NULL ? 0 : entry->share_bp;
+}
+
+void
+node_moves_observe (struct node *node, const char *service, const char *route,
+                    const char *target_version, const char *availability_zone,
+                    bool cold_target, bool failed, uint32_t latency_us)
+{
+  struct node_moves *moves = node->moves;
+  if (moves == NULL || moves->entry_count == 0 || cold_target)
+    return;
+  struct moves_entry *entry = find_entry (moves, hash_place_string (service));
+  if (entry == NULL)
+    return;
+  bool new_version = strcmp (target_version, entry->to) == 0;
+  if (!new_version && strcmp (target_version, entry->from) != 0)
+    return;
+  struct outcome_key key
+      = { entry->id, hash_place_string (route),
+          hash_place_string (availability_zone), entry->step,
+          new_version ? OUTCOME_NEW : OUTCOME_OLD };
+  struct moves_route *limits = find_route (entry, key.route);
+  struct outcome_counts counts = outcome_of_call (
+      limits == NULL ? NULL : &limits->percentiles, failed, latency_us);
+  if (outcome_add (&moves->own, &key, &counts) != STATUS_OK)
+    counter_add (&cells_dropped, 1);
+  if (limits != NULL && !new_version && !failed)
+    outcome_percentiles_add (&limits->percentiles, latency_us);
+  trip_watch_count (&entry->watch, new_version, failed);
+}
--- a/src/state/outcome.c
+++ b/src/state/outcome.c
@@ -3,6 +3,7 @@
 
 #include "base/hash.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -45,6 +46,15 @@
   return &table->index[at];
 }
 
+static void
+build_index (struct outcome_table *table)
+{
+  memset (table->index, 0xff,
+          (size_t)table->index_size * sizeof *table->index);
+  for (uint32_t i = 0; i < table->count; i++)
+    *find_entry (table, &table->cells[i].key) = i;
+}
+
 static enum status
 grow (struct outcome_table *table)
 {
@@ -61,9 +71,7 @@
   table->index = index;
   table->index_size = capacity * 2;
   table->capacity = capacity;
-  memset (index, 0xff, (size_t)table->index_size * sizeof *index);
-  for (uint32_t i = 0; i < table->count; i++)
-    *find_entry (table, &table->cells[i].key) = i;
+  build_index (table);
   return STATUS_OK;
 }
 
@@ -107,12 +115,18 @@
 }
 
 void
-outcome_table_clear (struct outcome_table *table)
+outcome_table_truncate (struct outcome_table *table, uint32_t count)
 {
-  table->count = 0;
+  assert (count <= table->count);
+  table->count = count;
   if (table->index != NULL)
-    memset (table->index, 0xff,
-            (size_t)table->index_size * sizeof *table->index);
+    build_index (table);
+}
+
+void
+outcome_table_clear (struct outcome_table *table)
+{
+  outcome_table_truncate (table, 0);
 }
 
 bool
--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -65,6 +65,9 @@
 /// Forgets all cells and keeps the memory.
 void outcome_table_clear (struct outcome_table *table);
 
+/// Forgets the cells from `count` on.
+void outcome_table_truncate (struct outcome_table *table, uint32_t count);
+
 /// Adds a delta to a cell.
 /// @return STATUS_TOO_LARGE past OUTCOME_CELLS_MAX, STATUS_INVALID for counts
 ///         that contradict each other, STATUS_NO_MEMORY
