--- a/bench/move_scenarios.h
+++ b/bench/move_scenarios.h
@@ -17,6 +17,7 @@
   bool lost_answers;      ///< every second write answers late
   int32_t clock_error_ms; ///< of the driver's wall clock
   bool misleading_health; ///< the health endpoint says that all is well
+  bool shows_late;        ///< the fault cannot show at a share of 5%
   bool twice;             ///< a second move with the same fault follows
 };
 
