Compare slow answers with the old version at its usual load

Change: above a share of 5% a node's percentile limits may rise but not fall, and the old version counts as slow at least at the nominal rate. Both only weaken the evidence, so the bound on false alarms holds.

What remains is a lost target under rising load.

--- a/bench/move_model.c
+++ b/bench/move_model.c
@@ -207,7 +207,8 @@
   double shift = state->shift;
   if (fault->slow_factor > 0)
     shift += log (1 + (fault->slow_factor - 1) * strength);
-  double limit = model->limit_error[route] + (old->shift - shift);
+  double limit = model->limit_error[route]
+                 + fmax (old->shift, model->reference) - shift;
   struct rates rates;
   rates.errors = fmin (state->errors + fault->error_rate * strength, 1);
   rates.above50
@@ -342,6 +343,8 @@
   double cold = cold_state (model, &sides[OUTCOME_NEW].cold_part);
   sides[OUTCOME_NEW].shift = log (load_factor (new_used) * speed * cold);
   double strength = share > 0 ? fault_strength (model, new_used) : 0;
+  if (share <= 0.05)
+    model->reference = sides[OUTCOME_OLD].shift;
 
   model->calls = model->new_calls = model->harmed = 0;
   memset (model->node, 0, sizeof model->node);
--- a/bench/move_model.h
+++ b/bench/move_model.h
@@ -64,6 +64,7 @@
   struct model_rng rng;
   uint64_t now_ms;       ///< since the start of the move
   uint64_t first_new_ms; ///< first call of the new version, UINT64_MAX: none
+  double reference;      ///< old version's slowdown at a share of at most 5%
   double limit_error[MODEL_ROUTES_MAX]; ///< of the percentiles, logarithm
   struct outcome_counts counts[MODEL_ROUTES_MAX][MODEL_ZONES][OUTCOME_SIDES];
   struct outcome_counts node[OUTCOME_SIDES]; ///< seen by one caller's node
--- a/src/coordination/move_judge.c
+++ b/src/coordination/move_judge.c
@@ -18,6 +18,13 @@
 /// The total, the routes and the zones get a third each.
 #define LEVELS 3
 
+/// Part of the old version's answers above its percentiles, as long as it
+/// carries its usual load.
+static const double nominal_parts[MOVE_MEASURES] = { 0, 0.5, 0.01 };
+
+/// Surplus of slow answers of the old version that may make up for later ones.
+#define OWED_MIN (-20)
+
 static uint32_t
 find_route (struct move_judge *judge, uint64_t route)
 {
@@ -100,6 +107,22 @@
                                                : new->slow99;
 }
 
+/// Lets the old version count as slow as its percentiles say. It answers
+/// faster when calls move away from it, and the new version must not be called
+/// slow for that. More events of the old version only weaken the evidence.
+static void
+add_owed (struct seqtest_block *block, double part, double *owed)
+{
+  *owed += part * block->old_calls - block->old_events;
+  if (*owed < OWED_MIN)
+    *owed = OWED_MIN;
+  if (*owed < 1)
+    return;
+  double events = fmin (floor (*owed), block->old_calls - block->old_events);
+  block->old_events += (uint32_t)events;
+  *owed -= events;
+}
+
 static void
 add_logs (double sum[SEQTEST_RATIOS], const double logs[SEQTEST_RATIOS])
 {
@@ -124,6 +147,9 @@
           if (!ready[r][z])
             continue;
           measure_block (judge->pending[r][z], measure, &block);
+          if (measure != MOVE_ERRORS)
+            add_owed (&block, nominal_parts[measure],
+                      &judge->owed[r][z][measure]);
           if (block.new_events + (uint64_t)block.old_events == 0)
             continue;
           seqtest_log_ratios (&judge->settings->ratios[measure], &block, logs);
--- a/src/coordination/move_judge.h
+++ b/src/coordination/move_judge.h
@@ -49,6 +49,7 @@
   uint64_t zones[MOVE_ZONES_MAX];
   struct outcome_counts pending[MOVE_ROUTES_MAX][MOVE_ZONES_MAX]
                                [OUTCOME_SIDES];
+  double owed[MOVE_ROUTES_MAX][MOVE_ZONES_MAX][MOVE_MEASURES];
   struct seqtest total_tests[MOVE_MEASURES];
   struct seqtest route_tests[MOVE_ROUTES_MAX][MOVE_MEASURES];
   struct seqtest zone_tests[MOVE_ZONES_MAX][MOVE_MEASURES];
--- a/src/node/node_moves.c
+++ b/src/node/node_moves.c
@@ -12,6 +12,9 @@
 #define TICK_MS 250
 #define BROADCAST_TRIP 3
 
+/// Up to this share the old version carries its usual load.
+#define USUAL_LOAD_BP 500
+
 /// A relay repeats a trip of another node only when it is not recorded after
 /// this time; by then the driver should have done it.
 #define RELAY_REPEAT_MS 10000
@@ -167,7 +170,8 @@
     {
       struct moves_entry *entry = moves->entries[i];
       for (uint32_t k = 0; k < entry->route_count; k++)
-        outcome_percentiles_refresh (&entry->routes[k].percentiles, now_ms);
+        outcome_percentiles_refresh (&entry->routes[k].percentiles, now_ms,
+                                     entry->share_bp > USUAL_LOAD_BP);
       if (!trip_watch_check (&entry->watch, now_ms)
           || trip_find (&moves->trips, entry->name) != NULL)
         continue;
--- a/src/state/outcome.c
+++ b/src/state/outcome.c
@@ -191,11 +191,13 @@
 
 void
 outcome_percentiles_refresh (struct outcome_percentiles *percentiles,
-                             uint64_t now_ms)
+                             uint64_t now_ms, bool relieved)
 {
   if (percentiles->total < PERCENTILE_ANSWERS_MIN)
     return;
   uint64_t seen = 0;
+  uint32_t held50_us = percentiles->p50_us;
+  uint32_t held99_us = percentiles->p99_us;
   percentiles->p50_us = 0;
   for (uint32_t i = 0; i < OUTCOME_BUCKETS; i++)
     {
@@ -207,6 +209,10 @@
       percentiles->p99_us = bucket_end (i);
       break;
     }
+  if (relieved && percentiles->p50_us < held50_us)
+    percentiles->p50_us = held50_us;
+  if (relieved && percentiles->p99_us < held99_us)
+    percentiles->p99_us = held99_us;
   if (percentiles->total < PERCENTILE_HALVE_ABOVE
       || now_ms < percentiles->halved_ms + PERCENTILE_HALF_LIFE_MS)
     return;
--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -105,8 +105,10 @@
 
 /// Sets the limits for the next interval. Called between intervals, so that
 /// the limits do not depend on the calls that they are applied to.
+/// @param relieved  the old version has lost part of its usual load: the
+///                  limits may rise but not fall
 void outcome_percentiles_refresh (struct outcome_percentiles *percentiles,
-                                  uint64_t now_ms);
+                                  uint64_t now_ms, bool relieved);
 
 /// Turns one call into a delta.
 /// @param limits  NULL or without limits: latency is not compared
--- a/test/unit/outcome_test.c
+++ b/test/unit/outcome_test.c
@@ -86,17 +86,24 @@
   outcome_percentiles_init (&limits, 0);
   for (uint32_t i = 1; i <= 30; i++)
     outcome_percentiles_add (&limits, i * 1000);
-  outcome_percentiles_refresh (&limits, 250);
+  outcome_percentiles_refresh (&limits, 250, false);
   CU_ASSERT_EQUAL (outcome_of_call (&limits, false, 1).timed, 0);
   for (uint32_t i = 31; i <= 1000; i++)
     outcome_percentiles_add (&limits, i * 1000);
-  outcome_percentiles_refresh (&limits, 500);
+  outcome_percentiles_refresh (&limits, 500, false);
   CU_ASSERT (limits.p50_us >= 500000 && limits.p50_us <= 563000);
   CU_ASSERT (limits.p99_us >= 990000 && limits.p99_us <= 1114000);
   CU_ASSERT_EQUAL (outcome_of_call (&limits, false, 600000).slow50, 1);
   CU_ASSERT_EQUAL (outcome_of_call (&limits, false, 600000).slow99, 0);
   CU_ASSERT_EQUAL (outcome_of_call (&limits, true, 2000000).timed, 0);
   CU_ASSERT_EQUAL (outcome_of_call (&limits, false, UINT32_MAX).slow99, 1);
+  uint32_t held_us = limits.p50_us;
+  for (uint32_t i = 0; i < 5000; i++)
+    outcome_percentiles_add (&limits, 1000);
+  outcome_percentiles_refresh (&limits, 750, true);
+  CU_ASSERT_EQUAL (limits.p50_us, held_us);
+  outcome_percentiles_refresh (&limits, 1000, false);
+  CU_ASSERT (limits.p50_us < 2000);
 }
 
 static const struct test_case cases[] = {
