--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -45,6 +45,8 @@
   .warm_max_ms = 30000,
   .route_calls = 20,
   .expected_calls = 3,
+  .load_window_ms = 4000,
+  .load_excess = 1.0,
   .slots_part = 0.75,
 };
 
@@ -218,6 +220,31 @@
   move_judge_step (&move->judge);
 }
 
+/// Compares the calls per slot of the new version with those that the old one
+/// had while it carried the traffic. Targets that get more are expected to
+/// answer slower, whatever their version.
+static void
+follow_load (struct move *move, const struct move_input *input)
+{
+  const struct move_settings *settings = move->settings;
+  uint32_t careful_bp = settings->shares_bp[settings->careful_count - 1];
+  uint64_t elapsed = input->now_ms - move->window_ms;
+  if (elapsed >= settings->load_window_ms)
+    {
+      double span = (double)elapsed;
+      double old_load = (double)move->window_calls[OUTCOME_OLD] / span;
+      move->new_load = (double)move->window_calls[OUTCOME_NEW] / span;
+      if (input->old_slots > 0 && move->share_bp <= careful_bp
+          && old_load / input->old_slots > move->usual_load)
+        move->usual_load = old_load / input->old_slots;
+      memset (move->window_calls, 0, sizeof move->window_calls);
+      move->window_ms = input->now_ms;
+    }
+  move->crowded = move->usual_load > 0
+                  && move->new_load > settings->load_excess * move->usual_load
+                                          * input->new_slots;
+}
+
 /// Gives each warning once.
 static void
 warn (struct move *move, struct move_action *action, const char *text)
@@ -376,6 +403,7 @@
   move->step = input->move->step;
   move->share_bp = input->move->share_bp;
   move->step_ms = input->now_ms;
+  move->window_ms = input->now_ms;
   uint32_t index = index_of_share (settings, move->share_bp);
   move->start_index = index < settings->share_count ? index : 0;
   move_judge_init (&move->judge, &settings->judge, expected_routes,
@@ -395,8 +423,9 @@
   uint64_t warm_ms
       = clamp (move->settings->warm_part * (double)move->duration_ms,
                move->settings->warm_min_ms, move->settings->warm_max_ms);
-  bool warm
-      = move->first_new_ms != 0 && now_ms >= move->first_new_ms + warm_ms;
+  move->window_calls[key->side] += counts->calls;
+  bool warm = !move->crowded && move->first_new_ms != 0
+              && now_ms >= move->first_new_ms + warm_ms;
   move_judge_add (&move->judge, key->route, key->availability_zone, key->side,
                   counts, warm);
   return STATUS_OK;
@@ -410,6 +439,7 @@
   if (input->move->phase != MOVE_RUNNING)
     return;
   follow_step (move, input);
+  follow_load (move, input);
   struct move_finding finding = { 0 };
   move->evidence = move_judge_update (&move->judge, input->now_ms, &finding);
   uint64_t left
--- a/src/coordination/move.h
+++ b/src/coordination/move.h
@@ -27,9 +27,12 @@
   double warm_part;      ///< part of the time before latency is judged
   uint32_t warm_min_ms;
   uint32_t warm_max_ms;
-  uint32_t route_calls;  ///< calls of each version on a route for a step
-  double expected_calls; ///< with this many expected, none is suspicious
-  double slots_part;     ///< new slots that suffice per old slot
+  uint32_t route_calls;    ///< calls of each version on a route for a step
+  double expected_calls;   ///< with this many expected, none is suspicious
+  uint32_t load_window_ms; ///< window in which calls per slot are counted
+  double load_excess; ///< latency is not judged while the new slots get more
+                      ///< calls than this times the old ones' usual number
+  double slots_part;  ///< new slots that suffice per old slot
 };
 
 extern const struct move_settings move_defaults;
@@ -82,10 +85,15 @@
   uint32_t share_bp;
   uint64_t step_ms;      ///< monotonic time at which the step was seen
   uint64_t first_new_ms; ///< first call to a warm new target, 0: none yet
-  uint64_t retry_ms;     ///< no write before
-  bool write_pending;    ///< no definite result yet
-  bool finish_unknown;   ///< a write of the end may have taken effect
-  bool store_out;        ///< the last write was refused by the store
+  uint64_t window_ms;    ///< start of the load window
+  uint64_t window_calls[OUTCOME_SIDES];
+  double usual_load;   ///< most calls per ms and old slot at small shares
+  double new_load;     ///< calls per ms of the new version
+  bool crowded;        ///< the new slots get more calls than is usual
+  uint64_t retry_ms;   ///< no write before
+  bool write_pending;  ///< no definite result yet
+  bool finish_unknown; ///< a write of the end may have taken effect
+  bool store_out;      ///< the last write was refused by the store
   enum move_action_type written; ///< action of the last write
   bool condemned;                ///< evidence was significant; permanent
   double evidence;               ///< latest value, significant from 1 on
