Model the watcher beside a paused driver

Cause: with the driver paused, a slow version kept its share for up to 22.5 s after the evidence was significant, because a new driver begins with no evidence and waits for caches to fill.

Change: the model has the watcher that the node already has; a driver that takes over a move with a share judges latency at once.

--- a/bench/move_run.c
+++ b/bench/move_run.c
@@ -24,7 +24,8 @@
 /// is effective but not recorded shows.
 #define AFTER_MS 5000
 
-#define DRIVERS 2
+/// The driver, the member that takes over while it is paused, and the watcher.
+#define DRIVERS 3
 
 struct driver
 {
@@ -170,6 +171,26 @@
         }
 }
 
+/// The watcher gets the same evidence and only trips. It makes a difference in
+/// runs with a pause only; elsewhere its view equals the driver's.
+static void
+tick_watcher (struct run *run, uint64_t now_ms)
+{
+  struct driver *watcher = &run->drivers[2];
+  struct move_input input = make_input (run, &run->config, now_ms);
+  struct move_action action;
+  if (run->scenario->paused_s == 0)
+    return;
+  if (!watcher->running)
+    start_driver (run, watcher, now_ms);
+  feed_driver (run, watcher, now_ms);
+  move_tick (&watcher->move, &input, &action);
+  if (action.type == MOVE_TAKE_BACK && watcher->move.evidence >= 1)
+    trip (run, action.reason, now_ms);
+  if (action.type != MOVE_WAIT && action.write)
+    move_written (&watcher->move, STATUS_CONFLICT, now_ms);
+}
+
 static void
 tick_product (struct run *run, uint64_t now_ms)
 {
@@ -196,6 +217,7 @@
       feed_driver (run, active, now_ms);
       tick_driver (run, active, &run->config, now_ms);
     }
+  tick_watcher (run, now_ms);
   for (int side = 0; side < OUTCOME_SIDES; side++)
     {
       const struct outcome_counts *node = &run->model.node[side];
--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -404,6 +404,7 @@
   move->share_bp = input->move->share_bp;
   move->step_ms = input->now_ms;
   move->window_ms = input->now_ms;
+  move->warmed = input->move->share_bp > 0;
   uint32_t index = index_of_share (settings, move->share_bp);
   move->start_index = index < settings->share_count ? index : 0;
   move_judge_init (&move->judge, &settings->judge, expected_routes,
@@ -424,10 +425,11 @@
       = clamp (move->settings->warm_part * (double)move->duration_ms,
                move->settings->warm_min_ms, move->settings->warm_max_ms);
   move->window_calls[key->side] += counts->calls;
-  bool warm = !move->crowded && move->first_new_ms != 0
-              && now_ms >= move->first_new_ms + warm_ms;
+  bool warm
+      = move->warmed
+        || (move->first_new_ms != 0 && now_ms >= move->first_new_ms + warm_ms);
   move_judge_add (&move->judge, key->route, key->availability_zone, key->side,
-                  counts, warm);
+                  counts, warm && !move->crowded);
   return STATUS_OK;
 }
 
