Start at a smaller share when traffic is low

Cause: a service with 5 calls a second started at 5%, so that a bad version got up to 7.0% of the calls before it was found.

Change: the first share is the smallest one that can be expected to get three calls in its part of the plan, instead of twenty.

Nothing else changes.

--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -256,8 +256,8 @@
   action->share_bp = move->share_bp;
 }
 
-/// @return index of the share to start with: the smallest one that gives
-/// enough calls in its part of the plan
+/// @return index of the share to start with: the smallest one that can be
+/// expected to get calls in its part of the plan
 static uint32_t
 first_index (const struct move *move, uint64_t elapsed_ms)
 {
@@ -270,7 +270,7 @@
     {
       double span = (double)(move_due (move, i) - move_due (move, i + 1));
       if (per_ms * span * settings->shares_bp[i] / CONFIG_SHARE_ALL
-          >= settings->route_calls)
+          >= settings->expected_calls)
         return i;
     }
   return settings->careful_count - 1;
