--- a/bench/move_model.c
+++ b/bench/move_model.c
@@ -146,6 +146,8 @@
   const struct model_setup *setup = model->setup;
   double factor = 1;
   *cold_part = 0;
+  if (setup->fault.always_cold)
+    *cold_part = 1;
   if (setup->cold_factor <= 0)
     return factor;
   if (model->first_new_ms != UINT64_MAX)
@@ -229,12 +231,12 @@
   model->calls += calls;
   if (side == OUTCOME_NEW)
     model->new_calls += calls;
-  calls -= draw_binomial (&model->rng, calls, cold_part);
   counts->calls = calls;
   counts->errors = draw_binomial (&model->rng, calls, rates->errors);
   if (model->errors_only)
     return;
   counts->timed = calls - counts->errors;
+  counts->timed -= draw_binomial (&model->rng, counts->timed, cold_part);
   counts->slow50 = draw_binomial (&model->rng, counts->timed, rates->above50);
   counts->slow99 = draw_binomial (&model->rng, counts->slow50,
                                   rates->above99 / rates->above50);
--- a/bench/move_model.h
+++ b/bench/move_model.h
@@ -22,6 +22,7 @@
   uint32_t start_s;   ///< since the start of the move
   uint32_t rise_s;    ///< time from none to the full fault
   uint32_t period_s;  ///< on and off with this period, 0: always on
+  bool always_cold;   ///< targets crash and come back before they are warm
   double above_load;  ///< only while the new slots are used above this
   int route;          ///< only on this route, -1: all
   int zone;           ///< only in this zone, -1: all
--- a/src/coordination/move.h
+++ b/src/coordination/move.h
@@ -85,7 +85,7 @@
   uint32_t share_bp;
   uint64_t step_ms;      ///< monotonic time at which the step was seen
   bool warmed;           ///< the new version served before this view began
-  uint64_t first_new_ms; ///< first call to a warm new target, 0: none yet
+  uint64_t first_new_ms; ///< first call of the new version, 0: none yet
   uint64_t window_ms;    ///< start of the load window
   uint64_t window_calls[OUTCOME_SIDES];
   double usual_load;   ///< most calls per ms and old slot at small shares
--- a/src/coordination/trip.h
+++ b/src/coordination/trip.h
@@ -66,7 +66,7 @@
 
 void trip_watch_init (struct trip_watch *watch, uint64_t now_ms);
 
-/// Counts one call to a target that is not cold.
+/// Counts one call.
 void trip_watch_count (struct trip_watch *watch, bool new_version,
                        bool failed);
 
--- a/src/node/node_moves.c
+++ b/src/node/node_moves.c
@@ -274,7 +274,7 @@
                     bool cold_target, bool failed, uint32_t latency_us)
 {
   struct node_moves *moves = node->moves;
-  if (moves == NULL || moves->entry_count == 0 || cold_target)
+  if (moves == NULL || moves->entry_count == 0)
     return;
   struct moves_entry *entry = find_entry (moves, hash_place_string (service));
   if (entry == NULL)
@@ -287,11 +287,14 @@
           hash_place_string (availability_zone), entry->step,
           new_version ? OUTCOME_NEW : OUTCOME_OLD };
   struct moves_route *limits = find_route (entry, key.route);
+  /* Cold targets may be slow, but they must not fail: a version that crashes
+     again and again never gets warm. */
+  bool timed = limits != NULL && !cold_target;
   struct outcome_counts counts = outcome_of_call (
-      limits == NULL ? NULL : &limits->percentiles, failed, latency_us);
+      timed ? &limits->percentiles : NULL, failed, latency_us);
   if (outcome_add (&moves->own, &key, &counts) != STATUS_OK)
     counter_add (&cells_dropped, 1);
-  if (limits != NULL && !new_version && !failed)
+  if (timed && !new_version && !failed)
     outcome_percentiles_add (&limits->percentiles, latency_us);
   trip_watch_count (&entry->watch, new_version, failed);
 }
--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -37,9 +37,9 @@
 /// same limits at the same time.
 struct outcome_counts
 {
-  uint32_t calls;  ///< calls to targets that are not cold
+  uint32_t calls;
   uint32_t errors; ///< of those, without usable answer
-  uint32_t timed;  ///< answers that were compared with the percentiles
+  uint32_t timed;  ///< answers of warm targets, compared with the percentiles
   uint32_t slow50; ///< of those, above the 50th percentile
   uint32_t slow99; ///< of those, above the 99th percentile
 };
