--- a/src/state/outcome.h
+++ b/src/state/outcome.h
@@ -37,9 +37,9 @@
 /// same limits at the same time.
 struct outcome_counts
 {
-  uint32_t calls;  ///< calls to targets that are not cold
+  uint32_t calls;
   uint32_t errors; ///< of those, without usable answer
-  uint32_t timed;  ///< answers that were compared with the percentiles
+  uint32_t timed;  ///< answers of warm targets, compared with the percentiles
   uint32_t slow50; ///< of those, above the 50th percentile
   uint32_t slow99; ///< of those, above the 99th percentile
 };
@@ -65,6 +65,9 @@
 /// Forgets all cells and keeps the memory.
 void outcome_table_clear (struct outcome_table *table);
 
+/// Forgets the cells from `count` on.
+void outcome_table_truncate (struct outcome_table *table, uint32_t count);
+
 /// Adds a delta to a cell.
 /// @return STATUS_TOO_LARGE past OUTCOME_CELLS_MAX, STATUS_INVALID for counts
 ///         that contradict each other, STATUS_NO_MEMORY
@@ -102,8 +105,10 @@
 
 /// Sets the limits for the next interval. Called between intervals, so that
 /// the limits do not depend on the calls that they are applied to.
+/// @param relieved  the old version has lost part of its usual load: the
+///                  limits may rise but not fall
 void outcome_percentiles_refresh (struct outcome_percentiles *percentiles,
-                                  uint64_t now_ms);
+                                  uint64_t now_ms, bool relieved);
 
 /// Turns one call into a delta.
 /// @param limits  NULL or without limits: latency is not compared
