--- a/bench/move_model.h
+++ b/bench/move_model.h
@@ -22,6 +22,7 @@
   uint32_t start_s;   ///< since the start of the move
   uint32_t rise_s;    ///< time from none to the full fault
   uint32_t period_s;  ///< on and off with this period, 0: always on
+  bool always_cold;   ///< targets crash and come back before they are warm
   double above_load;  ///< only while the new slots are used above this
   int route;          ///< only on this route, -1: all
   int zone;           ///< only in this zone, -1: all
@@ -64,6 +65,7 @@
   struct model_rng rng;
   uint64_t now_ms;       ///< since the start of the move
   uint64_t first_new_ms; ///< first call of the new version, UINT64_MAX: none
+  double reference;      ///< old version's slowdown at a share of at most 5%
   double limit_error[MODEL_ROUTES_MAX]; ///< of the percentiles, logarithm
   struct outcome_counts counts[MODEL_ROUTES_MAX][MODEL_ZONES][OUTCOME_SIDES];
   struct outcome_counts node[OUTCOME_SIDES]; ///< seen by one caller's node
--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -45,6 +45,8 @@
   .warm_max_ms = 30000,
   .route_calls = 20,
   .expected_calls = 3,
+  .load_window_ms = 4000,
+  .load_excess = 1.0,
   .slots_part = 0.75,
 };
 
@@ -218,6 +220,31 @@
   move_judge_step (&move->judge);
 }
 
+/// Compares the calls per slot of the new version with those that the old one
+/// had while it carried the traffic. Targets that get more are expected to
+/// answer slower, whatever their version.
+static void
+follow_load (struct move *move, const struct move_input *input)
+{
+  const struct move_settings *settings = move->settings;
+  uint32_t careful_bp = settings->shares_bp[settings->careful_count - 1];
+  uint64_t elapsed = input->now_ms - move->window_ms;
+  if (elapsed >= settings->load_window_ms)
+    {
+      double span = (double)elapsed;
+      double old_load = (double)move->window_calls[OUTCOME_OLD] / span;
+      move->new_load = (double)move->window_calls[OUTCOME_NEW] / span;
+      if (input->old_slots > 0 && move->share_bp <= careful_bp
+          && old_load / input->old_slots > move->usual_load)
+        move->usual_load = old_load / input->old_slots;
+      memset (move->window_calls, 0, sizeof move->window_calls);
+      move->window_ms = input->now_ms;
+    }
+  move->crowded = move->usual_load > 0
+                  && move->new_load > settings->load_excess * move->usual_load
+                                          * input->new_slots;
+}
+
 /// Gives each warning once.
 static void
 warn (struct move *move, struct move_action *action, const char *text)
@@ -229,8 +256,8 @@
   action->share_bp = move->share_bp;
 }
 
-/// @return index of the share to start with: the smallest one that gives
-/// enough calls in its part of the plan
+/// @return index of the share to start with: the smallest one that can be
+/// expected to get calls in its part of the plan
 static uint32_t
 first_index (const struct move *move, uint64_t elapsed_ms)
 {
@@ -243,7 +270,7 @@
     {
       double span = (double)(move_due (move, i) - move_due (move, i + 1));
       if (per_ms * span * settings->shares_bp[i] / CONFIG_SHARE_ALL
-          >= settings->route_calls)
+          >= settings->expected_calls)
         return i;
     }
   return settings->careful_count - 1;
@@ -376,6 +403,8 @@
   move->step = input->move->step;
   move->share_bp = input->move->share_bp;
   move->step_ms = input->now_ms;
+  move->window_ms = input->now_ms;
+  move->warmed = input->move->share_bp > 0;
   uint32_t index = index_of_share (settings, move->share_bp);
   move->start_index = index < settings->share_count ? index : 0;
   move_judge_init (&move->judge, &settings->judge, expected_routes,
@@ -395,10 +424,12 @@
   uint64_t warm_ms
       = clamp (move->settings->warm_part * (double)move->duration_ms,
                move->settings->warm_min_ms, move->settings->warm_max_ms);
+  move->window_calls[key->side] += counts->calls;
   bool warm
-      = move->first_new_ms != 0 && now_ms >= move->first_new_ms + warm_ms;
+      = move->warmed
+        || (move->first_new_ms != 0 && now_ms >= move->first_new_ms + warm_ms);
   move_judge_add (&move->judge, key->route, key->availability_zone, key->side,
-                  counts, warm);
+                  counts, warm && !move->crowded);
   return STATUS_OK;
 }
 
@@ -410,11 +441,13 @@
   if (input->move->phase != MOVE_RUNNING)
     return;
   follow_step (move, input);
+  follow_load (move, input);
   struct move_finding finding = { 0 };
   move->evidence = move_judge_update (&move->judge, input->now_ms, &finding);
   uint64_t left
       = move->by_ms > input->wall_ms ? move->by_ms - input->wall_ms : 0;
-  bool finishing = move->write_pending && move->written == MOVE_FINISH;
+  bool finishing = move->finish_unknown
+                   || (move->write_pending && move->written == MOVE_FINISH);
   if (!move->condemned && input->trip_reason != NULL)
     {
       snprintf (move->verdict, sizeof move->verdict, "%s", input->trip_reason);
@@ -431,7 +464,14 @@
     give_up (move, input);
   if (move->condemned)
     act (action, MOVE_TAKE_BACK, "%s", move->verdict);
-  else if (!move->write_pending && input->now_ms >= move->retry_ms && left > 0)
+  else if (move->write_pending || input->now_ms < move->retry_ms)
+    return;
+  else if (finishing && left == 0)
+    {
+      act (action, MOVE_FINISH, "no fault found");
+      action->share_bp = CONFIG_SHARE_ALL;
+    }
+  else if (left > 0)
     plan (move, input, left, action);
   if (action->type == MOVE_WAIT)
     return;
@@ -447,6 +487,10 @@
 {
   assert (move->write_pending);
   move->write_pending = false;
+  if (status == STATUS_UNKNOWN && move->written == MOVE_FINISH)
+    move->finish_unknown = true;
+  else if (status == STATUS_OK || status == STATUS_CONFLICT)
+    move->finish_unknown = false;
   move->store_out = status != STATUS_OK && status != STATUS_CONFLICT;
   /* Also after a success: the version takes a moment to come into force. */
   move->retry_ms = now_ms + RETRY_MS;
--- a/src/state/outcome.c
+++ b/src/state/outcome.c
@@ -3,6 +3,7 @@
 
 #include "base/hash.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -45,6 +46,15 @@
   return &table->index[at];
 }
 
+static void
+build_index (struct outcome_table *table)
+{
+  memset (table->index, 0xff,
+          (size_t)table->index_size * sizeof *table->index);
+  for (uint32_t i = 0; i < table->count; i++)
+    *find_entry (table, &table->cells[i].key) = i;
+}
+
 static enum status
 grow (struct outcome_table *table)
 {
@@ -61,9 +71,7 @@
   table->index = index;
   table->index_size = capacity * 2;
   table->capacity = capacity;
-  memset (index, 0xff, (size_t)table->index_size * sizeof *index);
-  for (uint32_t i = 0; i < table->count; i++)
-    *find_entry (table, &table->cells[i].key) = i;
+  build_index (table);
   return STATUS_OK;
 }
 
@@ -107,12 +115,18 @@
 }
 
 void
-outcome_table_clear (struct outcome_table *table)
+outcome_table_truncate (struct outcome_table *table, uint32_t count)
 {
-  table->count = 0;
+  assert (count <= table->count);
+  table->count = count;
   if (table->index != NULL)
-    memset (table->index, 0xff,
-            (size_t)table->index_size * sizeof *table->index);
+    build_index (table);
+}
+
+void
+outcome_table_clear (struct outcome_table *table)
+{
+  outcome_table_truncate (table, 0);
 }
 
 bool
@@ -177,11 +191,13 @@
 
 void
 outcome_percentiles_refresh (struct outcome_percentiles *percentiles,
-                             uint64_t now_ms)
+                             uint64_t now_ms, bool relieved)
 {
   if (percentiles->total < PERCENTILE_ANSWERS_MIN)
     return;
   uint64_t seen = 0;
+  uint32_t held50_us = percentiles->p50_us;
+  uint32_t held99_us = percentiles->p99_us;
   percentiles->p50_us = 0;
   for (uint32_t i = 0; i < OUTCOME_BUCKETS; i++)
     {
@@ -193,6 +209,10 @@
       percentiles->p99_us = bucket_end (i);
       break;
     }
+  if (relieved && percentiles->p50_us < held50_us)
+    percentiles->p50_us = held50_us;
+  if (relieved && percentiles->p99_us < held99_us)
+    percentiles->p99_us = held99_us;
   if (percentiles->total < PERCENTILE_HALVE_ABOVE
       || now_ms < percentiles->halved_ms + PERCENTILE_HALF_LIFE_MS)
     return;
