End a claim with its refusal

Cause: the call path drops its pointer to a claim that was not granted, so the claim's memory stayed until the node stopped.

Change: after any result but CLAIM_GRANTED the claim ends by itself when `done` returns; node_claim_finish from within `done` has no effect then. Only granted or undecided claims are finished by their user.

--- a/src/node/node_claims.c
+++ b/src/node/node_claims.c
@@ -30,6 +30,7 @@
                 const struct claim_outcome *outcome);
   void *arg;
   bool granted;
+  bool refusing; ///< `done` runs with a result other than granted
 };
 
 /// A message from this node to itself.
@@ -147,22 +148,21 @@
                 CLAIM_MESSAGE_OUTCOME, &message);
 }
 
-static enum claim_result
-result_of (enum claim_verdict verdict)
+static const enum claim_result results[] = {
+  [CLAIM_VERDICT_RECORDED] = CLAIM_RECORDED,
+  [CLAIM_VERDICT_SPENT] = CLAIM_SPENT,
+  [CLAIM_VERDICT_KEY_REFUSED] = CLAIM_KEY_REFUSED,
+  [CLAIM_VERDICT_TIMED_OUT] = CLAIM_TIMED_OUT,
+};
+
+/// Reports a result after which the claim does not exist any more.
+static void
+end_claim (struct node_claim *claim, enum claim_result result,
+           const struct claim_outcome *outcome)
 {
-  switch (verdict)
-    {
-    case CLAIM_VERDICT_GRANTED:
-      return CLAIM_GRANTED;
-    case CLAIM_VERDICT_RECORDED:
-      return CLAIM_RECORDED;
-    case CLAIM_VERDICT_SPENT:
-      return CLAIM_SPENT;
-    case CLAIM_VERDICT_KEY_REFUSED:
-      return CLAIM_KEY_REFUSED;
-    default:
-      return CLAIM_TIMED_OUT;
-    }
+  claim->refusing = true;
+  claim->done (claim->arg, claim, result, outcome);
+  talloc_free (claim);
 }
 
 static void
@@ -172,20 +172,21 @@
   struct node_claims *claims = arg;
   struct node_claim *claim = claims->by_attempt[attempt];
   assert (claim != NULL);
-  claim->granted = verdict == CLAIM_VERDICT_GRANTED;
-  if (!claim->granted)
+  if (verdict == CLAIM_VERDICT_GRANTED)
     {
-      claims->by_attempt[attempt] = NULL;
-      claim->attempt = CLAIM_ATTEMPT_NONE;
+      claim->granted = true;
+      claim->done (claim->arg, claim, CLAIM_GRANTED, NULL);
+      return;
     }
+  assert (verdict <= CLAIM_VERDICT_TIMED_OUT);
+  claims->by_attempt[attempt] = NULL;
   struct claim_outcome outcome = { 0 };
   if (record != NULL)
     outcome = (struct claim_outcome){ .status = record->status,
                                       .body = record->body,
                                       .body_size = record->body_size,
                                       .body_complete = record->body_complete };
-  claim->done (claim->arg, claim, result_of (verdict),
-               record == NULL ? NULL : &outcome);
+  end_claim (claim, results[verdict], record == NULL ? NULL : &outcome);
 }
 
 static const struct claim_client_ops client_ops = {
@@ -432,7 +433,7 @@
 on_refused (evutil_socket_t fd, short events, void *arg)
 {
   struct node_claim *claim = arg;
-  claim->done (claim->arg, claim, claim->refusal, NULL);
+  end_claim (claim, claim->refusal, NULL);
 }
 
 struct node_claim *
@@ -472,6 +473,8 @@
                    const struct claim_outcome *outcome)
 {
   struct node_claims *claims = claim->claims;
+  if (claim->refusing)
+    return;
   if (claim->attempt != CLAIM_ATTEMPT_NONE)
     {
       claims->by_attempt[claim->attempt] = NULL;
--- a/test/unit/node_claims_test.c
+++ b/test/unit/node_claims_test.c
@@ -6,6 +6,7 @@
 #include "testing.h"
 
 #include <stdio.h>
+#include <talloc.h>
 
 #define NODES 2
 
@@ -77,6 +78,9 @@
          const struct claim_outcome *outcome)
 {
   results[result_count++] = (int)result;
+  /* Allowed, and without effect: the claim has ended. */
+  if (result == CLAIM_KEY_REFUSED && result_count > 1)
+    node_claim_finish (claim, false, NULL);
   if (outcome != NULL && outcome->body_size < sizeof last_body)
     memcpy (last_body, outcome->body, outcome->body_size);
 }
@@ -132,8 +136,12 @@
 static void
 teardown (void)
 {
+  /* Partitions and owners hold a fixed number of blocks; attempts none. */
   for (int i = 0; i < NODES; i++)
-    node_claims_stop (&nodes[i]);
+    {
+      CU_ASSERT_EQUAL (talloc_total_blocks (nodes[i].claims), 2);
+      node_claims_stop (&nodes[i]);
+    }
   fake_store_advance (&store, store.now_ms + 5000);
   fake_store_finish (&store);
   event_base_free (base);
@@ -167,11 +175,10 @@
       node_claim_finish (claim, false, &outcome);
     }
   run (200);
-  struct node_claim *again = begin (1, "localkey", 2000);
+  begin (1, "localkey", 2000);
   run (200);
   CU_ASSERT_EQUAL (results[2], CLAIM_RECORDED);
   CU_ASSERT_STRING_EQUAL (last_body, "sealed");
-  node_claim_finish (again, false, NULL);
   teardown ();
 }
 
@@ -189,10 +196,9 @@
   CU_ASSERT_EQUAL (results[0], CLAIM_GRANTED);
   node_claim_finish (claim, true, NULL);
   run (200);
-  struct node_claim *again = begin (1, "movedkey", 1000);
+  begin (1, "movedkey", 1000);
   run (200);
   CU_ASSERT_EQUAL (results[1], CLAIM_SPENT);
-  node_claim_finish (again, false, NULL);
   teardown ();
 }
 
@@ -200,12 +206,13 @@
 test_refusals_come_from_the_loop (void)
 {
   setup ();
-  struct node_claim *claim
-      = node_claim_begin (&nodes[0], "not a key", 1000, on_done, NULL);
+  node_claim_begin (&nodes[0], "not a key", 1000, on_done, NULL);
   CU_ASSERT_EQUAL (result_count, 0);
   run (10);
   CU_ASSERT (result_count == 1 && results[0] == CLAIM_KEY_REFUSED);
-  node_claim_finish (claim, false, NULL);
+  node_claim_begin (&nodes[0], "not a key", 1000, on_done, NULL);
+  run (10);
+  result_count = 1;
   struct node_claim *abandoned = begin (0, "abandoned", 1000);
   node_claim_finish (abandoned, false, NULL);
   struct node_claim *second = begin (1, "abandoned", 2000);
@@ -220,10 +227,9 @@
 {
   setup ();
   store.outage = true;
-  struct node_claim *claim = begin (1, "outagekey", 300);
+  begin (1, "outagekey", 300);
   run (500);
   CU_ASSERT (result_count == 1 && results[0] == CLAIM_TIMED_OUT);
-  node_claim_finish (claim, false, NULL);
   /* Stopped with store operations in flight. */
   teardown ();
 }
