--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -2,6 +2,7 @@
 #include "coordination/move.h"
 
 #include <assert.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -35,7 +36,7 @@
   .shares_bp = { 100, 200, 500, 1000, 2500, 5000, 9000 },
   .share_count = 7,
   .careful_count = 3,
-  .careful_part = 0.5,
+  .careful_part = 0.7,
   .reserve_part = 0.1,
   .reserve_min_ms = 5000,
   .reserve_max_ms = 90000,
@@ -347,8 +348,8 @@
       snprintf (text, sizeof text,
                 "late: the new targets have %u slots, %.0f are needed",
                 input->new_slots,
-                settings->slots_part * input->old_slots * wanted
-                    / CONFIG_SHARE_ALL);
+                ceil (settings->slots_part * input->old_slots * wanted
+                      / CONFIG_SHARE_ALL));
       if (late || starting)
         warn (move, action, text);
       return;
