Do not time calls that opened a connection in the evidence of moves

At a small share a version gets a few calls a second from each node, so its calls open connections far more often than those of the old version.

Change: the target's node marks an answer for which it opened a connection, and the caller's node counts neither such calls nor its own new connections as timed.

A version that closes every connection is no longer judged by latency.

--- a/src/node/node_call_entry.c
+++ b/src/node/node_call_entry.c
@@ -294,6 +294,11 @@
   if (text != NULL && call_load_parse (text, &in_use, &slots) == STATUS_OK)
     balance_report (&entry->group->balance, entry->slot_id, in_use, slots,
                     clock_monotonic_ms ());
+  /* A version with few calls opens connections more often; that is no
+     slowness of the version. */
+  if (call_exchange_is_fresh (exchange)
+      || evhttp_find_header (headers, CALL_HEADER_NEW_CONNECTION) != NULL)
+    entry->cold = true;
   if (!entry->outcome_known || entry->outcome != CALL_RAN)
     return;
   entry->answering = true;
--- a/src/node/node_call_run.c
+++ b/src/node/node_call_run.c
@@ -135,6 +135,8 @@
   struct evkeyvalq *answer = call_request_answer_headers (run->request);
   node_call_copy_answer_headers (answer, headers);
   add_load (run->calls, run->request);
+  if (call_exchange_is_fresh (exchange))
+    evhttp_add_header (answer, CALL_HEADER_NEW_CONNECTION, "1");
   evhttp_add_header (
       answer, CALL_HEADER_OUTCOME,
       call_outcome_name (run->not_run ? CALL_NOT_RUN : CALL_RAN));
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -18,6 +18,10 @@
 #define CALL_HEADER_HOP "Hawthornseam-Hop"
 #define CALL_HEADER_VERSION "Hawthornseam-Version"
 
+/// Set to 1 by the target's node when it opened a connection to the target for
+/// the call.
+#define CALL_HEADER_NEW_CONNECTION "Hawthornseam-New-Connection"
+
 /// Identity of the crash that ended a call, from the target's node to the node
 /// that chose it; 16 hexadecimal digits.
 #define CALL_HEADER_CRASH "Hawthornseam-Crash"
--- a/src/transport/call_client.c
+++ b/src/transport/call_client.c
@@ -33,6 +33,7 @@
   bool sent;     ///< a byte of the request was handed to the kernel
   bool answered; ///< headers were passed on
   bool paused;
+  bool fresh; ///< the connection was opened for this exchange
   uint64_t headers_by_ms;
   uint64_t progress_ms; ///< last byte of the body, or last resume
 };
@@ -225,6 +226,12 @@
   return request;
 }
 
+bool
+call_exchange_is_fresh (const struct call_exchange *exchange)
+{
+  return exchange->fresh;
+}
+
 struct call_exchange *
 call_client_send (struct call_client *client, const struct call_send *send,
                   const struct call_exchange_ops *ops, void *arg)
@@ -247,6 +254,7 @@
     }
   assert (connection->exchange == NULL);
   connection->exchange = exchange;
+  exchange->fresh = fresh;
   exchange->client = client;
   exchange->connection = connection;
   exchange->ops = ops;
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -54,6 +54,9 @@
 
 struct call_exchange;
 
+/// @return true when the exchange had to open its connection
+bool call_exchange_is_fresh (const struct call_exchange *exchange);
+
 /// Called from the loop, never from within call_client_send.
 struct call_exchange_ops
 {
