--- a/bench/move_bench.c
+++ b/bench/move_bench.c
@@ -10,7 +10,7 @@
 #define SEEDS 200
 
 /// The baselines are only compared with, not judged; fewer seeds suffice.
-#define BASELINE_SEEDS 10
+#define BASELINE_SEEDS 5
 
 struct column
 {
--- a/bench/move_model.c
+++ b/bench/move_model.c
@@ -168,10 +168,15 @@
   return factor;
 }
 
+/// Part of a version's calls that a stalled target has.
+#define STALLED_PART 0.25
+#define STALL_MS 1000
+
 struct side_state
 {
-  double errors; ///< probability of a failed call
-  double shift;  ///< logarithm of the slowdown
+  double stalled; ///< part of the answers that wait for a stalled target
+  double errors;  ///< probability of a failed call
+  double shift;   ///< logarithm of the slowdown
   double cold_part;
 };
 
@@ -205,7 +210,7 @@
 {
   const struct model_fault *fault = &model->setup->fault;
   double sigma = model->setup->sigma;
-  double tail = fault->tail_rate * strength;
+  double tail = fmax (fault->tail_rate * strength, state->stalled);
   double shift = state->shift;
   if (fault->slow_factor > 0)
     shift += log (1 + (fault->slow_factor - 1) * strength);
@@ -254,11 +259,13 @@
   double zone_sum = 0;
   for (uint32_t z = 0; z < MODEL_ZONES; z++)
     zone_sum += setup->zone_weights[z];
-  struct rates usual = make_rates (model, route, old, old, 0);
-  struct rates good = make_rates (model, route, new, old, 0);
-  struct rates bad = make_rates (model, route, new, old, strength);
   bool hit
       = strength > 0 && (fault->route < 0 || (uint32_t)fault->route == route);
+  struct rates usual = make_rates (model, route, old, old, 0);
+  struct rates good
+      = share > 0 ? make_rates (model, route, new, old, 0) : usual;
+  struct rates bad
+      = hit ? make_rates (model, route, new, old, strength) : good;
   for (uint32_t z = 0; z < MODEL_ZONES; z++)
     {
       double part = zone_sum > 0 ? setup->zone_weights[z] / zone_sum
@@ -283,6 +290,8 @@
   if (setup->lost_s == 0 || model->now_ms != lost_ms)
     return;
   uint32_t failed = (uint32_t)(used * setup->new_slots / 4);
+  if (setup->lost_calls > 0)
+    failed = (uint32_t)setup->lost_calls;
   struct outcome_counts *counts = &model->counts[0][0][OUTCOME_NEW];
   counts->calls += failed;
   counts->errors += failed;
@@ -345,6 +354,15 @@
   double cold = cold_state (model, &sides[OUTCOME_NEW].cold_part);
   sides[OUTCOME_NEW].shift = log (load_factor (new_used) * speed * cold);
   double strength = share > 0 ? fault_strength (model, new_used) : 0;
+  for (int side = 0; side < OUTCOME_SIDES; side++)
+    {
+      if (setup->stalls_per_s > 0
+          && model_unit (&model->rng)
+                 < setup->stalls_per_s * MODEL_TICK_MS / 1000)
+        model->stalled_ms[side] = model->now_ms + STALL_MS;
+      if (model->now_ms < model->stalled_ms[side])
+        sides[side].stalled = STALLED_PART;
+    }
   if (share <= 0.05)
     model->reference = sides[OUTCOME_OLD].shift;
 
--- a/bench/move_model.h
+++ b/bench/move_model.h
@@ -47,6 +47,8 @@
   double new_speed;    ///< factor of the new version's times, 0: 1
   double cold_factor;  ///< times of a target without cache, 0: none
   uint32_t replaced_s; ///< a quarter of the new targets is replaced
+  double stalls_per_s; ///< of one target of either version, 1 s each
+  double lost_calls;   ///< calls that fail with a target, 0: from the load
   uint32_t lost_s;     ///< one new target is lost with its calls
   struct model_fault fault;
 };
@@ -69,6 +71,7 @@
   double limit_error[MODEL_ROUTES_MAX]; ///< of the percentiles, logarithm
   struct outcome_counts counts[MODEL_ROUTES_MAX][MODEL_ZONES][OUTCOME_SIDES];
   struct outcome_counts node[OUTCOME_SIDES]; ///< seen by one caller's node
+  uint64_t stalled_ms[OUTCOME_SIDES];        ///< end of a stall
   uint64_t calls;                            ///< of the service in this tick
   uint64_t new_calls; ///< of the new version, cold targets included
   uint64_t harmed;    ///< of those, on a faulty route and zone
--- a/src/coordination/move.c
+++ b/src/coordination/move.c
@@ -30,6 +30,7 @@
   .judge = { .false_alarm = 1.0 / 400,
              .restart_ms = 2000,
              .block_calls = 8,
+             .most_per_s = { 5, 2.5, 2.5 },
              .ratios = { { 1.3, { 2, 4, 12, 60, 500 } },
                          { 1.6, { 2.2, 3.5, 7, 20, 100 } },
                          { 2.0, { 3, 5, 10, 30, 200 } } } },
--- a/src/coordination/move_judge.c
+++ b/src/coordination/move_judge.c
@@ -133,8 +133,9 @@
 /// Feeds the pending blocks of one measure to its tests.
 static void
 update_measure (struct move_judge *judge, enum move_measure measure,
-                bool ready[MOVE_ROUTES_MAX][MOVE_ZONES_MAX])
+                bool ready[MOVE_ROUTES_MAX][MOVE_ZONES_MAX], uint64_t now_ms)
 {
+  double most = judge->settings->most_per_s[measure];
   double total[SEQTEST_RATIOS] = { 0 };
   double zones[MOVE_ZONES_MAX][SEQTEST_RATIOS] = { { 0 } };
   for (uint32_t r = 0; r < judge->route_count; r++)
@@ -157,11 +158,11 @@
           add_logs (zones[z], logs);
           add_logs (total, logs);
         }
-      seqtest_update (&judge->route_tests[r][measure], route);
+      seqtest_update (&judge->route_tests[r][measure], route, now_ms, most);
     }
   for (uint32_t z = 0; z < judge->zone_count; z++)
-    seqtest_update (&judge->zone_tests[z][measure], zones[z]);
-  seqtest_update (&judge->total_tests[measure], total);
+    seqtest_update (&judge->zone_tests[z][measure], zones[z], now_ms, most);
+  seqtest_update (&judge->total_tests[measure], total, now_ms, most);
 }
 
 /// Adds a test's value and keeps the strongest one.
@@ -246,7 +247,7 @@
     for (uint32_t z = 0; z < judge->zone_count; z++)
       any |= ready[r][z] = block_ready (judge, judge->pending[r][z]);
   for (enum move_measure m = 0; any && m < MOVE_MEASURES; m++)
-    update_measure (judge, m, ready);
+    update_measure (judge, m, ready, now_ms);
   for (uint32_t r = 0; any && r < judge->route_count; r++)
     for (uint32_t z = 0; z < judge->zone_count; z++)
       if (ready[r][z])
--- a/src/coordination/move_judge.h
+++ b/src/coordination/move_judge.h
@@ -25,6 +25,7 @@
   double false_alarm;   ///< rate of false alarms of the whole move
   uint32_t restart_ms;  ///< interval of new starting times
   uint32_t block_calls; ///< least calls of both versions in a block
+  double most_per_s[MOVE_MEASURES]; ///< growth of the evidence, nats a second
   struct seqtest_ratios ratios[MOVE_MEASURES];
 };
 
--- a/src/coordination/seqtest.c
+++ b/src/coordination/seqtest.c
@@ -6,6 +6,7 @@
 
 #include <assert.h>
 #include <math.h>
+#include <stdbool.h>
 #include <string.h>
 
 /// Scores are kept inside the range of a double; both ends are far beyond any
@@ -103,15 +104,22 @@
 }
 
 void
-seqtest_update (struct seqtest *test, const double log_ratios[SEQTEST_RATIOS])
+seqtest_update (struct seqtest *test, const double log_ratios[SEQTEST_RATIOS],
+                uint64_t now_ms, double most_per_s)
 {
+  uint64_t elapsed = now_ms - test->fed_ms;
+  double most = most_per_s * (elapsed < 1000 ? (double)elapsed / 1000 : 1);
+  bool said = false;
   for (int i = 0; i < SEQTEST_RATIOS; i++)
     {
+      said |= log_ratios[i] != 0;
       if (log_ratios[i] == 0 || test->score[i] <= 0)
         continue;
-      double score = test->score[i] * exp (fmin (log_ratios[i], 460));
+      double score = test->score[i] * exp (fmin (log_ratios[i], most));
       test->score[i] = fmin (score, SCORE_MAX);
     }
+  if (said)
+    test->fed_ms = now_ms;
 }
 
 double
--- a/src/coordination/seqtest.h
+++ b/src/coordination/seqtest.h
@@ -42,6 +42,7 @@
 struct seqtest
 {
   double score[SEQTEST_RATIOS];
+  uint64_t fed_ms; ///< time of the last block that said something
 };
 
 void seqtest_init (struct seqtest *test);
@@ -56,9 +57,15 @@
                          const struct seqtest_block *block,
                          double log_ratios[SEQTEST_RATIOS]);
 
-/// Multiplies the likelihood ratios of a block into the test.
+/// Multiplies the likelihood ratios of a block into the test. Calls that share
+/// one cause, such as a lost target or a stall, fail together and would count
+/// as many; so the evidence against the new version grows at a limited rate.
+/// The limit only lowers ratios, which keeps the test valid.
+/// @param most_per_s  largest growth of the logarithm within a second; a block
+///                    after a longer pause gets no more than that
 void seqtest_update (struct seqtest *test,
-                     const double log_ratios[SEQTEST_RATIOS]);
+                     const double log_ratios[SEQTEST_RATIOS], uint64_t now_ms,
+                     double most_per_s);
 
 /// @return evidence against the new version: weighted mean of the likelihood
 /// ratios; significant at rate `a` when it reaches 1/a
--- a/src/coordination/trip.c
+++ b/src/coordination/trip.c
@@ -19,6 +19,10 @@
 #define STARTS_MAX 7200
 #define BLOCK_CALLS 8
 
+/// Growth of the evidence, nats a second: one lost target is no fault of the
+/// version.
+#define MOST_PER_S 10
+
 /* Only failures count here, and only at several times the old version's rate:
    latency seen by one node may have local causes. */
 static const struct seqtest_ratios node_errors
@@ -173,7 +177,7 @@
     {
       double logs[SEQTEST_RATIOS];
       seqtest_log_ratios (&node_errors, block, logs);
-      seqtest_update (&watch->test, logs);
+      seqtest_update (&watch->test, logs, now_ms, MOST_PER_S);
       memset (block, 0, sizeof *block);
     }
   bool overwhelming = seqtest_value (&watch->test) * NODE_FALSE_ALARM >= 1;
