--- a/test/functional/ctl_test.sh
+++ b/test/functional/ctl_test.sh
@@ -4,11 +4,13 @@
 # commands that show nothing.
 set -u
 cd "$(dirname "$0")/../.."
-port=$((20000 + $$ % 20000))
-work=$(mktemp -d)
+source test/functional/mesh.sh
+mesh_begin ctl
+port=$BASE
+work=$RUN
 build/san/standin-admin "$port" 1 60 >"$work/ready" 2>"$work/server.log" &
 server=$!
-trap 'kill "$server" 2>/dev/null; rm -rf "$work"' EXIT
+PID[server]=$server
 for _ in $(seq 100); do
   grep -q ready "$work/ready" && break
   sleep 0.1
@@ -65,6 +67,7 @@
 expect 0 'version: v2' "${node[@]}" get
 expect 0 '"pecet-v2"' "${node[@]}" --json get
 expect 0 '^service pecet: version v2' "${node[@]}" status
+expect 0 '^zone praha-a: 3 members, 3 report version 3' "${node[@]}" status
 expect 0 'done, share 100.00%' "${node[@]}" move status pecet-v2
 expect 1 'no move' "${node[@]}" move status other
 expect 1 'has ended' "${node[@]}" move cancel pecet-v2
--- a/test/unit/call_path_test.c
+++ b/test/unit/call_path_test.c
@@ -55,6 +55,7 @@
   { "/s/reset", 200, "502 ", "unknown", false, 2 },
   { "/s/shed", 200, "503 ", "not-run", false, 2 },
   { "/none", 60, "404 ", "not-run", false, 0 },
+  { "/s/crash", 300, "502 ", "unknown", false, 1 },
   { "/s/silent", 1200, "504 ", "unknown", false, 2 },
 };
 
@@ -217,9 +218,11 @@
 static void
 test_slow_request (void)
 {
-  struct call_server_options options = {
-    .body_max = 1000, .headers_max = 1000, .receive_ms = 200, .idle_ms = 60000
-  };
+  struct call_server_options options = { .body_max = 1000,
+                                         .buffered_max = 400,
+                                         .headers_max = 1000,
+                                         .receive_ms = 200,
+                                         .idle_ms = 60000 };
   set_up ();
   struct call_server *server;
   CU_ASSERT_EQUAL_FATAL (
@@ -236,6 +239,19 @@
     }
   CU_ASSERT (caller.closed);
   caller_finish (&caller);
+  /* Together, the parts of three bodies are more than may be held. */
+  struct caller many[3];
+  char text[256];
+  snprintf (text, sizeof text,
+            "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n%0150d", 0);
+  for (size_t i = 0; i < 3; i++)
+    {
+      caller_start (&many[i], 2, text);
+      mesh_run (20);
+      CU_ASSERT_EQUAL (many[i].closed, i == 2);
+    }
+  for (size_t i = 0; i < 3; i++)
+    caller_finish (&many[i]);
   mesh.members[2].call_port = port;
   call_server_stop (server);
   tear_down ();
@@ -382,6 +398,10 @@
         most = mesh.nodes[1].calls->admit.running;
     }
   CU_ASSERT_EQUAL (most, 4);
+  size_t connections = 0;
+  for (size_t i = 0; i < TARGET_CONNECTIONS; i++)
+    connections += target.connections[i].bev != NULL;
+  CU_ASSERT (connections <= 4);
   unsigned answered = 0;
   unsigned refused = 0;
   for (size_t i = 0; i < 20; i++)
@@ -406,7 +426,7 @@
     test_refused_connection_is_not_run },
   { "bad requests are refused before the target sees them",
     test_bad_requests },
-  { "a request that arrives too slowly is cut off", test_slow_request },
+  { "slow or many requests hold connections and memory", test_slow_request },
   { "a non-idempotent request is sent once", test_once },
   { "a caller that goes away frees its slot", test_caller_goes_away },
   { "a request that crashes targets kills two at most", test_crash_suspect },
