End zone marks that no relay repeats, announce the leave of a zone's last member

Cause: membership_fuzz found after 150 s a member that kept a zone marked unreachable for ever: it had set the mark as a relay, and the relays that heard the zone again had restarted and never knew the mark.

Change: the first relay repeats the mark of a lost zone every 20 s, members drop a mark that was not repeated for 65 s; an origin without a relay in its zone passes its broadcast to the other zones itself.

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -318,9 +318,9 @@
   membership_probe_tick (m, now_ms);
   membership_zone_tick (m, now_ms);
   dead_tick (m, now_ms);
-  while (m->rumours > 0)
+  while (m->random_probes > 0)
     {
-      m->rumours--;
+      m->random_probes--;
       uint64_t slot_id = membership_random_neighbour (m);
       if (slot_id != 0)
         membership_probe_once (m, slot_id);
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -106,9 +106,10 @@
   char name[MEMBER_NAME_MAX + 1];
   uint64_t heard_ms; ///< last heartbeat from any of its members
   bool unreachable;
-  uint32_t number;      ///< of the last mark
-  uint64_t changed_ms;  ///< last mark
-  uint64_t announce_ms; ///< next repetition of the mark
+  uint32_t number;       ///< of the last mark
+  uint64_t changed_ms;   ///< last mark
+  uint64_t announce_ms;  ///< next repetition of the mark
+  uint64_t refreshed_ms; ///< last mark that agreed with the state
 };
 
 struct membership_event
@@ -155,8 +156,9 @@
   uint64_t dead_ms; ///< next retry of a dead member
   struct membership_event *events;
   uint32_t event_count, event_capacity;
-  uint64_t event_ms; ///< time to broadcast them
-  unsigned rumours; ///< heartbeats with digest still to send to random members
+  uint64_t event_ms;      ///< time to broadcast them
+  unsigned random_probes; ///< heartbeats with digest still to send to random
+                          ///< members
 };
 
 /// Starts with a table that holds only this node.
--- a/src/coordination/membership_messages.c
+++ b/src/coordination/membership_messages.c
@@ -14,7 +14,7 @@
 /// After joining, records from MEMBERS are news to this node only.
 #define SETTLE_MS 5000
 #define NOTICES_MAX 16 ///< members told of their death per MEMBERS
-#define RUMOURS 2
+#define RANDOM_PROBES 2
 
 /// Pulls the view of a member that states another digest.
 static void
@@ -109,7 +109,7 @@
              != 0)
     membership_queue_event (m, handle, true, now_ms);
   else
-    m->rumours = RUMOURS;
+    m->random_probes = RANDOM_PROBES;
 }
 
 void
--- a/src/coordination/membership_probe.c
+++ b/src/coordination/membership_probe.c
@@ -25,7 +25,7 @@
 }
 
 /// Takes over a heartbeat's state from the old list or starts one at a random
-/// phase, so that nodes that start together do not beat together.
+/// phase, so that nodes that start together send at different times.
 static void
 add_probe (struct membership *m, struct membership_probe *old,
            uint32_t old_count, uint64_t slot_id, bool ring, uint64_t now_ms)
--- a/src/coordination/membership_zone.c
+++ b/src/coordination/membership_zone.c
@@ -18,6 +18,11 @@
 /// relay repeats a mark for a while instead, for members that missed it.
 #define REPEAT_MS 10000
 #define REPEAT_FOR_MS 35000
+/// While a zone stays lost, its mark is repeated at this interval. A mark that
+/// no relay repeats any more ends by itself: the relays that could clear it
+/// may have been replaced by processes that never knew it.
+#define REFRESH_MS 20000
+#define EXPIRE_MS 65000
 
 struct membership_zone *
 membership_zone_state (struct membership *m, const char *name, uint64_t now_ms)
@@ -41,6 +46,7 @@
   zone->unreachable = unreachable;
   zone->number++;
   zone->changed_ms = now_ms;
+  zone->refreshed_ms = now_ms;
   zone->announce_ms = now_ms + REPEAT_MS;
 }
 
@@ -76,6 +82,8 @@
   struct membership_zone *zone = membership_zone_state (m, mark->name, now_ms);
   if (zone == NULL || zone->id == m->ring.own_zone)
     return;
+  if (mark->unreachable == zone->unreachable)
+    zone->refreshed_ms = now_ms;
   if (mark->number < zone->number
       || (mark->number == zone->number && mark->unreachable))
     return;
@@ -83,7 +91,7 @@
   zone->unreachable = mark->unreachable;
   zone->number = mark->number;
   if (changed)
-    zone->changed_ms = now_ms;
+    zone->changed_ms = zone->refreshed_ms = now_ms;
   /* The other relay's evidence counts as this one's, or each would undo the
      mark of the other. */
   if (!mark->unreachable)
@@ -117,6 +125,33 @@
     }
 }
 
+/// As a member that is no relay: ends marks that are not repeated.
+static void
+expire_marks (struct membership *m, uint64_t now_ms)
+{
+  for (uint32_t i = 0; i < m->zone_count; i++)
+    if (m->zones[i].unreachable
+        && now_ms - m->zones[i].refreshed_ms >= EXPIRE_MS)
+      {
+        m->zones[i].unreachable = false;
+        m->zones[i].number = 0;
+      }
+}
+
+/// As the first relay: repeats marks for members that missed them, and so that
+/// they do not expire.
+static void
+repeat_mark (struct membership *m, struct membership_zone *zone,
+             uint64_t now_ms)
+{
+  bool young
+      = zone->changed_ms != 0 && now_ms - zone->changed_ms < REPEAT_FOR_MS;
+  if ((!young && !zone->unreachable) || now_ms < zone->announce_ms)
+    return;
+  zone->announce_ms = now_ms + (young ? REPEAT_MS : REFRESH_MS);
+  announce (m, zone);
+}
+
 void
 membership_zone_tick (struct membership *m, uint64_t now_ms)
 {
@@ -125,6 +160,7 @@
   if (rank < 0 || m->leaving)
     {
       m->relay_since_ms = 0;
+      expire_marks (m, now_ms);
       return;
     }
   if (m->relay_since_ms == 0)
@@ -150,13 +186,10 @@
           counter_add (&zones_lost, 1);
           announce (m, zone);
         }
-      else if (rank == 0 && zone->changed_ms != 0
-               && now_ms - zone->changed_ms < REPEAT_FOR_MS
-               && now_ms >= zone->announce_ms)
-        {
-          zone->announce_ms = now_ms + REPEAT_MS;
-          announce (m, zone);
-        }
+      else if (rank == 0)
+        repeat_mark (m, zone, now_ms);
+      if (zone->unreachable)
+        zone->refreshed_ms = now_ms;
       if (zone->unreachable && probe)
         probe_lost (m, zone);
     }
--- a/src/coordination/spread.c
+++ b/src/coordination/spread.c
@@ -312,8 +312,13 @@
              struct spread_body *body, uint64_t now_ms)
 {
   const struct ring *ring = spread->ring;
-  int rank
-      = ring_relay_rank (ring_find_zone (ring, ring->own_zone), spread->self);
+  const struct ring_zone *own = ring_find_zone (ring, ring->own_zone);
+  int rank = ring_relay_rank (own, spread->self);
+  /* The last member of a zone that announces that it leaves is no relay any
+     more, and nobody else is. */
+  if (message->id.origin == spread->self
+      && (own == NULL || own->relays[0] == 0))
+    rank = 0;
   if (rank < 0
       || (rank > 0 && is_repaired (message->kind)
           && message->id.origin != spread->self))
