--- a/test/fuzz/follow_fuzz.c
+++ b/test/fuzz/follow_fuzz.c
@@ -273,6 +273,18 @@
   post (RECORD, from, to, version, 0, false);
 }
 
+/// Sends a whole content unasked, as a peer with a short history does, also to
+/// a node that holds a newer version.
+static void
+send_snapshot (int from, int to)
+{
+  uint64_t version = peers[from].last;
+  if (!peers[from].up || from == to || version == 0)
+    return;
+  record_floor (from, to, version);
+  post (SNAPSHOT, from, to, version, 0, false);
+}
+
 static void
 announce (int i, int to)
 {
@@ -316,7 +328,7 @@
 {
   int i = argument % NODES;
   int j = argument / NODES % NODES;
-  switch (action % 14)
+  switch (action % 15)
     {
     case 0:
       if (!store_out && head < VERSIONS)
@@ -325,6 +337,9 @@
     case 1:
       read_store (i);
       break;
+    case 14:
+      send_snapshot (i, j);
+      break;
     case 2:
     case 3:
       push (i, j);
