--- a/bench/load.c
+++ b/bench/load.c
@@ -24,6 +24,7 @@
 #define PATHS_MAX 32
 #define CALLERS_MAX 4096
 #define KEY_SIZE 64
+#define URI_SIZE 512
 
 struct endpoint
 {
@@ -51,6 +52,7 @@
   bool broken; ///< the connection must not be used again
   char id[40];
   char key[KEY_SIZE];
+  char uri[URI_SIZE];
   bool repeat; ///< the next call repeats this one with the same key
   const struct path *path;
   uint64_t due_us; ///< latency counts from here
@@ -79,7 +81,10 @@
   int body_bytes;
   double repeat_share;
   bool close_each; ///< a new connection for each call
+  bool unique;     ///< each URI differs, except that of a repeated call
+  FILE *key_log;   ///< a line "KEY CLASS" for each keyed call; or NULL
   struct event ticker;
+  struct event term;
   struct load_report report;
 };
 
@@ -140,6 +145,8 @@
   caller->broken = class == LOAD_NO_ANSWER || class == LOAD_NOT_CONNECTED
                    || load->close_each;
   load_report_add (&load->report, class, now - caller->due_us, caller->bytes);
+  if (caller->path->keyed && load->key_log != NULL)
+    fprintf (load->key_log, "%s %s\n", caller->key, load_class_names[class]);
   caller->busy = false;
   event_active (&caller->step, EV_TIMEOUT, 1);
 }
@@ -193,6 +200,12 @@
       snprintf (caller->key, sizeof caller->key, "%llu-%016llx",
                 (unsigned long long)(clock_wall_ms () / 1000),
                 (unsigned long long)rng_u64 (&load->rng));
+      snprintf (caller->uri, sizeof caller->uri, "%s", caller->path->uri);
+      size_t length = strlen (caller->uri);
+      if (load->unique)
+        snprintf (caller->uri + length, sizeof caller->uri - length,
+                  "%cu=%llu", strchr (caller->uri, '?') == NULL ? '?' : '&',
+                  (unsigned long long)load->started);
     }
   caller->repeat = caller->path->keyed && !caller->repeat
                    && rng_unit (&load->rng) < load->repeat_share;
@@ -216,7 +229,7 @@
                   "0123456789abcdef0123456789abcdef",
                   left < 64 ? (size_t)left : 64);
   evhttp_make_request (caller->connection, request, caller->path->method,
-                       caller->path->uri);
+                       caller->uri);
 }
 
 static bool
@@ -320,6 +333,14 @@
   return true;
 }
 
+/// Starts no more calls; the report follows the last answer.
+static void
+on_signal (evutil_socket_t fd, short what, void *arg)
+{
+  struct load *load = arg;
+  load->end_us = clock_monotonic_us ();
+}
+
 static void
 run (struct load *load, double duration_s)
 {
@@ -346,7 +367,10 @@
     }
   event_assign (&load->ticker, load->base, -1, EV_PERSIST, on_tick, load);
   event_add (&load->ticker, &(struct timeval){ 0, 1000 });
+  evsignal_assign (&load->term, load->base, SIGTERM, on_signal, load);
+  event_add (&load->term, NULL);
   event_base_dispatch (load->base);
+  event_del (&load->term);
   load->report.elapsed_s = (double)(clock_monotonic_us () - start) / 1e6;
   struct rusage usage;
   getrusage (RUSAGE_SELF, &usage);
@@ -390,12 +414,16 @@
       NULL, "repeat-share", "X", "share of keyed calls that are sent twice");
   struct arg_lit *close_each
       = arg_lit0 (NULL, "close", "a new connection for each call");
+  struct arg_lit *unique = arg_lit0 (
+      NULL, "unique", "append a different query to the URI of each call");
+  struct arg_file *key_log = arg_file0 (
+      NULL, "key-log", "FILE", "write key and class of each keyed call");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "seed of choices");
   struct arg_lit *json = arg_lit0 ("j", "json", "print JSON");
   struct arg_end *end = arg_end (20);
   void *table[] = { help,       version, to,       paths,   rate, callers,
                     duration,   count,   deadline, timeout, body, repeat,
-                    close_each, seed,    json,     end };
+                    close_each, unique,  key_log,  seed,    json, end };
   if (arg_nullcheck (table) != 0)
     return 1;
   rate->dval[0] = 0;
@@ -444,10 +472,22 @@
   load.body_bytes = body->ival[0];
   load.repeat_share = repeat->dval[0];
   load.close_each = close_each->count > 0;
+  load.unique = unique->count > 0;
+  if (key_log->count > 0)
+    {
+      load.key_log = fopen (key_log->filename[0], "w");
+      if (load.key_log == NULL)
+        {
+          perror (key_log->filename[0]);
+          return 1;
+        }
+    }
   run (&load, duration->dval[0]);
   load_report_print (&load.report, json->count > 0);
   bool wrong = load_report_is_wrong (&load.report);
   load_report_finish (&load.report);
+  if (load.key_log != NULL)
+    fclose (load.key_log);
   arg_freetable (table, sizeof table / sizeof table[0]);
   return wrong ? 1 : 0;
 }
--- /dev/null
+++ b/test/functional/calls_test.sh
@@ -0,0 +1,146 @@
+#!/usr/bin/env bash
+# Guards against: answers that are cut, mixed up or reported as whole when they
+# are not; a draining target that gets new calls at its node; a drain of a
+# target or a node that interrupts a call or a download; idempotent calls that
+# fail although another target could run them; a frozen target that keeps
+# getting calls, or gets none after it has woken up.
+source "$(dirname "$0")/mesh.sh"
+mesh_begin calls
+mesh_six
+mesh_node praha-b-3 praha-b cz-central 6
+mesh_node kladno-c-3 kladno-c cz-central 7
+for slot in praha-b-3 kladno-c-3; do
+  wait_for "$slot is ready" 20 is_ready "$slot" || fail "no start"
+done
+ctl praha-a-1 apply "$RUN/zapis.yaml" >/dev/null || fail "first apply"
+wait_for "version 1 everywhere" 7 all_nodes_at 1 || fail "version 1"
+mesh_target praha-b-3 archiv v1 --slots 16
+wait_for "six targets of zapisy" 10 all_see_targets zapisy v1 6 \
+  || fail "targets of zapisy"
+wait_for "a target of archiv" 10 all_see_targets archiv v1 1 \
+  || fail "target of archiv"
+
+# Downloads have 64 MB, more than the sockets and nodes on the way can hold, and
+# their content follows from the request id.
+DOWNLOAD='/archiv/download/volume?bytes=64000000'
+download() { curl -sf -H "X-Request-Id: volume" "$@"; }
+download -o "$RUN/whole" \
+  "http://127.0.0.1:$(target_port praha-b-3)$DOWNLOAD" || fail "direct download"
+
+# download_start NAME NODE: a slow reader; starts in the background.
+declare -A READER=()
+download_start() {
+  download -m 40 --limit-rate 12M -o "$RUN/$1" \
+    "http://127.0.0.1:$(call_port "$2")$DOWNLOAD" &
+  READER[$1]=$!
+  wait_for "first bytes of $1" 10 test -s "$RUN/$1" || fail "no download"
+}
+download_end() {
+  wait "${READER[$1]}" || fail "download $1: curl exits with $?"
+  cmp -s "$RUN/$1" "$RUN/whole" || fail "download $1 differs"
+}
+
+# All calls run: no fault is active.
+load_start quiet "praha-a-1 praha-b-1 kladno-c-1" --concurrency 24 \
+  --count 6000 --unique --path 4:GET:/zapisy/1 \
+  --path 1:GET:'/zapisy/2?bytes=100000&framing=chunked' \
+  --path 1:GET:'/zapisy/3?depth=2&next=/zapisy/4'
+load_end quiet
+[ "$(load_figure quiet ran)" -eq 6000 ] || fail "calls failed without a fault"
+
+# A target drains with a call and a download in flight.
+download_start drained-target kladno-c-1
+load_start slow kladno-c-2 --count 1 --path 1:GET:'/archiv/download/x?ms=2500'
+in_use_is() { [ "$(target_figure "$1" in_use)" = "$2" ]; }
+wait_for "two calls in flight" 10 in_use_is praha-b-3 2 || fail "not in flight"
+mesh_target kladno-c-3 archiv v1 --slots 16
+wait_for "two targets of archiv" 10 all_see_targets archiv v1 2 \
+  || fail "second target of archiv"
+kill -TERM "${PID[target-praha-b-3]}"
+target_state_is() {
+  curl -s -m 2 "http://127.0.0.1:$(admin_port "$1")/state" | tr -d ' \n' \
+    | grep -q "\"target\":{[^}]*\"state\":\"$2\""
+}
+wait_for "drain at the node" 5 target_state_is praha-b-3 draining \
+  || fail "the node does not drain its target"
+admitted=$(counter praha-b-3 calls_admitted)
+load_start drain "praha-a-1 praha-b-3 kladno-c-1" --concurrency 8 \
+  --count 1000 --unique --path 1:GET:/archiv/1
+load_end drain
+[ "$(load_figure drain ran)" -eq 1000 ] || fail "calls failed during the drain"
+[ "$(counter praha-b-3 calls_admitted)" -eq "$admitted" ] \
+  || fail "the draining target got new calls"
+has_ended "${PID[target-praha-b-3]}" && fail "the target ended before its calls"
+load_end slow
+[ "$(load_figure slow ran)" -eq 1 ] || fail "the call in flight was interrupted"
+download_end drained-target
+wait_for "end of the drained target" 10 has_ended "${PID[target-praha-b-3]}" \
+  || fail "the drained target does not end"
+
+# The caller's node and the target's node drain during downloads.
+download_start caller-node praha-a-2
+download_start target-node praha-a-1
+kill -TERM "${PID[praha-a-2]}" "${PID[kladno-c-3]}"
+download_end caller-node
+download_end target-node
+for slot in praha-a-2 kladno-c-3; do
+  wait_for "end of $slot" 10 has_ended "${PID[$slot]}" \
+    || fail "$slot does not end after its downloads"
+done
+
+# A target, then a node, are killed under load.
+mapfile -t NODES < <(printf '%s\n' "${NODES[@]}" \
+  | grep -vxE 'praha-a-2|kladno-c-3')
+load_start killed "praha-a-1 kladno-c-1" --concurrency 32 --duration-s 40 \
+  --unique --path 1:GET:'/zapisy/1?ms=20' \
+  --path 1:GET:'/zapisy/2?bytes=200000&ms=20'
+in_use_above() { [ "$(target_figure "$1" in_use)" -ge "$2" ]; }
+wait_for "load at the target" 10 in_use_above praha-b-1 2 || fail "no load"
+stop target-praha-b-1 KILL
+wait_for "target is down" 10 target_state_is praha-b-1 down || fail "not down"
+wait_for "load at the target" 10 in_use_above praha-b-2 2 || fail "no load"
+stop praha-b-2 KILL
+mapfile -t NODES < <(printf '%s\n' "${NODES[@]}" | grep -vx praha-b-2)
+targets_everywhere() { all_see_targets zapisy v1 "$1"; }
+wait_for "three targets are left" 20 targets_everywhere 3 || fail "not dead"
+load_stop killed
+# An answer of which a part was passed on is cut, and none is lost silently.
+failed=$(($(load_figure killed calls) - $(load_figure killed ran)))
+retried=$(($(counter praha-a-1 calls_retried) \
+  + $(counter kladno-c-1 calls_retried)))
+echo "killed: $failed of $(load_figure killed calls) failed," \
+  "$retried retried, $(load_figure killed not_run) not run," \
+  "$(load_figure killed unknown) unknown"
+[ "$retried" -gt 0 ] || fail "nothing was retried"
+# Only a call whose two tries both met a fault may fail.
+[ $((2 * failed)) -le "$retried" ] || fail "calls failed despite retries"
+
+# A target is frozen, avoided, and used again.
+kill -STOP "${PID[target-kladno-c-2]}"
+load_start frozen "praha-a-1 kladno-c-1" --concurrency 16 --duration-s 4 \
+  --unique --path 1:GET:'/zapisy/1?ms=5'
+load_end frozen
+echo "frozen: $(load_figure frozen ran) of $(load_figure frozen calls) ran"
+wait_for "frozen target is down" 20 target_state_is kladno-c-2 down \
+  || fail "the frozen target is not noticed"
+wait_for "two targets are left" 10 targets_ready praha-a-1 zapisy v1 2 \
+  || fail "the frozen target is still offered"
+wait_for "two targets are left" 10 targets_ready kladno-c-1 zapisy v1 2 \
+  || fail "the frozen target is still offered"
+admitted=$(counter kladno-c-2 calls_admitted)
+load_start avoided "praha-a-1 kladno-c-1" --concurrency 16 --count 2000 \
+  --unique --path 1:GET:/zapisy/1
+load_end avoided
+[ "$(load_figure avoided ran)" -eq 2000 ] || fail "calls failed at other targets"
+[ "$(counter kladno-c-2 calls_admitted)" -eq "$admitted" ] \
+  || fail "the frozen target got calls"
+kill -CONT "${PID[target-kladno-c-2]}"
+wait_for "target is back" 10 target_state_is kladno-c-2 ready || fail "not back"
+load_start back "praha-a-1 kladno-c-1" --concurrency 16 --duration-s 30 \
+  --unique --path 1:GET:/zapisy/1
+used_again() {
+  [ "$(counter kladno-c-2 calls_admitted)" -gt $((admitted + 50)) ]
+}
+wait_for "calls at the target" 20 used_again || fail "the target is not used"
+load_stop back
+echo "calls_test passed"
--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -43,7 +43,7 @@
 start() {
   local name=$1
   shift
-  "$@" >"$RUN/$name.out" 2>>"$RUN/$name.log" &
+  "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" &
   PID[$name]=$!
   disown $!
 }
@@ -111,13 +111,14 @@
 admin_port() { echo $((BASE + 102 + 10 * ${INDEX[$1]})); }
 target_port() { echo $((BASE + 103 + 10 * ${INDEX[$1]})); }
 
-# mesh_target SLOT SERVICE VERSION [OPTION...]: target beside a node.
+# mesh_target SLOT SERVICE VERSION [OPTION...]: target beside a node; options of
+# all targets are in TARGET_OPTIONS.
 mesh_target() {
   local slot=$1 service=$2 version=$3
   shift 3
   start "target-$slot" "$BIN/standin-target" --port "$(target_port "$slot")" \
     --node-port "$(call_port "$slot")" --service "$service" \
-    --target-version "$version" "$@"
+    --target-version "$version" ${TARGET_OPTIONS:-} "$@"
 }
 
 ctl() {
@@ -223,3 +224,51 @@
   tail -n 5 "$RUN"/*.log
   exit 1
 }
+
+# targets_ready NODE SERVICE VERSION N: as this node sees them.
+targets_ready() {
+  curl -s -m 2 "http://127.0.0.1:$(admin_port "$1")/status" | tr -d ' \n' \
+    | grep -o '"targets":.*"members"' \
+    | grep -qE "\"$2\":\{[^}]*\"$3\":$4[,}]"
+}
+
+all_see_targets() {
+  local slot
+  for slot in "${NODES[@]}"; do targets_ready "$slot" "$@" || return 1; done
+}
+
+# target_figure SLOT NAME: a figure of the target's own statistics.
+target_figure() {
+  curl -s -m 2 "http://127.0.0.1:$(target_port "$1")/_control/stats" \
+    | sed -E "s/.*\"$2\":([0-9]+).*/\1/"
+}
+
+# load_start NAME "SLOT..." OPTION...: starts the load generator.
+load_start() {
+  local name=$1 slot to=()
+  for slot in $2; do to+=(--to "127.0.0.1:$(call_port "$slot")"); done
+  shift 2
+  : >"$RUN/$name.out"
+  start "$name" "$BIN/bench-load" "${to[@]}" "$@"
+}
+
+# load_stop NAME: starts no more calls, and then as load_end.
+load_stop() {
+  kill -TERM "${PID[$1]}" 2>/dev/null
+  load_end "$1"
+}
+
+# load_end NAME: waits for its end; fails when an answer was not the whole
+# answer to its own request. The figures are read with load_figure.
+load_end() {
+  wait_for "end of $1" 40 has_ended "${PID[$1]}" || fail "$1 does not end"
+  unset "PID[$1]"
+  local class
+  [ "$(load_figure "$1" calls)" -gt 0 ] || fail "$1: no calls"
+  for class in unframed truncated wrong_id wrong_content; do
+    [ "$(load_figure "$1" "$class")" -eq 0 ] \
+      || fail "$1: $(load_figure "$1" "$class") answers $class"
+  done
+}
+
+load_figure() { awk -v name="$2" '$1 == name { print $2 }' "$RUN/$1.out"; }
--- a/test/standin/target.c
+++ b/test/standin/target.c
@@ -56,6 +56,19 @@
   evhttp_send_error (request, 404, NULL);
 }
 
+/// @return true when a request to a path that crashes has the query or the
+/// body `safe`, with which it does not
+static bool
+is_harmless (struct evhttp_request *request)
+{
+  const char *query
+      = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  return (query != NULL && strncmp (query, "safe", 4) == 0)
+         || (evbuffer_get_length (body) >= 4
+             && memcmp (evbuffer_pullup (body, 4), "safe", 4) == 0);
+}
+
 static void
 serve (struct evhttp_request *request, void *arg)
 {
@@ -77,7 +90,8 @@
       return;
     }
   size_t length = strlen (path);
-  if (length >= 6 && strcmp (path + length - 6, "/crash") == 0)
+  if (length >= 6 && strcmp (path + length - 6, "/crash") == 0
+      && !is_harmless (request))
     _exit (3);
   if (target->drain_ms != 0
       && clock_monotonic_ms () - target->drain_ms >= 3000)
@@ -263,6 +277,8 @@
       = arg_str0 (NULL, "bad-prefix", "PATH", "bad only below this path");
   struct arg_dbl *lag
       = arg_dbl0 (NULL, "lag-s", "S", "health and load are this old");
+  struct arg_lit *print_keys = arg_lit0 (
+      NULL, "print-keys", "print the key of each execution when it starts");
   struct arg_int *seed
       = arg_int0 (NULL, "seed", "N", "seed of random choices");
   struct arg_end *end = arg_end (20);
@@ -271,7 +287,7 @@
           version,     slots,        connections, announce_ms, service_ms,
           tail_ms,     tail_share,   cold_s,      cold_factor, fail_rate,
           add_latency, bad_from,     bad_above,   bad_prefix,  lag,
-          seed,        end };
+          print_keys,  seed,         end };
   if (arg_nullcheck (table) != 0)
     return 1;
   port->ival[0] = 9000;
@@ -327,6 +343,7 @@
     .bad_above_share = bad_above->dval[0],
     .bad_prefix = bad_prefix->sval[0],
     .lag_s = lag->dval[0],
+    .print_keys = print_keys->count > 0,
     .seed = seed->ival[0],
   };
   int result = run (&target);
--- a/test/standin/target_state.h
+++ b/test/standin/target_state.h
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -38,6 +39,7 @@
   double bad_above_share; ///< bad only above this share of the slots
   const char *bad_prefix; ///< bad only for paths with this prefix
   double lag_s;           ///< age of what health and load say
+  bool print_keys;        ///< executions outlive the process in its output
   int seed;
 };
 
@@ -97,6 +99,11 @@
       strcpy ((*place)->key, key);
     }
   (*place)->count++;
+  if (target->options.print_keys)
+    {
+      puts (key);
+      fflush (stdout);
+    }
 }
 
 /// @return true when the bad behaviour applies to a path now
