Never signal a process id that is in use again

Cause: mesh_end and stop signalled ids of processes that had ended. Ids go up to 32768 and the functional tests start thousands of short processes, so an id was in use again: a run of calls_test lost a target and its timeout to the end of another script. has_ended also took the new process for the old one.

Change: the start time of each process is kept and compared before a signal and in has_ended.

--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -10,7 +10,7 @@
 mesh_begin() {
   RUN="$REPOSITORY/build/run-$1-$$"
   mkdir -p "$RUN"
-  declare -gA PID=() ZONE=() INDEX=()
+  declare -gA PID=() BORN=() ZONE=() INDEX=()
   NODES=()
   local try
   for try in $(seq 1 50); do
@@ -33,8 +33,8 @@
 mesh_end() {
   local name
   for name in "${!PID[@]}"; do
-    kill -CONT "${PID[$name]}" 2>/dev/null
-    kill -KILL "${PID[$name]}" 2>/dev/null
+    send_signal "$name" CONT
+    send_signal "$name" KILL
   done
   [ -n "${KEEP_RUN:-}" ] || rm -rf "$RUN"
 }
@@ -45,14 +45,31 @@
   shift
   "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" &
   PID[$name]=$!
+  BORN[$!]=$(birth_of $!)
   disown $!
 }
 
-has_ended() { ! kill -0 "$1" 2>/dev/null; }
+# birth_of PID: start time of a process, in clock ticks since the boot.
+birth_of() {
+  local stat
+  { read -r stat <"/proc/$1/stat"; } 2>/dev/null || return
+  # The fields after the command, which is in brackets, begin with the third.
+  set -- ${stat##*) }
+  echo "${20}"
+}
+
+# has_ended PID: process ids are used again soon when many processes start, so
+# the start time is compared as well.
+has_ended() { [ "$(birth_of "$1")" != "${BORN[$1]}" ]; }
+
+# send_signal NAME SIGNAL: never to another process with the same id.
+send_signal() {
+  has_ended "${PID[$1]}" || kill "-$2" "${PID[$1]}" 2>/dev/null
+}
 
 # stop NAME [SIGNAL]: ends one process and waits for it.
 stop() {
-  kill "-${2:-TERM}" "${PID[$1]}" 2>/dev/null
+  send_signal "$1" "${2:-TERM}"
   wait_for "end of $1" 30 has_ended "${PID[$1]}"
   unset "PID[$1]"
 }
@@ -254,7 +271,7 @@
 
 # load_stop NAME: starts no more calls, and then as load_end.
 load_stop() {
-  kill -TERM "${PID[$1]}" 2>/dev/null
+  send_signal "$1" TERM
   load_end "$1"
 }
 
