Lock the block of ports of a functional test

Change: the script holds a file lock on its block of 2,000 ports until it ends, and fails when it finds no free block.

Conclusion: scripts may run side by side.

--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -6,17 +6,22 @@
 BIN="$REPOSITORY/build/${MESH_VARIANT:-opt}"
 KEY=$(printf '%064d' 7)
 
-# mesh_begin NAME: takes a block of free ports below the ephemeral range.
+# mesh_begin NAME: takes a block of 2,000 free ports below the ephemeral range
+# and keeps it locked until the script ends, so that two scripts which start at
+# once do not take the same one.
 mesh_begin() {
   RUN="$REPOSITORY/build/run-$1-$$"
   mkdir -p "$RUN"
   declare -gA PID=() BORN=() ZONE=() INDEX=()
   NODES=()
-  local try
+  local try found=
   for try in $(seq 1 50); do
-    BASE=$((10000 + (RANDOM % 200) * 100))
-    block_is_free && break
+    BASE=$((10000 + (RANDOM % 10) * 2000))
+    exec {BLOCK_LOCK}>"${TMPDIR:-/tmp}/hawthornseam-ports-$BASE"
+    flock -n "$BLOCK_LOCK" && block_is_free && found=1 && break
+    exec {BLOCK_LOCK}>&-
   done
+  [ -n "$found" ] || { echo "FAILED: no free block of ports"; exit 1; }
   STORE_PORT=$((BASE + 99))
   trap mesh_end EXIT
   trap 'exit 1' INT TERM
@@ -43,7 +48,7 @@
 start() {
   local name=$1
   shift
-  "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" &
+  "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" {BLOCK_LOCK}>&- &
   PID[$name]=$!
   BORN[$!]=$(birth_of $!)
   disown $!
