Let only joined nodes list themselves as entry points

Change: a node that has not joined lists itself only when the list of entry points was read and is empty. A mesh without seeds whose nodes all restart waits for the end of the leases of its old entries (15 s) and the next reading of the list (up to 10 s later); this was not run.

The full check was not run.

--- a/src/node/node_mesh_entry.c
+++ b/src/node/node_mesh_entry.c
@@ -178,6 +178,8 @@
   entry->failures++;
   entry->list_ms = clock_monotonic_ms () + BACKOFF_FIRST_MS
                    + backoff_delay_ms (&mesh->node->rng, entry->failures);
+  if (reply->status == STATUS_OK && reply->key_count == 0)
+    entry->alone = true;
   if (reply->status != STATUS_OK || reply->key_count == 0)
     {
       entry->listing = false;
@@ -241,6 +243,11 @@
     }
   if (entry->running || now_ms < entry->next_ms)
     return;
+  /* A node that has not joined takes itself for a relay, because it knows no
+     other member. If many such nodes listed themselves, the store would get
+     two writes from each, and joining nodes would be sent to them. */
+  if (!mesh->membership.joined && !entry->alone)
+    return;
   /* The entry of a node that is no relay any more ends with its lease. */
   if (!node_is_relay (node) || mesh->membership.leaving)
     {
--- a/test/unit/node_mesh_test.c
+++ b/test/unit/node_mesh_test.c
@@ -35,6 +35,8 @@
   uint8_t head[4096];
   size_t head_size;
   unsigned gets;
+  const void *watched; ///< node whose leases are counted
+  unsigned grants;     ///< leases of that node
 };
 
 struct fake_call
@@ -139,6 +141,8 @@
                   void (*done) (void *arg, const struct store_reply *reply),
                   void *arg)
 {
+  struct fake_store *fake = store;
+  fake->grants += arg == fake->watched;
   enqueue (store, NULL, false, done, arg);
 }
 
@@ -163,7 +167,7 @@
 static struct config content; ///< newest accepted content
 
 static void
-start_node (int i, size_t seeds)
+start_node_as (int i, size_t seeds, const char *slot, uint16_t port)
 {
   struct node *node = &nodes[i];
   memset (node, 0, sizeof *node);
@@ -173,12 +177,12 @@
   rng_init (&node->rng, 100 + (uint64_t)i);
   struct settings *settings = &node->settings;
   snprintf (settings->mesh, sizeof settings->mesh, "test");
-  snprintf (settings->slot, sizeof settings->slot, "slot-%d", i);
+  snprintf (settings->slot, sizeof settings->slot, "%s", slot);
   snprintf (settings->availability_zone, sizeof settings->availability_zone,
             "zone-%c", 'a' + i / 3);
   snprintf (settings->region, sizeof settings->region, "region");
   settings->address = 0x7f000001;
-  settings->peer_port = (uint16_t)(first_port + i);
+  settings->peer_port = port;
   settings->seeds[0] = (struct settings_endpoint){ 0x7f000001, first_port };
   settings->seeds[1]
       = (struct settings_endpoint){ 0x7f000001, (uint16_t)(first_port + 3) };
@@ -189,6 +193,14 @@
   CU_ASSERT_EQUAL_FATAL (node_mesh_start (node), STATUS_OK);
 }
 
+static void
+start_node (int i, size_t seeds)
+{
+  char slot[16];
+  snprintf (slot, sizeof slot, "slot-%d", i);
+  start_node_as (i, seeds, slot, (uint16_t)(first_port + i));
+}
+
 /// Runs the loop until a condition holds.
 /// @return the time that it took, ms; limit_ms when it did not hold
 static uint64_t
@@ -311,6 +323,26 @@
   store.outage = false;
 }
 
+/// Guards against a herd of restarting nodes that all list themselves as
+/// entry points, with two store writes each, before they know their zone.
+static void
+test_restart_writes_no_entry (void)
+{
+  int plain = 0;
+  while (plain < NODES && node_is_relay (&nodes[plain]))
+    plain++;
+  CU_ASSERT_FATAL (plain < NODES);
+  store.watched = &nodes[plain];
+  store.grants = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      node_mesh_stop (&nodes[plain]);
+      start_node (plain, 2);
+      CU_ASSERT (run_until (all_joined, 15000) < 15000);
+    }
+  CU_ASSERT_EQUAL (store.grants, 0);
+}
+
 static uint64_t
 counter_value (const char *name)
 {
@@ -330,18 +362,22 @@
       publish (0);
       run_until (NULL, 20);
     }
-  /* Nobody sends heartbeats to a dead member, which would let it join too. */
   run_until (fifth_is_dead, 15000);
   CU_ASSERT (store.entry_count >= 4);
   uint64_t snapshots = counter_value ("mesh_config_snapshots_sent");
   uint64_t lists = counter_value ("mesh_entry_lists");
-  start_node (5, 0);
+  /* Members try dead slots and their addresses again, which would let the node
+     join before it reads the list. So it has a slot and a port that nobody
+     knows. */
+  start_node_as (5, 0, "slot-new", (uint16_t)(first_port + NODES));
   uint64_t ready_ms = run_until (fifth_is_ready, 20000);
   printf (" ready in %d ms;", (int)ready_ms);
   CU_ASSERT (ready_ms < 7000);
   CU_ASSERT (run_until (all_hold_newest, 7000) < 7000);
   CU_ASSERT (counter_value ("mesh_config_snapshots_sent") > snapshots);
   CU_ASSERT (counter_value ("mesh_entry_lists") > lists);
+  for (int i = 0; i < NODES; i++)
+    node_mesh_stop (&nodes[i]);
 }
 
 static void
@@ -359,8 +395,6 @@
         found = true;
     }
   CU_ASSERT (found);
-  for (int i = 0; i < NODES; i++)
-    node_mesh_stop (&nodes[i]);
 }
 
 static const struct test_case cases[] = {
@@ -368,9 +402,11 @@
     test_nodes_join_and_follow },
   { "a restarted node does not become ready without the store",
     test_restart_without_store },
+  { "restarting nodes list themselves before they know their zone",
+    test_restart_writes_no_entry },
+  { "versions in force are not summed up for both zones", test_zone_sums },
   { "a node without seeds does not join or get a snapshot",
     test_snapshot_through_entry_point },
-  { "versions in force are not summed up for both zones", test_zone_sums },
 };
 
 int
@@ -379,7 +415,7 @@
   log_set_level (getenv ("VERBOSE") != NULL ? LOG_LEVEL_DEBUG
                                             : LOG_LEVEL_ERROR);
   base = event_base_new ();
-  first_port = free_ports (NODES);
+  first_port = free_ports (NODES + 1);
   store.base = base;
   config_init (&content);
   int code = testing_run ("node_mesh", cases, sizeof cases / sizeof cases[0]);
