--- a/test/unit/node_mesh_test.c
+++ b/test/unit/node_mesh_test.c
@@ -35,6 +35,8 @@
   uint8_t head[4096];
   size_t head_size;
   unsigned gets;
+  const void *watched; ///< node whose leases are counted
+  unsigned grants;     ///< leases of that node
 };
 
 struct fake_call
@@ -139,6 +141,8 @@
                   void (*done) (void *arg, const struct store_reply *reply),
                   void *arg)
 {
+  struct fake_store *fake = store;
+  fake->grants += arg == fake->watched;
   enqueue (store, NULL, false, done, arg);
 }
 
@@ -311,6 +315,26 @@
   store.outage = false;
 }
 
+/// Guards against a herd of restarting nodes that all list themselves as
+/// entry points, with two store writes each, before they know their zone.
+static void
+test_restart_writes_no_entry (void)
+{
+  int plain = 0;
+  while (plain < NODES && node_is_relay (&nodes[plain]))
+    plain++;
+  CU_ASSERT_FATAL (plain < NODES);
+  store.watched = &nodes[plain];
+  store.grants = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      node_mesh_stop (&nodes[plain]);
+      start_node (plain, 2);
+      CU_ASSERT (run_until (all_joined, 15000) < 15000);
+    }
+  CU_ASSERT_EQUAL (store.grants, 0);
+}
+
 static bool
 late_node_is_ready (void)
 {
@@ -349,7 +373,8 @@
   CU_ASSERT (counter_value ("mesh_entry_lists") > lists);
   node_mesh_leave (&nodes[NODES]);
   run_until (NULL, 500);
-  node_mesh_stop (&nodes[NODES]);
+  for (int i = 0; i <= NODES; i++)
+    node_mesh_stop (&nodes[i]);
 }
 
 static void
@@ -367,8 +392,6 @@
         found = true;
     }
   CU_ASSERT (found);
-  for (int i = 0; i < NODES; i++)
-    node_mesh_stop (&nodes[i]);
 }
 
 static const struct test_case cases[] = {
@@ -376,9 +399,11 @@
     test_nodes_join_and_follow },
   { "a restarted node does not become ready without the store",
     test_restart_without_store },
+  { "restarting nodes list themselves before they know their zone",
+    test_restart_writes_no_entry },
+  { "versions in force are not summed up for both zones", test_zone_sums },
   { "a node without seeds does not join or get a snapshot",
     test_snapshot_through_entry_point },
-  { "versions in force are not summed up for both zones", test_zone_sums },
 };
 
 int
