--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Builds the programs, the library, the stand-ins and the tests.
-#   make            programs, stand-ins and the load generator in build/opt
+#   make            programs, stand-ins and benchmarks in build/opt
 #   make check      unit, fuzz-regression and functional tests (sanitizers on)
 #   make bench      figures against their bounds
 #   make demo       set-up, build and a guided run on loopback
@@ -30,22 +30,20 @@
 LIBRARY := $(BUILD)/libhawthornseam-core.a
 NODE := $(BUILD)/hawthornseam-node
 CTL := $(BUILD)/hawthornseam-ctl
+LOAD := $(BUILD)/hawthornseam-load
 OPERATOR_LIBRARY := $(BUILD)/libhawthornseam.a
 STANDINS := $(patsubst test/standin/%.c,$(BUILD)/standin-%, \
   $(wildcard test/standin/*.c))
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
-BENCHES := $(patsubst bench/%.c,$(BUILD)/bench-%, \
-  $(filter-out bench/move_model.c bench/move_scenarios.c bench/move_run.c, \
-  $(wildcard bench/*.c)))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench-%,$(wildcard bench/*.c))
+MODEL := $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard src/model/*.c))
 UNIT_TESTS := $(patsubst test/unit/%.c,$(BUILD)/unit-%, \
   $(wildcard test/unit/*_test.c))
 FUZZERS := $(patsubst test/fuzz/%.c,$(BUILD)/fuzz-%, \
   $(wildcard test/fuzz/*_fuzz.c))
 
-all: $(if $(wildcard src/node/node_main.c),$(NODE)) \
-  $(if $(wildcard src/ctl/ctl_main.c),$(CTL)) \
-  $(if $(wildcard src/lib/*.c),$(OPERATOR_LIBRARY)) \
-  $(STANDINS) $(EXAMPLES) $(BENCHES)
+all: $(NODE) $(CTL) $(LOAD) $(OPERATOR_LIBRARY) $(STANDINS) $(EXAMPLES) \
+  $(BENCHES)
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
@@ -62,6 +60,9 @@
 $(NODE): $(BUILD)/obj/src/node/node_main.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(LOAD): $(BUILD)/obj/src/load/load_main.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(CTL): $(BUILD)/obj/src/ctl/ctl_main.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
@@ -74,10 +75,7 @@
 $(BUILD)/bench-%: $(BUILD)/obj/bench/%.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-# A benchmark of several files.
-$(BUILD)/bench-move_bench: $(BUILD)/obj/bench/move_bench.o \
-  $(BUILD)/obj/bench/move_run.o $(BUILD)/obj/bench/move_model.o \
-  $(BUILD)/obj/bench/move_scenarios.o $(LIBRARY)
+$(BUILD)/bench-move_bench: $(BUILD)/obj/bench/move_bench.o $(MODEL) $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/unit-%: $(BUILD)/obj/test/unit/%.o $(LIBRARY)
--- a/bench/latency.sh
+++ b/bench/latency.sh
@@ -41,7 +41,7 @@
 load() {
   local name=$1 port=$2
   shift 2
-  "$BIN/bench-load" --to "127.0.0.1:$port" --path 1:GET:/zapisy/1 \
+  "$BIN/hawthornseam-load" --to "127.0.0.1:$port" --path 1:GET:/zapisy/1 \
     --duration-s "$SECONDS_PER_STEP" "$@" >"$RUN/$name.txt" \
     || fail "wrong answers in $name"
 }
--- a/bench/move_bench.c
+++ b/bench/move_bench.c
@@ -1,7 +1,7 @@
 /// Measures the move policy on a table of scenarios and compares it with two
 /// simple policies. Virtual time and fixed seeds: every run gives the same
 /// figures. Writes build/move_table.txt and prints the judged figures.
-#include "move_run.h"
+#include "model/move_run.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/bench/move_scale.sh
+++ b/bench/move_scale.sh
@@ -38,7 +38,7 @@
 
 to=()
 for slot in "${NODES[@]}"; do to+=(--to "127.0.0.1:$(call_port "$slot")"); done
-start load "$BIN/bench-load" "${to[@]}" --path 1:GET:/zapisy/1 \
+start load "$BIN/hawthornseam-load" "${to[@]}" --path 1:GET:/zapisy/1 \
   --rate "$RATE" --concurrency 64 --duration-s 60
 sleep 5
 sample calls0
--- /dev/null
+++ b/src/coordination/move_settings.c
@@ -0,0 +1,34 @@
+/// Owns the settings of the move policy that nodes use.
+#include "coordination/move.h"
+
+/* The tolerated ratios keep small real differences from counting as faults: a
+   new version may answer about a tenth slower. docs/decisions/move-policy.md
+   has the trials.
+
+   90% and not more is held until the end: the fewer calls stay on the old
+   version, the less can be told from the comparison. */
+const struct move_settings move_defaults = {
+  .judge = { .false_alarm = 1.0 / 400,
+             .restart_ms = 2000,
+             .block_calls = 8,
+             .most_per_s = { 5, 2.5, 2.5 },
+             .ratios = { { 1.3, { 2, 4, 12, 60, 500 } },
+                         { 1.6, { 2.2, 3.5, 7, 20, 100 } },
+                         { 2.0, { 3, 5, 10, 30, 200 } } } },
+  .shares_bp = { 100, 200, 500, 1000, 2500, 5000, 9000 },
+  .share_count = 7,
+  .careful_count = 3,
+  .careful_part = 0.7,
+  .reserve_part = 0.1,
+  .reserve_min_ms = 5000,
+  .reserve_max_ms = 90000,
+  .dwell_min_ms = 2000,
+  .warm_part = 0.05,
+  .warm_min_ms = 3000,
+  .warm_max_ms = 30000,
+  .route_calls = 20,
+  .expected_calls = 3,
+  .load_window_ms = 4000,
+  .load_excess = 1.0,
+  .slots_part = 0.75,
+};
--- a/bench/load.c
+++ b/src/load/load_main.c
@@ -1,7 +1,7 @@
 /// Load generator: sends calls at a rate or with a number of callers, checks
 /// that each answer is whole and belongs to its request, and reports outcomes
 /// and latencies. Exit code 1 when an answer was wrong.
-#include "load_report.h"
+#include "load/load_report.h"
 
 #include "base/clock.h"
 #include "base/rng.h"
@@ -444,7 +444,7 @@
     }
   if (version->count > 0)
     {
-      puts ("bench-load (hawthornseam)");
+      puts ("hawthornseam-load (hawthornseam)");
       return 0;
     }
   static struct load load;
--- a/bench/move_model.c
+++ b/src/model/move_model.c
@@ -1,7 +1,7 @@
 /// Owns the random streams of the model. Counts are drawn from the
 /// distributions that the single calls would follow: arrivals are Poisson,
 /// outcomes binomial, answer times log-normal with a slow part.
-#include "move_model.h"
+#include "model/move_model.h"
 
 #include <math.h>
 #include <string.h>
--- a/bench/move_run.c
+++ b/src/model/move_run.c
@@ -1,6 +1,6 @@
 /// Owns the virtual time of one run: the delays between callers, driver, store
 /// and nodes, which are one tick of the model each, and the two drivers.
-#include "move_run.h"
+#include "model/move_run.h"
 
 #include "coordination/trip.h"
 
--- a/bench/move_run.h
+++ b/src/model/move_run.h
@@ -3,7 +3,7 @@
 #define HAWTHORNSEAM_BENCH_MOVE_RUN_H
 
 #include "coordination/move.h"
-#include "move_scenarios.h"
+#include "model/move_scenarios.h"
 
 enum run_policy
 {
--- a/bench/move_scenarios.c
+++ b/src/model/move_scenarios.c
@@ -1,6 +1,6 @@
 /// Owns the scenarios: what good and bad versions look like. The service of
 /// most of them has the size of the ones on the design page.
-#include "move_scenarios.h"
+#include "model/move_scenarios.h"
 
 /* Scenarios state only what differs from the plain one. */
 #pragma GCC diagnostic ignored "-Woverride-init"
--- a/bench/move_scenarios.h
+++ b/src/model/move_scenarios.h
@@ -2,7 +2,7 @@
 #ifndef HAWTHORNSEAM_BENCH_MOVE_SCENARIOS_H
 #define HAWTHORNSEAM_BENCH_MOVE_SCENARIOS_H
 
-#include "move_model.h"
+#include "model/move_model.h"
 
 struct move_scenario
 {
--- a/src/node/node_call_entry.c
+++ b/src/node/node_call_entry.c
@@ -347,52 +347,6 @@
     call_exchange_pause (exchange);
 }
 
-/// @return what the end of an exchange means for the call
-static enum call_end
-end_of (const struct call_entry *entry, enum call_end_kind kind)
-{
-  if (entry->outcome_known && entry->outcome == CALL_NOT_RUN)
-    return CALL_END_REFUSED;
-  switch (kind)
-    {
-    case CALL_EXCHANGE_COMPLETE:
-      if (entry->answering)
-        return CALL_END_ANSWERED;
-      /* The target responded, so another try could run the call again. */
-      return strcmp (entry->reason, CALL_REASON_UNFRAMED) == 0
-                 ? CALL_END_UNFRAMED
-                 : CALL_END_UNKNOWN_BY_NODE;
-    case CALL_EXCHANGE_NOT_CONNECTED:
-      return CALL_END_NOT_CONNECTED;
-    case CALL_EXCHANGE_LOST:
-      return CALL_END_LOST;
-    case CALL_EXCHANGE_TIMED_OUT:
-      return CALL_END_TIMED_OUT;
-    case CALL_EXCHANGE_UNFRAMED:
-      return CALL_END_UNFRAMED;
-    }
-  assert (!"unknown end of an exchange");
-  return CALL_END_LOST;
-}
-
-static const char *
-reason_of (const struct call_entry *entry, enum call_end end)
-{
-  if (entry->reason[0] != '\0')
-    return entry->reason;
-  switch (end)
-    {
-    case CALL_END_NOT_CONNECTED:
-      return CALL_REASON_NOT_CONNECTED;
-    case CALL_END_TIMED_OUT:
-      return CALL_REASON_TIMEOUT;
-    case CALL_END_UNFRAMED:
-      return CALL_REASON_UNFRAMED;
-    default:
-      return CALL_REASON_CONNECTION_LOST;
-    }
-}
-
 /// The answer was cut after a part of it had been passed on.
 static void
 cut_answer (struct call_entry *entry)
@@ -425,7 +379,7 @@
   uint64_t now = clock_monotonic_ms ();
   if (entry->latency_us == 0)
     entry->latency_us = elapsed_us (entry);
-  enum call_end end = end_of (entry, kind);
+  enum call_end end = node_call_entry_end (entry, kind);
   count_try (entry, end);
   if (end == CALL_END_ANSWERED)
     {
@@ -459,7 +413,7 @@
       return;
     }
   char reason[sizeof entry->reason];
-  snprintf (reason, sizeof reason, "%s", reason_of (entry, end));
+  snprintf (reason, sizeof reason, "%s", node_call_entry_reason (entry, end));
   enum call_outcome outcome = retry_outcome (end);
   int status = outcome == CALL_NOT_RUN ? 503 : 502;
   if (end == CALL_END_TIMED_OUT)
--- a/src/node/node_call_entry.h
+++ b/src/node/node_call_entry.h
@@ -46,6 +46,18 @@
   bool record_complete;
 };
 
+/* node_call_result.c */
+
+/// @return what the end of an exchange means for the call
+enum call_end node_call_entry_end (const struct call_entry *entry,
+                                   enum call_end_kind kind);
+
+/// @return the reason that a caller is told for a call without an answer
+const char *node_call_entry_reason (const struct call_entry *entry,
+                                    enum call_end end);
+
+/* node_call_entry.c */
+
 /// Starts the first try of an accepted call.
 void node_call_entry_go (struct call_entry *entry);
 
--- a/src/node/node_call_run.c
+++ b/src/node/node_call_run.c
@@ -1,5 +1,5 @@
 /// Owns the calls at the own target, from admission to the end of the answer.
-#include "node/node_call_parts.h"
+#include "node/node_call_run.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -12,34 +12,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/// Fingerprints in one broadcast, so that its body stays small.
-#define SUSPECTS_PER_MESSAGE 128
-
-enum run_state
-{
-  RUN_QUEUED,
-  RUN_SENT,   ///< at the target, no headers yet
-  RUN_ANSWER, ///< headers passed on
-  RUN_PROBED  ///< lost; waits for the result of the probe
-};
-
-struct call_run
-{
-  struct call_part part; ///< first: found by the context of a request
-  struct node_calls *calls;
-  struct call_run *previous;
-  struct call_run *next;
-  struct call_request *request;
-  struct call_exchange *exchange;
-  struct admit_ticket ticket;
-  enum run_state state;
-  uint64_t fingerprint;
-  uint64_t deadline_ms;
-  bool suspect; ///< holds the right of suspect_begin
-  bool keyed;   ///< carries an Idempotency-Key
-  bool not_run; ///< the target said that it refused the request
-};
-
 static struct counter admitted
     = COUNTER ("calls_admitted", "calls passed to the own target");
 static struct counter refused
@@ -47,8 +19,6 @@
                "routed calls refused before the target saw them");
 static struct counter hops_refused = COUNTER (
     "calls_hops_refused", "routed calls without a valid proof of routing");
-static struct counter suspects_raised
-    = COUNTER ("calls_suspects_raised", "calls in flight in a crash");
 static struct counter suspects_cleared
     = COUNTER ("calls_suspects_cleared", "crash suspects that succeeded");
 
@@ -397,67 +367,6 @@
     call_exchange_resume (run->exchange);
 }
 
-static void
-broadcast_suspects (struct node_calls *calls, uint64_t crash,
-                    const uint64_t *fingerprints, size_t count)
-{
-  if (count == 0)
-    return;
-  msgpack_sbuffer buffer;
-  msgpack_packer packer;
-  msgpack_sbuffer_init (&buffer);
-  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, count + 1);
-  msgpack_pack_uint64 (&packer, crash);
-  for (size_t i = 0; i < count; i++)
-    msgpack_pack_uint64 (&packer, fingerprints[i]);
-  node_mesh_broadcast (calls->node, 4, (const uint8_t *)buffer.data,
-                       buffer.size);
-  msgpack_sbuffer_destroy (&buffer);
-}
-
-void
-node_call_runs_crashed (struct node_calls *calls, uint64_t crash,
-                        uint64_t now_ms)
-{
-  uint64_t fingerprints[SUSPECTS_PER_MESSAGE];
-  size_t count = 0;
-  size_t total = 0;
-  struct call_run *run = calls->runs;
-  size_t lost = 0;
-  while (run != NULL || lost < NODE_CALL_LOST_MAX)
-    {
-      uint64_t fingerprint = 0;
-      if (run != NULL)
-        {
-          if (run->state != RUN_QUEUED)
-            fingerprint = run->fingerprint;
-          run = run->next;
-        }
-      else
-        {
-          const struct lost_call *call = &calls->lost[lost++];
-          if (now_ms - call->lost_ms < NODE_CALL_LOST_MS)
-            fingerprint = call->fingerprint;
-        }
-      if (fingerprint == 0
-          || !suspect_raise (&calls->suspects, fingerprint, crash, now_ms))
-        continue;
-      total++;
-      fingerprints[count++] = fingerprint;
-      if (count == SUSPECTS_PER_MESSAGE)
-        {
-          broadcast_suspects (calls, crash, fingerprints, count);
-          count = 0;
-        }
-    }
-  broadcast_suspects (calls, crash, fingerprints, count);
-  counter_add (&suspects_raised, total);
-  if (total > 0)
-    log_event (LOG_LEVEL_WARNING, "crash_suspects", "count=%zu crash=%016llx",
-               total, (unsigned long long)crash);
-}
-
 /// Answers one call whose connection was lost.
 static void
 end_probed (struct call_run *run, uint64_t crash)
--- a/test/functional/demo.sh
+++ b/test/functional/demo.sh
@@ -72,7 +72,7 @@
 for slot in "${NODES[@]}"; do
   targets+=(--to "127.0.0.1:$(call_port "$slot")")
 done
-start load "$BIN/bench-load" "${targets[@]}" --rate 500 -c 128 --duration-s 55 \
+start load "$BIN/hawthornseam-load" "${targets[@]}" --rate 500 -c 128 --duration-s 55 \
   --path 3:GET:/zapisy/minutes --path 2:GET:/pecet/verify/seal
 sleep 1
 
--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -271,7 +271,7 @@
   for slot in $2; do to+=(--to "127.0.0.1:$(call_port "$slot")"); done
   shift 2
   : >"$RUN/$name.out"
-  start "$name" "$BIN/bench-load" "${to[@]}" "$@"
+  start "$name" "$BIN/hawthornseam-load" "${to[@]}" "$@"
 }
 
 # load_stop NAME: starts no more calls, and then as load_end.
