--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,8 +45,8 @@
 void node_mesh_leave (struct node *node);
 
 /// Broadcasts a body to all nodes of all zones. Kinds are those of the design
-/// page: 1 version record, 2 member events, 3 trip, 4 crash suspect, 5 suspect
-/// cleared.
+/// page: 1 version record (own zone only), 2 member events, 3 trip, 4 crash
+/// suspect, 5 suspect cleared.
 void node_mesh_broadcast (struct node *node, unsigned kind,
                           const uint8_t *body, size_t size);
 
@@ -118,7 +118,9 @@
 void node_claims_stop (struct node *node);
 
 /// Asks for the right to run a request once. `done` is called exactly once
-/// unless the claim is abandoned before.
+/// unless the claim is abandoned before. After any result but CLAIM_GRANTED
+/// the claim ends when `done` returns; node_claim_finish within it does
+/// nothing.
 struct node_claim *
 node_claim_begin (struct node *node, const char *idempotency_key,
                   uint32_t deadline_ms,
--- a/src/node/node_main.c
+++ b/src/node/node_main.c
@@ -100,8 +100,9 @@
 {
   struct node *node = arg;
   node_mesh_leave (node);
-  /* Gives the announcement time to leave the output buffers. */
-  struct timeval delay = { 0, 200000 };
+  /* Gives the announcement time to be sent and acknowledged: another member of
+     a part is asked after 300 ms. */
+  struct timeval delay = { 0, 400000 };
   event_base_loopexit (node->base, &delay);
 }
 
