--- a/src/node/node_calls.c
+++ b/src/node/node_calls.c
@@ -4,10 +4,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "state/unpack.h"
 
 #include <assert.h>
 #include <event2/keyvalq_struct.h>
-#include <msgpack.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -116,17 +116,18 @@
 read_numbers (const uint8_t *body, size_t size, msgpack_unpacked *unpacked)
 {
   msgpack_unpacked_init (unpacked);
-  if (msgpack_unpack_next (unpacked, (const char *)body, size, NULL)
-          == MSGPACK_UNPACK_SUCCESS
-      && unpacked->data.type == MSGPACK_OBJECT_ARRAY)
+  const msgpack_object *items = unpack_one (unpacked, body, size) == STATUS_OK
+                                    ? unpack_array (&unpacked->data, 1)
+                                    : NULL;
+  if (items != NULL)
     {
-      const msgpack_object_array *array = &unpacked->data.via.array;
+      uint32_t count = unpacked->data.via.array.size;
       uint32_t good = 0;
-      while (good < array->size
-             && array->ptr[good].type == MSGPACK_OBJECT_POSITIVE_INTEGER
-             && array->ptr[good].via.u64 != 0)
+      uint64_t number;
+      while (good < count && unpack_number (&items[good], UINT64_MAX, &number)
+             && number != 0)
         good++;
-      if (good == array->size && good > 0)
+      if (good == count)
         return good;
     }
   counter_add (&bad_suspects, 1);
--- a/test/unit/call_route_test.c
+++ b/test/unit/call_route_test.c
@@ -158,6 +158,9 @@
                    clock_monotonic_ms ());
   node_mesh_broadcast (&mesh.nodes[1], 5, (const uint8_t *)"\xc1junk", 5);
   node_mesh_broadcast (&mesh.nodes[1], 4, (const uint8_t *)"\x92\x01", 2);
+  /* An array header that states 2^32 - 1 elements must not be believed. */
+  node_mesh_broadcast (&mesh.nodes[1], 4,
+                       (const uint8_t *)"\xdd\xff\xff\xff\xff", 5);
   for (size_t i = 0; i < MESH_NODES; i++)
     CU_ASSERT_EQUAL (mesh.nodes[i].calls->suspects.count, 1);
   CU_ASSERT (says (0, "GET /s/ok HTTP/1.1\r\n\r\n", " 200 "));
