Use one type for listed versions and one backoff; remove unused functions

Cause: on reading the whole change, record_attempt and publish_entry were the same pair copied from one to the other at each answer, claim_log computed its own full-jitter backoff beside backoff_delay_ms, and three functions had no caller.

Change: heads list struct publish_entry, so the view of a head borrows it; claim_log calls backoff_delay_ms with the same bound of 1.6 s; config_running_move, call_request_arena and peers_has_output are gone. No test changed.

Two bounded msgpack readers, state/unpack and protocol/pack_reader, still stand beside each other.

--- a/src/coordination/claim_log.c
+++ b/src/coordination/claim_log.c
@@ -2,6 +2,7 @@
 /// chunks that are written and removed.
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/backoff.h"
 #include "coordination/claim_log_parts.h"
 
 #include <assert.h>
@@ -11,8 +12,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#define BACKOFF_FIRST_MS 100
-#define BACKOFF_DOUBLINGS 4 /* at most 1.6 s */
+#define FAILURES_MAX 5 /* bounds the delay to 1.6 s */
 #define EXPIRE_STEPS 256
 
 static struct counter appends
@@ -47,11 +47,9 @@
 void
 claim_log_back_off (struct claim_log *log, uint64_t now_ms)
 {
-  uint32_t doublings
-      = log->failures < BACKOFF_DOUBLINGS ? log->failures : BACKOFF_DOUBLINGS;
-  log->failures++;
-  log->retry_ms
-      = now_ms + 10 + rng_below (log->rng, BACKOFF_FIRST_MS << doublings);
+  if (log->failures < FAILURES_MAX)
+    log->failures++;
+  log->retry_ms = now_ms + 10 + backoff_delay_ms (log->rng, log->failures);
 }
 
 void
--- a/src/node/node_fetch.c
+++ b/src/node/node_fetch.c
@@ -162,7 +162,7 @@
   read_part (fetch);
 }
 
-static const struct record_attempt *
+static const struct publish_entry *
 listed_attempt (const struct record_head *head, uint64_t version)
 {
   for (size_t i = 0; i < head->recent_count; i++)
@@ -182,7 +182,7 @@
       return;
     }
   char key[RECORD_KEY_MAX];
-  const struct record_attempt *next = listed_attempt (&fetch->head, held + 1);
+  const struct publish_entry *next = listed_attempt (&fetch->head, held + 1);
   if (next != NULL)
     {
       record_version_key (key, next->version, next->nonce);
--- a/src/node/node_publish.c
+++ b/src/node/node_publish.c
@@ -103,20 +103,15 @@
   job->publish.new_version = 0;
 }
 
-/// Gives the decision module its view of a head.
-static void
-head_view (const struct record_head *head, uint64_t revision,
-           struct publish_entry entries[RECORD_RECENT_MAX],
-           struct publish_head *view)
+/// @return the decision module's view of a head, which borrows its versions
+static struct publish_head
+head_view (const struct record_head *head, uint64_t revision)
 {
-  for (size_t i = 0; i < head->recent_count; i++)
-    entries[i] = (struct publish_entry){ head->recent[i].version,
-                                         head->recent[i].nonce };
-  *view = (struct publish_head){ .revision = revision,
-                                 .version = head->version,
-                                 .hash = head->hash,
-                                 .recent = entries,
-                                 .recent_count = head->recent_count };
+  return (struct publish_head){ .revision = revision,
+                                .version = head->version,
+                                .hash = head->hash,
+                                .recent = head->recent,
+                                .recent_count = head->recent_count };
 }
 
 static enum status
@@ -153,7 +148,6 @@
 on_head_read (void *arg, const struct store_reply *reply)
 {
   struct job *job = arg;
-  struct publish_entry entries[RECORD_RECENT_MAX];
   struct publish_head view = { 0 };
   enum status status = reply->status;
   memset (&job->head, 0, sizeof job->head);
@@ -161,7 +155,7 @@
     {
       status = record_head_decode (&job->head, reply->data, reply->size);
       if (status == STATUS_OK)
-        head_view (&job->head, reply->revision, entries, &view);
+        view = head_view (&job->head, reply->revision);
       else
         status = STATUS_CORRUPT;
     }
@@ -201,7 +195,6 @@
 on_head_written (void *arg, const struct store_reply *reply)
 {
   struct job *job = arg;
-  struct publish_entry entries[RECORD_RECENT_MAX];
   struct publish_head view = { 0 };
   struct record_head head;
   enum status status = reply->status;
@@ -213,7 +206,7 @@
                != STATUS_OK)
         status = STATUS_UNKNOWN;
       if (status == STATUS_CONFLICT)
-        head_view (&head, reply->revision, entries, &view);
+        view = head_view (&head, reply->revision);
     }
   publish_head_written (&job->publish, status, &view, clock_monotonic_ms ());
   proceed (job);
--- a/src/protocol/record.c
+++ b/src/protocol/record.c
@@ -73,7 +73,7 @@
   size_t kept = head->recent_count < RECORD_RECENT_MAX ? head->recent_count
                                                        : RECORD_RECENT_MAX - 1;
   memmove (&head->recent[1], &head->recent[0], kept * sizeof head->recent[0]);
-  head->recent[0] = (struct record_attempt){ version, nonce };
+  head->recent[0] = (struct publish_entry){ version, nonce };
   head->recent_count = kept + 1;
   head->version = version;
   head->hash = *hash;
@@ -124,7 +124,7 @@
   head->recent_count = object->via.array.size;
   for (size_t i = 0; i < head->recent_count; i++)
     {
-      struct record_attempt *attempt = &head->recent[i];
+      struct publish_entry *attempt = &head->recent[i];
       const msgpack_object *pair = unpack_array (&pairs[i], 2);
       if (pair == NULL
           || !unpack_number (&pair[0], UINT64_MAX, &attempt->version)
--- a/src/protocol/record.h
+++ b/src/protocol/record.h
@@ -6,6 +6,7 @@
 #define HAWTHORNSEAM_PROTOCOL_RECORD_H
 
 #include "base/status.h"
+#include "coordination/publish.h"
 #include "coordination/store.h"
 #include "state/config.h"
 
@@ -35,12 +36,6 @@
 #define RECORD_VERSIONS_PREFIX "cfg/v/"
 #define RECORD_SNAPSHOTS_PREFIX "cfg/s/"
 
-struct record_attempt
-{
-  uint64_t version;
-  uint64_t nonce;
-};
-
 struct record_head
 {
   uint64_t version;
@@ -48,7 +43,7 @@
   uint64_t nonce;
   uint64_t snapshot_version; ///< 0 without a snapshot
   uint64_t snapshot_nonce;
-  struct record_attempt recent[RECORD_RECENT_MAX];
+  struct publish_entry recent[RECORD_RECENT_MAX];
   size_t recent_count;
 };
 
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -221,13 +221,3 @@
 {
   return config_find (config, CONFIG_MOVE, name);
 }
-
-const struct config_move *
-config_running_move (const struct config *config, const char *service)
-{
-  for (size_t i = 0; i < config->move_count; i++)
-    if (config->moves[i].phase == MOVE_RUNNING
-        && strcmp (config->moves[i].service, service) == 0)
-      return &config->moves[i];
-  return NULL;
-}
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -122,10 +122,6 @@
 const struct config_move *config_find_move (const struct config *config,
                                             const char *name);
 
-/// @return the running move of a service or NULL
-const struct config_move *config_running_move (const struct config *config,
-                                               const char *service);
-
 /// Checks names, limits, references and that each service has at most one
 /// running move; adds a finding with the field path for each problem.
 /// @return STATUS_INVALID when there is a finding
--- a/src/transport/call_request.c
+++ b/src/transport/call_request.c
@@ -34,12 +34,6 @@
   return request->context;
 }
 
-void *
-call_request_arena (const struct call_request *request)
-{
-  return request->arena;
-}
-
 enum evhttp_cmd_type
 call_request_method (const struct call_request *request)
 {
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -65,9 +65,6 @@
 void call_request_set_context (struct call_request *request, void *context);
 void *call_request_context (const struct call_request *request);
 
-/// @return talloc context that is freed with the request
-void *call_request_arena (const struct call_request *request);
-
 enum evhttp_cmd_type call_request_method (const struct call_request *request);
 const char *call_request_method_name (const struct call_request *request);
 
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -438,16 +438,6 @@
   peers->listener = NULL;
 }
 
-bool
-peers_has_output (const struct peers *peers)
-{
-  for (const struct peer_connection *connection = peers->connections;
-       connection != NULL; connection = connection->next)
-    if (evbuffer_get_length (bufferevent_get_output (connection->stream)) > 0)
-      return true;
-  return false;
-}
-
 void
 peers_stop (struct peers *peers)
 {
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -48,9 +48,6 @@
 /// Stops accepting connections; open ones stay.
 void peers_stop_listening (struct peers *peers);
 
-/// @return true when bytes wait to be sent
-bool peers_has_output (const struct peers *peers);
-
 /// Registers the handler of a message type. `body` is the msgpack array that
 /// follows the type, borrowed for the time of the call.
 /// @param type  below PEER_TYPES, not yet registered
