--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 CC := gcc
 CFLAGS := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
-  -Wmissing-prototypes -Wno-unused-parameter -Werror -Isrc -Iinclude
+  -Wmissing-prototypes -Wno-unused-parameter -Werror -Isrc -Iinclude -I.
 ifeq ($(VARIANT),san)
 CFLAGS += -O1 -fsanitize=address,undefined -fno-sanitize-recover=undefined \
   -fno-omit-frame-pointer
@@ -21,12 +21,23 @@
 else
 CFLAGS += -O2
 endif
-LIBS := -levhtp -levent_openssl -levent -lssl -lcrypto -lmsgpackc -lyaml \
+LIBS := -levhtp -levent_openssl -levent -lhttp_parser -lssl -lcrypto -lmsgpackc -lyaml \
   -ltalloc -lsodium -lzstd -ljansson -lxxhash -largtable2 -lm
 
 PRODUCT := $(filter-out %_main.c,$(wildcard src/base/*.c src/state/*.c \
   src/coordination/*.c src/protocol/*.c src/transport/*.c src/node/*.c \
-  src/ctl/*.c src/lib/*.c))
+  src/ctl/*.c src/lib/*.c src/sidecar/*.c platform/*.c))
+# The sidecar links only what it uses: its memory is billed.
+SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
+  platform/*.c) $(addprefix src/state/,directory.c mesh_config.c) \
+  $(addprefix src/coordination/,gate.c place.c quota.c resend.c retry.c) \
+  $(addprefix src/protocol/,call_headers.c document.c entry_record.c hop.c \
+  store_api.c) \
+  $(addprefix src/transport/,http_pool.c http_server.c http_stream.c \
+  store_client.c timer.c))
+SIDECAR := $(BUILD)/hawthornseam-sidecar
+SIDECAR_LIBS := -Wl,--as-needed -levent_core -levent_extra -lhttp_parser -lyaml -ltalloc \
+  -lsodium -ljansson -lxxhash -largtable2 -lm
 LIBRARY := $(BUILD)/libhawthornseam-core.a
 NODE := $(BUILD)/hawthornseam-node
 CTL := $(BUILD)/hawthornseam-ctl
@@ -42,7 +53,7 @@
 FUZZERS := $(patsubst test/fuzz/%.c,$(BUILD)/fuzz-%, \
   $(wildcard test/fuzz/*_fuzz.c))
 
-all: $(NODE) $(CTL) $(LOAD) $(OPERATOR_LIBRARY) $(STANDINS) $(EXAMPLES) \
+all: $(NODE) $(SIDECAR) $(CTL) $(LOAD) $(OPERATOR_LIBRARY) $(STANDINS) $(EXAMPLES) \
   $(BENCHES)
 
 $(BUILD)/obj/%.o: %.c
@@ -60,6 +71,10 @@
 $(NODE): $(BUILD)/obj/src/node/node_main.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(SIDECAR): $(BUILD)/obj/src/sidecar/sidecar_main.o \
+  $(SIDECAR_PARTS:%.c=$(BUILD)/obj/%.o)
+	$(CC) $(CFLAGS) -o $@ $^ $(SIDECAR_LIBS)
+
 $(LOAD): $(BUILD)/obj/src/load/load_main.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- a/src/base/status.c
+++ b/src/base/status.c
@@ -43,6 +43,8 @@
       return "unknown";
     case STATUS_TIMEOUT:
       return "timeout";
+    case STATUS_TOO_OLD:
+      return "too_old";
     case STATUS_TOO_LARGE:
       return "too_large";
     case STATUS_CORRUPT:
--- a/src/base/status.h
+++ b/src/base/status.h
@@ -11,6 +11,7 @@
   STATUS_UNAVAILABLE, ///< refused before any effect; may be tried again
   STATUS_UNKNOWN,     ///< sent, but no answer tells whether it took effect
   STATUS_TIMEOUT,     ///< the deadline passed
+  STATUS_TOO_OLD,     ///< the history that was asked for is gone
   STATUS_TOO_LARGE,   ///< a stated size limit is exceeded
   STATUS_CORRUPT,     ///< a checksum, hash or encoding does not hold
   STATUS_DENIED,      ///< the peer or operator is not authorised
--- /dev/null
+++ b/src/coordination/place.c
@@ -0,0 +1,215 @@
+/// Owns no state; the observations lie in the directory's records.
+#include "coordination/place.h"
+
+#include <string.h>
+
+/// Candidates that are compared. Two already avoid the worst; three find a
+/// fast target among uneven ones more often without all callers choosing the
+/// same one.
+#define CANDIDATES 3
+
+/// A load report says little after this time.
+#define REPORT_MS_MAX 1000
+
+/// Time in the target that is assumed before the first report.
+#define SERVICE_US_DEFAULT 50000
+
+/// Expected cost of leaving the zone with a small answer, microseconds.
+#define ZONE_SMALL_US 1500
+
+/// Share of the objective that keeping a large answer in the zone is worth.
+#define ZONE_LARGE_DIVISOR 4
+
+/// A node is left out for this time after its connection failed, doubled with
+/// each failure in a row up to the maximum.
+#define DOWN_MS_FIRST 250
+#define DOWN_MS_MAX 2000
+#define DOWN_DOUBLINGS_MAX 3
+
+/// A node without target is asked again after this time.
+#define NO_TARGET_MS 500
+
+/// A failure weighs half as much after this time, so that a target that
+/// recovered is found again.
+#define ERROR_HALF_LIFE_MS 1500
+
+/// Weight of one outcome in the smoothed share of failures, 1 / 10.
+#define ERROR_SMOOTHING 10
+
+static bool
+is_allowed (const struct directory_record *record,
+            const struct place_request *request)
+{
+  const struct directory_entry *entry = &record->entry;
+  if (!record->used || entry->state != DIRECTORY_READY
+      || strcmp (entry->service, request->service) != 0)
+    return false;
+  if (request->version.name == NULL)
+    return true;
+  bool same = strcmp (entry->version, request->version.name) == 0;
+  return same != request->version.exclude;
+}
+
+static bool
+was_tried (const struct place_request *request, size_t handle)
+{
+  for (size_t i = 0; i < request->tried_count; i++)
+    if (request->tried[i] == handle)
+      return true;
+  return false;
+}
+
+/// @return the share of failures, faded by its age
+static uint32_t
+current_errors (const struct directory_load *load, uint64_t now_ms)
+{
+  uint64_t halvings = (now_ms - load->error_ms) / ERROR_HALF_LIFE_MS;
+  return halvings > 10 ? 0 : load->error_permille >> halvings;
+}
+
+uint64_t
+place_cost_us (const struct directory_record *record,
+               const struct place_request *request, uint64_t now_ms)
+{
+  const struct directory_load *load = &record->load;
+  uint64_t service_us
+      = load->service_us > 0 ? load->service_us : SERVICE_US_DEFAULT;
+  if (now_ms < record->seen_ms + record->entry.cold_ms)
+    service_us *= 2;
+  uint64_t slots = record->entry.slots > 0 ? record->entry.slots : 1;
+  uint64_t occupied = load->in_flight;
+  if (load->reported_ms != 0 && now_ms - load->reported_ms < REPORT_MS_MAX)
+    {
+      uint64_t reported = load->running + load->waiting + load->sent_since;
+      if (reported > occupied)
+        occupied = reported;
+    }
+  uint64_t cost = service_us;
+  if (occupied >= slots)
+    cost += (occupied - slots + 1) * service_us / slots;
+  else
+    cost += occupied * service_us / (4 * slots);
+  if (strcmp (record->entry.availability_zone, request->availability_zone)
+      != 0)
+    cost += request->large_answer
+                ? (uint64_t)request->objective_ms * 1000 / ZONE_LARGE_DIVISOR
+                : ZONE_SMALL_US;
+  uint64_t failures = current_errors (load, now_ms);
+  cost += (cost + (uint64_t)request->objective_ms * 1000) * failures
+          / (1001 - (failures < 1000 ? failures : 1000));
+  return cost;
+}
+
+size_t
+place_choose (const struct directory *directory,
+              const struct place_request *request, struct rng *rng,
+              uint64_t now_ms)
+{
+  size_t best = SIZE_MAX;
+  uint64_t best_cost = UINT64_MAX;
+  for (int pass = 0; pass < 2 && best == SIZE_MAX; pass++)
+    {
+      /* The second pass takes nodes that failed lately: some may be back. */
+      size_t chosen[CANDIDATES];
+      size_t eligible = 0;
+      for (size_t i = 0; i < directory->count; i++)
+        {
+          const struct directory_record *record = &directory->records[i];
+          if (!is_allowed (record, request) || was_tried (request, i)
+              || (pass == 0 && now_ms < record->load.down_until_ms))
+            continue;
+          /* Reservoir sampling: each eligible node has the same chance. */
+          uint64_t place = eligible < CANDIDATES
+                               ? eligible
+                               : rng_below (rng, eligible + 1);
+          if (place < CANDIDATES)
+            chosen[place] = i;
+          eligible++;
+        }
+      size_t count = eligible < CANDIDATES ? eligible : CANDIDATES;
+      for (size_t i = 0; i < count; i++)
+        {
+          uint64_t cost = place_cost_us (&directory->records[chosen[i]],
+                                         request, now_ms);
+          if (cost < best_cost)
+            {
+              best_cost = cost;
+              best = chosen[i];
+            }
+        }
+    }
+  return best;
+}
+
+void
+place_begin (struct directory_record *record)
+{
+  record->load.in_flight++;
+  record->load.sent_since++;
+}
+
+static void
+smooth_errors (struct directory_load *load, uint32_t permille, uint64_t now_ms)
+{
+  load->error_permille
+      = (current_errors (load, now_ms) * (ERROR_SMOOTHING - 1) + permille)
+        / ERROR_SMOOTHING;
+  load->error_ms = now_ms;
+}
+
+void
+place_end (struct directory_record *record, enum place_result result,
+           uint32_t latency_us, uint64_t now_ms)
+{
+  struct directory_load *load = &record->load;
+  if (load->in_flight > 0)
+    load->in_flight--;
+  switch (result)
+    {
+    case PLACE_ANSWERED:
+      load->failures = 0;
+      load->down_until_ms = 0;
+      load->latency_us = load->latency_us == 0
+                             ? latency_us
+                             : (load->latency_us * 7 + latency_us) / 8;
+      load->latency_ms = now_ms;
+      smooth_errors (load, 0, now_ms);
+      break;
+    case PLACE_FAILED:
+    case PLACE_SHED:
+      load->failures = 0;
+      smooth_errors (load, 1000, now_ms);
+      break;
+    case PLACE_REFUSED:
+      load->failures = 0;
+      break;
+    case PLACE_NO_TARGET:
+      load->down_until_ms = now_ms + NO_TARGET_MS;
+      break;
+    case PLACE_LOST:
+      {
+        unsigned doublings = load->failures < DOWN_DOUBLINGS_MAX
+                                 ? load->failures
+                                 : DOWN_DOUBLINGS_MAX;
+        uint64_t down_ms = (uint64_t)DOWN_MS_FIRST << doublings;
+        load->failures++;
+        load->down_until_ms
+            = now_ms + (down_ms < DOWN_MS_MAX ? down_ms : DOWN_MS_MAX);
+        break;
+      }
+    case PLACE_CANCELLED:
+      break;
+    }
+}
+
+void
+place_report (struct directory_record *record, uint32_t running,
+              uint32_t waiting, uint32_t service_us, uint64_t now_ms)
+{
+  struct directory_load *load = &record->load;
+  load->running = running;
+  load->waiting = waiting;
+  load->service_us = service_us;
+  load->reported_ms = now_ms;
+  load->sent_since = 0;
+}
--- /dev/null
+++ b/src/coordination/resend.c
@@ -0,0 +1,34 @@
+/// Owns no state; the counts of a request lie with the caller.
+#include "coordination/resend.h"
+
+enum resend_step
+resend_give_up (const struct resend *resend)
+{
+  return resend->runs > 0 ? RESEND_SAY_UNKNOWN : RESEND_SAY_NOT_RUN;
+}
+
+/// @return true when the request may be offered to one more node
+static bool
+may_offer (const struct resend *resend, uint64_t left_ms, uint64_t needed_ms)
+{
+  return resend->offers < RESEND_OFFERS_MAX && left_ms > needed_ms
+         && (resend->runs == 0
+             || (resend->repeat != MESH_ONCE
+                 && resend->runs < resend->attempts_max));
+}
+
+enum resend_step
+resend_decide (struct resend *resend, enum resend_event event,
+               uint64_t left_ms, uint64_t needed_ms,
+               bool (*budget) (void *arg), void *arg)
+{
+  bool reached
+      = event == RESEND_SHED || event == RESEND_LOST || event == RESEND_FAILED;
+  if (event == RESEND_LOST || event == RESEND_FAILED)
+    resend->runs++;
+  if (event == RESEND_EXPIRED)
+    return RESEND_SAY_LATE;
+  if (may_offer (resend, left_ms, needed_ms) && (!reached || budget (arg)))
+    return RESEND_AGAIN;
+  return event == RESEND_FAILED ? RESEND_PASS : resend_give_up (resend);
+}
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -5,23 +5,31 @@
 
 #include "base/status.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /// Largest value that the store accepts, bytes.
 #define STORE_VALUE_MAX (1024 * 1024)
 
+/// Expected revision of a write that takes effect whatever the current one is.
+#define STORE_ANY_REVISION UINT64_MAX
+
 struct store_key
 {
   const char *key;
   uint64_t revision;
+  const uint8_t *data; ///< NULL in answers that carry no values
+  size_t size;
+  bool removed; ///< an event: the key was removed at this revision
 };
 
 /// Answer to one operation; borrowed for the time of the callback.
 ///
 /// status: STATUS_OK; STATUS_CONFLICT (data and revision are the current ones,
 /// revision 0 when the key is absent); STATUS_NOT_FOUND; STATUS_TIMEOUT (a
-/// watch without change); STATUS_UNAVAILABLE (certainly without effect);
+/// watch without change); STATUS_TOO_OLD (a watch from a revision whose history
+/// is gone: read the whole range); STATUS_UNAVAILABLE (certainly without effect);
 /// STATUS_UNKNOWN (sent, but no usable answer: it may have taken effect);
 /// STATUS_CORRUPT (an answer that is not of the protocol; for a write its
 /// effect is unknown too).
@@ -33,6 +41,8 @@
   size_t size;
   const struct store_key *keys; ///< of a list
   size_t key_count;
+  bool more;      ///< of a range: the next page begins after the last key
+  uint64_t as_of; ///< revision of the store that a range or watch describes
 };
 
 /// Operations do not block; `done` is called exactly once, later, from the
@@ -60,6 +70,18 @@
   void (*list) (void *store, const char *prefix,
                 void (*done) (void *arg, const struct store_reply *reply),
                 void *arg);
+  /// Lists one page of keys with their values.
+  /// @param after  last key of the page before, or NULL
+  void (*range) (void *store, const char *prefix, const char *after,
+                 void (*done) (void *arg, const struct store_reply *reply),
+                 void *arg);
+  /// Answers with the changes below a prefix after a revision, at the latest
+  /// after wait_ms. Continue from `as_of`.
+  void (*watch_prefix) (void *store, const char *prefix, uint64_t after,
+                        uint32_t wait_ms,
+                        void (*done) (void *arg,
+                                      const struct store_reply *reply),
+                        void *arg);
   void (*lease_grant) (void *store, uint32_t ttl_ms,
                        void (*done) (void *arg,
                                      const struct store_reply *reply),
--- /dev/null
+++ b/src/protocol/entry_record.c
@@ -0,0 +1,87 @@
+/// Owns no state; codec of entries.
+#include "protocol/entry_record.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+size_t
+entry_record_write (const struct directory_entry *entry,
+                    char text[ENTRY_RECORD_MAX])
+{
+  json_t *object = json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I}", "node",
+      entry->node, "availability_zone", entry->availability_zone, "service",
+      entry->service, "version", entry->version, "instance", entry->instance,
+      "address", (json_int_t)entry->address, "port", (int)entry->port, "slots",
+      (int)entry->slots, "state", (int)entry->state, "cold_ms",
+      (int)entry->cold_ms, "epoch", (json_int_t)entry->epoch);
+  size_t size = json_dumpb (object, text, ENTRY_RECORD_MAX - 1, JSON_COMPACT);
+  json_decref (object);
+  if (size >= ENTRY_RECORD_MAX)
+    return 0;
+  text[size] = '\0';
+  return size;
+}
+
+static bool
+copy_name (char name[DIRECTORY_NAME_MAX + 1], const char *text)
+{
+  size_t size = strlen (text);
+  if (size > DIRECTORY_NAME_MAX)
+    return false;
+  memcpy (name, text, size + 1);
+  return true;
+}
+
+static enum status
+invalid (json_t *object, const char *message)
+{
+  json_decref (object);
+  return status_set (STATUS_INVALID, "%s", message);
+}
+
+enum status
+entry_record_read (const uint8_t *data, size_t size,
+                   struct directory_entry *entry)
+{
+  memset (entry, 0, sizeof *entry);
+  json_t *object = json_loadb ((const char *)data, size, 0, NULL);
+  const char *node;
+  const char *zone;
+  const char *service;
+  const char *version;
+  const char *instance;
+  json_int_t address;
+  json_int_t epoch;
+  int port;
+  int slots;
+  int state;
+  int cold_ms;
+  if (json_unpack (object,
+                   "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I}",
+                   "node", &node, "availability_zone", &zone, "service",
+                   &service, "version", &version, "instance", &instance,
+                   "address", &address, "port", &port, "slots", &slots,
+                   "state", &state, "cold_ms", &cold_ms, "epoch", &epoch)
+      != 0)
+    return invalid (object, "entry with a missing or wrong field");
+  if (address <= 0 || address > UINT32_MAX || port < 1 || port > 65535
+      || slots < 0 || slots > UINT16_MAX || state < DIRECTORY_ABSENT
+      || state > DIRECTORY_LEAVING || cold_ms < 0 || epoch < 0
+      || node[0] == '\0' || !copy_name (entry->node, node)
+      || !copy_name (entry->availability_zone, zone)
+      || !copy_name (entry->service, service)
+      || !copy_name (entry->version, version)
+      || !copy_name (entry->instance, instance))
+    return invalid (object, "entry with a field out of range");
+  entry->address = (uint32_t)address;
+  entry->port = (uint16_t)port;
+  entry->slots = (uint16_t)slots;
+  entry->state = (enum directory_state)state;
+  entry->cold_ms = (uint32_t)cold_ms;
+  entry->epoch = (uint64_t)epoch;
+  json_decref (object);
+  return STATUS_OK;
+}
--- /dev/null
+++ b/src/protocol/hop.c
@@ -0,0 +1,51 @@
+/// Owns no state; codec of the headers between two nodes.
+#include "protocol/hop.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define HOP_FIELDS 7
+#define LOAD_FIELDS 4
+
+void
+hop_write (const struct hop *hop, char text[HOP_SIZE_MAX])
+{
+  snprintf (text, HOP_SIZE_MAX, "%s %s %u %u %u %u %u", hop->service,
+            hop->version, (unsigned)hop->repeat, hop->rank, hop->kind,
+            hop->objective_ms, (unsigned)hop->repeated);
+}
+
+enum status
+hop_parse (const char *text, struct hop *hop)
+{
+  unsigned repeat = 0;
+  unsigned repeated = 0;
+  if (text == NULL
+      || sscanf (text, "%63s %63s %u %u %u %u %u", hop->service, hop->version,
+                 &repeat, &hop->rank, &hop->kind, &hop->objective_ms,
+                 &repeated)
+             != HOP_FIELDS
+      || repeat > MESH_ONCE || repeated > 1)
+    return status_set (STATUS_INVALID, "malformed routing header");
+  hop->repeat = (enum mesh_repeat)repeat;
+  hop->repeated = repeated == 1;
+  return STATUS_OK;
+}
+
+void
+hop_load_write (const struct hop_load *load, char text[HOP_LOAD_SIZE_MAX])
+{
+  snprintf (text, HOP_LOAD_SIZE_MAX, "%u,%u,%u,%u", load->running,
+            load->waiting, load->slots, load->service_us);
+}
+
+enum status
+hop_load_parse (const char *text, struct hop_load *load)
+{
+  if (text == NULL
+      || sscanf (text, "%u,%u,%u,%u", &load->running, &load->waiting,
+                 &load->slots, &load->service_us)
+             != LOAD_FIELDS)
+    return status_set (STATUS_INVALID, "malformed load header");
+  return STATUS_OK;
+}
--- a/src/protocol/store_api.c
+++ b/src/protocol/store_api.c
@@ -201,6 +201,10 @@
       length = snprintf (path, STORE_API_PATH_MAX, "/lease/%llu/keepalive",
                          lease);
       break;
+    case STORE_CALL_RANGE:
+    case STORE_CALL_WATCH_PREFIX:
+      return status_set (STATUS_INVALID,
+                         "this store interface has no calls on prefixes");
     }
   if (length <= 0 || length >= STORE_API_PATH_MAX)
     return status_set (STATUS_INVALID, "store call without a path");
@@ -249,3 +253,34 @@
   if (reply->status == STATUS_CORRUPT)
     *reply = (struct store_reply){ .status = STATUS_CORRUPT };
 }
+
+static enum store_method
+method_of (enum store_call call)
+{
+  switch (call)
+    {
+    case STORE_CALL_PUT:
+      return STORE_METHOD_PUT;
+    case STORE_CALL_REMOVE:
+      return STORE_METHOD_DELETE;
+    case STORE_CALL_LEASE_GRANT:
+    case STORE_CALL_LEASE_KEEPALIVE:
+      return STORE_METHOD_POST;
+    default:
+      return STORE_METHOD_GET;
+    }
+}
+
+static enum status
+encode (const struct store_request *request, const void *data, size_t size,
+        void *arena, struct store_wire *wire)
+{
+  wire->method = method_of (request->call);
+  wire->content_type = NULL;
+  wire->body = data;
+  wire->body_size = size;
+  return store_api_path (request, wire->path);
+}
+
+const struct store_codec store_api_codec
+    = { .encode = encode, .answer = store_api_answer };
--- a/src/protocol/store_api.h
+++ b/src/protocol/store_api.h
@@ -20,19 +20,56 @@
   STORE_CALL_REMOVE,
   STORE_CALL_LIST,
   STORE_CALL_LEASE_GRANT,
-  STORE_CALL_LEASE_KEEPALIVE
+  STORE_CALL_LEASE_KEEPALIVE,
+  STORE_CALL_RANGE,
+  STORE_CALL_WATCH_PREFIX
 };
 
 /// Arguments of a call; those that the call lacks are ignored.
 struct store_request
 {
   enum store_call call;
-  const char *key;   ///< key, or prefix of a list (may be empty)
+  const char *key;   ///< key, or prefix (may be empty)
+  const char *after; ///< of a range: last key of the page before, or NULL
   uint64_t revision; ///< expected revision, or `after` of a watch
   uint64_t lease;    ///< of a put (0: none) or a keepalive
   uint32_t ms;       ///< wait of a watch or time to live of a lease
 };
 
+enum store_method
+{
+  STORE_METHOD_GET,
+  STORE_METHOD_PUT,
+  STORE_METHOD_POST,
+  STORE_METHOD_DELETE
+};
+
+/// One encoded call.
+struct store_wire
+{
+  enum store_method method;
+  char path[STORE_API_PATH_MAX];
+  const char *content_type; ///< NULL: not stated
+  const uint8_t *body;
+  size_t body_size;
+};
+
+/// How calls look on the wire. The client sends what `encode` gives.
+struct store_codec
+{
+  /// @param arena  talloc context that owns the body
+  /// @return STATUS_INVALID for a call that the store does not have
+  enum status (*encode) (const struct store_request *request, const void *data,
+                         size_t size, void *arena, struct store_wire *wire);
+  /// As store_api_answer.
+  void (*answer) (enum store_call call, int code, const char *revision,
+                  const uint8_t *body, size_t size, void *arena,
+                  struct store_reply *reply);
+};
+
+/// The interface of this page: the stand-in's and small deployments'.
+extern const struct store_codec store_api_codec;
+
 /// Writes the path with its query string.
 /// @return STATUS_INVALID for a key that the interface does not allow
 enum status store_api_path (const struct store_request *request,
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,142 @@
+/// The sidecar: one process beside each target on a platform that has a store
+/// and no machines for control. Each part is owned by one file.
+///
+/// A caller's request comes in at the entry (sidecar_entry.c), is offered to
+/// the nodes of its service, and runs behind the gate of one of them
+/// (sidecar_run.c). sidecar_store.c keeps the configuration and the directory
+/// in step with the store, sidecar_target.c the state of the own target,
+/// sidecar_move.c the moves to new target versions.
+#ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_H
+#define HAWTHORNSEAM_SIDECAR_SIDECAR_H
+
+#include "base/counter.h"
+#include "base/rng.h"
+#include "coordination/gate.h"
+#include "coordination/place.h"
+#include "coordination/quota.h"
+#include "protocol/adapter.h"
+#include "sidecar/sidecar_settings.h"
+#include "state/directory.h"
+#include "state/mesh_config.h"
+#include "transport/http_pool.h"
+#include "transport/http_server.h"
+#include "transport/store_client.h"
+
+#include <event2/event.h>
+#include <event2/event_struct.h>
+
+/// Largest request body that is held, bytes; the configuration may allow less.
+#define SIDECAR_BODY_MAX (8u * 1024 * 1024)
+
+/// Bytes of an answer that wait for a slow reader before its sender is paused.
+#define SIDECAR_BACKLOG_MAX (64u * 1024)
+
+struct sidecar_entry;
+struct sidecar_run;
+struct sidecar_store;
+struct sidecar_moves;
+
+/// What the node knows of the target beside it.
+struct sidecar_target
+{
+  bool known;    ///< a report was accepted
+  bool draining; ///< it said that it leaves
+  bool gone;     ///< it said that it ends, or it refused connections
+  struct target_report report;
+  uint64_t heard_ms;    ///< last report
+  uint64_t draining_ms; ///< when its leaving was acknowledged
+  uint64_t started_ms;  ///< when this incarnation was first heard
+  uint32_t cold_ms;     ///< how long it was said to be slow at that time
+  unsigned refusals;    ///< connections that it refused in a row
+};
+
+struct sidecar
+{
+  struct event_base *base;
+  struct sidecar_settings settings;
+  const char *settings_path;
+  const struct adapter_ops *adapter;
+  struct rng rng;
+  uint64_t epoch;             ///< start of the process, wall ms
+  struct mesh_config *config; ///< NULL until one was read
+  uint64_t config_ms;         ///< when it came into force
+  struct directory directory;
+  struct quota_table quotas;
+  struct sidecar_target target;
+  struct gate gate;
+  struct http_server calls;   ///< from callers on this VM
+  struct http_server peers;   ///< from other nodes
+  struct http_server ready;   ///< the platform's readiness question
+  struct http_server reports; ///< from the target
+  struct http_server metrics;
+  struct http_pool peer_pool;
+  struct http_pool target_pool;
+  struct store_client store_client;
+  struct sidecar_store *store;
+  struct sidecar_moves *moves;
+  struct sidecar_entry *entries; ///< requests of callers in progress
+  struct sidecar_run *runs;      ///< requests at the own target
+  struct event tick;
+  struct event log_timer;
+  bool stopping;
+  uint64_t stopping_ms;
+};
+
+/* sidecar_entry.c */
+extern const struct http_server_ops sidecar_entry_ops;
+
+/* sidecar_run.c */
+extern const struct http_server_ops sidecar_run_ops;
+extern const struct gate_ops sidecar_gate_ops;
+
+/// Ends the requests at the target that must not go on.
+void sidecar_run_tick (struct sidecar *sidecar);
+
+/* sidecar_target.c */
+extern const struct http_server_ops sidecar_report_ops;
+
+/// Applies the target's state to the gate, and announces it when it changed.
+void sidecar_target_update (struct sidecar *sidecar);
+
+/// Notes that the target refused a connection.
+void sidecar_target_refused (struct sidecar *sidecar);
+void sidecar_target_tick (struct sidecar *sidecar);
+
+/// @return the node's entry as it is announced
+void sidecar_target_entry (const struct sidecar *sidecar,
+                           struct directory_entry *entry);
+
+/* sidecar_store.c */
+enum status sidecar_store_start (struct sidecar *sidecar);
+void sidecar_store_stop (struct sidecar *sidecar);
+/// Announces the node's entry soon.
+void sidecar_store_announce (struct sidecar *sidecar);
+/// @return true while the store cannot be reached
+bool sidecar_store_is_away (const struct sidecar *sidecar);
+void sidecar_store_tick (struct sidecar *sidecar);
+
+/* sidecar_move.c */
+enum status sidecar_moves_start (struct sidecar *sidecar);
+void sidecar_moves_stop (struct sidecar *sidecar);
+
+/// Decides which version of a service the next request may go to.
+void sidecar_moves_choose (struct sidecar *sidecar, const char *service,
+                           struct place_version *version);
+
+/// Counts the outcome of a request at the own target.
+void sidecar_moves_observe (struct sidecar *sidecar, uint32_t kind,
+                            bool failed, uint32_t latency_us);
+
+/// Takes a change below the operators' or the project's own prefix.
+void sidecar_moves_on_key (struct sidecar *sidecar,
+                           const struct store_key *key);
+void sidecar_moves_tick (struct sidecar *sidecar);
+
+/* sidecar_admin.c */
+extern const struct http_server_ops sidecar_ready_ops;
+extern const struct http_server_ops sidecar_metrics_ops;
+
+/// @return true when callers may be sent to this node
+bool sidecar_is_ready (const struct sidecar *sidecar);
+
+#endif
--- /dev/null
+++ b/src/sidecar/sidecar_admin.c
@@ -0,0 +1,75 @@
+/// Owns no state; answers the readiness question and serves the metrics.
+#include "sidecar/sidecar.h"
+
+#include "base/counter.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+bool
+sidecar_is_ready (const struct sidecar *sidecar)
+{
+  return sidecar->config != NULL && !sidecar->stopping;
+}
+
+static void
+on_ready (void *arg, struct http_request *request)
+{
+  struct sidecar *sidecar = arg;
+  char id[DIRECTORY_NAME_MAX + 1];
+  if (sidecar->adapter->classify (http_method_str (request->head->method),
+                                  request->head->target, id)
+      != ADAPTER_CALL_READY)
+    http_reply (request, 404, NULL, "", 0);
+  else
+    http_reply (request, sidecar_is_ready (sidecar) ? 200 : 503, NULL, "", 0);
+}
+
+static void
+on_gone (void *arg, struct http_request *request)
+{
+}
+
+const struct http_server_ops sidecar_ready_ops
+    = { .request = on_ready, .gone = on_gone };
+
+static void
+add_gauge (struct evbuffer *text, const char *name, uint64_t value)
+{
+  evbuffer_add_printf (text,
+                       "# TYPE hawthornseam_%s gauge\n"
+                       "hawthornseam_%s %" PRIu64 "\n",
+                       name, name, value);
+}
+
+static void
+on_metrics (void *arg, struct http_request *request)
+{
+  struct sidecar *sidecar = arg;
+  struct evbuffer *text = evbuffer_new ();
+  for (const struct counter *counter = counter_first (); counter != NULL;
+       counter = counter->next)
+    evbuffer_add_printf (text,
+                         "# HELP hawthornseam_%s %s\n"
+                         "# TYPE hawthornseam_%s counter\n"
+                         "hawthornseam_%s %" PRIu64 "\n",
+                         counter->name, counter->help, counter->name,
+                         counter->name, counter->value);
+  add_gauge (text, "ready", sidecar_is_ready (sidecar));
+  add_gauge (text, "config_version",
+             sidecar->config == NULL ? 0 : sidecar->config->version);
+  add_gauge (text, "store_away", sidecar_store_is_away (sidecar));
+  add_gauge (text, "gate_running", sidecar->gate.running);
+  add_gauge (text, "gate_waiting", sidecar->gate.queued);
+  add_gauge (text, "gate_service_us", sidecar->gate.mean_us);
+  add_gauge (text, "caller_connections", sidecar->calls.connections);
+  add_gauge (text, "peer_connections", sidecar->peer_pool.connections);
+  add_gauge (text, "target_connections", sidecar->target_pool.connections);
+  size_t size = evbuffer_get_length (text);
+  http_reply (request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
+              evbuffer_pullup (text, -1), size);
+  evbuffer_free (text);
+}
+
+const struct http_server_ops sidecar_metrics_ops
+    = { .request = on_metrics, .gone = on_gone };
--- /dev/null
+++ b/src/sidecar/sidecar_main.c
@@ -0,0 +1,348 @@
+/// The sidecar program: reads the settings, starts the parts, and on SIGTERM
+/// finishes what it has before it exits. SIGHUP reads the settings again.
+#include "base/clock.h"
+#include "base/findings.h"
+#include "base/log.h"
+#include "platform/platform.h"
+#include "sidecar/sidecar.h"
+
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define PROGRAM "hawthornseam-sidecar"
+#define VERSION "0.2.0"
+
+/// The platform names the settings file in this variable.
+#define SETTINGS_VARIABLE "HAWTHORNSEAM_SETTINGS"
+
+#define TICK_MS 50
+
+/// Lines wait this long for being written together.
+#define LOG_FLUSH_MS 100
+
+/// Kept connections to other nodes and to the target; a node in use gets a
+/// request every few milliseconds.
+#define PEER_IDLE_MS 4000
+#define TARGET_IDLE_MS 8000
+
+/// Connecting within one region takes a few milliseconds. A machine that is
+/// cut off answers nothing.
+#define PEER_CONNECT_MS 250
+#define TARGET_CONNECT_MS 500
+
+/// Connections of the platform and of other nodes may rest for this long.
+#define SERVER_IDLE_MS 60000
+#define SERVER_RECEIVE_MS 10000
+
+/// After SIGTERM callers leave once two readiness questions, a second apart,
+/// were answered "no". Until then their requests are served.
+#define STOP_SERVE_MS 3300
+
+/// Time before the end of the grace period at which the process exits anyway.
+#define STOP_RESERVE_MS 600
+
+enum exit_code
+{
+  EXIT_CODE_OK = 0,
+  EXIT_CODE_FAILED = 1,
+  EXIT_CODE_USAGE = 2
+};
+
+struct options
+{
+  const char *settings_path;
+  bool check_only;
+};
+
+/// Parses the command line.
+/// @return -1 to go on, or the exit code
+static int
+parse_options (int argc, char **argv, struct options *options)
+{
+  struct arg_file *settings = arg_file0 (
+      "s", "settings", "FILE",
+      "YAML settings; default: the file named in " SETTINGS_VARIABLE);
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings and exit");
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
+  struct arg_lit *version
+      = arg_lit0 (NULL, "version", "print the version and exit");
+  struct arg_end *end = arg_end (10);
+  void *table[] = { settings, check, help, version, end };
+  int code = -1;
+  int errors = arg_parse (argc, argv, table);
+  options->settings_path = settings->count > 0 ? settings->filename[0]
+                                               : getenv (SETTINGS_VARIABLE);
+  options->check_only = check->count > 0;
+  if (help->count > 0)
+    {
+      printf ("Usage: %s", PROGRAM);
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-22s %s\n");
+      code = EXIT_CODE_OK;
+    }
+  else if (version->count > 0)
+    {
+      puts (PROGRAM " " VERSION);
+      code = EXIT_CODE_OK;
+    }
+  else if (errors > 0 || options->settings_path == NULL)
+    {
+      arg_print_errors (stderr, end, PROGRAM);
+      if (options->settings_path == NULL)
+        fputs (PROGRAM
+               ": no settings: give --settings or set " SETTINGS_VARIABLE "\n",
+               stderr);
+      code = EXIT_CODE_USAGE;
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return code;
+}
+
+static void
+close_idle_callers (struct sidecar *sidecar)
+{
+  http_server_close_idle (&sidecar->calls);
+  http_server_close_idle (&sidecar->peers);
+}
+
+/// Exits when everything is answered and callers had time to leave, at the
+/// latest before the platform ends the process.
+static void
+stop_step (struct sidecar *sidecar, uint64_t now_ms)
+{
+  uint64_t since_ms = now_ms - sidecar->stopping_ms;
+  if (since_ms < STOP_SERVE_MS)
+    return;
+  bool idle
+      = sidecar->calls.in_progress == 0 && sidecar->peers.in_progress == 0;
+  close_idle_callers (sidecar);
+  if (!idle && since_ms + STOP_RESERVE_MS < sidecar->settings.grace_ms)
+    return;
+  log_event (LOG_LEVEL_INFO, "drained", "after_ms=%" PRIu64 " in_progress=%zu",
+             since_ms,
+             sidecar->calls.in_progress + sidecar->peers.in_progress);
+  event_base_loopbreak (sidecar->base);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct sidecar *sidecar = arg;
+  sidecar_target_tick (sidecar);
+  sidecar_run_tick (sidecar);
+  sidecar_store_tick (sidecar);
+  sidecar_moves_tick (sidecar);
+  if (sidecar->stopping)
+    stop_step (sidecar, clock_monotonic_ms ());
+}
+
+static void
+on_log_timer (evutil_socket_t fd, short what, void *arg)
+{
+  log_flush ();
+}
+
+static void
+on_stop_signal (evutil_socket_t number, short what, void *arg)
+{
+  struct sidecar *sidecar = arg;
+  if (sidecar->stopping)
+    return;
+  sidecar->stopping = true;
+  sidecar->stopping_ms = clock_monotonic_ms ();
+  log_event (LOG_LEVEL_INFO, "stopping",
+             "signal=%d callers=%zu in_progress=%zu", (int)number,
+             sidecar->calls.connections,
+             sidecar->calls.in_progress + sidecar->peers.in_progress);
+  http_server_drain (&sidecar->calls);
+  sidecar_store_announce (sidecar);
+}
+
+static void
+on_reload_signal (evutil_socket_t number, short what, void *arg)
+{
+  struct sidecar *sidecar = arg;
+  struct sidecar_settings settings;
+  struct findings findings;
+  findings_init (&findings, sidecar->settings_path);
+  enum status status
+      = sidecar_settings_load (&settings, sidecar->settings_path, &findings);
+  if (status != STATUS_OK)
+    log_event (LOG_LEVEL_ERROR, "reload_refused", "findings=%zu reason=\"%s\"",
+               findings.total, status_message ());
+  else
+    {
+      /* Addresses are bound; everything else takes effect at once. */
+      struct sidecar_settings *in_force = &sidecar->settings;
+      in_force->heartbeat_ms = settings.heartbeat_ms;
+      in_force->drain_ms = settings.drain_ms;
+      in_force->grace_ms = settings.grace_ms;
+      in_force->retry_slack = settings.retry_slack;
+      in_force->expose_permille = settings.expose_permille;
+      log_event (LOG_LEVEL_INFO, "reloaded", "path=%s",
+                 sidecar->settings_path);
+    }
+  findings_finish (&findings);
+}
+
+static enum status
+start_server (struct sidecar *sidecar, struct http_server *server,
+              const struct settings_endpoint *at,
+              const struct http_server_ops *ops)
+{
+  const struct http_server_limits limits = { .head_bytes = HTTP_HEAD_BYTES_MAX,
+                                             .body_bytes = SIDECAR_BODY_MAX,
+                                             .receive_ms = SERVER_RECEIVE_MS,
+                                             .idle_ms = SERVER_IDLE_MS };
+  if (at->port == 0)
+    return STATUS_OK;
+  return http_server_start (server, sidecar->base, at->address, at->port,
+                            &limits, ops, sidecar);
+}
+
+static enum status
+start (struct sidecar *sidecar)
+{
+  const struct sidecar_settings *settings = &sidecar->settings;
+  const struct http_pool_options peer
+      = { .idle_ms = PEER_IDLE_MS, .connect_ms = PEER_CONNECT_MS };
+  const struct http_pool_options target
+      = { .idle_ms = TARGET_IDLE_MS,
+          .connect_ms = TARGET_CONNECT_MS,
+          .id_header = sidecar->adapter->headers.request_id };
+  directory_init (&sidecar->directory);
+  quota_init (&sidecar->quotas, settings->retry_ratio_permille);
+  gate_init (&sidecar->gate, &sidecar_gate_ops, sidecar);
+  http_pool_init (&sidecar->peer_pool, sidecar->base, &peer);
+  http_pool_init (&sidecar->target_pool, sidecar->base, &target);
+  enum status status = sidecar_store_start (sidecar);
+  if (status == STATUS_OK)
+    status = sidecar_moves_start (sidecar);
+  const struct
+  {
+    struct http_server *server;
+    const struct settings_endpoint *at;
+    const struct http_server_ops *ops;
+  } servers[] = {
+    { &sidecar->calls, &settings->calls, &sidecar_entry_ops },
+    { &sidecar->peers, &settings->peers, &sidecar_run_ops },
+    { &sidecar->ready, &settings->ready, &sidecar_ready_ops },
+    { &sidecar->reports, &settings->reports, &sidecar_report_ops },
+    { &sidecar->metrics, &settings->metrics, &sidecar_metrics_ops },
+  };
+  for (size_t i = 0; status == STATUS_OK && i < 5; i++)
+    status = start_server (sidecar, servers[i].server, servers[i].at,
+                           servers[i].ops);
+  return status;
+}
+
+static void
+stop (struct sidecar *sidecar)
+{
+  http_server_stop (&sidecar->calls);
+  http_server_stop (&sidecar->peers);
+  http_server_stop (&sidecar->ready);
+  http_server_stop (&sidecar->reports);
+  http_server_stop (&sidecar->metrics);
+  http_pool_finish (&sidecar->peer_pool);
+  http_pool_finish (&sidecar->target_pool);
+  sidecar_moves_stop (sidecar);
+  sidecar_store_stop (sidecar);
+  directory_finish (&sidecar->directory);
+  quota_finish (&sidecar->quotas);
+  talloc_free (sidecar->config);
+}
+
+static int
+run (struct sidecar *sidecar)
+{
+  struct event *signals[3];
+  signals[0] = evsignal_new (sidecar->base, SIGTERM, on_stop_signal, sidecar);
+  signals[1] = evsignal_new (sidecar->base, SIGINT, on_stop_signal, sidecar);
+  signals[2] = evsignal_new (sidecar->base, SIGHUP, on_reload_signal, sidecar);
+  for (size_t i = 0; i < 3; i++)
+    event_add (signals[i], NULL);
+  event_assign (&sidecar->tick, sidecar->base, -1, EV_PERSIST, on_tick,
+                sidecar);
+  event_add (&sidecar->tick, &(struct timeval){ 0, TICK_MS * 1000 });
+  event_assign (&sidecar->log_timer, sidecar->base, -1, EV_PERSIST,
+                on_log_timer, sidecar);
+  event_add (&sidecar->log_timer, &(struct timeval){ 0, LOG_FLUSH_MS * 1000 });
+  enum status status = start (sidecar);
+  if (status == STATUS_OK)
+    {
+      log_event (LOG_LEVEL_INFO, "started",
+                 "version=%s node=%s service=%s availability_zone=%s "
+                 "epoch=%" PRIu64,
+                 VERSION, sidecar->settings.node, sidecar->settings.service,
+                 sidecar->settings.availability_zone, sidecar->epoch);
+      event_base_dispatch (sidecar->base);
+    }
+  else
+    log_event (LOG_LEVEL_ERROR, "start_failed", "reason=\"%s\"",
+               status_message ());
+  event_del (&sidecar->tick);
+  event_del (&sidecar->log_timer);
+  stop (sidecar);
+  for (size_t i = 0; i < 3; i++)
+    event_free (signals[i]);
+  log_event (LOG_LEVEL_INFO, "stopped", "node=%s", sidecar->settings.node);
+  log_flush ();
+  return status == STATUS_OK ? EXIT_CODE_OK : EXIT_CODE_FAILED;
+}
+
+static enum status
+load_settings (struct sidecar *sidecar, const char *path)
+{
+  struct findings findings;
+  findings_init (&findings, path);
+  enum status status
+      = sidecar_settings_load (&sidecar->settings, path, &findings);
+  findings_print (&findings, stderr);
+  if (status != STATUS_OK && findings.total == 0)
+    fprintf (stderr, "%s: %s\n", PROGRAM, status_message ());
+  findings_finish (&findings);
+  sidecar->settings_path = path;
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct sidecar sidecar;
+  struct options options;
+  int code = parse_options (argc, argv, &options);
+  if (code >= 0)
+    return code;
+  if (sodium_init () < 0
+      || load_settings (&sidecar, options.settings_path) != STATUS_OK)
+    return EXIT_CODE_FAILED;
+  if (options.check_only)
+    return EXIT_CODE_OK;
+  signal (SIGPIPE, SIG_IGN);
+  log_use_buffer ();
+  rng_init_system (&sidecar.rng);
+  sidecar.epoch = clock_wall_ms ();
+  sidecar.adapter = &platform_adapter;
+  sidecar.base = event_base_new ();
+  if (sidecar.base == NULL)
+    return EXIT_CODE_FAILED;
+  char address[INET_ADDRSTRLEN];
+  struct in_addr store = { htonl (sidecar.settings.store.address) };
+  inet_ntop (AF_INET, &store, address, sizeof address);
+  store_client_init (&sidecar.store_client, sidecar.base, address,
+                     sidecar.settings.store.port);
+  store_client_set_codec (&sidecar.store_client, sidecar.adapter->store);
+  code = run (&sidecar);
+  store_client_finish (&sidecar.store_client);
+  event_base_free (sidecar.base);
+  return code;
+}
--- /dev/null
+++ b/src/sidecar/sidecar_store.c
@@ -0,0 +1,469 @@
+/// Owns the node's lease and entry in the store, and the watch that keeps the
+/// configuration, the directory and the moves in step with it.
+///
+/// While the store is away, renewals of the lease are the probe: they cost
+/// least. The watch and the entry follow once a renewal was answered.
+#include "sidecar/sidecar.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "protocol/entry_record.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/// Time to live of the lease: two lost renewals are survived.
+#define LEASE_MS 7000
+#define RENEW_MS 2200
+
+/// Interval of probes while the store is away. Entries are to be back within
+/// two seconds of its return.
+#define PROBE_MS 500
+
+/// A long poll; a silent connection is found by its keep-alive probes.
+#define WATCH_WAIT_MS 25000
+
+/// Pause after a watch answered, so that changes that come together cost one
+/// call.
+#define WATCH_PACE_MS 200
+
+/// Wait before a read or write that failed is tried again.
+#define RETRY_MS 250
+
+#define KEY_MAX 200
+
+static struct counter lost
+    = COUNTER ("store_lost", "times that the store became unreachable");
+static struct counter malformed = COUNTER (
+    "store_entries_malformed", "entries and records that cannot be read");
+static struct counter relists
+    = COUNTER ("store_relists", "full reads of the watched keys");
+
+struct sidecar_store
+{
+  struct sidecar *sidecar;
+  char key[KEY_MAX]; ///< of the own entry
+  uint64_t lease;    ///< 0: none
+  uint64_t renewed_ms;
+  uint64_t probed_ms;
+  uint64_t revision; ///< of the own entry as last known
+  uint64_t as_of;    ///< revision that the view describes; 0: none yet
+  uint64_t list_as_of;
+  char list_after[KEY_MAX];
+  uint64_t next_watch_ms;
+  uint64_t next_write_ms;
+  uint64_t away_since_ms; ///< 0: reachable
+  bool listing;
+  bool watching;
+  bool granting;
+  bool renewing;
+  bool writing;
+  bool announced; ///< the entry in the store is the present one
+  char written[ENTRY_RECORD_MAX]; ///< entry that is being written
+};
+
+static void list_next (struct sidecar_store *store);
+
+static void
+note_away (struct sidecar_store *store, const char *call, enum status status)
+{
+  if (store->away_since_ms != 0)
+    return;
+  store->away_since_ms = clock_monotonic_ms ();
+  counter_add (&lost, 1);
+  log_event (LOG_LEVEL_WARNING, "store_lost",
+             "call=%s status=%s view_revision=%" PRIu64, call,
+             status_name (status), store->as_of);
+}
+
+static void
+note_back (struct sidecar_store *store)
+{
+  if (store->away_since_ms == 0)
+    return;
+  uint64_t now = clock_monotonic_ms ();
+  log_event (LOG_LEVEL_INFO, "store_back",
+             "away_ms=%" PRIu64 " view_revision=%" PRIu64,
+             now - store->away_since_ms, store->as_of);
+  store->away_since_ms = 0;
+  store->next_watch_ms = now;
+  store->next_write_ms = now;
+}
+
+/// @return true when the store answered the call
+static bool
+is_answer (const struct store_reply *reply)
+{
+  return reply->status != STATUS_UNAVAILABLE && reply->status != STATUS_UNKNOWN
+         && reply->status != STATUS_TIMEOUT && reply->status != STATUS_CORRUPT;
+}
+
+static void
+take_config (struct sidecar *sidecar, const struct store_key *key)
+{
+  struct mesh_config *config;
+  if (sidecar->adapter->read_config (key->data, key->size, &config)
+      != STATUS_OK)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_ERROR, "config_refused",
+                 "revision=%" PRIu64 " reason=\"%s\"", key->revision,
+                 status_message ());
+      return;
+    }
+  if (sidecar->config != NULL && config->version <= sidecar->config->version)
+    {
+      log_event (LOG_LEVEL_INFO, "config_ignored",
+                 "version=%" PRIx64 " in_force=%" PRIx64, config->version,
+                 sidecar->config->version);
+      talloc_free (config);
+      return;
+    }
+  log_event (LOG_LEVEL_INFO, "config_in_force",
+             "version=%" PRIx64 " before=%" PRIx64 " revision=%" PRIu64
+             " routes=%zu services=%zu",
+             config->version,
+             sidecar->config == NULL ? 0 : sidecar->config->version,
+             key->revision, config->route_count, config->service_count);
+  talloc_free (sidecar->config);
+  sidecar->config = config;
+  sidecar->config_ms = clock_monotonic_ms ();
+  uint64_t body_bytes = config->limits.body_bytes;
+  sidecar->calls.limits = (struct http_server_limits){
+    .head_bytes = config->limits.head_bytes,
+    .body_bytes
+    = body_bytes < SIDECAR_BODY_MAX ? body_bytes : SIDECAR_BODY_MAX,
+    .receive_ms = config->limits.head_ms,
+    .idle_ms = config->limits.idle_ms,
+  };
+}
+
+static void
+take_entry (struct sidecar_store *store, const struct store_key *key,
+            const char *node)
+{
+  struct sidecar *sidecar = store->sidecar;
+  uint64_t now = clock_monotonic_ms ();
+  bool own = strcmp (key->key, store->key) == 0;
+  if (own && key->revision > store->revision)
+    store->revision = key->removed ? 0 : key->revision;
+  if (key->removed)
+    {
+      directory_lapse (&sidecar->directory, node, key->revision, now);
+      log_event (LOG_LEVEL_INFO, "entry_lapsed", "node=%s revision=%" PRIu64,
+                 node, key->revision);
+      if (own && !sidecar->stopping)
+        {
+          /* The lease may have ended with the key. */
+          store->lease = 0;
+          store->announced = false;
+        }
+      return;
+    }
+  struct directory_entry entry;
+  if (entry_record_read (key->data, key->size, &entry) != STATUS_OK
+      || strcmp (entry.node, node) != 0)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_WARNING, "entry_malformed",
+                 "node=%s revision=%" PRIu64 " reason=\"%s\"", node,
+                 key->revision, status_message ());
+      return;
+    }
+  directory_put (&sidecar->directory, &entry, key->revision, now);
+  log_event (LOG_LEVEL_INFO, "entry",
+             "node=%s service=%s version=%s instance=%s state=%d "
+             "revision=%" PRIu64,
+             node, entry.service, entry.version, entry.instance, entry.state,
+             key->revision);
+}
+
+static void
+take_key (struct sidecar_store *store, const struct store_key *key)
+{
+  struct sidecar *sidecar = store->sidecar;
+  char prefix[KEY_MAX];
+  int size = snprintf (prefix, sizeof prefix, "%snode/",
+                       sidecar->adapter->own_prefix);
+  if (strcmp (key->key, sidecar->adapter->config_key) == 0)
+    {
+      if (!key->removed)
+        take_config (sidecar, key);
+    }
+  else if (strncmp (key->key, prefix, (size_t)size) == 0)
+    take_entry (store, key, key->key + size);
+  else
+    sidecar_moves_on_key (sidecar, key);
+}
+
+static void
+take_keys (struct sidecar_store *store, const struct store_reply *reply)
+{
+  for (size_t i = 0; i < reply->key_count; i++)
+    take_key (store, &reply->keys[i]);
+  size_t nodes = 0;
+  const struct directory *directory = &store->sidecar->directory;
+  for (size_t i = 0; i < directory->count; i++)
+    nodes += directory->records[i].used;
+  quota_set_slack (&store->sidecar->quotas,
+                   store->sidecar->settings.retry_slack, nodes);
+}
+
+static void
+on_list (void *arg, const struct store_reply *reply)
+{
+  struct sidecar_store *store = arg;
+  store->listing = false;
+  if (reply->status != STATUS_OK)
+    {
+      if (!is_answer (reply))
+        note_away (store, "range", reply->status);
+      store->next_watch_ms = clock_monotonic_ms () + RETRY_MS;
+      return;
+    }
+  note_back (store);
+  if (store->list_after[0] == '\0')
+    {
+      store->list_as_of = reply->as_of;
+      directory_begin_list (&store->sidecar->directory);
+    }
+  take_keys (store, reply);
+  if (reply->more && reply->key_count > 0)
+    {
+      snprintf (store->list_after, KEY_MAX, "%s",
+                reply->keys[reply->key_count - 1].key);
+      list_next (store);
+      return;
+    }
+  directory_end_list (&store->sidecar->directory, store->list_as_of,
+                      clock_monotonic_ms ());
+  /* Pages are not a snapshot: changes since the first one follow. */
+  store->as_of = store->list_as_of;
+}
+
+static void
+list_next (struct sidecar_store *store)
+{
+  struct sidecar *sidecar = store->sidecar;
+  store->listing = true;
+  store_client_ops.range (
+      &sidecar->store_client, sidecar->adapter->watch_prefix,
+      store->list_after[0] == '\0' ? NULL : store->list_after, on_list, store);
+}
+
+static void
+on_watch (void *arg, const struct store_reply *reply)
+{
+  struct sidecar_store *store = arg;
+  store->watching = false;
+  store->next_watch_ms = clock_monotonic_ms () + WATCH_PACE_MS;
+  switch (reply->status)
+    {
+    case STATUS_OK:
+      note_back (store);
+      take_keys (store, reply);
+      if (reply->as_of > store->as_of)
+        store->as_of = reply->as_of;
+      break;
+    case STATUS_TOO_OLD:
+      log_event (LOG_LEVEL_INFO, "store_history_lost",
+                 "view_revision=%" PRIu64, store->as_of);
+      store->as_of = 0;
+      store->next_watch_ms = 0;
+      break;
+    case STATUS_TIMEOUT:
+      break;
+    default:
+      if (!is_answer (reply))
+        note_away (store, "watch", reply->status);
+      break;
+    }
+}
+
+static void
+follow (struct sidecar_store *store, uint64_t now_ms)
+{
+  struct sidecar *sidecar = store->sidecar;
+  if (store->watching || store->listing || now_ms < store->next_watch_ms
+      || store->away_since_ms != 0)
+    return;
+  if (store->as_of == 0)
+    {
+      counter_add (&relists, 1);
+      store->list_after[0] = '\0';
+      list_next (store);
+      return;
+    }
+  store->watching = true;
+  store_client_ops.watch_prefix (&sidecar->store_client,
+                                 sidecar->adapter->watch_prefix, store->as_of,
+                                 WATCH_WAIT_MS, on_watch, store);
+}
+
+static void
+on_written (void *arg, const struct store_reply *reply)
+{
+  struct sidecar_store *store = arg;
+  uint64_t now = clock_monotonic_ms ();
+  store->writing = false;
+  store->next_write_ms = now + RETRY_MS;
+  switch (reply->status)
+    {
+    case STATUS_OK:
+      {
+        struct directory_entry entry;
+        char present[ENTRY_RECORD_MAX];
+        store->revision = reply->revision;
+        sidecar_target_entry (store->sidecar, &entry);
+        entry_record_write (&entry, present);
+        store->announced = strcmp (present, store->written) == 0;
+        store->next_write_ms = now;
+        break;
+      }
+    case STATUS_CONFLICT:
+      store->revision = reply->revision;
+      store->next_write_ms = now;
+      break;
+    case STATUS_NOT_FOUND:
+      store->lease = 0;
+      store->next_write_ms = now;
+      break;
+    default:
+      note_away (store, "put", reply->status);
+      break;
+    }
+}
+
+static void
+on_granted (void *arg, const struct store_reply *reply)
+{
+  struct sidecar_store *store = arg;
+  store->granting = false;
+  if (reply->status != STATUS_OK)
+    {
+      note_away (store, "lease", reply->status);
+      store->next_write_ms = clock_monotonic_ms () + RETRY_MS;
+      return;
+    }
+  note_back (store);
+  store->lease = reply->revision;
+  store->renewed_ms = clock_monotonic_ms ();
+  store->announced = false;
+}
+
+static void
+on_renewed (void *arg, const struct store_reply *reply)
+{
+  struct sidecar_store *store = arg;
+  store->renewing = false;
+  if (!is_answer (reply))
+    {
+      note_away (store, "keepalive", reply->status);
+      return;
+    }
+  note_back (store);
+  if (reply->status == STATUS_OK)
+    store->renewed_ms = clock_monotonic_ms ();
+  else
+    {
+      log_event (LOG_LEVEL_WARNING, "lease_ended",
+                 "lease=%" PRIu64 " age_ms=%" PRIu64, store->lease,
+                 clock_monotonic_ms () - store->renewed_ms);
+      store->lease = 0;
+      store->announced = false;
+    }
+}
+
+/// Keeps the lease alive, or asks whether the store is back.
+static void
+renew (struct sidecar_store *store, uint64_t now_ms)
+{
+  struct sidecar *sidecar = store->sidecar;
+  bool away = store->away_since_ms != 0;
+  if (away ? now_ms - store->probed_ms < PROBE_MS
+           : store->lease == 0 || store->renewing
+                 || now_ms - store->renewed_ms < RENEW_MS)
+    return;
+  store->probed_ms = now_ms;
+  store->renewing = true;
+  /* A renewal of an unknown lease is answered with "not found", which shows
+     as well that the store is back. */
+  store_client_ops.lease_keepalive (&sidecar->store_client,
+                                    store->lease == 0 ? 1 : store->lease,
+                                    on_renewed, store);
+}
+
+/// Writes the entry when it differs from the one in the store. The condition
+/// on its revision makes a delayed copy of an older write fail.
+static void
+announce (struct sidecar_store *store, uint64_t now_ms)
+{
+  struct sidecar *sidecar = store->sidecar;
+  if (store->announced || store->writing || store->granting
+      || store->away_since_ms != 0 || now_ms < store->next_write_ms
+      || !sidecar->target.known || store->as_of == 0)
+    return;
+  if (store->lease == 0)
+    {
+      store->granting = true;
+      uint32_t ttl = LEASE_MS > sidecar->settings.lease_min_ms
+                         ? LEASE_MS
+                         : sidecar->settings.lease_min_ms;
+      store_client_ops.lease_grant (&sidecar->store_client, ttl, on_granted,
+                                    store);
+      return;
+    }
+  struct directory_entry entry;
+  sidecar_target_entry (sidecar, &entry);
+  size_t size = entry_record_write (&entry, store->written);
+  store->writing = true;
+  store_client_ops.put (&sidecar->store_client, store->key, store->revision,
+                        store->lease, store->written, size, on_written, store);
+}
+
+void
+sidecar_store_announce (struct sidecar *sidecar)
+{
+  sidecar->store->announced = false;
+  announce (sidecar->store, clock_monotonic_ms ());
+}
+
+bool
+sidecar_store_is_away (const struct sidecar *sidecar)
+{
+  return sidecar->store->away_since_ms != 0;
+}
+
+void
+sidecar_store_tick (struct sidecar *sidecar)
+{
+  struct sidecar_store *store = sidecar->store;
+  uint64_t now = clock_monotonic_ms ();
+  renew (store, now);
+  follow (store, now);
+  announce (store, now);
+  directory_expire (&sidecar->directory, store->away_since_ms != 0, now);
+}
+
+enum status
+sidecar_store_start (struct sidecar *sidecar)
+{
+  struct sidecar_store *store = calloc (1, sizeof *store);
+  if (store == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for the store");
+  store->sidecar = sidecar;
+  snprintf (store->key, sizeof store->key, "%snode/%s",
+            sidecar->adapter->own_prefix, sidecar->settings.node);
+  sidecar->store = store;
+  return STATUS_OK;
+}
+
+void
+sidecar_store_stop (struct sidecar *sidecar)
+{
+  free (sidecar->store);
+  sidecar->store = NULL;
+}
--- /dev/null
+++ b/src/sidecar/sidecar_target.c
@@ -0,0 +1,234 @@
+/// Owns what the node knows of the target beside it: its reports, its leaving
+/// and its absence. The gate and the node's entry in the store follow.
+#include "sidecar/sidecar.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/// A target without a report for this many intervals has ended: reports may be
+/// seconds late.
+#define SILENT_INTERVALS 5
+
+/// A target that refused this many connections in a row has ended. One refusal
+/// may be a limit on connections.
+#define REFUSALS_MAX 3
+
+static struct counter reports
+    = COUNTER ("target_reports", "reports of the own target");
+static struct counter stale = COUNTER (
+    "target_reports_stale", "reports that a newer one had overtaken");
+static struct counter malformed
+    = COUNTER ("target_reports_malformed", "reports that cannot be read");
+
+static const char *
+state_name (const struct sidecar_target *target)
+{
+  if (!target->known || target->gone)
+    return "absent";
+  return target->draining ? "draining" : "ready";
+}
+
+void
+sidecar_target_update (struct sidecar *sidecar)
+{
+  const struct sidecar_target *target = &sidecar->target;
+  bool present = target->known && !target->gone;
+  gate_set_slots (&sidecar->gate, present ? target->report.slots : 0,
+                  clock_monotonic_us ());
+  log_event (LOG_LEVEL_INFO, "target_state",
+             "state=%s instance=%s version=%s slots=%u report_age_ms=%" PRIu64
+             " sequence=%" PRIu64,
+             state_name (target), target->report.instance,
+             target->report.version, target->report.slots,
+             clock_monotonic_ms () - target->heard_ms,
+             target->report.sequence);
+  sidecar_store_announce (sidecar);
+}
+
+void
+sidecar_target_entry (const struct sidecar *sidecar,
+                      struct directory_entry *entry)
+{
+  const struct sidecar_target *target = &sidecar->target;
+  memset (entry, 0, sizeof *entry);
+  strcpy (entry->node, sidecar->settings.node);
+  strcpy (entry->availability_zone, sidecar->settings.availability_zone);
+  strcpy (entry->service, target->report.service);
+  strcpy (entry->version, target->report.version);
+  strcpy (entry->instance, target->report.instance);
+  entry->address = sidecar->settings.peers.address;
+  entry->port = sidecar->settings.peers.port;
+  entry->slots = target->report.slots;
+  entry->cold_ms = target->cold_ms;
+  entry->epoch = sidecar->epoch;
+  if (sidecar->stopping)
+    entry->state = DIRECTORY_LEAVING;
+  else if (!target->known || target->gone)
+    entry->state = DIRECTORY_ABSENT;
+  else
+    entry->state = target->draining ? DIRECTORY_DRAINING : DIRECTORY_READY;
+}
+
+/// @return true when a report is newer than what is known
+static bool
+is_newer (const struct sidecar_target *target,
+          const struct target_report *report)
+{
+  if (!target->known)
+    return true;
+  if (report->started_ms != target->report.started_ms)
+    return report->started_ms > target->report.started_ms;
+  if (strcmp (report->instance, target->report.instance) != 0)
+    return true;
+  return report->sequence > target->report.sequence;
+}
+
+static void
+take_report (struct sidecar *sidecar, const struct target_report *report)
+{
+  struct sidecar_target *target = &sidecar->target;
+  uint64_t now = clock_monotonic_ms ();
+  bool new_incarnation
+      = !target->known || report->started_ms != target->report.started_ms
+        || strcmp (report->instance, target->report.instance) != 0;
+  if (new_incarnation)
+    {
+      target->draining = false;
+      target->started_ms = now;
+      target->cold_ms = report->cold_ms;
+    }
+  bool changed = new_incarnation || target->gone
+                 || report->slots != target->report.slots
+                 || strcmp (report->version, target->report.version) != 0;
+  if (report->draining && !target->draining)
+    {
+      target->draining = true;
+      target->draining_ms = now;
+      changed = true;
+    }
+  target->report = *report;
+  target->known = true;
+  target->gone = false;
+  target->refusals = 0;
+  target->heard_ms = now;
+  if (changed)
+    sidecar_target_update (sidecar);
+}
+
+static void
+answer (struct http_request *request, unsigned status, const char *text)
+{
+  http_reply (request, status, "Content-Type: application/json\r\n", text,
+              strlen (text));
+}
+
+static void
+on_report (struct sidecar *sidecar, struct http_request *request,
+           const char *instance)
+{
+  struct target_report report;
+  size_t size = evbuffer_get_length (request->body);
+  const char *body = (const char *)evbuffer_pullup (request->body, -1);
+  counter_add (&reports, 1);
+  if (sidecar->adapter->read_report (instance, body == NULL ? "" : body, size,
+                                     &report)
+      != STATUS_OK)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_WARNING, "target_report_malformed",
+                 "instance=%s reason=\"%s\"", instance, status_message ());
+      answer (request, 400, "{\"error\":\"malformed report\"}");
+      return;
+    }
+  if (is_newer (&sidecar->target, &report))
+    take_report (sidecar, &report);
+  else
+    {
+      counter_add (&stale, 1);
+      log_event (LOG_LEVEL_INFO, "target_report_stale",
+                 "instance=%s sequence=%" PRIu64 " known_instance=%s "
+                 "known_sequence=%" PRIu64,
+                 instance, report.sequence, sidecar->target.report.instance,
+                 sidecar->target.report.sequence);
+    }
+  answer (request, 200, "{}");
+}
+
+/// The target says that it ends; some say so first and serve on for a while.
+static void
+on_leave (struct sidecar *sidecar, struct http_request *request,
+          const char *instance)
+{
+  struct sidecar_target *target = &sidecar->target;
+  if (target->known && strcmp (target->report.instance, instance) == 0
+      && !target->draining)
+    {
+      target->draining = true;
+      target->draining_ms = clock_monotonic_ms ();
+      sidecar_target_update (sidecar);
+    }
+  answer (request, 200, "{}");
+}
+
+static void
+on_request (void *arg, struct http_request *request)
+{
+  struct sidecar *sidecar = arg;
+  char instance[DIRECTORY_NAME_MAX + 1];
+  char path[256];
+  size_t size = strcspn (request->head->target, "?");
+  if (size >= sizeof path)
+    size = sizeof path - 1;
+  memcpy (path, request->head->target, size);
+  path[size] = '\0';
+  switch (sidecar->adapter->classify (http_method_str (request->head->method),
+                                      path, instance))
+    {
+    case ADAPTER_CALL_REPORT:
+      on_report (sidecar, request, instance);
+      break;
+    case ADAPTER_CALL_LEAVE:
+      on_leave (sidecar, request, instance);
+      break;
+    default:
+      answer (request, 404, "{\"error\":\"no such call\"}");
+      break;
+    }
+}
+
+static void
+on_gone (void *arg, struct http_request *request)
+{
+}
+
+const struct http_server_ops sidecar_report_ops
+    = { .request = on_request, .gone = on_gone };
+
+static void
+set_gone (struct sidecar *sidecar)
+{
+  sidecar->target.gone = true;
+  sidecar_target_update (sidecar);
+}
+
+void
+sidecar_target_refused (struct sidecar *sidecar)
+{
+  struct sidecar_target *target = &sidecar->target;
+  if (++target->refusals >= REFUSALS_MAX && target->known && !target->gone)
+    set_gone (sidecar);
+}
+
+void
+sidecar_target_tick (struct sidecar *sidecar)
+{
+  struct sidecar_target *target = &sidecar->target;
+  uint64_t limit = (uint64_t)SILENT_INTERVALS * sidecar->settings.heartbeat_ms;
+  if (target->known && !target->gone
+      && clock_monotonic_ms () - target->heard_ms > limit)
+    set_gone (sidecar);
+}
--- /dev/null
+++ b/src/transport/http_pool.c
@@ -0,0 +1,455 @@
+/// Owns the servers, their idle connections and the exchanges in progress.
+#include "transport/http_pool.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "transport/timer.h"
+
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define SWEEP_MS 500
+
+/// Extra answers that a server may send before the right one.
+#define FOREIGN_ANSWERS_MAX 3
+
+static struct counter opened
+    = COUNTER ("http_connections_opened", "connections opened");
+static struct counter foreign = COUNTER (
+    "http_answers_foreign", "answers dropped because they name another id");
+static struct counter unasked = COUNTER (
+    "http_bytes_unasked", "connections closed: bytes without a request");
+
+struct http_connection
+{
+  struct http_pool *pool;
+  struct http_server_slot *server;
+  struct http_stream *stream;
+  struct http_exchange *exchange; ///< NULL while idle
+  uint64_t idle_since_ms;
+  uint64_t idle_limit_ms; ///< from the server's Keep-Alive field
+  bool established;
+  bool used;
+  struct http_connection *next; ///< among all of the server
+};
+
+struct http_server_slot
+{
+  uint32_t address;
+  uint16_t port;
+  struct http_connection *first;
+  struct http_server_slot *next;
+};
+
+struct http_exchange
+{
+  struct http_connection *connection;
+  const struct http_exchange_ops *ops;
+  void *arg;
+  struct event timer; ///< connect timeout, then the delivery of the end
+  char id[64];
+  enum http_end end;
+  bool reused;
+  bool skipping; ///< the current answer belongs to another request
+  bool answered; ///< the head was passed on
+  bool ended;    ///< `end` is set, its delivery is due
+  unsigned skipped;
+};
+
+static struct http_server_slot *
+find_server (struct http_pool *pool, uint32_t address, uint16_t port,
+             bool create)
+{
+  struct http_server_slot *server = pool->servers;
+  while (server != NULL
+         && (server->address != address || server->port != port))
+    server = server->next;
+  if (server != NULL || !create)
+    return server;
+  server = calloc (1, sizeof *server);
+  if (server == NULL)
+    return NULL;
+  server->address = address;
+  server->port = port;
+  server->next = pool->servers;
+  pool->servers = server;
+  return server;
+}
+
+static void
+close_connection (struct http_connection *connection)
+{
+  struct http_connection **place = &connection->server->first;
+  while (*place != connection)
+    place = &(*place)->next;
+  *place = connection->next;
+  connection->pool->connections--;
+  http_stream_free (connection->stream);
+  free (connection);
+}
+
+/// Detaches the exchange from its connection, which is closed, and delivers
+/// the end from the loop.
+static void
+fail_exchange (struct http_exchange *exchange, enum http_end end)
+{
+  struct http_connection *connection = exchange->connection;
+  exchange->connection = NULL;
+  exchange->ended = true;
+  exchange->end = end;
+  event_active (&exchange->timer, EV_TIMEOUT, 0);
+  if (connection != NULL)
+    close_connection (connection);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct http_exchange *exchange = arg;
+  if (!exchange->ended)
+    {
+      fail_exchange (exchange, HTTP_END_NOT_CONNECTED);
+      return;
+    }
+  const struct http_exchange_ops *ops = exchange->ops;
+  void *ops_arg = exchange->arg;
+  enum http_end end = exchange->end;
+  event_del (&exchange->timer);
+  free (exchange);
+  ops->end (ops_arg, end);
+}
+
+static void
+on_connected (struct http_stream *stream)
+{
+  struct http_connection *connection = stream->owner;
+  connection->established = true;
+  if (connection->exchange != NULL)
+    event_del (&connection->exchange->timer);
+}
+
+static void
+on_head (struct http_stream *stream, struct http_head *head)
+{
+  struct http_connection *connection = stream->owner;
+  struct http_exchange *exchange = connection->exchange;
+  if (exchange == NULL)
+    return;
+  const char *header = connection->pool->options.id_header;
+  const char *id = header == NULL || exchange->id[0] == '\0'
+                       ? NULL
+                       : http_head_find (head, header);
+  exchange->skipping = id != NULL && strcmp (id, exchange->id) != 0;
+  if (exchange->skipping)
+    {
+      counter_add (&foreign, 1);
+      exchange->skipped++;
+      return;
+    }
+  exchange->answered = true;
+  exchange->ops->head (exchange->arg, head);
+}
+
+static void
+on_body (struct http_stream *stream, const char *data, size_t size)
+{
+  struct http_connection *connection = stream->owner;
+  struct http_exchange *exchange = connection->exchange;
+  if (exchange != NULL && !exchange->skipping)
+    exchange->ops->body (exchange->arg, data, size);
+}
+
+/// @return how long the server keeps an idle connection, ms
+static uint64_t
+stated_idle_ms (const struct http_head *head)
+{
+  const char *value = http_head_find (head, "Keep-Alive");
+  const char *timeout = value == NULL ? NULL : strstr (value, "timeout=");
+  if (timeout == NULL)
+    return UINT64_MAX;
+  return strtoull (timeout + strlen ("timeout="), NULL, 10) * 1000;
+}
+
+/// A connection is kept when both ends may use it and nothing is left in
+/// either direction.
+static bool
+can_keep (const struct http_connection *connection,
+          const struct http_exchange *exchange)
+{
+  struct http_stream *stream = connection->stream;
+  return stream->head->keep_alive && exchange->skipped == 0
+         && http_stream_unread (stream) == 0
+         && evbuffer_get_length (http_stream_output (stream)) == 0;
+}
+
+static void
+on_complete (struct http_stream *stream)
+{
+  struct http_connection *connection = stream->owner;
+  struct http_exchange *exchange = connection->exchange;
+  if (exchange == NULL)
+    return;
+  if (exchange->skipping)
+    {
+      if (exchange->skipped >= FOREIGN_ANSWERS_MAX
+          || !stream->head->keep_alive)
+        {
+          connection->exchange = NULL;
+          fail_exchange (exchange, HTTP_END_MALFORMED);
+        }
+      else
+        http_stream_next (stream);
+      return;
+    }
+  bool keep = can_keep (connection, exchange);
+  uint64_t idle_ms = stated_idle_ms (stream->head);
+  connection->exchange = NULL;
+  exchange->connection = NULL;
+  exchange->ended = true;
+  exchange->end = HTTP_END_COMPLETE;
+  event_active (&exchange->timer, EV_TIMEOUT, 0);
+  if (!keep)
+    {
+      close_connection (connection);
+      return;
+    }
+  connection->idle_since_ms = clock_monotonic_ms ();
+  connection->idle_limit_ms = idle_ms;
+  connection->used = true;
+  http_stream_next (stream);
+  http_stream_resume (stream);
+}
+
+static void
+on_closed (struct http_stream *stream, enum http_close why)
+{
+  struct http_connection *connection = stream->owner;
+  struct http_exchange *exchange = connection->exchange;
+  if (exchange == NULL)
+    {
+      if (why == HTTP_CLOSE_PROTOCOL)
+        counter_add (&unasked, 1);
+      close_connection (connection);
+      return;
+    }
+  connection->exchange = NULL;
+  enum http_end end = HTTP_END_LOST;
+  if (!connection->established)
+    end = HTTP_END_NOT_CONNECTED;
+  else if (why == HTTP_CLOSE_PROTOCOL)
+    end = HTTP_END_MALFORMED;
+  fail_exchange (exchange, end);
+}
+
+static const struct http_stream_ops stream_ops = {
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+  .connected = on_connected,
+};
+
+static struct http_connection *
+open_connection (struct http_pool *pool, struct http_server_slot *server)
+{
+  struct bufferevent *bev
+      = bufferevent_socket_new (pool->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  struct http_connection *connection = calloc (1, sizeof *connection);
+  if (bev == NULL || connection == NULL)
+    {
+      if (bev != NULL)
+        bufferevent_free (bev);
+      free (connection);
+      return NULL;
+    }
+  connection->pool = pool;
+  connection->server = server;
+  connection->stream
+      = http_stream_new (bev, HTTP_RESPONSE, &stream_ops, connection);
+  if (connection->stream == NULL)
+    {
+      free (connection);
+      return NULL;
+    }
+  connection->next = server->first;
+  server->first = connection;
+  pool->connections++;
+  pool->opened++;
+  counter_add (&opened, 1);
+  return connection;
+}
+
+/// Connects after the exchange is attached, because a refused connect may be
+/// reported from within.
+static void
+start_connect (struct http_connection *connection)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET };
+  to.sin_addr.s_addr = htonl (connection->server->address);
+  to.sin_port = htons (connection->server->port);
+  timer_start (&connection->exchange->timer,
+               connection->pool->options.connect_ms);
+  bufferevent_socket_connect (connection->stream->bev, (struct sockaddr *)&to,
+                              sizeof to);
+}
+
+/// @return the idle connection that was used last, or NULL
+static struct http_connection *
+take_idle (struct http_pool *pool, struct http_server_slot *server,
+           uint32_t max_idle_ms)
+{
+  uint64_t now = clock_monotonic_ms ();
+  struct http_connection *best = NULL;
+  for (struct http_connection *c = server->first; c != NULL; c = c->next)
+    {
+      uint64_t idle_ms = now - c->idle_since_ms;
+      if (c->exchange != NULL || !c->established || idle_ms > max_idle_ms
+          || idle_ms + 500 > c->idle_limit_ms || http_stream_unread (c->stream)
+          || c->stream->ended)
+        continue;
+      if (best == NULL || c->idle_since_ms > best->idle_since_ms)
+        best = c;
+    }
+  return best;
+}
+
+struct http_exchange *
+http_pool_send (struct http_pool *pool, const struct http_send *send,
+                const struct http_exchange_ops *ops, void *arg)
+{
+  struct http_server_slot *server
+      = find_server (pool, send->address, send->port, true);
+  struct http_exchange *exchange = calloc (1, sizeof *exchange);
+  if (server == NULL || exchange == NULL)
+    {
+      free (exchange);
+      return NULL;
+    }
+  struct http_connection *connection
+      = send->fresh ? NULL : take_idle (pool, server, send->max_idle_ms);
+  exchange->reused = connection != NULL;
+  if (connection == NULL)
+    connection = open_connection (pool, server);
+  if (connection == NULL)
+    {
+      free (exchange);
+      return NULL;
+    }
+  exchange->connection = connection;
+  exchange->ops = ops;
+  exchange->arg = arg;
+  if (send->id != NULL && strlen (send->id) < sizeof exchange->id)
+    strcpy (exchange->id, send->id);
+  evtimer_assign (&exchange->timer, pool->base, on_timer, exchange);
+  connection->exchange = exchange;
+  connection->stream->no_body = send->no_body;
+  evbuffer_add_buffer (http_stream_output (connection->stream), send->request);
+  if (!exchange->reused)
+    start_connect (connection);
+  return exchange;
+}
+
+void
+http_exchange_cancel (struct http_exchange *exchange)
+{
+  struct http_connection *connection = exchange->connection;
+  event_del (&exchange->timer);
+  free (exchange);
+  if (connection == NULL)
+    return;
+  connection->exchange = NULL;
+  close_connection (connection);
+}
+
+bool
+http_exchange_is_reused (const struct http_exchange *exchange)
+{
+  return exchange->reused;
+}
+
+void
+http_exchange_pause (struct http_exchange *exchange)
+{
+  if (exchange->connection != NULL)
+    http_stream_pause (exchange->connection->stream);
+}
+
+void
+http_exchange_resume (struct http_exchange *exchange)
+{
+  if (exchange->connection != NULL)
+    http_stream_resume (exchange->connection->stream);
+}
+
+void
+http_pool_forget (struct http_pool *pool, uint32_t address, uint16_t port)
+{
+  struct http_server_slot *server = find_server (pool, address, port, false);
+  struct http_connection *next;
+  for (struct http_connection *c = server == NULL ? NULL : server->first;
+       c != NULL; c = next)
+    {
+      next = c->next;
+      if (c->exchange == NULL)
+        close_connection (c);
+    }
+}
+
+static void
+on_sweep (evutil_socket_t fd, short what, void *arg)
+{
+  struct http_pool *pool = arg;
+  uint64_t now = clock_monotonic_ms ();
+  struct http_server_slot **place = &pool->servers;
+  while (*place != NULL)
+    {
+      struct http_server_slot *server = *place;
+      struct http_connection *next;
+      for (struct http_connection *c = server->first; c != NULL; c = next)
+        {
+          next = c->next;
+          if (c->exchange == NULL
+              && now - c->idle_since_ms > pool->options.idle_ms)
+            close_connection (c);
+        }
+      if (server->first != NULL)
+        {
+          place = &server->next;
+          continue;
+        }
+      *place = server->next;
+      free (server);
+    }
+}
+
+void
+http_pool_init (struct http_pool *pool, struct event_base *base,
+                const struct http_pool_options *options)
+{
+  memset (pool, 0, sizeof *pool);
+  pool->base = base;
+  pool->options = *options;
+  event_assign (&pool->sweep, base, -1, EV_PERSIST, on_sweep, pool);
+  event_add (&pool->sweep, &(struct timeval){ 0, SWEEP_MS * 1000 });
+}
+
+void
+http_pool_finish (struct http_pool *pool)
+{
+  event_del (&pool->sweep);
+  while (pool->servers != NULL)
+    {
+      struct http_server_slot *server = pool->servers;
+      pool->servers = server->next;
+      while (server->first != NULL)
+        {
+          struct http_connection *c = server->first;
+          if (c->exchange != NULL)
+            c->exchange->connection = NULL;
+          close_connection (c);
+        }
+      free (server);
+    }
+}
--- /dev/null
+++ b/src/transport/http_server.c
@@ -0,0 +1,516 @@
+/// Owns the listener, the connections and the requests in progress.
+#include "transport/http_server.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+/// Connections that wait to be accepted, for bursts after a restart.
+#define BACKLOG 1024
+
+#define SWEEP_MS 250
+
+/// Requests of one connection that are handled at the same time.
+#define PIPELINE_MAX 8
+
+/// A closed connection waits this long for the caller's own close: closing
+/// with unread bytes would reset it, and the caller could lose the answer.
+#define LINGER_MS 1000
+
+/// Bytes of the status line and framing fields of an answer.
+#define STATUS_LINE_MAX 160
+
+static struct counter malformed = COUNTER (
+    "http_requests_malformed", "connections closed: bytes are no request");
+static struct counter slow
+    = COUNTER ("http_requests_slow", "connections closed: request too slow");
+static struct counter too_large = COUNTER (
+    "http_requests_too_large", "requests refused: head or body too large");
+
+struct http_server_connection
+{
+  struct http_server *server;
+  struct http_stream *stream;
+  struct http_request *request; ///< the oldest one without its whole answer
+  size_t pending;               ///< requests without their whole answer
+  struct http_request *arriving;
+  uint64_t since_ms; ///< last end of an answer, or first byte of a request
+  bool closing;      ///< closes when the output is empty
+  bool lingering;    ///< everything was sent, waits for the caller's close
+  struct http_server_connection *next;
+  struct http_server_connection *previous;
+};
+
+static void
+free_request (struct http_request *request)
+{
+  evbuffer_free (request->body);
+  if (request->output != NULL)
+    evbuffer_free (request->output);
+  talloc_free (request->arena);
+}
+
+/// Drops the requests of a connection.
+/// @param tell  true: their handlers are told that the caller has gone
+static void
+drop_requests (struct http_server_connection *connection, bool tell)
+{
+  struct http_server *server = connection->server;
+  while (connection->request != NULL)
+    {
+      struct http_request *request = connection->request;
+      connection->request = request->next;
+      connection->pending--;
+      server->in_progress--;
+      if (tell && !request->answered)
+        server->ops->gone (server->arg, request);
+      free_request (request);
+    }
+}
+
+static void
+free_connection (struct http_server_connection *connection)
+{
+  struct http_server *server = connection->server;
+  if (connection->previous != NULL)
+    connection->previous->next = connection->next;
+  else
+    server->first = connection->next;
+  if (connection->next != NULL)
+    connection->next->previous = connection->previous;
+  if (connection->arriving != NULL)
+    free_request (connection->arriving);
+  server->connections--;
+  http_stream_free (connection->stream);
+  free (connection);
+}
+
+static void
+start_linger (struct http_server_connection *connection)
+{
+  connection->lingering = true;
+  connection->since_ms = clock_monotonic_ms ();
+  shutdown (bufferevent_getfd (connection->stream->bev), SHUT_WR);
+}
+
+/// Closes after what was written has been sent.
+static void
+close_when_sent (struct http_server_connection *connection)
+{
+  connection->closing = true;
+  connection->since_ms = clock_monotonic_ms ();
+  connection->stream->held = true;
+  if (evbuffer_get_length (http_stream_output (connection->stream)) == 0)
+    start_linger (connection);
+}
+
+static void
+write_status_line (struct evbuffer *output, unsigned status, bool close,
+                   const char *framing)
+{
+  char line[STATUS_LINE_MAX];
+  int size = snprintf (line, sizeof line, "HTTP/1.1 %u %s\r\n%s%s", status,
+                       http_status_str ((enum http_status)status), framing,
+                       close ? "Connection: close\r\n" : "");
+  evbuffer_add (output, line, (size_t)size);
+}
+
+/// Refuses a request that has not arrived whole, and closes.
+static void
+refuse (struct http_server_connection *connection, unsigned status)
+{
+  struct evbuffer *output = http_stream_output (connection->stream);
+  write_status_line (output, status, true, "Content-Length: 0\r\n");
+  evbuffer_add (output, "\r\n", 2);
+  close_when_sent (connection);
+}
+
+static void
+on_head (struct http_stream *stream, struct http_head *head)
+{
+  struct http_server_connection *connection = stream->owner;
+  if (connection->closing || connection->arriving != NULL)
+    return;
+  void *arena = talloc_new (NULL);
+  struct http_request *request = talloc_zero (arena, struct http_request);
+  if (request == NULL || (request->body = evbuffer_new ()) == NULL)
+    {
+      talloc_free (arena);
+      refuse (connection, 503);
+      return;
+    }
+  request->server = connection->server;
+  request->connection = connection;
+  request->arena = arena;
+  request->head = talloc_steal (arena, head);
+  stream->head = NULL;
+  connection->arriving = request;
+  if (head->has_length && head->length > connection->server->limits.body_bytes)
+    {
+      counter_add (&too_large, 1);
+      refuse (connection, 413);
+      return;
+    }
+  const char *expect = http_head_find (head, "Expect");
+  if (expect != NULL && strcasecmp (expect, "100-continue") == 0)
+    evbuffer_add_printf (http_stream_output (stream),
+                         "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+static void
+on_body (struct http_stream *stream, const char *data, size_t size)
+{
+  struct http_server_connection *connection = stream->owner;
+  struct http_request *request = connection->arriving;
+  if (request == NULL || connection->closing)
+    return;
+  if (evbuffer_get_length (request->body) + size
+      > connection->server->limits.body_bytes)
+    {
+      counter_add (&too_large, 1);
+      refuse (connection, 413);
+      return;
+    }
+  evbuffer_add (request->body, data, size);
+}
+
+static void
+on_complete (struct http_stream *stream)
+{
+  struct http_server_connection *connection = stream->owner;
+  struct http_request *request = connection->arriving;
+  if (request == NULL || connection->closing)
+    return;
+  connection->arriving = NULL;
+  struct http_request **last = &connection->request;
+  while (*last != NULL)
+    last = &(*last)->next;
+  *last = request;
+  if (connection->request != request)
+    request->output = evbuffer_new ();
+  connection->pending++;
+  connection->server->in_progress++;
+  request->received_us = clock_monotonic_us ();
+  if (request->head->keep_alive && connection->pending < PIPELINE_MAX)
+    http_stream_next (stream);
+  connection->server->ops->request (connection->server->arg, request);
+}
+
+static void
+on_closed (struct http_stream *stream, enum http_close why)
+{
+  struct http_server_connection *connection = stream->owner;
+  if (connection->request != NULL)
+    {
+      drop_requests (connection, true);
+      free_connection (connection);
+      return;
+    }
+  if (why != HTTP_CLOSE_PROTOCOL || connection->closing)
+    {
+      free_connection (connection);
+      return;
+    }
+  if (stream->head_too_large)
+    counter_add (&too_large, 1);
+  else
+    counter_add (&malformed, 1);
+  refuse (connection, stream->head_too_large ? 431 : 400);
+}
+
+static void
+on_drained (struct http_stream *stream)
+{
+  struct http_server_connection *connection = stream->owner;
+  if (connection->closing && !connection->lingering)
+    start_linger (connection);
+  else if (connection->request != NULL
+           && connection->server->ops->writable != NULL)
+    connection->server->ops->writable (connection->server->arg,
+                                       connection->request);
+}
+
+static const struct http_stream_ops stream_ops = {
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+  .closed = on_closed,
+  .drained = on_drained,
+};
+
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *from, int size, void *arg)
+{
+  struct http_server *server = arg;
+  struct bufferevent *bev
+      = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  struct http_server_connection *connection = calloc (1, sizeof *connection);
+  if (bev == NULL || connection == NULL)
+    {
+      if (bev != NULL)
+        bufferevent_free (bev);
+      else
+        evutil_closesocket (fd);
+      free (connection);
+      return;
+    }
+  connection->stream
+      = http_stream_new (bev, HTTP_REQUEST, &stream_ops, connection);
+  if (connection->stream == NULL)
+    {
+      free (connection);
+      return;
+    }
+  http_tune_socket (fd);
+  connection->stream->head_bytes_max = server->limits.head_bytes;
+  connection->server = server;
+  connection->since_ms = clock_monotonic_ms ();
+  connection->next = server->first;
+  if (server->first != NULL)
+    server->first->previous = connection;
+  server->first = connection;
+  server->connections++;
+}
+
+static void
+on_sweep (evutil_socket_t fd, short what, void *arg)
+{
+  struct http_server *server = arg;
+  uint64_t now = clock_monotonic_ms ();
+  struct http_server_connection *next;
+  for (struct http_server_connection *c = server->first; c != NULL; c = next)
+    {
+      next = c->next;
+      if (c->request != NULL)
+        continue;
+      bool receiving = c->stream->started && !c->closing;
+      uint32_t limit
+          = receiving ? server->limits.receive_ms : server->limits.idle_ms;
+      if (c->lingering)
+        limit = LINGER_MS;
+      if (now - c->since_ms <= limit)
+        continue;
+      if (!receiving)
+        free_connection (c);
+      else
+        {
+          counter_add (&slow, 1);
+          refuse (c, 408);
+        }
+    }
+}
+
+enum status
+http_server_start (struct http_server *server, struct event_base *base,
+                   uint32_t address, uint16_t port,
+                   const struct http_server_limits *limits,
+                   const struct http_server_ops *ops, void *arg)
+{
+  memset (server, 0, sizeof *server);
+  server->base = base;
+  server->limits = *limits;
+  server->ops = ops;
+  server->arg = arg;
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  at.sin_addr.s_addr = htonl (address);
+  at.sin_port = htons (port);
+  server->listener = evconnlistener_new_bind (
+      base, on_accept, server,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      BACKLOG, (struct sockaddr *)&at, sizeof at);
+  if (server->listener == NULL)
+    return status_set (STATUS_UNAVAILABLE, "cannot listen on port %u", port);
+  event_assign (&server->sweep, base, -1, EV_PERSIST, on_sweep, server);
+  event_add (&server->sweep, &(struct timeval){ 0, SWEEP_MS * 1000 });
+  return STATUS_OK;
+}
+
+void
+http_server_stop (struct http_server *server)
+{
+  if (server->listener == NULL)
+    return;
+  evconnlistener_free (server->listener);
+  server->listener = NULL;
+  event_del (&server->sweep);
+  while (server->first != NULL)
+    {
+      struct http_server_connection *connection = server->first;
+      drop_requests (connection, false);
+      free_connection (connection);
+    }
+}
+
+void
+http_server_drain (struct http_server *server)
+{
+  server->closing = true;
+}
+
+void
+http_server_close_idle (struct http_server *server)
+{
+  struct http_server_connection *next;
+  for (struct http_server_connection *c = server->first; c != NULL; c = next)
+    {
+      next = c->next;
+      if (c->request == NULL && !c->stream->started
+          && http_stream_unread (c->stream) == 0)
+        free_connection (c);
+    }
+}
+
+/// A server that stops closes behind the last request that it has read, so
+/// that none of those is lost.
+static bool
+closes_after (const struct http_request *request)
+{
+  return !request->head->keep_alive
+         || (request->server->closing && request->next == NULL);
+}
+
+/// @return where the bytes of an answer go
+static struct evbuffer *
+output_of (struct http_request *request)
+{
+  return request->output != NULL
+             ? request->output
+             : http_stream_output (request->connection->stream);
+}
+
+static void
+write_status (struct http_request *request, unsigned status,
+              const char *framing)
+{
+  write_status_line (output_of (request), status, closes_after (request),
+                     framing);
+  if (closes_after (request))
+    request->head->keep_alive = false;
+}
+
+/// Moves the answers that are next in order to the connection.
+static void
+advance (struct http_server_connection *connection)
+{
+  struct evbuffer *output = http_stream_output (connection->stream);
+  while (connection->request != NULL)
+    {
+      struct http_request *request = connection->request;
+      if (request->output != NULL)
+        {
+          evbuffer_add_buffer (output, request->output);
+          evbuffer_free (request->output);
+          request->output = NULL;
+        }
+      if (!request->answered)
+        return;
+      bool close = !request->head->keep_alive;
+      connection->request = request->next;
+      connection->pending--;
+      connection->server->in_progress--;
+      connection->since_ms = clock_monotonic_ms ();
+      free_request (request);
+      if (close)
+        {
+          drop_requests (connection, true);
+          close_when_sent (connection);
+          return;
+        }
+      http_stream_next (connection->stream);
+    }
+}
+
+static void
+end_request (struct http_request *request)
+{
+  struct http_server_connection *connection = request->connection;
+  request->answered = true;
+  if (connection->request == request)
+    advance (connection);
+}
+
+void
+http_reply (struct http_request *request, unsigned status, const char *fields,
+            const void *body, size_t size)
+{
+  struct evbuffer *output = output_of (request);
+  char framing[64];
+  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", size);
+  write_status (request, status, framing);
+  if (fields != NULL)
+    evbuffer_add (output, fields, strlen (fields));
+  evbuffer_add (output, "\r\n", 2);
+  if (request->head->method != HTTP_HEAD)
+    evbuffer_add (output, body, size);
+  end_request (request);
+}
+
+void
+http_reply_start (struct http_request *request, unsigned status,
+                  struct evbuffer *fields, int64_t length)
+{
+  struct evbuffer *output = output_of (request);
+  char framing[64] = "Transfer-Encoding: chunked\r\n";
+  bool bodiless = status == 204 || status == 304;
+  if (bodiless)
+    framing[0] = '\0';
+  else if (length >= 0)
+    snprintf (framing, sizeof framing, "Content-Length: %lld\r\n",
+              (long long)length);
+  request->answer_started = true;
+  request->answer_chunked
+      = length < 0 && !bodiless && request->head->method != HTTP_HEAD;
+  write_status (request, status, framing);
+  evbuffer_add_buffer (output, fields);
+  evbuffer_add (output, "\r\n", 2);
+}
+
+void
+http_reply_piece (struct http_request *request, const void *data, size_t size)
+{
+  if (size == 0)
+    return;
+  struct evbuffer *output = output_of (request);
+  if (request->answer_chunked)
+    evbuffer_add_printf (output, "%zx\r\n", size);
+  evbuffer_add (output, data, size);
+  if (request->answer_chunked)
+    evbuffer_add (output, "\r\n", 2);
+}
+
+void
+http_reply_finish (struct http_request *request)
+{
+  if (request->answer_chunked)
+    evbuffer_add (output_of (request), "0\r\n\r\n", 5);
+  end_request (request);
+}
+
+void
+http_reply_abort (struct http_request *request)
+{
+  struct http_server_connection *connection = request->connection;
+  request->answered = true; /* its handler needs no further call */
+  drop_requests (connection, true);
+  free_connection (connection);
+}
+
+size_t
+http_request_backlog (const struct http_request *request)
+{
+  return evbuffer_get_length (
+      request->output != NULL
+          ? request->output
+          : http_stream_output (request->connection->stream));
+}
--- /dev/null
+++ b/src/transport/http_stream.c
@@ -0,0 +1,442 @@
+/// Owns the parser callbacks; http_parser does the parsing.
+#include "transport/http_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+/// Input held per connection; a sender past it is slowed down by TCP.
+#define INPUT_MAX (64u * 1024)
+
+/// A peer that vanished is found after idle time + probes x interval: 3 s,
+/// the shortest span in which the platform calls a machine reachable again.
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_MAX_MS 3000
+
+static struct http_stream *
+stream_of (http_parser *parser)
+{
+  return parser->data;
+}
+
+static bool
+grow_text (struct http_stream *stream, const char *data, size_t size)
+{
+  stream->head_bytes += size;
+  if (stream->head_bytes > stream->head_bytes_max)
+    {
+      stream->head_too_large = true;
+      return false;
+    }
+  char *text = talloc_realloc (stream->head, stream->field_text, char,
+                               stream->field_size + size + 1);
+  if (text == NULL)
+    return false;
+  memcpy (text + stream->field_size, data, size);
+  stream->field_size += size;
+  text[stream->field_size] = '\0';
+  stream->field_text = text;
+  return true;
+}
+
+static void
+finish_text (struct http_stream *stream)
+{
+  stream->field_text = NULL;
+  stream->field_size = 0;
+}
+
+static int
+on_message_begin (http_parser *parser)
+{
+  struct http_stream *stream = stream_of (parser);
+  talloc_free (stream->head);
+  stream->head = talloc_zero (NULL, struct http_head);
+  stream->head_bytes = 0;
+  stream->head_too_large = false;
+  stream->completed = false;
+  stream->in_value = false;
+  stream->started = true;
+  finish_text (stream);
+  return stream->head == NULL;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t size)
+{
+  struct http_stream *stream = stream_of (parser);
+  if (!grow_text (stream, at, size))
+    return 1;
+  stream->head->target = stream->field_text;
+  return 0;
+}
+
+static int
+on_field_name (http_parser *parser, const char *at, size_t size)
+{
+  struct http_stream *stream = stream_of (parser);
+  struct http_head *head = stream->head;
+  if (head == NULL)
+    return 0; /* trailers of a message whose head was taken over */
+  if (stream->in_value || head->field_count == 0)
+    {
+      if (head->field_count == HTTP_FIELDS_MAX)
+        {
+          stream->head_too_large = true;
+          return 1;
+        }
+      finish_text (stream);
+      stream->in_value = false;
+      head->fields[head->field_count].value = "";
+      head->field_count++;
+    }
+  if (!grow_text (stream, at, size))
+    return 1;
+  head->fields[head->field_count - 1].name = stream->field_text;
+  return 0;
+}
+
+static int
+on_field_value (http_parser *parser, const char *at, size_t size)
+{
+  struct http_stream *stream = stream_of (parser);
+  struct http_head *head = stream->head;
+  if (head == NULL || head->field_count == 0)
+    return 0;
+  if (!stream->in_value)
+    {
+      finish_text (stream);
+      stream->in_value = true;
+    }
+  if (!grow_text (stream, at, size))
+    return 1;
+  head->fields[head->field_count - 1].value = stream->field_text;
+  return 0;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  struct http_stream *stream = stream_of (parser);
+  struct http_head *head = stream->head;
+  if (parser->upgrade)
+    return 1;
+  head->method = (enum http_method)parser->method;
+  head->status = parser->status_code;
+  head->keep_alive = http_should_keep_alive (parser);
+  head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  head->length = head->has_length ? parser->content_length : 0;
+  finish_text (stream);
+  if (head->status >= 100 && head->status < 200)
+    return 0;
+  stream->ops->head (stream, head);
+  return stream->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t size)
+{
+  struct http_stream *stream = stream_of (parser);
+  if (!stream->doomed)
+    stream->ops->body (stream, at, size);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  struct http_stream *stream = stream_of (parser);
+  if (stream->head != NULL && stream->head->status >= 100
+      && stream->head->status < 200)
+    return 0;
+  stream->completed = true;
+  stream->held = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_message_begin,
+  .on_url = on_url,
+  .on_header_field = on_field_name,
+  .on_header_value = on_field_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+static void
+destroy (struct http_stream *stream)
+{
+  bufferevent_free (stream->bev);
+  talloc_free (stream->head);
+  free (stream);
+}
+
+static void
+report_close (struct http_stream *stream, enum http_close why)
+{
+  if (stream->ended || stream->doomed)
+    return;
+  stream->ended = true;
+  bufferevent_disable (stream->bev, EV_READ);
+  stream->ops->closed (stream, why);
+}
+
+/// Tells the owner of a message end, once.
+static void
+report_complete (struct http_stream *stream)
+{
+  stream->completed = false;
+  stream->started = false;
+  stream->ops->complete (stream);
+}
+
+static void
+parse_input (struct http_stream *stream)
+{
+  struct evbuffer *input = bufferevent_get_input (stream->bev);
+  stream->parsing = true;
+  while (!stream->doomed && !stream->held && !stream->paused && !stream->ended
+         && evbuffer_get_length (input) > 0)
+    {
+      struct evbuffer_iovec piece;
+      if (evbuffer_peek (input, -1, NULL, &piece, 1) < 1)
+        break;
+      size_t used = http_parser_execute (&stream->parser, &callbacks,
+                                         piece.iov_base, piece.iov_len);
+      enum http_errno error = HTTP_PARSER_ERRNO (&stream->parser);
+      evbuffer_drain (input, used);
+      if (stream->doomed)
+        break;
+      if (error != HPE_OK && error != HPE_PAUSED)
+        report_close (stream, HTTP_CLOSE_PROTOCOL);
+      else if (stream->completed)
+        report_complete (stream);
+    }
+  stream->parsing = false;
+  if (stream->doomed)
+    destroy (stream);
+}
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  struct http_stream *stream = arg;
+  if (!stream->parsing)
+    parse_input (stream);
+}
+
+static void
+on_write (struct bufferevent *bev, void *arg)
+{
+  struct http_stream *stream = arg;
+  if (stream->ops->drained != NULL && !stream->ended)
+    stream->ops->drained (stream);
+}
+
+/// Ends a message whose end is the end of the connection.
+static void
+parse_end (struct http_stream *stream)
+{
+  stream->parsing = true;
+  if (!stream->held && stream->started)
+    {
+      http_parser_execute (&stream->parser, &callbacks, NULL, 0);
+      if (!stream->doomed && stream->completed)
+        report_complete (stream);
+    }
+  if (!stream->doomed)
+    report_close (stream, HTTP_CLOSE_END);
+  stream->parsing = false;
+  if (stream->doomed)
+    destroy (stream);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  struct http_stream *stream = arg;
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+      http_tune_socket (bufferevent_getfd (bev));
+      if (stream->ops->connected != NULL)
+        stream->ops->connected (stream);
+      return;
+    }
+  if ((what & BEV_EVENT_EOF) != 0)
+    {
+      parse_end (stream);
+      return;
+    }
+  stream->parsing = true;
+  report_close (stream, HTTP_CLOSE_RESET);
+  stream->parsing = false;
+  if (stream->doomed)
+    destroy (stream);
+}
+
+struct http_stream *
+http_stream_new (struct bufferevent *bev, enum http_parser_type type,
+                 const struct http_stream_ops *ops, void *owner)
+{
+  struct http_stream *stream = calloc (1, sizeof *stream);
+  if (stream == NULL)
+    {
+      bufferevent_free (bev);
+      return NULL;
+    }
+  stream->bev = bev;
+  stream->ops = ops;
+  stream->owner = owner;
+  stream->head_bytes_max = HTTP_HEAD_BYTES_MAX;
+  http_parser_init (&stream->parser, type);
+  stream->parser.data = stream;
+  bufferevent_setcb (bev, on_read, on_write, on_event, stream);
+  bufferevent_setwatermark (bev, EV_READ, 0, INPUT_MAX);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+  return stream;
+}
+
+void
+http_stream_free (struct http_stream *stream)
+{
+  if (stream->parsing)
+    {
+      stream->doomed = true;
+      bufferevent_disable (stream->bev, EV_READ | EV_WRITE);
+      bufferevent_setcb (stream->bev, NULL, NULL, NULL, NULL);
+      return;
+    }
+  destroy (stream);
+}
+
+void
+http_stream_next (struct http_stream *stream)
+{
+  if (!stream->held)
+    return;
+  stream->held = false;
+  http_parser_pause (&stream->parser, 0);
+  if (!stream->parsing && !stream->ended)
+    bufferevent_trigger (stream->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+}
+
+void
+http_stream_pause (struct http_stream *stream)
+{
+  stream->paused = true;
+  bufferevent_disable (stream->bev, EV_READ);
+}
+
+void
+http_stream_resume (struct http_stream *stream)
+{
+  if (!stream->paused)
+    return;
+  stream->paused = false;
+  if (stream->ended)
+    return;
+  bufferevent_enable (stream->bev, EV_READ);
+  bufferevent_trigger (stream->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+}
+
+struct evbuffer *
+http_stream_output (struct http_stream *stream)
+{
+  return bufferevent_get_output (stream->bev);
+}
+
+size_t
+http_stream_unread (const struct http_stream *stream)
+{
+  return evbuffer_get_length (bufferevent_get_input (stream->bev));
+}
+
+const char *
+http_head_find (const struct http_head *head, const char *name)
+{
+  for (size_t i = 0; i < head->field_count; i++)
+    if (strcasecmp (head->fields[i].name, name) == 0)
+      return head->fields[i].value;
+  return NULL;
+}
+
+static bool
+list_names (const char *list, const char *name)
+{
+  size_t size = strlen (name);
+  while (list != NULL && *list != '\0')
+    {
+      list += strspn (list, " \t,");
+      size_t token = strcspn (list, " \t,");
+      if (token == size && strncasecmp (list, name, size) == 0)
+        return true;
+      list += token;
+    }
+  return false;
+}
+
+bool
+http_field_is_hop_by_hop (const char *name, const char *connection)
+{
+  static const char *const names[] = { "Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Connection",
+                                       "TE",
+                                       "Trailer",
+                                       "Upgrade",
+                                       "Transfer-Encoding",
+                                       "Proxy-Authenticate",
+                                       "Proxy-Authorization" };
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  return connection != NULL && list_names (connection, name);
+}
+
+void
+http_write_fields (struct evbuffer *buffer, const struct http_head *head,
+                   const char *const *skip)
+{
+  const char *connection = http_head_find (head, "Connection");
+  for (size_t i = 0; i < head->field_count; i++)
+    {
+      const struct http_field *field = &head->fields[i];
+      bool left_out = strcasecmp (field->name, "Content-Length") == 0
+                      || http_field_is_hop_by_hop (field->name, connection);
+      for (size_t k = 0; !left_out && skip != NULL && skip[k] != NULL; k++)
+        left_out = strcasecmp (field->name, skip[k]) == 0;
+      if (left_out)
+        continue;
+      evbuffer_add (buffer, field->name, strlen (field->name));
+      evbuffer_add (buffer, ": ", 2);
+      evbuffer_add (buffer, field->value, strlen (field->value));
+      evbuffer_add (buffer, "\r\n", 2);
+    }
+}
+
+static void
+set_number (evutil_socket_t fd, int level, int option, int value)
+{
+  /* A socket without the option still works, only less promptly. */
+  setsockopt (fd, level, option, &value, sizeof value);
+}
+
+void
+http_tune_socket (evutil_socket_t fd)
+{
+  set_number (fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  set_number (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_number (fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+  set_number (fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+  set_number (fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+  set_number (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS);
+}
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "protocol/store_api.h"
+#include "transport/http_stream.h"
 
 #include <assert.h>
 #include <event2/buffer.h>
@@ -21,9 +22,7 @@
   struct store_client *client;
   struct store_connection *connection; ///< NULL while queued
   enum store_call call;
-  char path[STORE_API_PATH_MAX];
-  uint8_t *body;
-  size_t body_size;
+  struct store_wire wire;
   bool sent; ///< bytes of the request were handed to a connected socket
   enum status refused; ///< answer that is due without any call, or STATUS_OK
   struct event *timer;
@@ -47,7 +46,8 @@
 static bool
 is_watch (const struct store_operation *operation)
 {
-  return operation->call == STORE_CALL_WATCH;
+  return operation->call == STORE_CALL_WATCH
+         || operation->call == STORE_CALL_WATCH_PREFIX;
 }
 
 static struct store_queue *
@@ -142,9 +142,9 @@
       evhttp_request_get_input_headers (request), "X-Revision");
   void *arena = talloc_new (NULL);
   struct store_reply reply;
-  store_api_answer (operation->call,
-                    evhttp_request_get_response_code (request), revision,
-                    evbuffer_pullup (input, -1), size, arena, &reply);
+  connection->client->codec->answer (
+      operation->call, evhttp_request_get_response_code (request), revision,
+      evbuffer_pullup (input, -1), size, arena, &reply);
   note_reachable (connection->client, reply.status != STATUS_UNAVAILABLE);
   operation_finish (operation, &reply);
   talloc_free (arena);
@@ -176,22 +176,12 @@
   connection->http = NULL;
 }
 
-static enum evhttp_cmd_type
-method_of (enum store_call call)
-{
-  switch (call)
-    {
-    case STORE_CALL_PUT:
-      return EVHTTP_REQ_PUT;
-    case STORE_CALL_REMOVE:
-      return EVHTTP_REQ_DELETE;
-    case STORE_CALL_LEASE_GRANT:
-    case STORE_CALL_LEASE_KEEPALIVE:
-      return EVHTTP_REQ_POST;
-    default:
-      return EVHTTP_REQ_GET;
-    }
-}
+static const enum evhttp_cmd_type methods[] = {
+  [STORE_METHOD_GET] = EVHTTP_REQ_GET,
+  [STORE_METHOD_PUT] = EVHTTP_REQ_PUT,
+  [STORE_METHOD_POST] = EVHTTP_REQ_POST,
+  [STORE_METHOD_DELETE] = EVHTTP_REQ_DELETE,
+};
 
 /// Sends an operation on an idle connection.
 /// @return false when evhttp refused it before anything was sent; the
@@ -209,14 +199,29 @@
     }
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
                      connection->client->address);
-  if (operation->body_size > 0)
-    evbuffer_add (evhttp_request_get_output_buffer (request), operation->body,
-                  operation->body_size);
+  const struct store_wire *wire = &operation->wire;
+  if (wire->content_type != NULL)
+    evhttp_add_header (evhttp_request_get_output_headers (request),
+                       "Content-Type", wire->content_type);
+  if (wire->body_size > 0)
+    evbuffer_add (evhttp_request_get_output_buffer (request), wire->body,
+                  wire->body_size);
   counter_add (&calls_total, 1);
+  bool watch = is_watch (operation);
   /* A connection that fails at once calls on_answer from here. */
-  return evhttp_make_request (connection->http, request,
-                              method_of (operation->call), operation->path)
-         == 0;
+  if (evhttp_make_request (connection->http, request, methods[wire->method],
+                           wire->path)
+      != 0)
+    return false;
+  /* A long poll is quiet for longer than a lost connection may go unnoticed.
+   */
+  evutil_socket_t fd
+      = watch && connection->http != NULL ? bufferevent_getfd (
+            evhttp_connection_get_bufferevent (connection->http))
+                                          : -1;
+  if (fd != -1)
+    http_tune_socket (fd);
+  return true;
 }
 
 static struct store_connection *
@@ -288,14 +293,13 @@
   *operation = (struct store_operation){
     .client = client, .call = request->call, .done = done, .arg = arg
   };
-  operation->refused = store_api_path (request, operation->path);
-  if (size > STORE_VALUE_MAX)
-    operation->refused = STATUS_TOO_LARGE;
-  else if (size > 0)
-    {
-      operation->body = talloc_memdup (operation, data, size);
-      operation->body_size = size;
-    }
+  struct store_wire *wire = &operation->wire;
+  operation->refused
+      = size > STORE_VALUE_MAX
+            ? STATUS_TOO_LARGE
+            : client->codec->encode (request, data, size, operation, wire);
+  if (operation->refused == STATUS_OK && wire->body == data && size > 0)
+    wire->body = talloc_memdup (operation, data, size);
   if (client->waiting >= STORE_CLIENT_QUEUE)
     operation->refused = STATUS_UNAVAILABLE;
   operation->timer = evtimer_new (client->base, on_timer, operation);
@@ -359,6 +363,28 @@
   start (store, &request, NULL, 0, done, arg);
 }
 
+static void
+client_range (void *store, const char *prefix, const char *after,
+              void (*done) (void *, const struct store_reply *), void *arg)
+{
+  struct store_request request
+      = { .call = STORE_CALL_RANGE, .key = prefix, .after = after };
+  start (store, &request, NULL, 0, done, arg);
+}
+
+static void
+client_watch_prefix (void *store, const char *prefix, uint64_t after,
+                     uint32_t wait_ms,
+                     void (*done) (void *, const struct store_reply *),
+                     void *arg)
+{
+  struct store_request request = { .call = STORE_CALL_WATCH_PREFIX,
+                                   .key = prefix,
+                                   .revision = after,
+                                   .ms = wait_ms };
+  start (store, &request, NULL, 0, done, arg);
+}
+
 static void
 client_lease_grant (void *store, uint32_t ttl_ms,
                     void (*done) (void *, const struct store_reply *),
@@ -385,6 +411,8 @@
   .put = client_put,
   .remove = client_remove,
   .list = client_list,
+  .range = client_range,
+  .watch_prefix = client_watch_prefix,
   .lease_grant = client_lease_grant,
   .lease_keepalive = client_lease_keepalive,
 };
@@ -396,8 +424,9 @@
   if (strlen (address) >= sizeof client->address)
     return status_set (STATUS_INVALID, "store address '%.60s' is too long",
                        address);
-  *client
-      = (struct store_client){ .base = base, .port = port, .reachable = true };
+  *client = (struct store_client){
+    .base = base, .codec = &store_api_codec, .port = port, .reachable = true
+  };
   strcpy (client->address, address);
   TAILQ_INIT (&client->queue);
   TAILQ_INIT (&client->watch_queue);
@@ -409,6 +438,13 @@
   return STATUS_OK;
 }
 
+void
+store_client_set_codec (struct store_client *client,
+                        const struct store_codec *codec)
+{
+  client->codec = codec;
+}
+
 void
 store_client_finish (struct store_client *client)
 {
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -18,6 +18,7 @@
 /// replaced.
 #define STORE_CLIENT_TIMEOUT_MS 2000
 
+struct store_codec;
 struct store_operation;
 struct evhttp_connection;
 
@@ -33,6 +34,7 @@
 struct store_client
 {
   struct event_base *base;
+  const struct store_codec *codec;
   char address[46];
   uint16_t port;
   struct store_connection calls[STORE_CLIENT_CALLS];
@@ -55,6 +57,10 @@
                                struct event_base *base, const char *address,
                                uint16_t port);
 
+/// Speaks another interface than the default, store_api_codec.
+void store_client_set_codec (struct store_client *client,
+                             const struct store_codec *codec);
+
 /// Closes all connections. Operations in flight are not called back. Must not
 /// be called from a `done` callback.
 void store_client_finish (struct store_client *client);
