Drive moves to new versions within seconds; refuse late requests while stopping

Ruled out: the long policy of move.c, whose dwell times start at a minute. Change: rollout (policy), move_record (codec), a driver and its second by rendezvous, evidence counted at the target's node; requests later than 2.9 s after SIGTERM are refused as not run.

--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -30,6 +30,7 @@
 #define CALL_OWN_PREFIX "/_hawthornseam/"
 #define CALL_PATH_TARGET "/_hawthornseam/target"
 #define CALL_PATH_DRAIN "/_hawthornseam/drain"
+#define CALL_PATH_EVIDENCE "/_hawthornseam/evidence"
 
 /// Largest deadline that a caller may ask for, ms.
 #define CALL_DEADLINE_MAX_MS (10u * 60 * 1000)
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -31,6 +31,15 @@
 /// Bytes of an answer that wait for a slow reader before its sender is paused.
 #define SIDECAR_BACKLOG_MAX (64u * 1024)
 
+/// After SIGTERM callers leave once two readiness questions, a second apart,
+/// were answered "no". Until then their requests are served, later ones are
+/// refused: they could not end within the grace period.
+#define SIDECAR_STOP_SERVE_MS 2900
+
+/// Other nodes have seen that this one leaves after this time, and get no new
+/// request through.
+#define SIDECAR_STOP_PEERS_MS 600
+
 struct sidecar_entry;
 struct sidecar_run;
 struct sidecar_store;
@@ -120,13 +129,23 @@
 void sidecar_moves_stop (struct sidecar *sidecar);
 
 /// Decides which version of a service the next request may go to.
+/// @param kind      hash of the route
+/// @param repeated  the request was sent before: it goes to the proven version
 void sidecar_moves_choose (struct sidecar *sidecar, const char *service,
+                           uint32_t kind, bool repeated,
                            struct place_version *version);
 
+/// @return true when the own target's version must not get requests
+bool sidecar_moves_bars_target (const struct sidecar *sidecar);
+
 /// Counts the outcome of a request at the own target.
 void sidecar_moves_observe (struct sidecar *sidecar, uint32_t kind,
                             bool failed, uint32_t latency_us);
 
+/// Answers another node's question for the evidence of the own target.
+void sidecar_moves_answer (struct sidecar *sidecar,
+                           struct http_request *request);
+
 /// Takes a change below the operators' or the project's own prefix.
 void sidecar_moves_on_key (struct sidecar *sidecar,
                            const struct store_key *key);
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -475,7 +475,8 @@
     .tried_count = entry->tried_count,
   };
   memcpy (request.tried, entry->tried, sizeof request.tried);
-  sidecar_moves_choose (sidecar, entry->service, &request.version);
+  sidecar_moves_choose (sidecar, entry->service, entry->kind,
+                        entry->resend.offers > 0, &request.version);
   return place_choose (&sidecar->directory, &request, &sidecar->rng, now_ms);
 }
 
@@ -566,11 +567,14 @@
   const char *id = http_head_find (request->head, names->request_id);
   const char *host = http_head_find (request->head, "Host");
   counter_add (&requests, 1);
-  if (sidecar->config == NULL)
+  bool leaving = sidecar->stopping
+                 && clock_monotonic_ms ()
+                        >= sidecar->stopping_ms + SIDECAR_STOP_SERVE_MS;
+  if (sidecar->config == NULL || leaving)
     {
       log_limited (&ended_lines, LOG_LEVEL_INFO, "request_not_run",
-                   "id=%s status=503 reason=no-configuration",
-                   id == NULL ? "-" : id);
+                   "id=%s status=503 reason=%s", id == NULL ? "-" : id,
+                   leaving ? "stopping" : "no-configuration");
       answer_self (request, 503, call_outcome_name (CALL_NOT_RUN),
                    CALL_REASON_NOT_READY, RETRY_AFTER_MS_DEFAULT);
       return;
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -41,12 +41,8 @@
 #define SERVER_IDLE_MS 60000
 #define SERVER_RECEIVE_MS 10000
 
-/// After SIGTERM callers leave once two readiness questions, a second apart,
-/// were answered "no". Until then their requests are served.
-#define STOP_SERVE_MS 3300
-
 /// Time before the end of the grace period at which the process exits anyway.
-#define STOP_RESERVE_MS 600
+#define STOP_RESERVE_MS 250
 
 enum exit_code
 {
@@ -119,7 +115,7 @@
 stop_step (struct sidecar *sidecar, uint64_t now_ms)
 {
   uint64_t since_ms = now_ms - sidecar->stopping_ms;
-  if (since_ms < STOP_SERVE_MS)
+  if (since_ms < SIDECAR_STOP_SERVE_MS)
     return;
   bool idle
       = sidecar->calls.in_progress == 0 && sidecar->peers.in_progress == 0;
--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -1,35 +1,379 @@
-/// Owns the moves of services to new target versions.
-#include "sidecar/sidecar.h"
+/// Owns the moves of services to new target versions as this node follows
+/// them: orders and records from the store, and the choice of the version.
+#include "sidecar/sidecar_move.h"
 
-enum status
-sidecar_moves_start (struct sidecar *sidecar)
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FULL_SHARE_BP 10000
+
+/// The driver looks at the evidence at this interval: a bad version must get
+/// nothing within seconds of its fiftieth bad answer.
+#define DRIVE_MS 250
+
+/// A target that failed this often, and at least one time in four, is barred
+/// by its own node without waiting for the driver.
+#define TRIP_FAILURES 12
+#define TRIP_PART 4
+
+static struct counter malformed
+    = COUNTER ("moves_malformed", "orders and records that cannot be read");
+
+static struct service_move *
+find_move (const struct sidecar *sidecar, const char *service)
+{
+  for (size_t i = 0; i < MOVES_MAX; i++)
+    if (strcmp (sidecar->moves->items[i].service, service) == 0)
+      return &sidecar->moves->items[i];
+  return NULL;
+}
+
+static struct service_move *
+add_move (struct sidecar *sidecar, const char *service)
+{
+  struct service_move *move = find_move (sidecar, service);
+  if (move != NULL)
+    return move;
+  move = find_move (sidecar, "");
+  if (move == NULL || strlen (service) > DIRECTORY_NAME_MAX)
+    {
+      log_event (LOG_LEVEL_ERROR, "move_not_followed",
+                 "service=%.64s reason=\"no place for it\"", service);
+      return NULL;
+    }
+  move->sidecar = sidecar;
+  strcpy (move->service, service);
+  return move;
+}
+
+bool
+sidecar_move_is_current (const struct service_move *move)
 {
-  return STATUS_OK;
+  return move->has_order && move->has_record
+         && move->record.order == move->order_revision;
+}
+
+static void
+take_order (struct sidecar *sidecar, const struct store_key *key,
+            const char *service)
+{
+  struct move_order order;
+  if (key->removed)
+    return;
+  if (sidecar->adapter->read_order (key->data, key->size, &order) != STATUS_OK
+      || strcmp (order.service, service) != 0)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_WARNING, "move_order_malformed",
+                 "service=%.64s revision=%" PRIu64 " reason=\"%s\"", service,
+                 key->revision, status_message ());
+      return;
+    }
+  struct service_move *move = add_move (sidecar, service);
+  if (move == NULL || key->revision <= move->order_revision)
+    return;
+  sidecar_move_stop_driving (move);
+  move->order = order;
+  move->has_order = true;
+  move->order_revision = key->revision;
+  move->order_ms = clock_monotonic_ms ();
+  move->tripped = false;
+  move->status_known = false;
+  move->credit_count = 0;
+  log_event (LOG_LEVEL_INFO, "move_ordered",
+             "service=%s to=%s duration_ms=%u revision=%" PRIu64, service,
+             order.to_version, order.duration_ms, key->revision);
+}
+
+static void
+take_record (struct sidecar *sidecar, const struct store_key *key,
+             const char *service)
+{
+  struct move_record record;
+  if (key->removed)
+    return;
+  if (move_record_read (key->data, key->size, &record) != STATUS_OK
+      || strcmp (record.service, service) != 0)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_WARNING, "move_record_malformed",
+                 "service=%.64s revision=%" PRIu64 " reason=\"%s\"", service,
+                 key->revision, status_message ());
+      return;
+    }
+  struct service_move *move = add_move (sidecar, service);
+  if (move == NULL || key->revision <= move->record_revision)
+    return;
+  move->record = record;
+  move->has_record = true;
+  move->record_revision = key->revision;
+  log_event (LOG_LEVEL_INFO, "move_step",
+             "service=%s to=%s phase=%d share_bp=%u revision=%" PRIu64
+             " order=%" PRIu64,
+             service, record.to_version, record.phase, record.share_bp,
+             key->revision, record.order);
 }
 
 void
-sidecar_moves_stop (struct sidecar *sidecar)
+sidecar_moves_on_key (struct sidecar *sidecar, const struct store_key *key)
+{
+  const struct adapter_ops *adapter = sidecar->adapter;
+  size_t order_size = strlen (adapter->order_prefix);
+  size_t own_size = strlen (adapter->own_prefix);
+  if (strncmp (key->key, adapter->order_prefix, order_size) == 0)
+    take_order (sidecar, key, key->key + order_size);
+  else if (strncmp (key->key, adapter->own_prefix, own_size) == 0
+           && strncmp (key->key + own_size, "move/", 5) == 0)
+    take_record (sidecar, key, key->key + own_size + 5);
+}
+
+static uint32_t
+share_of (const struct move_record *record, uint32_t kind)
+{
+  for (size_t i = 0; i < record->kind_count; i++)
+    if (record->kinds[i].kind == kind)
+      return record->kinds[i].share_bp;
+  return record->share_bp;
+}
+
+/// Rotates between the versions so that the new one gets its share exactly.
+static bool
+takes_new (struct service_move *move, uint32_t kind)
+{
+  struct move_credit *credit = NULL;
+  for (size_t i = 0; i < move->credit_count; i++)
+    if (move->credits[i].kind == kind)
+      credit = &move->credits[i];
+  if (credit == NULL)
+    {
+      if (move->credit_count < ROLLOUT_KINDS)
+        move->credit_count++;
+      credit = &move->credits[move->credit_count - 1];
+      /* Nodes start at different places, or all would send at once. */
+      credit->kind = kind;
+      credit->credit_bp
+          = (uint32_t)rng_below (&move->sidecar->rng, FULL_SHARE_BP);
+    }
+  credit->credit_bp += share_of (&move->record, kind);
+  if (credit->credit_bp < FULL_SHARE_BP)
+    return false;
+  credit->credit_bp -= FULL_SHARE_BP;
+  return true;
+}
+
+/// @return the version that most ready targets of a service run; a version
+///         that nobody ordered a move to gets no requests by itself
+static const char *
+usual_version (const struct sidecar *sidecar, const char *service)
+{
+  const char *best = NULL;
+  size_t best_count = 0;
+  const struct directory *directory = &sidecar->directory;
+  for (size_t i = 0; i < directory->count; i++)
+    {
+      const struct directory_record *candidate = &directory->records[i];
+      if (!candidate->used || candidate->entry.state != DIRECTORY_READY
+          || strcmp (candidate->entry.service, service) != 0)
+        continue;
+      size_t count = 0;
+      for (size_t k = 0; k < directory->count; k++)
+        count += directory->records[k].used
+                 && directory->records[k].entry.state == DIRECTORY_READY
+                 && strcmp (directory->records[k].entry.service, service) == 0
+                 && strcmp (directory->records[k].entry.version,
+                            candidate->entry.version)
+                        == 0;
+      bool better = count > best_count
+                    || (count == best_count && best != NULL
+                        && strcmp (candidate->entry.version, best) < 0);
+      if (better)
+        {
+          best = candidate->entry.version;
+          best_count = count;
+        }
+    }
+  return best;
+}
+
+static bool
+has_target (const struct sidecar *sidecar, const char *service,
+            const struct place_version *version)
 {
+  const struct directory *directory = &sidecar->directory;
+  for (size_t i = 0; i < directory->count; i++)
+    {
+      const struct directory_record *record = &directory->records[i];
+      if (record->used && record->entry.state == DIRECTORY_READY
+          && strcmp (record->entry.service, service) == 0
+          && (strcmp (record->entry.version, version->name) == 0)
+                 != version->exclude)
+        return true;
+    }
+  return false;
 }
 
 void
 sidecar_moves_choose (struct sidecar *sidecar, const char *service,
+                      uint32_t kind, bool repeated,
                       struct place_version *version)
 {
+  struct service_move *move = find_move (sidecar, service);
+  *version = (struct place_version){ .name = NULL };
+  if (move == NULL || !move->has_record)
+    {
+      version->name = move == NULL || !move->has_order
+                          ? usual_version (sidecar, service)
+                          : move->order.to_version;
+      version->exclude = move != NULL && move->has_order;
+      return;
+    }
+  const struct move_record *record = &move->record;
+  version->name = record->to_version;
+  switch (record->phase)
+    {
+    case MOVE_PHASE_RUNNING:
+      version->exclude = (repeated && record->share_bp < FULL_SHARE_BP)
+                         || !takes_new (move, kind);
+      /* Without a target of the version, the other one serves. */
+      if (!has_target (sidecar, service, version)
+          && record->share_bp > FULL_SHARE_BP / 2)
+        version->exclude = !version->exclude;
+      break;
+    case MOVE_PHASE_DONE:
+      version->exclude = false;
+      break;
+    case MOVE_PHASE_TAKEN_BACK:
+      version->exclude = true;
+      break;
+    }
+  /* The next order's version gets nothing before its own record. */
+  if (move->has_order && !sidecar_move_is_current (move)
+      && record->phase == MOVE_PHASE_TAKEN_BACK
+      && strcmp (move->order.to_version, record->to_version) != 0)
+    {
+      version->name = usual_version (sidecar, service);
+      version->exclude = false;
+    }
+}
+
+bool
+sidecar_moves_bars_target (const struct sidecar *sidecar)
+{
+  const struct target_report *report = &sidecar->target.report;
+  const struct service_move *move = find_move (sidecar, report->service);
+  if (report->service[0] == '\0' || move == NULL || !move->has_record
+      || strcmp (move->record.to_version, report->version) != 0)
+    return false;
+  return move->tripped || move->record.phase == MOVE_PHASE_TAKEN_BACK;
+}
+
+static struct rollout_counts *
+own_counts (struct sidecar *sidecar, uint32_t kind)
+{
+  struct move_evidence *own = &sidecar->moves->own;
+  const struct target_report *report = &sidecar->target.report;
+  if (strcmp (own->instance, report->instance) != 0
+      || strcmp (own->version, report->version) != 0)
+    {
+      memset (own, 0, sizeof *own);
+      strcpy (own->instance, report->instance);
+      strcpy (own->version, report->version);
+    }
+  for (size_t i = 0; i < own->kind_count; i++)
+    if (own->kinds[i].kind == kind)
+      return &own->kinds[i].counts;
+  if (own->kind_count < ROLLOUT_KINDS)
+    own->kinds[own->kind_count++].kind = kind;
+  return &own->kinds[own->kind_count - 1].counts;
+}
+
+/// Bars the own target when it is the new version of a running move and fails
+/// far too often.
+static void
+trip_if_bad (struct sidecar *sidecar)
+{
+  const struct target_report *report = &sidecar->target.report;
+  struct service_move *move = find_move (sidecar, report->service);
+  if (report->service[0] == '\0' || move == NULL || move->tripped
+      || !sidecar_move_is_current (move)
+      || move->record.phase != MOVE_PHASE_RUNNING
+      || strcmp (move->record.to_version, report->version) != 0)
+    return;
+  uint32_t calls = 0;
+  uint32_t failures = 0;
+  const struct move_evidence *own = &sidecar->moves->own;
+  for (size_t i = 0; i < own->kind_count; i++)
+    {
+      calls += own->kinds[i].counts.calls;
+      failures += own->kinds[i].counts.failures;
+    }
+  if (failures < TRIP_FAILURES || failures * TRIP_PART < calls)
+    return;
+  move->tripped = true;
+  log_event (LOG_LEVEL_WARNING, "move_tripped",
+             "service=%s to=%s failures=%u calls=%u", move->service,
+             report->version, failures, calls);
 }
 
 void
 sidecar_moves_observe (struct sidecar *sidecar, uint32_t kind, bool failed,
                        uint32_t latency_us)
 {
+  struct rollout_counts *counts = own_counts (sidecar, kind);
+  counts->calls++;
+  if (failed)
+    {
+      counts->failures++;
+      trip_if_bad (sidecar);
+    }
+  else
+    counts->latency[rollout_bucket (latency_us)]++;
 }
 
 void
-sidecar_moves_on_key (struct sidecar *sidecar, const struct store_key *key)
+sidecar_moves_answer (struct sidecar *sidecar, struct http_request *request)
 {
+  struct move_evidence evidence = sidecar->moves->own;
+  char text[MOVE_EVIDENCE_MAX];
+  strcpy (evidence.instance, sidecar->target.report.instance);
+  strcpy (evidence.version, sidecar->target.report.version);
+  if (strcmp (evidence.instance, sidecar->moves->own.instance) != 0)
+    evidence.kind_count = 0;
+  evidence.occupied = (uint32_t)(sidecar->gate.running + sidecar->gate.queued);
+  size_t size = move_evidence_write (&evidence, text);
+  http_reply (request, size > 0 ? 200 : 500, NULL, text, size);
 }
 
 void
 sidecar_moves_tick (struct sidecar *sidecar)
 {
+  uint64_t now = clock_monotonic_ms ();
+  if (now < sidecar->moves->next_drive_ms || sidecar->stopping)
+    return;
+  sidecar->moves->next_drive_ms = now + DRIVE_MS;
+  for (size_t i = 0; i < MOVES_MAX; i++)
+    if (sidecar->moves->items[i].has_order)
+      sidecar_move_drive (&sidecar->moves->items[i], now);
+}
+
+enum status
+sidecar_moves_start (struct sidecar *sidecar)
+{
+  sidecar->moves = calloc (1, sizeof *sidecar->moves);
+  return sidecar->moves == NULL
+             ? status_set (STATUS_NO_MEMORY, "no memory for moves")
+             : STATUS_OK;
+}
+
+void
+sidecar_moves_stop (struct sidecar *sidecar)
+{
+  for (size_t i = 0; i < MOVES_MAX; i++)
+    sidecar_move_stop_driving (&sidecar->moves->items[i]);
+  free (sidecar->moves);
+  sidecar->moves = NULL;
 }
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -294,6 +294,8 @@
       || strcmp (target->report.service, hop->service) != 0
       || strcmp (target->report.version, hop->version) != 0)
     return CALL_REASON_NO_TARGET;
+  if (sidecar_moves_bars_target (sidecar))
+    return CALL_REASON_NO_TARGET;
   uint64_t accept_ms = sidecar->settings.drain_ms / DRAIN_ACCEPT_DIVISOR;
   if (target->draining && now_ms >= target->draining_ms + accept_ms)
     return CALL_REASON_DRAINING;
@@ -308,6 +310,11 @@
   uint64_t now_us = request->received_us;
   const char *id = http_head_find (request->head, names->request_id);
   struct hop hop;
+  if (strcmp (request->head->target, CALL_PATH_EVIDENCE) == 0)
+    {
+      sidecar_moves_answer (sidecar, request);
+      return;
+    }
   if (hop_parse (http_head_find (request->head, CALL_HEADER_HOP), &hop)
       != STATUS_OK)
     {
