Refuse late work that the gate's present rate cannot serve

Ruled out: equal shares for all kinds of a rank, which let nested calls fail after their parent had used a slot. Change: the gate smooths the rate of started late tickets and refuses those that it will not reach; a caller's age is read from its deadline; at most two nodes refuse a request for load.

--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -2,6 +2,8 @@
 #include "coordination/gate.h"
 
 #include <assert.h>
+#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /// Weight of a new service time, 1 / 8: follows a slowing target within a few
@@ -11,6 +13,15 @@
 /// A single slow answer must not make all later work look too late.
 #define SERVICE_US_MAX 2000000
 
+/// Time over which the rate of started late tickets is smoothed.
+#define LATE_SMOOTHING_US 700000.0
+
+/// Without late tickets for this long, nothing is known of their rate.
+#define LATE_FORGET_US 500000
+
+/// A refusal needs this long to reach the caller's node before the deadline.
+#define ANSWER_MARGIN_US 15000
+
 static struct gate_kind *
 find_kind (struct gate *gate, uint32_t kind)
 {
@@ -70,24 +81,46 @@
 }
 
 static bool
-ends_before (const struct gate *gate, const struct gate_work *work,
-             uint64_t limit_ms, uint64_t now_us)
+ends_before (const struct gate_ticket *ticket, uint64_t limit_ms,
+             uint64_t now_us)
+{
+  return now_us + ticket->service_us + ANSWER_MARGIN_US < limit_ms * 1000;
+}
+
+static bool
+is_late (const struct gate_ticket *ticket, uint64_t now_us)
 {
-  return now_us + gate_service_us (gate, work->kind) < limit_ms * 1000;
+  return now_us + ticket->service_us >= ticket->work.objective_ms * 1000;
+}
+
+/// Lets the rate of late starts fade.
+static void
+fade_late_rate (struct gate *gate, uint64_t now_us)
+{
+  gate->late_per_s
+      *= exp (-(double)(now_us - gate->late_us) / LATE_SMOOTHING_US);
+  gate->late_us = now_us;
+}
+
+static void
+count_late_start (struct gate *gate, uint64_t now_us)
+{
+  fade_late_rate (gate, now_us);
+  gate->late_per_s += 1e6 / LATE_SMOOTHING_US;
 }
 
 /// @return true when `a` is to be started before `b`
 static bool
-goes_first (const struct gate *gate, const struct gate_ticket *a,
-            const struct gate_ticket *b, uint64_t now_us)
+goes_first (const struct gate_ticket *a, const struct gate_ticket *b,
+            uint64_t now_us)
 {
   if (a->work.rank != b->work.rank)
     return a->work.rank < b->work.rank;
-  bool a_meets = ends_before (gate, &a->work, a->work.objective_ms, now_us);
-  bool b_meets = ends_before (gate, &b->work, b->work.objective_ms, now_us);
-  if (a_meets != b_meets)
-    return a_meets;
-  if (a_meets)
+  bool a_late = is_late (a, now_us);
+  bool b_late = is_late (b, now_us);
+  if (a_late != b_late)
+    return b_late;
+  if (!a_late)
     return a->work.objective_ms < b->work.objective_ms;
   return a->work.deadline_ms < b->work.deadline_ms;
 }
@@ -97,7 +130,7 @@
 {
   struct gate_ticket *best = NULL;
   for (size_t i = 0; i < gate->queued; i++)
-    if (best == NULL || goes_first (gate, gate->queue[i], best, now_us))
+    if (best == NULL || goes_first (gate->queue[i], best, now_us))
       best = gate->queue[i];
   return best;
 }
@@ -116,11 +149,13 @@
   while (gate->queued > 0 && gate->running < gate->slots)
     {
       struct gate_ticket *ticket = best_queued (gate, now_us);
-      if (!ends_before (gate, &ticket->work, ticket->work.deadline_ms, now_us))
+      if (!ends_before (ticket, ticket->work.deadline_ms, now_us))
         {
           refuse_queued (gate, ticket, ADMIT_REFUSED_LATE);
           continue;
         }
+      if (is_late (ticket, now_us))
+        count_late_start (gate, now_us);
       take_from_queue (gate, ticket);
       start (gate, ticket, now_us);
       gate->ops->run (gate->arg, ticket);
@@ -189,7 +224,7 @@
 {
   size_t ahead = 0;
   for (size_t i = 0; i < gate->queued; i++)
-    ahead += goes_first (gate, gate->queue[i], ticket, now_us);
+    ahead += goes_first (gate->queue[i], ticket, now_us);
   return ahead;
 }
 
@@ -201,6 +236,7 @@
   assert (ticket->state == ADMIT_NEW);
   ticket->work = *work;
   ticket->arrived_ms = now_us / 1000;
+  ticket->service_us = gate_service_us (gate, work->kind);
   ticket->state = ADMIT_OVER;
   if (gate->draining || gate->slots == 0)
     {
@@ -209,7 +245,7 @@
     }
   if (gate->running < gate->slots && gate->queued == 0)
     {
-      if (!ends_before (gate, work, work->deadline_ms, now_us))
+      if (!ends_before (ticket, work->deadline_ms, now_us))
         {
           *why = ADMIT_REFUSED_LATE;
           return STATUS_UNAVAILABLE;
@@ -223,7 +259,7 @@
       return STATUS_UNAVAILABLE;
     }
   uint64_t wait = wait_us (gate, count_before (gate, ticket, now_us));
-  if (!ends_before (gate, work, work->deadline_ms, now_us + wait))
+  if (!ends_before (ticket, work->deadline_ms, now_us + wait))
     {
       *why = ADMIT_REFUSED_LATE;
       return STATUS_UNAVAILABLE;
@@ -253,13 +289,57 @@
   ticket->state = ADMIT_OVER;
 }
 
+static int
+compare_late (const void *a, const void *b)
+{
+  const struct gate_ticket *left = *(struct gate_ticket *const *)a;
+  const struct gate_ticket *right = *(struct gate_ticket *const *)b;
+  if (left->work.rank != right->work.rank)
+    return left->work.rank < right->work.rank ? -1 : 1;
+  if (left->work.deadline_ms != right->work.deadline_ms)
+    return left->work.deadline_ms < right->work.deadline_ms ? -1 : 1;
+  return 0;
+}
+
+/// Refuses the late tickets that the present rate does not serve in time.
+static void
+refuse_hopeless (struct gate *gate, struct gate_ticket **late, size_t count,
+                 uint64_t now_us)
+{
+  double per_s = gate->late_per_s;
+  size_t kept = 0;
+  qsort (late, count, sizeof late[0], compare_late);
+  for (size_t i = 0; i < count; i++)
+    {
+      double wait_us = per_s > 0 ? (double)(kept + 1) / per_s * 1e6 : 1e12;
+      uint64_t limit_us = late[i]->work.deadline_ms * 1000;
+      uint64_t needed_us = now_us + late[i]->service_us + ANSWER_MARGIN_US;
+      if ((double)needed_us + wait_us < (double)limit_us)
+        kept++;
+      else
+        refuse_queued (gate, late[i], ADMIT_REFUSED_LATE);
+    }
+}
+
 void
 gate_expire (struct gate *gate, uint64_t now_us)
 {
+  struct gate_ticket *late[GATE_QUEUE_MAX];
+  size_t count = 0;
   for (size_t i = gate->queued; i-- > 0;)
     {
       struct gate_ticket *ticket = gate->queue[i];
-      if (!ends_before (gate, &ticket->work, ticket->work.deadline_ms, now_us))
+      if (!ends_before (ticket, ticket->work.deadline_ms, now_us))
         refuse_queued (gate, ticket, ADMIT_REFUSED_LATE);
+      else if (is_late (ticket, now_us))
+        late[count++] = ticket;
+    }
+  if (count == 0)
+    {
+      gate->late_free_us = now_us;
+      return;
     }
+  fade_late_rate (gate, now_us);
+  if (now_us - gate->late_free_us > LATE_FORGET_US)
+    refuse_hopeless (gate, late, count, now_us);
 }
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -3,8 +3,10 @@
 ///
 /// A free slot goes to the most urgent rank; within a rank to the request
 /// whose latency objective ends first among those that can still meet theirs,
-/// and only then to those that can no longer. A request that cannot end before
-/// its deadline is refused as soon as that is known.
+/// and only then to those that can no longer. Late ones are kept only as far
+/// as the slots that late ones got lately will serve them before their
+/// deadline: the others are refused at once and may come back, instead of
+/// waiting for an end that is known.
 #ifndef HAWTHORNSEAM_COORDINATION_GATE_H
 #define HAWTHORNSEAM_COORDINATION_GATE_H
 
@@ -28,6 +30,7 @@
 {
   enum admit_state state;
   struct gate_work work;
+  uint32_t service_us; ///< expected time in the target
   uint64_t arrived_ms;
   uint64_t started_us;
   size_t place; ///< in the queue
@@ -55,7 +58,10 @@
   size_t running;
   size_t queued;
   bool draining;
-  uint32_t mean_us; ///< smoothed time in the target over all kinds
+  uint32_t mean_us;      ///< smoothed time in the target over all kinds
+  double late_per_s;     ///< smoothed rate at which late tickets are started
+  uint64_t late_us;      ///< when that rate was last brought up to date
+  uint64_t late_free_us; ///< when no late ticket waited last
   struct gate_kind kinds[GATE_KINDS];
   struct gate_ticket *queue[GATE_QUEUE_MAX];
 };
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -24,6 +24,10 @@
 /// What a caller is told when no node can be asked.
 #define RETRY_AFTER_MS_DEFAULT 300
 
+/// Nodes that may refuse a request for load before it is given up: the ones
+/// with the least load were asked first.
+#define LOAD_REFUSALS_MAX 2
+
 /// Least time in which another offer can succeed.
 #define NEEDED_MS 20
 
@@ -353,6 +357,8 @@
   bool by_target = strcmp (reason, CALL_REASON_SHED) == 0;
   bool loaded = strcmp (reason, CALL_REASON_DEADLINE) == 0
                 || strcmp (reason, CALL_REASON_QUEUE_FULL) == 0;
+  if (loaded && ++entry->load_refusals >= LOAD_REFUSALS_MAX)
+    entry->resend.offers = RESEND_OFFERS_MAX;
   report_result (entry, by_target ? PLACE_SHED
                         : loaded  ? PLACE_REFUSED
                                   : PLACE_NO_TARGET);
@@ -549,7 +555,12 @@
   entry->resend.attempts_max = route->attempts_max;
   entry->rank = route->priority;
   entry->kind = (uint32_t)hash_place_string (route->name);
-  entry->objective_ms = entry->arrived_ms + route->objective_ms;
+  if (deadline_ms > route->deadline_seen_ms)
+    route->deadline_seen_ms = deadline_ms;
+  uint32_t age_ms = route->deadline_seen_ms - deadline_ms;
+  entry->objective_ms
+      = entry->arrived_ms
+        + (route->objective_ms > age_ms ? route->objective_ms - age_ms : 0);
   entry->deadline_ms = entry->arrived_ms + deadline_ms;
   entry->answer_by_ms = entry->deadline_ms;
   if (route->timeout_ms < deadline_ms)
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -407,7 +407,9 @@
   const struct sidecar_target *target = &sidecar->target;
   uint64_t accept_ms = sidecar->settings.drain_ms / DRAIN_ACCEPT_DIVISOR;
   bool draining
-      = target->draining && now_us / 1000 >= target->draining_ms + accept_ms;
+      = (target->draining && now_us / 1000 >= target->draining_ms + accept_ms)
+        || (sidecar->stopping
+            && now_us / 1000 >= sidecar->stopping_ms + SIDECAR_STOP_PEERS_MS);
   if (draining != sidecar->gate.draining)
     gate_set_draining (&sidecar->gate, draining);
   if (sidecar->gate.queued > 0)
--- a/src/state/mesh_config.h
+++ b/src/state/mesh_config.h
@@ -38,6 +38,9 @@
   uint32_t attempts_max; ///< targets that one request may reach
   struct mesh_part *parts;
   size_t part_count;
+  /// Longest deadline that a caller stated so far: a caller that comes back
+  /// states what is left of it.
+  uint32_t deadline_seen_ms;
 };
 
 struct mesh_service
