Let what was reported of a target's speed age

Ruled out: the weight of bytes between zones alone; all zones used one server. Change: a speed report counts for 3 s, then the target is taken to be as fast as the fastest; leaving the zone with a large answer costs half of the objective; late tickets are taken to get at least a seventh of the slots.

--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -14,7 +14,11 @@
 #define SERVICE_US_MAX 2000000
 
 /// Time over which the rate of started late tickets is smoothed.
-#define LATE_SMOOTHING_US 700000.0
+#define LATE_SMOOTHING_US 1500000.0
+
+/// Late tickets are taken to get at least this part of the slots, 1 / 7: the
+/// requests that can meet their objective come in waves.
+#define LATE_PART 7
 
 /// Without late tickets for this long, nothing is known of their rate.
 #define LATE_FORGET_US 500000
@@ -306,7 +310,11 @@
 refuse_hopeless (struct gate *gate, struct gate_ticket **late, size_t count,
                  uint64_t now_us)
 {
-  double per_s = gate->late_per_s;
+  double floor_per_s = gate->mean_us == 0 ? 0
+                                          : (double)gate->slots * 1e6
+                                                / gate->mean_us / LATE_PART;
+  double per_s
+      = gate->late_per_s > floor_per_s ? gate->late_per_s : floor_per_s;
   size_t kept = 0;
   qsort (late, count, sizeof late[0], compare_late);
   for (size_t i = 0; i < count; i++)
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -11,14 +11,19 @@
 /// A load report says little after this time.
 #define REPORT_MS_MAX 1000
 
-/// Time in the target that is assumed before the first report.
+/// What was reported of a target's speed counts for this long. After it the
+/// target is taken to be as fast as the fastest one, so that one that has
+/// become faster is found again.
+#define SPEED_MS_MAX 3000
+
+/// Time in the target that is assumed before any report of the service.
 #define SERVICE_US_DEFAULT 50000
 
 /// Expected cost of leaving the zone with a small answer, microseconds.
 #define ZONE_SMALL_US 1500
 
 /// Share of the objective that keeping a large answer in the zone is worth.
-#define ZONE_LARGE_DIVISOR 4
+#define ZONE_LARGE_DIVISOR 2
 
 /// A node is left out for this time after its connection failed, doubled with
 /// each failure in a row up to the maximum.
@@ -67,13 +72,34 @@
   return halvings > 10 ? 0 : load->error_permille >> halvings;
 }
 
+static bool
+has_speed (const struct directory_load *load, uint64_t now_ms)
+{
+  return load->service_us > 0 && now_ms - load->reported_ms < SPEED_MS_MAX;
+}
+
+/// @return time in the fastest of the targets, microseconds
+static uint64_t
+fastest_us (const struct directory *directory, const size_t *handles,
+            size_t count, uint64_t now_ms)
+{
+  uint64_t fastest = UINT64_MAX;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct directory_load *load = &directory->records[handles[i]].load;
+      if (has_speed (load, now_ms) && load->service_us < fastest)
+        fastest = load->service_us;
+    }
+  return fastest == UINT64_MAX ? SERVICE_US_DEFAULT : fastest;
+}
+
 uint64_t
 place_cost_us (const struct directory_record *record,
-               const struct place_request *request, uint64_t now_ms)
+               const struct place_request *request, uint64_t usual_us,
+               uint64_t now_ms)
 {
   const struct directory_load *load = &record->load;
-  uint64_t service_us
-      = load->service_us > 0 ? load->service_us : SERVICE_US_DEFAULT;
+  uint64_t service_us = has_speed (load, now_ms) ? load->service_us : usual_us;
   if (now_ms < record->seen_ms + record->entry.cold_ms)
     service_us *= 2;
   uint64_t slots = record->entry.slots > 0 ? record->entry.slots : 1;
@@ -127,10 +153,11 @@
           eligible++;
         }
       size_t count = eligible < CANDIDATES ? eligible : CANDIDATES;
+      uint64_t usual_us = fastest_us (directory, chosen, count, now_ms);
       for (size_t i = 0; i < count; i++)
         {
           uint64_t cost = place_cost_us (&directory->records[chosen[i]],
-                                         request, now_ms);
+                                         request, usual_us, now_ms);
           if (cost < best_cost)
             {
               best_cost = cost;
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -33,9 +33,11 @@
                      const struct place_request *request, struct rng *rng,
                      uint64_t now_ms);
 
+/// @param usual_us  time in a target of which nothing recent is known
 /// @return expected time until the answer of a node, microseconds
 uint64_t place_cost_us (const struct directory_record *record,
-                        const struct place_request *request, uint64_t now_ms);
+                        const struct place_request *request, uint64_t usual_us,
+                        uint64_t now_ms);
 
 /// Observations of one call to a node.
 enum place_result
