Serve the target of a stopping node for longer; take a peer's view of the store

Ruled out: announcing the stop, which costs a write and a wake of each watch. Change: other nodes are served until 2.4 s after SIGTERM; a node without a configuration asks the node that sends it a request for its view; a failure is not sent again where requests wait.

--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -30,6 +30,7 @@
 #define CALL_OWN_PREFIX "/_hawthornseam/"
 #define CALL_PATH_TARGET "/_hawthornseam/target"
 #define CALL_PATH_DRAIN "/_hawthornseam/drain"
+#define CALL_PATH_VIEW "/_hawthornseam/view"
 #define CALL_PATH_EVIDENCE "/_hawthornseam/evidence"
 
 /// Largest deadline that a caller may ask for, ms.
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -36,9 +36,9 @@
 /// refused: they could not end within the grace period.
 #define SIDECAR_STOP_SERVE_MS 2900
 
-/// Other nodes have seen that this one leaves after this time, and get no new
-/// request through.
-#define SIDECAR_STOP_PEERS_MS 600
+/// Until this long after SIGTERM the target beside the node still gets
+/// requests of other nodes: it goes on running, and has no other way to them.
+#define SIDECAR_STOP_PEERS_MS 2400
 
 struct sidecar_entry;
 struct sidecar_run;
@@ -120,6 +120,14 @@
 void sidecar_store_stop (struct sidecar *sidecar);
 /// Announces the node's entry soon.
 void sidecar_store_announce (struct sidecar *sidecar);
+/// Asks another node for its view of the store, when this one has none.
+/// @param address  IPv4 address of the node, host byte order
+void sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address);
+
+/// Answers another node's question for the view.
+void sidecar_store_answer (struct sidecar *sidecar,
+                           struct http_request *request);
+
 /// @return true while the store cannot be reached
 bool sidecar_store_is_away (const struct sidecar *sidecar);
 void sidecar_store_tick (struct sidecar *sidecar);
@@ -135,6 +143,10 @@
                            uint32_t kind, bool repeated,
                            struct place_version *version);
 
+/// @return true while this node drives a move; another one is to take over
+///         when it stops
+bool sidecar_moves_is_driving (const struct sidecar *sidecar);
+
 /// @return true when the own target's version must not get requests
 bool sidecar_moves_bars_target (const struct sidecar *sidecar);
 
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -207,10 +207,15 @@
   release (entry);
 }
 
+/// Takes a repeated send from the budget. Where requests wait already, a
+/// repeated one would only take the place of another.
 static bool
 take_budget (void *arg)
 {
   struct sidecar_entry *entry = arg;
+  struct directory_record *record = current_record (entry);
+  if (entry->failure && record != NULL && record->load.waiting > 0)
+    return false;
   return quota_take (&entry->sidecar->quotas, entry->service,
                      clock_monotonic_ms ());
 }
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -159,7 +159,8 @@
              sidecar->calls.connections,
              sidecar->calls.in_progress + sidecar->peers.in_progress);
   http_server_drain (&sidecar->calls);
-  sidecar_store_announce (sidecar);
+  if (sidecar_moves_is_driving (sidecar))
+    sidecar_store_announce (sidecar);
 }
 
 static void
@@ -248,10 +249,10 @@
   http_server_stop (&sidecar->ready);
   http_server_stop (&sidecar->reports);
   http_server_stop (&sidecar->metrics);
-  http_pool_finish (&sidecar->peer_pool);
-  http_pool_finish (&sidecar->target_pool);
   sidecar_moves_stop (sidecar);
   sidecar_store_stop (sidecar);
+  http_pool_finish (&sidecar->peer_pool);
+  http_pool_finish (&sidecar->target_pool);
   directory_finish (&sidecar->directory);
   quota_finish (&sidecar->quotas);
   talloc_free (sidecar->config);
--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -271,6 +271,15 @@
   return move->tripped || move->record.phase == MOVE_PHASE_TAKEN_BACK;
 }
 
+bool
+sidecar_moves_is_driving (const struct sidecar *sidecar)
+{
+  for (size_t i = 0; i < MOVES_MAX; i++)
+    if (sidecar->moves->items[i].rollout != NULL)
+      return true;
+  return false;
+}
+
 static struct rollout_counts *
 own_counts (struct sidecar *sidecar, uint32_t kind)
 {
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -310,6 +310,13 @@
   uint64_t now_us = request->received_us;
   const char *id = http_head_find (request->head, names->request_id);
   struct hop hop;
+  if (sidecar->config == NULL)
+    sidecar_store_ask_peer (sidecar, http_request_address (request));
+  if (strcmp (request->head->target, CALL_PATH_VIEW) == 0)
+    {
+      sidecar_store_answer (sidecar, request);
+      return;
+    }
   if (strcmp (request->head->target, CALL_PATH_EVIDENCE) == 0)
     {
       sidecar_moves_answer (sidecar, request);
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -7,7 +7,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "protocol/call_headers.h"
 #include "protocol/entry_record.h"
+#include "protocol/view.h"
+#include "state/mirror.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -33,6 +36,9 @@
 /// Wait before a read or write that failed is tried again.
 #define RETRY_MS 250
 
+/// Interval of questions to other nodes for their view.
+#define ASK_MS 400
+
 #define KEY_MAX 200
 
 static struct counter lost
@@ -62,6 +68,10 @@
   bool renewing;
   bool writing;
   bool announced; ///< the entry in the store is the present one
+  struct mirror mirror;
+  struct http_exchange *asking; ///< question to another node, or NULL
+  struct evbuffer *asked;       ///< its answer so far
+  uint64_t asked_ms;
   char written[ENTRY_RECORD_MAX]; ///< entry that is being written
 };
 
@@ -186,6 +196,13 @@
 {
   struct sidecar *sidecar = store->sidecar;
   char prefix[KEY_MAX];
+  if (key->removed)
+    mirror_remove (&store->mirror, key->key, key->revision);
+  else if (mirror_put (&store->mirror, key->key, key->revision, key->data,
+                       key->size)
+           != STATUS_OK)
+    log_event (LOG_LEVEL_ERROR, "view_incomplete", "key=%s reason=\"%s\"",
+               key->key, status_message ());
   int size = snprintf (prefix, sizeof prefix, "%snode/",
                        sidecar->adapter->own_prefix);
   if (strcmp (key->key, sidecar->adapter->config_key) == 0)
@@ -228,6 +245,7 @@
   if (store->list_after[0] == '\0')
     {
       store->list_as_of = reply->as_of;
+      mirror_clear (&store->mirror);
       directory_begin_list (&store->sidecar->directory);
     }
   take_keys (store, reply);
@@ -448,6 +466,91 @@
   directory_expire (&sidecar->directory, store->away_since_ms != 0, now);
 }
 
+void
+sidecar_store_answer (struct sidecar *sidecar, struct http_request *request)
+{
+  struct sidecar_store *store = sidecar->store;
+  size_t size = 0;
+  char *text = sidecar->config == NULL
+                   ? NULL
+                   : view_write (&store->mirror, store->as_of, &size);
+  http_reply (request, text == NULL ? 503 : 200, NULL, text, size);
+  free (text);
+}
+
+static void
+on_view_head (void *arg, struct http_head *head)
+{
+}
+
+static void
+on_view_body (void *arg, const char *data, size_t size)
+{
+  struct sidecar_store *store = arg;
+  if (evbuffer_get_length (store->asked) + size <= VIEW_BYTES_MAX)
+    evbuffer_add (store->asked, data, size);
+}
+
+/// Takes over another node's view unless the store answered meanwhile.
+static void
+on_view_end (void *arg, enum http_end end)
+{
+  struct sidecar_store *store = arg;
+  size_t size = evbuffer_get_length (store->asked);
+  store->asking = NULL;
+  if (end != HTTP_END_COMPLETE || size == 0 || store->sidecar->config != NULL)
+    return;
+  struct mirror view;
+  uint64_t as_of;
+  mirror_init (&view);
+  if (view_read ((const char *)evbuffer_pullup (store->asked, -1), size, &view,
+                 &as_of)
+      != STATUS_OK)
+    log_event (LOG_LEVEL_WARNING, "view_refused", "reason=\"%s\"",
+               status_message ());
+  else
+    {
+      log_event (LOG_LEVEL_INFO, "view_from_peer",
+                 "keys=%zu view_revision=%" PRIu64, view.count, as_of);
+      for (size_t i = 0; i < view.count; i++)
+        take_key (store,
+                  &(struct store_key){ .key = view.items[i].key,
+                                       .revision = view.items[i].revision,
+                                       .data = view.items[i].data,
+                                       .size = view.items[i].size });
+      if (store->as_of == 0 && !store->listing)
+        store->as_of = as_of;
+    }
+  mirror_finish (&view);
+}
+
+static const struct http_exchange_ops view_ops
+    = { .head = on_view_head, .body = on_view_body, .end = on_view_end };
+
+void
+sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address)
+{
+  struct sidecar_store *store = sidecar->store;
+  uint64_t now = clock_monotonic_ms ();
+  if (address == 0 || store->away_since_ms == 0
+      || now - store->asked_ms < ASK_MS)
+    return;
+  if (store->asking != NULL)
+    http_exchange_cancel (store->asking);
+  store->asked_ms = now;
+  struct evbuffer *bytes = evbuffer_new ();
+  evbuffer_add_printf (bytes, "GET %s HTTP/1.1\r\nHost: view\r\n\r\n",
+                       CALL_PATH_VIEW);
+  evbuffer_drain (store->asked, evbuffer_get_length (store->asked));
+  struct http_send send = { .address = address,
+                            .port = sidecar->settings.peers.port,
+                            .request = bytes,
+                            .max_idle_ms = ASK_MS };
+  store->asking
+      = http_pool_send (&sidecar->peer_pool, &send, &view_ops, store);
+  evbuffer_free (bytes);
+}
+
 enum status
 sidecar_store_start (struct sidecar *sidecar)
 {
@@ -455,6 +558,8 @@
   if (store == NULL)
     return status_set (STATUS_NO_MEMORY, "no memory for the store");
   store->sidecar = sidecar;
+  mirror_init (&store->mirror);
+  store->asked = evbuffer_new ();
   snprintf (store->key, sizeof store->key, "%snode/%s",
             sidecar->adapter->own_prefix, sidecar->settings.node);
   sidecar->store = store;
@@ -464,6 +569,10 @@
 void
 sidecar_store_stop (struct sidecar *sidecar)
 {
+  if (sidecar->store->asking != NULL)
+    http_exchange_cancel (sidecar->store->asking);
+  evbuffer_free (sidecar->store->asked);
+  mirror_finish (&sidecar->store->mirror);
   free (sidecar->store);
   sidecar->store = NULL;
 }
