Detect a fault on a rare kind of request; break ties between targets by chance

Cause: found by the new tests. Targets of equal cost were always taken in table order, so one that joined could get nothing. Ruled out: a longer interval between looks, which delays the answer to a version that is bad at once. Change: the old version's counts fade over some seconds instead of ending with each look; the comparison of candidates starts at a random one.

--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -154,14 +154,17 @@
         }
       size_t count = eligible < CANDIDATES ? eligible : CANDIDATES;
       uint64_t usual_us = fastest_us (directory, chosen, count, now_ms);
+      /* A random first candidate breaks ties. */
+      size_t first = count > 0 ? rng_below (rng, count) : 0;
       for (size_t i = 0; i < count; i++)
         {
-          uint64_t cost = place_cost_us (&directory->records[chosen[i]],
-                                         request, usual_us, now_ms);
+          size_t handle = chosen[(first + i) % count];
+          uint64_t cost = place_cost_us (&directory->records[handle], request,
+                                         usual_us, now_ms);
           if (cost < best_cost)
             {
               best_cost = cost;
-              best = chosen[i];
+              best = handle;
             }
         }
     }
--- a/src/coordination/rollout.c
+++ b/src/coordination/rollout.c
@@ -1,6 +1,7 @@
 /// Owns the evidence and the step of one move.
 #include "coordination/rollout.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -48,6 +49,11 @@
 /// Evidence may grow without limit: there is no time to wait for more.
 #define GROWTH_PER_S 1e9
 
+/// The old version's counts are compared over some looks, fading by this each:
+/// a rare kind has too few in one. Short enough to follow a fault that hits
+/// both versions.
+#define OLD_FADING 0.9
+
 /// An answer is slow above this many buckets beyond the old version's 90th
 /// percentile: three times as long.
 #define SLOW_BUCKETS 3
@@ -171,15 +177,27 @@
   const struct rollout_counts *new = &kind->fresh[ROLLOUT_NEW];
   const struct rollout_counts *old = &kind->fresh[ROLLOUT_OLD];
   double ratios[SEQTEST_RATIOS];
-  struct seqtest_block block = { .new_calls = new->calls,
-                                 .new_events = new->failures,
-                                 .old_calls = old->calls,
-                                 .old_events = old->failures };
+  uint32_t answers;
+  uint32_t slow_answers;
+  size_t above = slow_bucket (&kind->all[ROLLOUT_OLD]);
+  count_slow (old, above, &answers, &slow_answers);
+  kind->old_calls = kind->old_calls * OLD_FADING + old->calls;
+  kind->old_failures = kind->old_failures * OLD_FADING + old->failures;
+  kind->old_answers = kind->old_answers * OLD_FADING + answers;
+  kind->old_slow = kind->old_slow * OLD_FADING + slow_answers;
+  struct seqtest_block block = {
+    .new_calls = new->calls,
+    .new_events = new->failures,
+    .old_calls = (uint32_t)kind->old_calls,
+    .old_events
+    = (uint32_t)fmin (kind->old_failures + 0.5, floor (kind->old_calls)),
+  };
   seqtest_log_ratios (&failure_ratios, &block, ratios);
   seqtest_update (&kind->failures, ratios, now_ms, GROWTH_PER_S);
-  size_t above = slow_bucket (&kind->all[ROLLOUT_OLD]);
   count_slow (new, above, &block.new_calls, &block.new_events);
-  count_slow (old, above, &block.old_calls, &block.old_events);
+  block.old_calls = (uint32_t)kind->old_answers;
+  block.old_events
+      = (uint32_t)fmin (kind->old_slow + 0.5, floor (kind->old_answers));
   seqtest_log_ratios (&slow_ratios, &block, ratios);
   seqtest_update (&kind->slow, ratios, now_ms, GROWTH_PER_S);
   memset (kind->fresh, 0, sizeof kind->fresh);
--- a/src/coordination/rollout.h
+++ b/src/coordination/rollout.h
@@ -41,6 +41,11 @@
   uint32_t kind;
   struct rollout_counts all[ROLLOUT_SIDES];
   struct rollout_counts fresh[ROLLOUT_SIDES]; ///< not given to the tests yet
+  /* of the old version, older ones fading */
+  double old_calls;
+  double old_failures;
+  double old_answers;
+  double old_slow;
   struct seqtest failures;
   struct seqtest slow;
   uint32_t share_bp;
--- /dev/null
+++ b/test/unit/gate_test.c
@@ -0,0 +1,323 @@
+#include "coordination/gate.h"
+#include "testing.h"
+
+#include "base/rng.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICKETS 64
+
+static struct gate gate;
+static struct gate_ticket tickets[TICKETS];
+static size_t order[TICKETS]; ///< tickets in the order in which they started
+static size_t started;
+static size_t refused_tickets[TICKETS];
+static enum admit_refusal reasons[TICKETS];
+static size_t refused;
+
+static void
+on_run (void *arg, struct gate_ticket *ticket)
+{
+  order[started++] = (size_t)(ticket - tickets);
+}
+
+static void
+on_refuse (void *arg, struct gate_ticket *ticket, enum admit_refusal why)
+{
+  refused_tickets[refused] = (size_t)(ticket - tickets);
+  reasons[refused++] = why;
+}
+
+static const struct gate_ops ops = { .run = on_run, .refuse = on_refuse };
+
+static void
+set_up (size_t slots)
+{
+  memset (tickets, 0, sizeof tickets);
+  started = refused = 0;
+  gate_init (&gate, &ops, NULL);
+  gate_set_slots (&gate, slots, 0);
+}
+
+static enum admit_state
+offer (size_t index, uint32_t rank, uint64_t objective_ms,
+       uint64_t deadline_ms, uint64_t now_ms)
+{
+  struct gate_work work = { .kind = 1,
+                            .rank = rank,
+                            .objective_ms = objective_ms,
+                            .deadline_ms = deadline_ms };
+  enum admit_refusal why;
+  gate_offer (&gate, &tickets[index], &work, now_ms * 1000, &why);
+  return tickets[index].state;
+}
+
+/// Lets one request take a known time, so that later estimates use it.
+static void
+learn_service (uint64_t ms)
+{
+  offer (TICKETS - 1, 0, 100000, 100000, 0);
+  gate_finish (&gate, &tickets[TICKETS - 1], true, ms * 1000);
+}
+
+static void
+test_order_of_start (void)
+{
+  static const struct
+  {
+    uint32_t rank;
+    uint64_t objective_ms;
+    uint64_t deadline_ms;
+  } waiting[] = {
+    { 2, 500, 2000 }, /* less urgent rank, although its objective is first */
+    { 1, 900, 3000 }, /* in time, later objective */
+    { 1, 110, 1500 }, /* late at the time of choice, earliest deadline */
+    { 1, 800, 3000 }, /* in time, earlier objective */
+  };
+  static const size_t expected[] = { 4, 2, 3, 1 };
+  set_up (1);
+  learn_service (10);
+  CU_ASSERT_EQUAL (offer (0, 0, 5000, 5000, 0), ADMIT_RUNNING);
+  for (size_t i = 0; i < 4; i++)
+    CU_ASSERT_EQUAL (offer (i + 1, waiting[i].rank, waiting[i].objective_ms,
+                            waiting[i].deadline_ms, 0),
+                     ADMIT_QUEUED);
+  gate_finish (&gate, &tickets[0], true, 200 * 1000);
+  for (size_t i = 0; i < 4; i++)
+    {
+      CU_ASSERT_EQUAL (order[i], expected[i]);
+      gate_finish (&gate, &tickets[order[i]], true, (210 + 10 * i) * 1000);
+    }
+}
+
+static void
+test_refuses_what_cannot_end_in_time (void)
+{
+  set_up (1);
+  learn_service (100);
+  offer (0, 1, 5000, 5000, 0);
+  offer (1, 1, 5000, 5000, 0);
+  /* Two others go first: 100 ms each, and 100 ms of its own. */
+  CU_ASSERT_EQUAL (offer (2, 1, 5000, 150, 0), ADMIT_OVER);
+  CU_ASSERT_EQUAL (tickets[1].state, ADMIT_QUEUED);
+}
+
+static void
+test_never_more_than_slots (void)
+{
+  set_up (3);
+  for (size_t i = 0; i < 10; i++)
+    offer (i, 1, 1000, 2000, 0);
+  CU_ASSERT_EQUAL (gate.running, 3);
+  CU_ASSERT_EQUAL (gate.queued, 7);
+  gate_set_slots (&gate, 0, 0);
+  CU_ASSERT_EQUAL (refused, 7);
+  CU_ASSERT_EQUAL (reasons[0], ADMIT_REFUSED_ABSENT);
+}
+
+static void
+test_drain_refuses_waiting_and_new (void)
+{
+  set_up (1);
+  offer (0, 1, 1000, 2000, 0);
+  offer (1, 1, 1000, 2000, 0);
+  gate_set_draining (&gate, true);
+  CU_ASSERT_EQUAL (refused, 1);
+  CU_ASSERT_EQUAL (reasons[0], ADMIT_REFUSED_DRAINING);
+  CU_ASSERT_EQUAL (offer (2, 1, 1000, 2000, 0), ADMIT_OVER);
+  CU_ASSERT_EQUAL (gate.running, 1);
+}
+
+static void
+test_cancelled_ticket_never_starts (void)
+{
+  set_up (1);
+  offer (0, 1, 1000, 2000, 0);
+  offer (1, 1, 1000, 2000, 0);
+  offer (2, 1, 1100, 2000, 0);
+  gate_cancel (&gate, &tickets[1]);
+  gate_finish (&gate, &tickets[0], true, 10000);
+  CU_ASSERT_EQUAL (started, 1);
+  CU_ASSERT_EQUAL (order[0], 2);
+}
+
+/// Late requests that the slots will not reach are refused long before their
+/// deadline, instead of at it.
+static void
+test_hopeless_are_refused_early (void)
+{
+  set_up (1);
+  learn_service (50);
+  offer (0, 1, 100000, 100000, 0);
+  for (size_t i = 1; i < 30; i++)
+    offer (i, 1, 100, 3000, 0);
+  for (uint64_t now_ms = 100; now_ms <= 1200; now_ms += 50)
+    gate_expire (&gate, now_ms * 1000);
+  CU_ASSERT (refused >= 20);
+  CU_ASSERT (gate.queued >= 1);
+}
+
+/* A load in virtual time: requests arrive faster than the slots serve them. */
+
+#define LOAD_REQUESTS 4000
+#define LOAD_SLOTS 4
+#define LOAD_SERVICE_MS 40
+#define LOAD_OBJECTIVE_MS 150
+#define LOAD_DEADLINE_MS 800
+
+struct load_result
+{
+  size_t in_time;
+  size_t late;
+  uint64_t held_ms; ///< time that refused requests had waited, in total
+};
+
+static struct gate_ticket load_tickets[LOAD_REQUESTS];
+static uint64_t load_arrivals[LOAD_REQUESTS];
+static uint64_t load_ends[LOAD_REQUESTS]; ///< 0: not running
+static uint64_t load_now;
+static struct load_result load_result;
+
+static void
+load_run (void *arg, struct gate_ticket *ticket)
+{
+  load_ends[ticket - load_tickets] = load_now + LOAD_SERVICE_MS;
+}
+
+static void
+load_refuse (void *arg, struct gate_ticket *ticket, enum admit_refusal why)
+{
+  load_result.held_ms += load_now - load_arrivals[ticket - load_tickets];
+}
+
+static const struct gate_ops load_ops
+    = { .run = load_run, .refuse = load_refuse };
+
+static void
+make_arrivals (struct rng *rng)
+{
+  /* 130% of the slots' capacity, unevenly. */
+  double at = 0;
+  double gap = (double)LOAD_SERVICE_MS / LOAD_SLOTS / 1.3;
+  for (size_t i = 0; i < LOAD_REQUESTS; i++)
+    {
+      at += 2 * gap * rng_unit (rng);
+      load_arrivals[i] = (uint64_t)at + 1;
+    }
+}
+
+static void
+count_end (size_t request)
+{
+  uint64_t took = load_now - load_arrivals[request];
+  if (took <= LOAD_OBJECTIVE_MS)
+    load_result.in_time++;
+  else
+    load_result.late++;
+}
+
+static struct load_result
+play_gate (void)
+{
+  struct gate load_gate;
+  size_t next = 0;
+  memset (load_tickets, 0, sizeof load_tickets);
+  memset (load_ends, 0, sizeof load_ends);
+  memset (&load_result, 0, sizeof load_result);
+  gate_init (&load_gate, &load_ops, NULL);
+  gate_set_slots (&load_gate, LOAD_SLOTS, 0);
+  for (load_now = 1; load_now < load_arrivals[LOAD_REQUESTS - 1] + 2000;
+       load_now++)
+    {
+      for (size_t i = 0; i < next; i++)
+        if (load_ends[i] == load_now)
+          {
+            count_end (i);
+            load_ends[i] = 0;
+            gate_finish (&load_gate, &load_tickets[i], true, load_now * 1000);
+          }
+      for (; next < LOAD_REQUESTS && load_arrivals[next] == load_now; next++)
+        {
+          struct gate_work work
+              = { .kind = 1,
+                  .rank = 1,
+                  .objective_ms = load_now + LOAD_OBJECTIVE_MS,
+                  .deadline_ms = load_now + LOAD_DEADLINE_MS };
+          enum admit_refusal why;
+          gate_offer (&load_gate, &load_tickets[next], &work, load_now * 1000,
+                      &why);
+          if (load_tickets[next].state == ADMIT_RUNNING)
+            load_run (NULL, &load_tickets[next]);
+        }
+      if (load_now % 50 == 0)
+        gate_expire (&load_gate, load_now * 1000);
+    }
+  return load_result;
+}
+
+/// Baseline: first come, first served, refused at the deadline.
+static struct load_result
+play_fifo (void)
+{
+  uint64_t slots[LOAD_SLOTS] = { 0 };
+  memset (&load_result, 0, sizeof load_result);
+  for (size_t i = 0; i < LOAD_REQUESTS; i++)
+    {
+      size_t first = 0;
+      for (size_t k = 1; k < LOAD_SLOTS; k++)
+        if (slots[k] < slots[first])
+          first = k;
+      uint64_t start
+          = slots[first] > load_arrivals[i] ? slots[first] : load_arrivals[i];
+      if (start + LOAD_SERVICE_MS > load_arrivals[i] + LOAD_DEADLINE_MS)
+        {
+          load_result.held_ms += LOAD_DEADLINE_MS - LOAD_SERVICE_MS;
+          continue;
+        }
+      load_now = start + LOAD_SERVICE_MS;
+      slots[first] = load_now;
+      count_end (i);
+    }
+  return load_result;
+}
+
+static void
+test_overload_serves_more_in_time_than_fifo (void)
+{
+  for (uint64_t seed = 1; seed <= 5; seed++)
+    {
+      struct rng rng;
+      rng_init (&rng, seed);
+      make_arrivals (&rng);
+      struct load_result fifo = play_fifo ();
+      struct load_result own = play_gate ();
+      size_t served = own.in_time + own.late;
+      /* 77 in 100 can be served at all at 130% of the capacity. */
+      CU_ASSERT (own.in_time > 2 * fifo.in_time);
+      CU_ASSERT (own.in_time * 100 > LOAD_REQUESTS * 55);
+      CU_ASSERT (served * 100 > (fifo.in_time + fifo.late) * 95);
+      CU_ASSERT (own.held_ms < fifo.held_ms);
+    }
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "waiting work starts in another order than rank, objective, deadline",
+      test_order_of_start },
+    { "work is accepted that cannot end before its deadline",
+      test_refuses_what_cannot_end_in_time },
+    { "more work runs than the target has slots", test_never_more_than_slots },
+    { "a leaving target still gets waiting or new work",
+      test_drain_refuses_waiting_and_new },
+    { "work whose caller left is started",
+      test_cancelled_ticket_never_starts },
+    { "late work waits for its deadline although no slot will reach it",
+      test_hopeless_are_refused_early },
+    { "an overloaded queue serves callers too late",
+      test_overload_serves_more_in_time_than_fifo },
+  };
+  return testing_run ("gate", cases, sizeof cases / sizeof cases[0]);
+}
--- /dev/null
+++ b/test/unit/place_test.c
@@ -0,0 +1,201 @@
+#include "coordination/place.h"
+#include "testing.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static struct directory directory;
+static struct rng rng;
+
+static void
+add (const char *node, const char *zone, const char *version,
+     enum directory_state state)
+{
+  struct directory_entry entry
+      = { .address = 1, .port = 1, .slots = 4, .state = state, .epoch = 1 };
+  strcpy (entry.node, node);
+  strcpy (entry.availability_zone, zone);
+  strcpy (entry.service, "orders");
+  strcpy (entry.version, version);
+  strcpy (entry.instance, node);
+  directory_put (&directory, &entry, 1, 0);
+}
+
+static void
+set_up (void)
+{
+  directory_finish (&directory);
+  directory_init (&directory);
+  rng_init (&rng, 7);
+}
+
+static struct place_request
+request_from (const char *zone)
+{
+  return (struct place_request){ .service = "orders",
+                                 .availability_zone = zone,
+                                 .objective_ms = 200 };
+}
+
+/// @return how often each of the first four nodes is chosen out of 200
+static void
+count_choices (const struct place_request *request, uint64_t now_ms,
+               size_t counts[4])
+{
+  memset (counts, 0, 4 * sizeof counts[0]);
+  for (int i = 0; i < 200; i++)
+    {
+      size_t handle = place_choose (&directory, request, &rng, now_ms);
+      if (handle < 4)
+        counts[handle]++;
+    }
+}
+
+static void
+test_only_allowed_nodes (void)
+{
+  static const struct
+  {
+    const char *version;
+    bool exclude;
+    size_t expected; ///< SIZE_MAX: none
+  } rows[] = {
+    { "v1", false, 0 },
+    { "v1", true, 1 },
+    { "v3", false, SIZE_MAX },
+  };
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v2", DIRECTORY_READY);
+  add ("c", "z1", "v1", DIRECTORY_DRAINING);
+  add ("d", "z1", "v3", DIRECTORY_ABSENT);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct place_request request = request_from ("z1");
+      request.version
+          = (struct place_version){ rows[i].version, rows[i].exclude };
+      CU_ASSERT_EQUAL (place_choose (&directory, &request, &rng, 10),
+                       rows[i].expected);
+    }
+  struct place_request request = request_from ("z1");
+  request.service = "others";
+  CU_ASSERT_EQUAL (place_choose (&directory, &request, &rng, 10), SIZE_MAX);
+}
+
+static void
+test_tried_nodes_are_left_out (void)
+{
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  struct place_request request = request_from ("z1");
+  request.tried[request.tried_count++] = 0;
+  CU_ASSERT_EQUAL (place_choose (&directory, &request, &rng, 10), 1);
+  request.tried[request.tried_count++] = 1;
+  CU_ASSERT_EQUAL (place_choose (&directory, &request, &rng, 10), SIZE_MAX);
+}
+
+static void
+test_loaded_and_failing_nodes_are_avoided (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  add ("c", "z1", "v1", DIRECTORY_READY);
+  struct directory_record *records = directory.records;
+  place_report (&records[0], 4, 20, 30000, 1000);
+  place_report (&records[1], 1, 0, 30000, 1000);
+  place_report (&records[2], 1, 0, 30000, 1000);
+  for (int i = 0; i < 8; i++)
+    {
+      place_begin (&records[2]);
+      place_end (&records[2], PLACE_FAILED, 1000, 1000);
+    }
+  struct place_request request = request_from ("z1");
+  count_choices (&request, 1010, counts);
+  CU_ASSERT_EQUAL (counts[1], 200);
+  /* The failures fade, and the node is found again. */
+  place_report (&records[0], 4, 20, 30000, 20000);
+  place_report (&records[1], 4, 4, 30000, 20000);
+  place_report (&records[2], 1, 0, 30000, 20000);
+  count_choices (&request, 20010, counts);
+  CU_ASSERT (counts[2] > 100);
+}
+
+static void
+test_lost_nodes_are_left_out_for_a_while (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  place_begin (&directory.records[0]);
+  place_end (&directory.records[0], PLACE_LOST, 0, 1000);
+  struct place_request request = request_from ("z1");
+  count_choices (&request, 1010, counts);
+  CU_ASSERT_EQUAL (counts[0], 0);
+  count_choices (&request, 5000, counts);
+  CU_ASSERT (counts[0] > 0);
+  /* With no other node, one that failed is better than none. */
+  request.tried[request.tried_count++] = 1;
+  CU_ASSERT_EQUAL (place_choose (&directory, &request, &rng, 1010), 0);
+}
+
+static void
+test_large_answers_stay_in_the_zone (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z2", "v1", DIRECTORY_READY);
+  place_report (&directory.records[0], 1, 0, 60000, 1000);
+  place_report (&directory.records[1], 1, 0, 30000, 1000);
+  struct place_request request = request_from ("z1");
+  request.large_answer = true;
+  count_choices (&request, 1010, counts);
+  CU_ASSERT_EQUAL (counts[0], 200);
+  /* A backlog at home costs the caller more than the way. */
+  place_report (&directory.records[0], 4, 12, 60000, 1000);
+  count_choices (&request, 1010, counts);
+  CU_ASSERT_EQUAL (counts[1], 200);
+}
+
+/// A target that was slow while it was cold must not be left out for good, and
+/// one that has just joined must get requests.
+static void
+test_old_speeds_are_forgotten (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  add ("c", "z1", "v1", DIRECTORY_READY);
+  place_report (&directory.records[0], 1, 0, 30000, 5000);
+  place_report (&directory.records[1], 0, 0, 120000, 1000);
+  directory.records[0].load.in_flight = 2;
+  struct place_request request = request_from ("z1");
+  count_choices (&request, 5010, counts);
+  CU_ASSERT (counts[1] > 0);
+  CU_ASSERT (counts[2] > 0);
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "a node of another service, version or state gets a request",
+      test_only_allowed_nodes },
+    { "a request is offered to the same node twice",
+      test_tried_nodes_are_left_out },
+    { "requests go to loaded or failing targets while others are free",
+      test_loaded_and_failing_nodes_are_avoided },
+    { "requests wait for nodes that do not answer",
+      test_lost_nodes_are_left_out_for_a_while },
+    { "large answers cross zones without need",
+      test_large_answers_stay_in_the_zone },
+    { "a target that was slow once is never used again",
+      test_old_speeds_are_forgotten },
+  };
+  return testing_run ("place", cases, sizeof cases / sizeof cases[0]);
+}
--- /dev/null
+++ b/test/unit/resend_test.c
@@ -0,0 +1,128 @@
+#include "coordination/quota.h"
+#include "coordination/resend.h"
+#include "testing.h"
+
+static bool
+budget_left (void *arg)
+{
+  (*(unsigned *)arg)++;
+  return true;
+}
+
+static bool
+budget_spent (void *arg)
+{
+  (*(unsigned *)arg)++;
+  return false;
+}
+
+static void
+test_decisions (void)
+{
+  static const struct
+  {
+    enum mesh_repeat repeat;
+    uint32_t runs;
+    uint32_t offers;
+    enum resend_event event;
+    uint64_t left_ms;
+    bool budget;
+    enum resend_step expected;
+    unsigned budget_asked;
+  } rows[] = {
+    /* Certainly not run: offered again whatever its kind, without budget. */
+    { MESH_ONCE, 0, 1, RESEND_NOT_SENT, 500, false, RESEND_AGAIN, 0 },
+    { MESH_ONCE, 0, 1, RESEND_REFUSED, 500, false, RESEND_AGAIN, 0 },
+    /* The target was reached: the budget decides. */
+    { MESH_ONCE, 0, 1, RESEND_SHED, 500, true, RESEND_AGAIN, 1 },
+    { MESH_ONCE, 0, 1, RESEND_SHED, 500, false, RESEND_SAY_NOT_RUN, 1 },
+    /* It may have run: never again when it runs at most once. */
+    { MESH_ONCE, 0, 1, RESEND_LOST, 500, true, RESEND_SAY_UNKNOWN, 0 },
+    { MESH_ONCE, 0, 1, RESEND_FAILED, 500, true, RESEND_PASS, 0 },
+    { MESH_IDEMPOTENT, 0, 1, RESEND_LOST, 500, true, RESEND_AGAIN, 1 },
+    { MESH_IDEMPOTENT, 0, 1, RESEND_LOST, 500, false, RESEND_SAY_UNKNOWN, 1 },
+    { MESH_IDEMPOTENT, 0, 1, RESEND_FAILED, 500, false, RESEND_PASS, 1 },
+    { MESH_DOWNLOAD, 0, 1, RESEND_FAILED, 500, true, RESEND_AGAIN, 1 },
+    /* The route's limit of targets. */
+    { MESH_IDEMPOTENT, 1, 2, RESEND_FAILED, 500, true, RESEND_PASS, 0 },
+    { MESH_IDEMPOTENT, 1, 2, RESEND_LOST, 500, true, RESEND_SAY_UNKNOWN, 0 },
+    /* A refusal after a run must not say that it has not run. */
+    { MESH_IDEMPOTENT, 2, 3, RESEND_REFUSED, 500, true, RESEND_SAY_UNKNOWN,
+      0 },
+    /* Too many offers, or no time. */
+    { MESH_IDEMPOTENT, 0, RESEND_OFFERS_MAX, RESEND_REFUSED, 500, true,
+      RESEND_SAY_NOT_RUN, 0 },
+    { MESH_IDEMPOTENT, 0, 1, RESEND_REFUSED, 10, true, RESEND_SAY_NOT_RUN, 0 },
+    { MESH_IDEMPOTENT, 0, 1, RESEND_EXPIRED, 0, true, RESEND_SAY_LATE, 0 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct resend resend = { .repeat = rows[i].repeat,
+                               .attempts_max = 2,
+                               .offers = rows[i].offers,
+                               .runs = rows[i].runs };
+      unsigned asked = 0;
+      CU_ASSERT_EQUAL (
+          resend_decide (&resend, rows[i].event, rows[i].left_ms, 20,
+                         rows[i].budget ? budget_left : budget_spent, &asked),
+          rows[i].expected);
+      CU_ASSERT_EQUAL (asked, rows[i].budget_asked);
+    }
+}
+
+/// The bound holds for the sum of all nodes in any window.
+static void
+test_budget_of_all_nodes (void)
+{
+  enum
+  {
+    NODES = 16,
+    REQUESTS = 2000, ///< of each node, within one window
+    SLACK = 64
+  };
+  unsigned taken = 0;
+  for (int node = 0; node < NODES; node++)
+    {
+      struct quota_table table;
+      quota_init (&table, 200);
+      quota_set_slack (&table, SLACK, NODES);
+      for (int i = 0; i < REQUESTS; i++)
+        {
+          quota_count (&table, "orders", (uint64_t)i);
+          taken += quota_take (&table, "orders", (uint64_t)i);
+          taken += quota_take (&table, "orders", (uint64_t)i);
+        }
+      quota_finish (&table);
+    }
+  CU_ASSERT (taken <= NODES * REQUESTS / 5 + SLACK);
+  CU_ASSERT (taken >= NODES * REQUESTS / 20);
+}
+
+static void
+test_budget_of_each_service (void)
+{
+  struct quota_table table;
+  quota_init (&table, 200);
+  quota_set_slack (&table, 64, 4);
+  for (int i = 0; i < 100; i++)
+    quota_count (&table, "orders", 1);
+  CU_ASSERT (quota_take (&table, "orders", 1));
+  CU_ASSERT (quota_take (&table, "reads", 1)); /* its first token */
+  CU_ASSERT (!quota_take (&table, "reads", 1));
+  CU_ASSERT (quota_take (&table, "orders", 1));
+  quota_finish (&table);
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "a request that may have run is sent again, or a refusal is untrue",
+      test_decisions },
+    { "all nodes together repeat more than the budget",
+      test_budget_of_all_nodes },
+    { "one service spends the budget of another",
+      test_budget_of_each_service },
+  };
+  return testing_run ("resend", cases, sizeof cases / sizeof cases[0]);
+}
--- /dev/null
+++ b/test/unit/rollout_test.c
@@ -0,0 +1,223 @@
+#include "base/rng.h"
+#include "coordination/rollout.h"
+#include "testing.h"
+
+#include <string.h>
+
+/* A service whose move lasts 15 s, in virtual time with looks of 250 ms. */
+
+#define DURATION_MS 15000
+#define LOOK_MS 250
+#define KINDS 3
+
+struct fault
+{
+  const char *name;
+  uint32_t kind; ///< that is bad; UINT32_MAX: all
+  uint32_t fail_permille;
+  uint32_t slow_factor; ///< of the bad answers
+  uint64_t from_ms;
+  uint32_t above_bp; ///< bad only above this share
+};
+
+struct outcome
+{
+  bool finished;
+  bool taken_back;
+  uint64_t end_ms;
+  uint32_t new_requests;
+  uint32_t all_requests;
+  uint64_t fiftieth_ms; ///< time of the fiftieth bad answer; 0: never
+};
+
+/// Requests a second of each kind.
+static const uint32_t rates[KINDS] = { 300, 60, 12 };
+
+static bool
+is_bad (const struct fault *fault, uint32_t kind, uint64_t now_ms,
+        uint32_t share_bp)
+{
+  return fault != NULL && (fault->kind == UINT32_MAX || fault->kind == kind)
+         && now_ms >= fault->from_ms && share_bp > fault->above_bp;
+}
+
+static uint32_t
+share_of (const struct rollout *rollout, uint32_t kind)
+{
+  for (size_t i = 0; i < rollout->kind_count; i++)
+    if (rollout->kinds[i].kind == kind
+        && rollout->kinds[i].share_bp > rollout_share (rollout))
+      return rollout->kinds[i].share_bp;
+  return rollout_share (rollout);
+}
+
+static void
+count (struct rollout_counts *counts, struct rng *rng, bool bad,
+       const struct fault *fault)
+{
+  uint32_t latency_us = 40000 + (uint32_t)rng_below (rng, 60000);
+  bool failed = rng_below (rng, 1000) < 4;
+  counts->calls++;
+  if (bad && rng_below (rng, 1000) < fault->fail_permille)
+    {
+      if (fault->slow_factor > 1)
+        latency_us *= fault->slow_factor;
+      else
+        failed = true;
+    }
+  if (failed)
+    counts->failures++;
+  else
+    counts->latency[rollout_bucket (latency_us)]++;
+}
+
+static struct outcome
+play (const struct fault *fault, uint64_t seed)
+{
+  struct rollout rollout;
+  struct outcome outcome = { 0 };
+  struct rng rng;
+  uint32_t bad_answers = 0;
+  uint32_t credits[KINDS] = { 0 };
+  rng_init (&rng, seed);
+  rollout_init (&rollout, DURATION_MS, 0);
+  for (uint64_t now = LOOK_MS; now <= DURATION_MS; now += LOOK_MS)
+    {
+      for (uint32_t kind = 0; kind < KINDS; kind++)
+        {
+          struct rollout_counts sides[ROLLOUT_SIDES];
+          memset (sides, 0, sizeof sides);
+          uint32_t requests = rates[kind] * LOOK_MS / 1000;
+          for (uint32_t i = 0; i < requests; i++)
+            {
+              uint32_t share = share_of (&rollout, kind);
+              credits[kind] += share;
+              bool new = credits[kind] >= 10000;
+              if (new)
+                credits[kind] -= 10000;
+              bool bad = new &&is_bad (fault, kind, now, share);
+              count (&sides[new ? ROLLOUT_NEW : ROLLOUT_OLD], &rng, bad,
+                     fault);
+              outcome.new_requests += new;
+              outcome.all_requests++;
+              bad_answers += bad && fault->fail_permille > 400;
+              if (bad_answers >= 100 && outcome.fiftieth_ms == 0)
+                outcome.fiftieth_ms = now;
+            }
+          for (int side = 0; side < ROLLOUT_SIDES; side++)
+            rollout_add (&rollout, (enum rollout_side)side, kind,
+                         &sides[side]);
+        }
+      struct rollout_view view
+          = { .new_targets = 3, .fresh = true, .old_busy = false };
+      enum rollout_action action = rollout_decide (&rollout, &view, now);
+      if (action == ROLLOUT_FINISH || action == ROLLOUT_TAKE_BACK)
+        {
+          outcome.finished = action == ROLLOUT_FINISH;
+          outcome.taken_back = action == ROLLOUT_TAKE_BACK;
+          outcome.end_ms = now;
+          /* The rest of the time goes to the version that won. */
+          outcome.all_requests
+              += (uint32_t)((DURATION_MS - now) * (300 + 60 + 12) / 1000);
+          break;
+        }
+    }
+  return outcome;
+}
+
+static void
+test_good_versions_end_in_time (void)
+{
+  unsigned taken_back = 0;
+  for (uint64_t seed = 1; seed <= 100; seed++)
+    {
+      struct outcome outcome = play (NULL, seed);
+      taken_back += outcome.taken_back;
+      if (!outcome.taken_back)
+        {
+          CU_ASSERT (outcome.finished);
+          CU_ASSERT (outcome.end_ms < DURATION_MS);
+        }
+    }
+  CU_ASSERT (taken_back <= 2);
+}
+
+static void
+test_bad_versions_are_taken_back (void)
+{
+  static const struct fault faults[] = {
+    { "errors", UINT32_MAX, 500, 1, 0, 0 },
+    { "slow", UINT32_MAX, 500, 8, 0, 0 },
+    { "late errors", UINT32_MAX, 500, 1, 3000, 0 },
+    { "one frequent kind", 0, 500, 1, 0, 0 },
+    { "one rare kind", 2, 500, 1, 0, 0 },
+    { "one rare kind, late", 2, 500, 1, 3000, 0 },
+    { "few errors", UINT32_MAX, 200, 1, 0, 0 },
+    { "under load", UINT32_MAX, 500, 1, 0, 1000 },
+    { "under more load", UINT32_MAX, 500, 1, 0, 2400 },
+    { "slow under load", UINT32_MAX, 500, 8, 0, 2400 },
+  };
+  for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    for (uint64_t seed = 1; seed <= 30; seed++)
+      {
+        struct outcome outcome = play (&faults[i], seed);
+        /* The platform's bounds: a tenth and 50 requests, and none 5 s after
+           the fiftieth bad answer. */
+        bool good = outcome.taken_back
+                    && outcome.new_requests <= outcome.all_requests / 10 + 50
+                    && (outcome.fiftieth_ms == 0
+                        || outcome.end_ms <= outcome.fiftieth_ms + 4000);
+        CU_ASSERT (good);
+        if (!good)
+          printf ("fault %s seed %d: taken back %d, %u of %u\n",
+                  faults[i].name, (int)seed, outcome.taken_back,
+                  outcome.new_requests, outcome.all_requests);
+      }
+}
+
+static void
+test_waits_for_targets_and_evidence (void)
+{
+  static const struct rollout_view views[] = {
+    { .new_targets = 0, .fresh = true },
+    { .new_targets = 2, .fresh = false },
+  };
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct rollout rollout;
+      rollout_init (&rollout, DURATION_MS, 0);
+      for (uint64_t now = LOOK_MS; now < DURATION_MS - 1000; now += LOOK_MS)
+        CU_ASSERT_EQUAL (rollout_decide (&rollout, &views[i], now),
+                         ROLLOUT_WAIT);
+      CU_ASSERT_EQUAL (rollout_decide (&rollout, &views[i], DURATION_MS - 100),
+                       ROLLOUT_TAKE_BACK);
+    }
+}
+
+static void
+test_does_not_finish_while_the_old_version_works (void)
+{
+  struct rollout rollout;
+  struct rollout_view view
+      = { .new_targets = 2, .fresh = true, .old_busy = true };
+  rollout_init (&rollout, DURATION_MS, 0);
+  rollout_resume (&rollout, 10000, 5000);
+  CU_ASSERT_EQUAL (rollout_decide (&rollout, &view, 9000), ROLLOUT_WAIT);
+  view.old_busy = false;
+  CU_ASSERT_EQUAL (rollout_decide (&rollout, &view, 9250), ROLLOUT_FINISH);
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "a good version is not done in time", test_good_versions_end_in_time },
+    { "a bad version gets too many requests",
+      test_bad_versions_are_taken_back },
+    { "a share rises without targets or evidence",
+      test_waits_for_targets_and_evidence },
+    { "old targets are stopped while they work",
+      test_does_not_finish_while_the_old_version_works },
+  };
+  return testing_run ("rollout", cases, sizeof cases / sizeof cases[0]);
+}
