--- a/src/coordination/rollout.c
+++ b/src/coordination/rollout.c
@@ -21,8 +21,9 @@
 /// Requests of the new version that a step must have seen.
 #define STEP_CALLS 10
 
-/// After this part of the time a step no longer waits for more requests.
-#define LATE_PERMILLE 820
+/// A step waits for more requests for this part of the time at most: a service
+/// with few requests must still be moved in time.
+#define WAIT_PERMILLE 140
 
 /// Requests of each kind that the first step should see, and the most of the
 /// kind's requests that may be used for it.
@@ -289,7 +290,7 @@
   if (permille < steps[rollout->step + 1].at_permille
       || now_ms - rollout->step_ms < dwell_ms)
     return false;
-  bool late = permille >= LATE_PERMILLE;
+  bool late = permille >= steps[rollout->step + 1].at_permille + WAIT_PERMILLE;
   return late
          || (new_calls (rollout) - rollout->step_calls >= STEP_CALLS
              && kinds_shown (rollout));
--- a/src/protocol/hop.c
+++ b/src/protocol/hop.c
@@ -4,15 +4,16 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HOP_FIELDS 7
+#define HOP_FIELDS 9
 #define LOAD_FIELDS 4
 
 void
 hop_write (const struct hop *hop, char text[HOP_SIZE_MAX])
 {
-  snprintf (text, HOP_SIZE_MAX, "%s %s %u %u %u %u %u", hop->service,
+  snprintf (text, HOP_SIZE_MAX, "%s %s %u %u %u %u %u %u %u", hop->service,
             hop->version, (unsigned)hop->repeat, hop->rank, hop->kind,
-            hop->objective_ms, (unsigned)hop->repeated);
+            hop->objective_ms, (unsigned)hop->repeated, hop->address,
+            (unsigned)hop->port);
 }
 
 enum status
@@ -20,15 +21,17 @@
 {
   unsigned repeat = 0;
   unsigned repeated = 0;
+  unsigned port = 0;
   if (text == NULL
-      || sscanf (text, "%63s %63s %u %u %u %u %u", hop->service, hop->version,
-                 &repeat, &hop->rank, &hop->kind, &hop->objective_ms,
-                 &repeated)
+      || sscanf (text, "%63s %63s %u %u %u %u %u %u %u", hop->service,
+                 hop->version, &repeat, &hop->rank, &hop->kind,
+                 &hop->objective_ms, &repeated, &hop->address, &port)
              != HOP_FIELDS
-      || repeat > MESH_ONCE || repeated > 1)
+      || repeat > MESH_ONCE || repeated > 1 || port > UINT16_MAX)
     return status_set (STATUS_INVALID, "malformed routing header");
   hop->repeat = (enum mesh_repeat)repeat;
   hop->repeated = repeated == 1;
+  hop->port = (uint16_t)port;
   return STATUS_OK;
 }
 
--- a/src/protocol/hop.h
+++ b/src/protocol/hop.h
@@ -22,6 +22,9 @@
   uint32_t kind;         ///< hash of the route
   uint32_t objective_ms; ///< time left for full value
   bool repeated;         ///< the request was sent before
+  uint32_t address;      ///< where the sending node takes calls of other
+                         ///< nodes, IPv4, host byte order
+  uint16_t port;
 };
 
 struct hop_load
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -121,8 +121,9 @@
 /// Announces the node's entry soon.
 void sidecar_store_announce (struct sidecar *sidecar);
 /// Asks another node for its view of the store, when this one has none.
-/// @param address  IPv4 address of the node, host byte order
-void sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address);
+/// @param address,port  where the node takes calls of other nodes
+void sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address,
+                             uint16_t port);
 
 /// Answers another node's question for the view.
 void sidecar_store_answer (struct sidecar *sidecar,
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -310,8 +310,6 @@
   uint64_t now_us = request->received_us;
   const char *id = http_head_find (request->head, names->request_id);
   struct hop hop;
-  if (sidecar->config == NULL)
-    sidecar_store_ask_peer (sidecar, http_request_address (request));
   if (strcmp (request->head->target, CALL_PATH_VIEW) == 0)
     {
       sidecar_store_answer (sidecar, request);
@@ -334,6 +332,8 @@
     }
   if (id == NULL)
     id = "";
+  if (sidecar->config == NULL)
+    sidecar_store_ask_peer (sidecar, hop.address, hop.port);
   const char *obstacle = target_obstacle (sidecar, &hop, now_us / 1000);
   struct sidecar_run *run = obstacle == NULL ? calloc (1, sizeof *run) : NULL;
   if (run == NULL)
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -528,7 +528,8 @@
     = { .head = on_view_head, .body = on_view_body, .end = on_view_end };
 
 void
-sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address)
+sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address,
+                        uint16_t port)
 {
   struct sidecar_store *store = sidecar->store;
   uint64_t now = clock_monotonic_ms ();
@@ -542,10 +543,9 @@
   evbuffer_add_printf (bytes, "GET %s HTTP/1.1\r\nHost: view\r\n\r\n",
                        CALL_PATH_VIEW);
   evbuffer_drain (store->asked, evbuffer_get_length (store->asked));
-  struct http_send send = { .address = address,
-                            .port = sidecar->settings.peers.port,
-                            .request = bytes,
-                            .max_idle_ms = ASK_MS };
+  struct http_send send = {
+    .address = address, .port = port, .request = bytes, .max_idle_ms = ASK_MS
+  };
   store->asking
       = http_pool_send (&sidecar->peer_pool, &send, &view_ops, store);
   evbuffer_free (bytes);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -514,15 +514,3 @@
           ? request->output
           : http_stream_output (request->connection->stream));
 }
-
-uint32_t
-http_request_address (const struct http_request *request)
-{
-  struct sockaddr_in from;
-  socklen_t size = sizeof from;
-  evutil_socket_t fd = bufferevent_getfd (request->connection->stream->bev);
-  if (getpeername (fd, (struct sockaddr *)&from, &size) != 0
-      || from.sin_family != AF_INET)
-    return 0;
-  return ntohl (from.sin_addr.s_addr);
-}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -96,9 +96,6 @@
 /// Closes the connection so that the caller sees that the answer is cut.
 void http_reply_abort (struct http_request *request);
 
-/// @return IPv4 address of the other end, host byte order; 0 when unknown
-uint32_t http_request_address (const struct http_request *request);
-
 /// @return bytes of answers that wait for the caller
 size_t http_request_backlog (const struct http_request *request);
 
--- a/test/standin/fake_store.h
+++ b/test/standin/fake_store.h
@@ -41,7 +41,7 @@
       size_t size = strlen (entry->key) + 1;
       memcpy (place, entry->key, size);
       operation->reply_keys[count++]
-          = (struct store_key){ place, entry->revision };
+          = (struct store_key){ .key = place, .revision = entry->revision };
       place += size;
     }
   operation->reply.status = STATUS_OK;
--- /dev/null
+++ b/test/unit/codec_test.c
@@ -0,0 +1,244 @@
+#include "protocol/entry_record.h"
+#include "protocol/hop.h"
+#include "protocol/move_record.h"
+#include "protocol/view.h"
+#include "sidecar/sidecar_settings.h"
+#include "testing.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+test_hop (void)
+{
+  static const char *const malformed[] = { "",
+                                           "orders",
+                                           "orders v1 0 1 2 3",
+                                           "orders v1 9 1 2 3 0 4 5",
+                                           "orders v1 x 1 2 3 0 4 5",
+                                           "orders v1 0 1 2 3 7 4 5",
+                                           "orders v1 0 1 2 3 0 4 70000" };
+  struct hop hop = { .service = "orders",
+                     .version = "v1",
+                     .repeat = MESH_ONCE,
+                     .rank = 3,
+                     .kind = 4000000000u,
+                     .objective_ms = 250,
+                     .repeated = true,
+                     .address = 0x0a010008,
+                     .port = 8300 };
+  struct hop read;
+  char text[HOP_SIZE_MAX];
+  hop_write (&hop, text);
+  CU_ASSERT_EQUAL (hop_parse (text, &read), STATUS_OK);
+  CU_ASSERT_STRING_EQUAL (read.service, "orders");
+  CU_ASSERT_STRING_EQUAL (read.version, "v1");
+  CU_ASSERT_EQUAL (read.repeat, MESH_ONCE);
+  CU_ASSERT_EQUAL (read.kind, 4000000000u);
+  CU_ASSERT_EQUAL (read.objective_ms, 250);
+  CU_ASSERT (read.repeated);
+  CU_ASSERT_EQUAL (read.address, 0x0a010008);
+  CU_ASSERT_EQUAL (read.port, 8300);
+  CU_ASSERT_EQUAL (hop_parse (NULL, &read), STATUS_INVALID);
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (hop_parse (malformed[i], &read), STATUS_INVALID);
+}
+
+static void
+test_load (void)
+{
+  struct hop_load load = { 3, 4, 12, 81000 };
+  struct hop_load read;
+  char text[HOP_LOAD_SIZE_MAX];
+  hop_load_write (&load, text);
+  CU_ASSERT_EQUAL (hop_load_parse (text, &read), STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&load, &read, sizeof load), 0);
+  CU_ASSERT_EQUAL (hop_load_parse ("3,4", &read), STATUS_INVALID);
+}
+
+static void
+test_entry (void)
+{
+  static const char *const malformed[] = {
+    "",
+    "{}",
+    "[]",
+    "nonsense",
+    "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":70000,"
+    "\"slots\":1,\"state\":1,\"cold_ms\":0,\"epoch\":1}",
+    "{\"node\":\"\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":7,"
+    "\"slots\":1,\"state\":1,\"cold_ms\":0,\"epoch\":1}",
+    "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":7,"
+    "\"slots\":1,\"state\":9,\"cold_ms\":0,\"epoch\":1}",
+  };
+  struct directory_entry entry = { .node = "node-1",
+                                   .availability_zone = "z1",
+                                   .service = "orders",
+                                   .version = "v2",
+                                   .instance = "i-1",
+                                   .address = 0x0a010008,
+                                   .port = 8300,
+                                   .slots = 12,
+                                   .state = DIRECTORY_DRAINING,
+                                   .cold_ms = 3000,
+                                   .epoch = 1767268433020 };
+  struct directory_entry read;
+  char text[ENTRY_RECORD_MAX];
+  size_t size = entry_record_write (&entry, text);
+  CU_ASSERT_FATAL (size > 0);
+  CU_ASSERT_EQUAL (entry_record_read ((const uint8_t *)text, size, &read),
+                   STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&entry, &read, sizeof entry), 0);
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (entry_record_read ((const uint8_t *)malformed[i],
+                                        strlen (malformed[i]), &read),
+                     STATUS_INVALID);
+}
+
+static void
+test_move_record (void)
+{
+  static const char *const malformed[]
+      = { "{}",
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":0,\"phase\":0,"
+          "\"share_bp\":1,\"kinds\":[]}",
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":7,"
+          "\"share_bp\":1,\"kinds\":[]}",
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":0,"
+          "\"share_bp\":10001,\"kinds\":[]}",
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":0,"
+          "\"share_bp\":1,\"kinds\":[[1]]}" };
+  struct move_record record = { .service = "orders",
+                                .to_version = "v2",
+                                .order = 77,
+                                .phase = MOVE_PHASE_RUNNING,
+                                .share_bp = 400,
+                                .kind_count = 2,
+                                .kinds = { { 1, 500 }, { 4000000000u, 9 } } };
+  struct move_record read;
+  char text[MOVE_RECORD_MAX];
+  size_t size = move_record_write (&record, text);
+  CU_ASSERT_FATAL (size > 0);
+  CU_ASSERT_EQUAL (move_record_read ((const uint8_t *)text, size, &read),
+                   STATUS_OK);
+  CU_ASSERT_EQUAL (read.order, 77);
+  CU_ASSERT_EQUAL (read.kinds[1].kind, 4000000000u);
+  CU_ASSERT_EQUAL (read.kinds[1].share_bp, 9);
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (move_record_read ((const uint8_t *)malformed[i],
+                                       strlen (malformed[i]), &read),
+                     STATUS_INVALID);
+}
+
+static void
+test_move_evidence (void)
+{
+  struct move_evidence evidence = { .instance = "i-1",
+                                    .version = "v1",
+                                    .occupied = 5,
+                                    .kind_count = ROLLOUT_KINDS };
+  struct move_evidence read;
+  char text[MOVE_EVIDENCE_MAX];
+  for (size_t i = 0; i < ROLLOUT_KINDS; i++)
+    {
+      evidence.kinds[i].kind = (uint32_t)i + 4000000000u;
+      evidence.kinds[i].counts.calls = 100000;
+      evidence.kinds[i].counts.failures = 7;
+      for (size_t k = 0; k < ROLLOUT_BUCKETS; k++)
+        evidence.kinds[i].counts.latency[k] = 99999;
+    }
+  size_t size = move_evidence_write (&evidence, text);
+  CU_ASSERT_FATAL (size > 0);
+  CU_ASSERT_EQUAL (move_evidence_read (text, size, &read), STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&evidence, &read, sizeof evidence), 0);
+  CU_ASSERT_EQUAL (move_evidence_read (text, size - 3, &read), STATUS_INVALID);
+}
+
+static void
+test_view (void)
+{
+  struct mirror mirror;
+  struct mirror read;
+  uint64_t as_of = 0;
+  size_t size;
+  mirror_init (&mirror);
+  mirror_init (&read);
+  mirror_put (&mirror, "a", 5, (const uint8_t *)"one", 3);
+  mirror_put (&mirror, "b", 6, (const uint8_t *)"", 0);
+  mirror_put (&mirror, "a", 4, (const uint8_t *)"old", 3);
+  mirror_put (&mirror, "c", 7, (const uint8_t *)"gone", 4);
+  mirror_remove (&mirror, "c", 6); /* older than what is kept */
+  mirror_put (&mirror, "d", 7, (const uint8_t *)"gone", 4);
+  mirror_remove (&mirror, "d", 8);
+  char *text = view_write (&mirror, 9, &size);
+  CU_ASSERT_FATAL (text != NULL);
+  CU_ASSERT_EQUAL (view_read (text, size, &read, &as_of), STATUS_OK);
+  CU_ASSERT_EQUAL (as_of, 9);
+  CU_ASSERT_EQUAL_FATAL (read.count, 3);
+  CU_ASSERT_EQUAL (read.items[0].revision, 5);
+  CU_ASSERT_EQUAL (memcmp (read.items[0].data, "one", 3), 0);
+  CU_ASSERT_EQUAL (view_read (text, size - 1, &read, &as_of), STATUS_INVALID);
+  free (text);
+  mirror_finish (&mirror);
+  mirror_finish (&read);
+}
+
+#define SETTINGS_HEAD                                                         \
+  "format: 1\nnode: n1\navailability_zone: z1\nservice: orders\n"             \
+  "calls: 127.0.0.1:7001\npeers: 127.0.0.1:7002\nready: 127.0.0.1:7003\n"     \
+  "reports: 127.0.0.1:7004\ntarget: 127.0.0.1:7005\nstore: 127.0.0.1:7006\n"  \
+  "metrics: 127.0.0.1:7007\n"
+
+static void
+test_settings (void)
+{
+  static const struct
+  {
+    const char *yaml;
+    size_t findings;
+  } rows[] = {
+    { SETTINGS_HEAD, 0 },
+    { SETTINGS_HEAD "drain: 2500ms\ngrace: 6s\nretry_ratio: 0.1\n", 0 },
+    { SETTINGS_HEAD "drain: \"\"\nretry_slack: \"\"\n", 0 },
+    { SETTINGS_HEAD "drain: soon\ngrace: -1s\nretry_ratio: many\n", 3 },
+    { SETTINGS_HEAD "colour: blue\n", 1 },
+    { "format: 2\nnode: \"\"\n", 10 },
+    { "calls: [", 1 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct sidecar_settings settings;
+      struct findings findings;
+      findings_init (&findings, "settings");
+      enum status status = sidecar_settings_parse (
+          &settings, rows[i].yaml, strlen (rows[i].yaml), &findings);
+      CU_ASSERT_EQUAL (status == STATUS_OK, rows[i].findings == 0);
+      CU_ASSERT (rows[i].findings == 0 || findings.total > 0);
+      if (i == 1)
+        {
+          CU_ASSERT_EQUAL (settings.drain_ms, 2500);
+          CU_ASSERT_EQUAL (settings.grace_ms, 6000);
+          CU_ASSERT_EQUAL (settings.retry_ratio_permille, 100);
+          CU_ASSERT_EQUAL (settings.heartbeat_ms, 1500);
+        }
+      findings_finish (&findings);
+    }
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "routing between nodes is misread", test_hop },
+    { "a load report is misread", test_load },
+    { "an entry in the store is misread", test_entry },
+    { "the record of a move is misread", test_move_record },
+    { "evidence of a full table does not fit", test_move_evidence },
+    { "a view loses or revives keys", test_view },
+    { "wrong settings are taken", test_settings },
+  };
+  return testing_run ("codec", cases, sizeof cases / sizeof cases[0]);
+}
--- a/test/unit/fake_node.h
+++ b/test/unit/fake_node.h
@@ -116,7 +116,7 @@
   for (size_t i = 0; i < fake.value_count; i++)
     if (strncmp (fake.values[i].key, prefix, strlen (prefix)) == 0)
       call->keys[call->reply.key_count++]
-          = (struct store_key){ fake.values[i].key, 1 };
+          = (struct store_key){ .key = fake.values[i].key, .revision = 1 };
   fake_later (call);
 }
 
--- a/test/unit/rollout_test.c
+++ b/test/unit/rollout_test.c
@@ -175,6 +175,42 @@
       }
 }
 
+/// A service with few requests gives little evidence; its moves end as well.
+static void
+test_few_requests_end_in_time (void)
+{
+  static const uint64_t durations[] = { 6000, 15000 };
+  for (size_t d = 0; d < 2; d++)
+    for (uint32_t per_look = 0; per_look <= 12; per_look += 3)
+      {
+        struct rollout rollout;
+        struct rollout_view view = { .new_targets = 2, .fresh = true };
+        enum rollout_action action = ROLLOUT_WAIT;
+        uint32_t credit = 0;
+        rollout_init (&rollout, durations[d], 0);
+        for (uint64_t now = LOOK_MS;
+             now <= durations[d] && action != ROLLOUT_FINISH; now += LOOK_MS)
+          {
+            struct rollout_counts sides[ROLLOUT_SIDES];
+            memset (sides, 0, sizeof sides);
+            for (uint32_t i = 0; i < per_look; i++)
+              {
+                credit += share_of (&rollout, 1);
+                enum rollout_side side
+                    = credit >= 10000 ? ROLLOUT_NEW : ROLLOUT_OLD;
+                credit -= side == ROLLOUT_NEW ? 10000 : 0;
+                sides[side].calls++;
+                sides[side].latency[8]++;
+              }
+            rollout_add (&rollout, ROLLOUT_OLD, 1, &sides[ROLLOUT_OLD]);
+            rollout_add (&rollout, ROLLOUT_NEW, 1, &sides[ROLLOUT_NEW]);
+            action = rollout_decide (&rollout, &view, now);
+            CU_ASSERT_NOT_EQUAL (action, ROLLOUT_TAKE_BACK);
+          }
+        CU_ASSERT_EQUAL (action, ROLLOUT_FINISH);
+      }
+}
+
 static void
 test_waits_for_targets_and_evidence (void)
 {
@@ -212,6 +248,8 @@
 {
   static const struct test_case cases[] = {
     { "a good version is not done in time", test_good_versions_end_in_time },
+    { "a good version with few requests is taken back",
+      test_few_requests_end_in_time },
     { "a bad version gets too many requests",
       test_bad_versions_are_taken_back },
     { "a share rises without targets or evidence",
