--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -293,11 +293,16 @@
   ticket->state = ADMIT_OVER;
 }
 
+struct late_ticket
+{
+  struct gate_ticket *ticket;
+};
+
 static int
 compare_late (const void *a, const void *b)
 {
-  const struct gate_ticket *left = *(struct gate_ticket *const *)a;
-  const struct gate_ticket *right = *(struct gate_ticket *const *)b;
+  const struct gate_ticket *left = ((const struct late_ticket *)a)->ticket;
+  const struct gate_ticket *right = ((const struct late_ticket *)b)->ticket;
   if (left->work.rank != right->work.rank)
     return left->work.rank < right->work.rank ? -1 : 1;
   if (left->work.deadline_ms != right->work.deadline_ms)
@@ -307,7 +312,7 @@
 
 /// Refuses the late tickets that the present rate does not serve in time.
 static void
-refuse_hopeless (struct gate *gate, struct gate_ticket **late, size_t count,
+refuse_hopeless (struct gate *gate, struct late_ticket *late, size_t count,
                  uint64_t now_us)
 {
   double floor_per_s = gate->mean_us == 0 ? 0
@@ -320,19 +325,20 @@
   for (size_t i = 0; i < count; i++)
     {
       double wait_us = per_s > 0 ? (double)(kept + 1) / per_s * 1e6 : 1e12;
-      uint64_t limit_us = late[i]->work.deadline_ms * 1000;
-      uint64_t needed_us = now_us + late[i]->service_us + ANSWER_MARGIN_US;
+      uint64_t limit_us = late[i].ticket->work.deadline_ms * 1000;
+      uint64_t needed_us
+          = now_us + late[i].ticket->service_us + ANSWER_MARGIN_US;
       if ((double)needed_us + wait_us < (double)limit_us)
         kept++;
       else
-        refuse_queued (gate, late[i], ADMIT_REFUSED_LATE);
+        refuse_queued (gate, late[i].ticket, ADMIT_REFUSED_LATE);
     }
 }
 
 void
 gate_expire (struct gate *gate, uint64_t now_us)
 {
-  struct gate_ticket *late[GATE_QUEUE_MAX];
+  struct late_ticket late[GATE_QUEUE_MAX];
   size_t count = 0;
   for (size_t i = gate->queued; i-- > 0;)
     {
@@ -340,7 +346,7 @@
       if (!ends_before (ticket, ticket->work.deadline_ms, now_us))
         refuse_queued (gate, ticket, ADMIT_REFUSED_LATE);
       else if (is_late (ticket, now_us))
-        late[count++] = ticket;
+        late[count++].ticket = ticket;
     }
   if (count == 0)
     {
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -28,11 +28,11 @@
 ///
 /// status: STATUS_OK; STATUS_CONFLICT (data and revision are the current ones,
 /// revision 0 when the key is absent); STATUS_NOT_FOUND; STATUS_TIMEOUT (a
-/// watch without change); STATUS_TOO_OLD (a watch from a revision whose history
-/// is gone: read the whole range); STATUS_UNAVAILABLE (certainly without effect);
-/// STATUS_UNKNOWN (sent, but no usable answer: it may have taken effect);
-/// STATUS_CORRUPT (an answer that is not of the protocol; for a write its
-/// effect is unknown too).
+/// watch without change); STATUS_TOO_OLD (a watch from a revision whose
+/// history is gone: read the whole range); STATUS_UNAVAILABLE (certainly
+/// without effect); STATUS_UNKNOWN (sent, but no usable answer: it may have
+/// taken effect); STATUS_CORRUPT (an answer that is not of the protocol; for a
+/// write its effect is unknown too).
 struct store_reply
 {
   enum status status;
@@ -77,11 +77,9 @@
                  void *arg);
   /// Answers with the changes below a prefix after a revision, at the latest
   /// after wait_ms. Continue from `as_of`.
-  void (*watch_prefix) (void *store, const char *prefix, uint64_t after,
-                        uint32_t wait_ms,
-                        void (*done) (void *arg,
-                                      const struct store_reply *reply),
-                        void *arg);
+  void (*watch_prefix) (
+      void *store, const char *prefix, uint64_t after, uint32_t wait_ms,
+      void (*done) (void *arg, const struct store_reply *reply), void *arg);
   void (*lease_grant) (void *store, uint32_t ttl_ms,
                        void (*done) (void *arg,
                                      const struct store_reply *reply),
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -321,9 +321,7 @@
     return;
   report_result (entry, PLACE_ANSWERED);
   bool small = head->has_length && head->length <= ENTRY_HELD_MAX;
-  if (head->chunked || (!small && head->has_length))
-    start_passing (entry);
-  else if (!head->has_length && !head->chunked)
+  if (!small)
     start_passing (entry);
   if (entry->passing && entry->answer_by_ms < entry->deadline_ms)
     timer_start_at (&entry->timer, entry->answer_by_ms + PASS_OVERTIME_MS);
--- a/src/state/mesh_config.c
+++ b/src/state/mesh_config.c
@@ -1,6 +1,7 @@
 /// Owns no state besides the configurations that callers hold.
 #include "state/mesh_config.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -116,6 +117,7 @@
       if (part->weight > 0 && (best == NULL || part->credit > best->credit))
         best = part;
     }
+  assert (best != NULL); /* mesh_config_seal refuses a route without */
   best->credit -= total;
   return best->service;
 }
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -442,10 +442,11 @@
   while (pool->servers != NULL)
     {
       struct http_server_slot *server = pool->servers;
+      struct http_connection *next;
       pool->servers = server->next;
-      while (server->first != NULL)
+      for (struct http_connection *c = server->first; c != NULL; c = next)
         {
-          struct http_connection *c = server->first;
+          next = c->next;
           if (c->exchange != NULL)
             c->exchange->connection = NULL;
           close_connection (c);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -344,11 +344,12 @@
   evconnlistener_free (server->listener);
   server->listener = NULL;
   event_del (&server->sweep);
-  while (server->first != NULL)
+  struct http_server_connection *next;
+  for (struct http_server_connection *c = server->first; c != NULL; c = next)
     {
-      struct http_server_connection *connection = server->first;
-      drop_requests (connection, false);
-      free_connection (connection);
+      next = c->next;
+      drop_requests (c, false);
+      free_connection (c);
     }
 }
 
