--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -16,9 +16,9 @@
 /// Time over which the rate of started late tickets is smoothed.
 #define LATE_SMOOTHING_US 1500000.0
 
-/// Late tickets are taken to get at least this part of the slots, 1 / 7: the
+/// Late tickets are taken to get at least this part of the slots, 1 / 20: the
 /// requests that can meet their objective come in waves.
-#define LATE_PART 7
+#define LATE_PART 20
 
 /// Without late tickets for this long, nothing is known of their rate.
 #define LATE_FORGET_US 500000
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -48,6 +48,7 @@
   { "store", FIELD_ENDPOINT, AT (store), 0 },
   { "metrics", FIELD_ENDPOINT, AT (metrics), 0 },
   { "lease_min", FIELD_TIME, AT (lease_min_ms), 1000 },
+  { "store_reads_per_s", FIELD_COUNT, AT (store_reads_per_s), 2000 },
   { "heartbeat", FIELD_TIME, AT (heartbeat_ms), 1500 },
   { "drain", FIELD_TIME, AT (drain_ms), 2000 },
   { "grace", FIELD_TIME, AT (grace_ms), 6000 },
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -20,6 +20,7 @@
   struct settings_endpoint store;
   struct settings_endpoint metrics; ///< port 0: not served
   uint32_t lease_min_ms;            ///< shortest lease of the store
+  uint32_t store_reads_per_s;       ///< that the store serves to all nodes
   uint32_t heartbeat_ms;            ///< interval of the target's reports
   uint32_t drain_ms; ///< after this a leaving target gets no request
   uint32_t grace_ms; ///< from SIGTERM to SIGKILL
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -30,8 +30,14 @@
 #define WATCH_WAIT_MS 25000
 
 /// Pause after a watch answered, so that changes that come together cost one
-/// call.
-#define WATCH_PACE_MS 200
+/// call. A configuration is to be in force within two seconds.
+#define WATCH_PACE_MS 400
+
+/// Part of the store's reads that the watches of all nodes may take, 1 / 3.
+#define WATCH_PART 3
+
+/// Longest pause, whatever the number of nodes.
+#define WATCH_PACE_MS_MAX 1500
 
 /// Wait before a read or write that failed is tried again.
 #define RETRY_MS 250
@@ -62,6 +68,7 @@
   uint64_t next_watch_ms;
   uint64_t next_write_ms;
   uint64_t away_since_ms; ///< 0: reachable
+  size_t nodes;           ///< entries that are known
   bool listing;
   bool watching;
   bool granting;
@@ -225,6 +232,7 @@
   const struct directory *directory = &store->sidecar->directory;
   for (size_t i = 0; i < directory->count; i++)
     nodes += directory->records[i].used;
+  store->nodes = nodes;
   quota_set_slack (&store->sidecar->quotas,
                    store->sidecar->settings.retry_slack, nodes);
 }
@@ -272,12 +280,26 @@
       store->list_after[0] == '\0' ? NULL : store->list_after, on_list, store);
 }
 
+/// @return pause between two watches, so that all nodes together stay within
+///         the store's rate
+static uint64_t
+watch_pace_ms (const struct sidecar_store *store)
+{
+  uint32_t reads_per_s = store->sidecar->settings.store_reads_per_s;
+  uint64_t pace_ms = reads_per_s == 0
+                         ? WATCH_PACE_MS_MAX
+                         : store->nodes * 1000 * WATCH_PART / reads_per_s;
+  if (pace_ms < WATCH_PACE_MS)
+    return WATCH_PACE_MS;
+  return pace_ms < WATCH_PACE_MS_MAX ? pace_ms : WATCH_PACE_MS_MAX;
+}
+
 static void
 on_watch (void *arg, const struct store_reply *reply)
 {
   struct sidecar_store *store = arg;
   store->watching = false;
-  store->next_watch_ms = clock_monotonic_ms () + WATCH_PACE_MS;
+  store->next_watch_ms = clock_monotonic_ms () + watch_pace_ms (store);
   switch (reply->status)
     {
     case STATUS_OK:
--- /dev/null
+++ b/test/fuzz/platform_fuzz.c
@@ -0,0 +1,127 @@
+/// Feeds bytes to the readers of the platform's messages and of the records of
+/// other nodes. Oracle: what is read can be written and read again, and a
+/// configuration that is taken answers every lookup without a fault.
+#include "platform/platform.h"
+#include "protocol/entry_record.h"
+#include "protocol/hop.h"
+#include "protocol/move_record.h"
+#include "protocol/view.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+fuzz_config (const uint8_t *data, size_t size)
+{
+  struct mesh_config *config;
+  if (platform_read_config (data, size, &config) != STATUS_OK)
+    return;
+  for (size_t i = 0; i < config->route_count; i++)
+    {
+      struct mesh_route *route = &config->routes[i];
+      assert (mesh_route_choose (route) != NULL);
+      mesh_config_find (config, route->host, route->prefix);
+    }
+  mesh_config_find (config, "", "");
+  talloc_free (config);
+}
+
+static void
+fuzz_records (const uint8_t *data, size_t size)
+{
+  struct directory_entry entry;
+  struct directory_entry again;
+  char text[ENTRY_RECORD_MAX];
+  if (entry_record_read (data, size, &entry) == STATUS_OK)
+    {
+      size_t written = entry_record_write (&entry, text);
+      assert (written == 0
+              || (entry_record_read ((const uint8_t *)text, written, &again)
+                      == STATUS_OK
+                  && memcmp (&entry, &again, sizeof entry) == 0));
+    }
+  struct move_record record;
+  move_record_read (data, size, &record);
+  struct move_evidence evidence;
+  if (move_evidence_read ((const char *)data, size, &evidence) == STATUS_OK)
+    for (size_t i = 0; i < evidence.kind_count; i++)
+      assert (evidence.kinds[i].counts.failures
+              <= evidence.kinds[i].counts.calls);
+}
+
+static void
+fuzz_view (const uint8_t *data, size_t size)
+{
+  struct mirror mirror;
+  uint64_t as_of;
+  mirror_init (&mirror);
+  if (view_read ((const char *)data, size, &mirror, &as_of) == STATUS_OK)
+    {
+      size_t written;
+      char *text = view_write (&mirror, as_of, &written);
+      free (text);
+    }
+  mirror_finish (&mirror);
+}
+
+static void
+fuzz_headers (const uint8_t *data, size_t size)
+{
+  char text[256];
+  struct hop hop;
+  struct hop_load load;
+  size = size < sizeof text - 1 ? size : sizeof text - 1;
+  memcpy (text, data, size);
+  text[size] = '\0';
+  if (hop_parse (text, &hop) == STATUS_OK)
+    assert (strlen (hop.service) <= DIRECTORY_NAME_MAX);
+  hop_load_parse (text, &load);
+  char id[DIRECTORY_NAME_MAX + 1];
+  platform_adapter.classify ("POST", text, id);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size == 0)
+    return 0;
+  uint8_t kind = data[0];
+  data++;
+  size--;
+  struct target_report report;
+  struct move_order order;
+  switch (kind % 6)
+    {
+    case 0:
+      platform_read_report ("i-1", (const char *)data, size, &report);
+      break;
+    case 1:
+      fuzz_config (data, size);
+      break;
+    case 2:
+      platform_read_order (data, size, &order);
+      break;
+    case 3:
+      {
+        void *arena = talloc_new (NULL);
+        struct store_reply reply;
+        platform_store_codec.answer ((enum store_call) (kind / 6 % 9),
+                                     kind & 1 ? 200 : 412, NULL, data, size,
+                                     arena, &reply);
+        talloc_free (arena);
+        break;
+      }
+    case 4:
+      fuzz_records (data, size);
+      fuzz_view (data, size);
+      break;
+    default:
+      fuzz_headers (data, size);
+      break;
+    }
+  return 0;
+}
