Serve latency histograms; read settings again when the file changes

Cause: the metrics had counters and gauges only, and a settings file that changed without SIGHUP took effect at the next start. Change: histograms of answers, of waits and of time in the target; the file's modification time is looked at each second, and wrong settings are refused.

--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -64,6 +64,8 @@
   struct event_base *base;
   struct sidecar_settings settings;
   const char *settings_path;
+  int64_t settings_changed_ns; ///< modification time of the settings file
+  uint64_t settings_checked_ms;
   const struct adapter_ops *adapter;
   struct rng rng;
   uint64_t epoch;             ///< start of the process, wall ms
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -2,6 +2,7 @@
 #include "sidecar/sidecar.h"
 
 #include "base/counter.h"
+#include "base/histogram.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -42,6 +43,31 @@
                        name, name, value);
 }
 
+static void
+add_histogram (struct evbuffer *text, const struct histogram *histogram)
+{
+  uint64_t count = 0;
+  evbuffer_add_printf (text,
+                       "# HELP hawthornseam_%s %s\n"
+                       "# TYPE hawthornseam_%s histogram\n",
+                       histogram->name, histogram->help, histogram->name);
+  for (size_t i = 0; i < HISTOGRAM_BOUNDS; i++)
+    {
+      count += histogram->buckets[i];
+      evbuffer_add_printf (text,
+                           "hawthornseam_%s_bucket{le=\"%u\"} %" PRIu64 "\n",
+                           histogram->name, histogram_bound_ms (i), count);
+    }
+  count += histogram->buckets[HISTOGRAM_BOUNDS];
+  evbuffer_add_printf (
+      text,
+      "hawthornseam_%s_bucket{le=\"+Inf\"} %" PRIu64 "\n"
+      "hawthornseam_%s_sum %" PRIu64 ".%03u\n"
+      "hawthornseam_%s_count %" PRIu64 "\n",
+      histogram->name, count, histogram->name, histogram->sum_us / 1000,
+      (unsigned)(histogram->sum_us % 1000), histogram->name, count);
+}
+
 static void
 on_metrics (void *arg, struct http_request *request)
 {
@@ -55,6 +81,9 @@
                          "hawthornseam_%s %" PRIu64 "\n",
                          counter->name, counter->help, counter->name,
                          counter->name, counter->value);
+  for (const struct histogram *histogram = histogram_first ();
+       histogram != NULL; histogram = histogram->next)
+    add_histogram (text, histogram);
   add_gauge (text, "ready", sidecar_is_ready (sidecar));
   add_gauge (text, "config_version",
              sidecar->config == NULL ? 0 : sidecar->config->version);
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "protocol/call_headers.h"
 #include "transport/timer.h"
@@ -46,6 +47,9 @@
 static struct counter unrouted
     = COUNTER ("entry_unrouted", "requests without a route");
 
+static struct histogram answer_times = HISTOGRAM (
+    "entry_answer_ms", "time from a request's arrival to its whole answer");
+
 static struct log_limit served_lines = { .per_second = 5 };
 static struct log_limit ended_lines = { .per_second = 40 };
 static struct log_limit repeat_lines = { .per_second = 40 };
@@ -195,6 +199,8 @@
 end_answered (struct sidecar_entry *entry)
 {
   counter_add (&answers, 1);
+  histogram_add (&answer_times,
+                 clock_monotonic_us () - entry->request->received_us);
   if (entry->failure)
     log_end (entry, &ended_lines, LOG_LEVEL_INFO, "request_answered",
              entry->answer->status, "target-failure");
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <talloc.h>
 
 #define PROGRAM "hawthornseam-sidecar"
@@ -24,6 +25,9 @@
 
 #define TICK_MS 50
 
+/// Interval at which the settings file is looked at.
+#define SETTINGS_CHECK_MS 1000
+
 /// Lines wait this long for being written together.
 #define LOG_FLUSH_MS 100
 
@@ -128,18 +132,6 @@
   event_base_loopbreak (sidecar->base);
 }
 
-static void
-on_tick (evutil_socket_t fd, short what, void *arg)
-{
-  struct sidecar *sidecar = arg;
-  sidecar_target_tick (sidecar);
-  sidecar_run_tick (sidecar);
-  sidecar_store_tick (sidecar);
-  sidecar_moves_tick (sidecar);
-  if (sidecar->stopping)
-    stop_step (sidecar, clock_monotonic_ms ());
-}
-
 static void
 on_log_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -163,10 +155,19 @@
     sidecar_store_announce (sidecar);
 }
 
+/// @return modification time of the settings file; 0 when it is not there
+static int64_t
+settings_time_ns (const struct sidecar *sidecar)
+{
+  struct stat state;
+  if (stat (sidecar->settings_path, &state) != 0)
+    return 0;
+  return (int64_t)state.st_mtim.tv_sec * 1000000000 + state.st_mtim.tv_nsec;
+}
+
 static void
-on_reload_signal (evutil_socket_t number, short what, void *arg)
+reload (struct sidecar *sidecar)
 {
-  struct sidecar *sidecar = arg;
   struct sidecar_settings settings;
   struct findings findings;
   findings_init (&findings, sidecar->settings_path);
@@ -190,6 +191,41 @@
   findings_finish (&findings);
 }
 
+static void
+on_reload_signal (evutil_socket_t number, short what, void *arg)
+{
+  struct sidecar *sidecar = arg;
+  sidecar->settings_changed_ns = settings_time_ns (sidecar);
+  reload (sidecar);
+}
+
+/// Finds settings that changed without a signal.
+static void
+check_settings (struct sidecar *sidecar, uint64_t now_ms)
+{
+  if (now_ms - sidecar->settings_checked_ms < SETTINGS_CHECK_MS)
+    return;
+  sidecar->settings_checked_ms = now_ms;
+  int64_t changed_ns = settings_time_ns (sidecar);
+  if (changed_ns == sidecar->settings_changed_ns || changed_ns == 0)
+    return;
+  sidecar->settings_changed_ns = changed_ns;
+  reload (sidecar);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct sidecar *sidecar = arg;
+  sidecar_target_tick (sidecar);
+  sidecar_run_tick (sidecar);
+  sidecar_store_tick (sidecar);
+  sidecar_moves_tick (sidecar);
+  check_settings (sidecar, clock_monotonic_ms ());
+  if (sidecar->stopping)
+    stop_step (sidecar, clock_monotonic_ms ());
+}
+
 static enum status
 start_server (struct sidecar *sidecar, struct http_server *server,
               const struct settings_endpoint *at,
@@ -328,6 +364,7 @@
   log_use_buffer ();
   rng_init_system (&sidecar.rng);
   sidecar.epoch = clock_wall_ms ();
+  sidecar.settings_changed_ns = settings_time_ns (&sidecar);
   sidecar.adapter = &platform_adapter;
   sidecar.base = event_base_new ();
   if (sidecar.base == NULL)
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -4,6 +4,7 @@
 #include "sidecar/sidecar_run.h"
 
 #include "base/clock.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "protocol/call_headers.h"
 
@@ -37,6 +38,12 @@
 static struct counter lost = COUNTER (
     "run_lost", "requests whose connection to the own target was lost");
 
+static struct histogram waits
+    = HISTOGRAM ("run_wait_ms", "time of requests in the gate's queue");
+static struct histogram service_times
+    = HISTOGRAM ("run_target_ms",
+                 "time of requests in the own target, to the answer's end");
+
 static struct log_limit refusal_lines = { .per_second = 20 };
 static struct log_limit failure_lines = { .per_second = 40 };
 
@@ -195,6 +202,7 @@
   run->exchange = NULL;
   if (end == HTTP_END_COMPLETE)
     {
+      histogram_add (&service_times, clock_monotonic_us () - run->sent_us);
       http_reply_finish (request);
       finish (run, true);
       return;
@@ -270,6 +278,7 @@
     .no_body = run->request->head->method == HTTP_HEAD,
   };
   run->sent_us = clock_monotonic_us ();
+  histogram_add (&waits, run->sent_us - run->arrived_ms * 1000);
   run->exchange
       = http_pool_send (&sidecar->target_pool, &send, &exchange_ops, run);
   evbuffer_free (bytes);
--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -122,6 +122,14 @@
 wait_for "ready again" 5 ready 0 || fail "restart"
 report 0 ready >/dev/null
 
+# Settings are read again after a change without a signal, and wrong ones are
+# refused as a whole.
+sed -i 's/heartbeat: .*/heartbeat: 1600ms/' "$RUN/s0.yaml"
+wait_for "reload" 4 grep -q event=reloaded "$RUN/s0.out" || fail "no reload"
+sed -i 's/heartbeat: .*/heartbeat: soon/' "$RUN/s0.yaml"
+wait_for "refusal" 4 grep -q event=reload_refused "$RUN/s0.out" || fail "no refusal"
+sed -i 's/heartbeat: .*/heartbeat: 1500ms/' "$RUN/s0.yaml"
+
 # While the store is away, a restarted node takes the view of another one.
 curl -s -X POST "$STORE/control/away?1"
 sleep 0.5
@@ -168,4 +176,5 @@
 [ "$twice" = 0 ] || fail "$twice of $runs requests ran twice"
 grep -q "event=move_write.*phase=1" "$RUN"/s?.out || fail "no line for the move"
 grep -q "event=view_from_peer" "$RUN/s2.out" || fail "no line for the view"
+curl -s "http://127.0.0.1:$(port 0 5)/metrics" | grep -q 'entry_answer_ms_bucket{le="100"} [1-9]' || fail "no histogram"
 echo "passed: $runs requests"
