State the true number of offers in the lines of refused requests

Cause: a request given up for load was logged with offers=5 whatever the number of nodes asked, because the count was used to end it. Change: a flag ends the offers; decisions are the same.

--- a/src/coordination/resend.c
+++ b/src/coordination/resend.c
@@ -11,7 +11,8 @@
 static bool
 may_offer (const struct resend *resend, uint64_t left_ms, uint64_t needed_ms)
 {
-  return resend->offers < RESEND_OFFERS_MAX && left_ms > needed_ms
+  return !resend->closed && resend->offers < RESEND_OFFERS_MAX
+         && left_ms > needed_ms
          && (resend->runs == 0
              || (resend->repeat != MESH_ONCE
                  && resend->runs < resend->attempts_max));
--- a/src/coordination/resend.h
+++ b/src/coordination/resend.h
@@ -37,6 +37,7 @@
   uint32_t attempts_max; ///< targets that may run it
   uint32_t offers;       ///< nodes that it was offered to
   uint32_t runs;         ///< targets that began or may have begun to run it
+  bool closed;           ///< no further node is asked
 };
 
 /// @param left_ms    time until the caller's deadline
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -367,7 +367,7 @@
   bool loaded = strcmp (reason, CALL_REASON_DEADLINE) == 0
                 || strcmp (reason, CALL_REASON_QUEUE_FULL) == 0;
   if (loaded && ++entry->load_refusals >= LOAD_REFUSALS_MAX)
-    entry->resend.offers = RESEND_OFFERS_MAX;
+    entry->resend.closed = true;
   report_result (entry, by_target ? PLACE_SHED
                         : loaded  ? PLACE_REFUSED
                                   : PLACE_NO_TARGET);
