--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -184,7 +184,6 @@
       in_force->drain_ms = settings.drain_ms;
       in_force->grace_ms = settings.grace_ms;
       in_force->retry_slack = settings.retry_slack;
-      in_force->expose_permille = settings.expose_permille;
       log_event (LOG_LEVEL_INFO, "reloaded", "path=%s",
                  sidecar->settings_path);
     }
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -54,8 +54,6 @@
   { "grace", FIELD_TIME, AT (grace_ms), 6000 },
   { "retry_ratio", FIELD_RATIO, AT (retry_ratio_permille), 200 },
   { "retry_slack", FIELD_COUNT, AT (retry_slack), 50 },
-  { "expose_share", FIELD_RATIO, AT (expose_permille), 100 },
-  { "file_descriptors", FIELD_COUNT, AT (file_descriptors_max), 1024 },
 };
 
 #define FIELDS (sizeof fields / sizeof fields[0])
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -26,9 +26,6 @@
   uint32_t grace_ms; ///< from SIGTERM to SIGKILL
   uint32_t retry_ratio_permille; ///< retries of all nodes per request
   uint32_t retry_slack;          ///< retries of all nodes beyond the ratio
-  uint32_t expose_permille; ///< most of a service's requests for a version
-                            ///< that has not proved good
-  uint32_t file_descriptors_max;
 };
 
 /// @param findings  started by the caller
