Refuse a request that was in flight in two crashes of targets

Cause: the sidecar had lost a promise of the product: a request that crashes each target that runs it could be sent again without end. Ruled out: counting at the node that took the request, which sees one crash of each of its attempts; broadcasts, since the store's watch reaches all nodes. Change: the node beside a target that died publishes the lost requests under its lease; every node counts distinct crashes with the product's suspect table and refuses from the second on; a success forgets a suspect.

--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,11 @@
   src/ctl/*.c src/lib/*.c src/sidecar/*.c platform/*.c))
 # The sidecar links only what it uses: its memory is billed.
 SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
-  platform/*.c) $(addprefix src/state/,directory.c mesh_config.c mirror.c) \
+  platform/*.c) $(addprefix src/state/,directory.c mesh_config.c mirror.c \
+  suspect.c) \
   $(addprefix src/coordination/,gate.c place.c quota.c resend.c \
   retry.c rollout.c seqtest.c) \
-  $(addprefix src/protocol/,call_headers.c document.c entry_record.c hop.c \
+  $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
   move_record.c store_api.c view.c) \
   $(addprefix src/transport/,http_pool.c http_server.c http_stream.c \
   store_client.c timer.c))
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -44,6 +44,7 @@
 struct sidecar_run;
 struct sidecar_store;
 struct sidecar_moves;
+struct sidecar_crashes;
 
 /// What the node knows of the target beside it.
 struct sidecar_target
@@ -85,6 +86,7 @@
   struct store_client store_client;
   struct sidecar_store *store;
   struct sidecar_moves *moves;
+  struct sidecar_crashes *crashes;
   struct sidecar_entry *entries; ///< requests of callers in progress
   struct sidecar_run *runs;      ///< requests at the own target
   struct event tick;
@@ -131,6 +133,10 @@
 void sidecar_store_answer (struct sidecar *sidecar,
                            struct http_request *request);
 
+/// Publishes a crash of the own target for as long as the node's lease lasts.
+void sidecar_store_publish_crash (struct sidecar *sidecar, const char *text,
+                                  size_t size);
+
 /// @return true while the store cannot be reached
 bool sidecar_store_is_away (const struct sidecar *sidecar);
 void sidecar_store_tick (struct sidecar *sidecar);
@@ -166,6 +172,34 @@
                            const struct store_key *key);
 void sidecar_moves_tick (struct sidecar *sidecar);
 
+/* sidecar_crash.c */
+enum status sidecar_crash_start (struct sidecar *sidecar);
+void sidecar_crash_stop (struct sidecar *sidecar);
+
+/// @param caller  service of the VM where the request began
+/// @param target  path and query
+/// @return what a request has in common with its repetitions, never 0
+uint64_t sidecar_crash_fingerprint (const char *caller, const char *method,
+                                    const char *target, struct evbuffer *body);
+
+/// Notes that the answer of a request at the own target was lost.
+void sidecar_crash_lost (struct sidecar *sidecar, uint64_t fingerprint);
+
+/// Publishes the requests that were lost last: the target has died.
+void sidecar_crash_confirmed (struct sidecar *sidecar);
+
+/// Takes a record of a crash from the store.
+void sidecar_crash_on_key (struct sidecar *sidecar,
+                           const struct store_key *key);
+
+/// @return true when a caller's request was in flight in two crashes
+bool sidecar_crash_is_refused (struct sidecar *sidecar,
+                               struct http_request *request);
+
+/// Forgets a caller's request that was answered well.
+void sidecar_crash_succeeded (struct sidecar *sidecar,
+                              struct http_request *request);
+
 /* sidecar_admin.c */
 extern const struct http_server_ops sidecar_ready_ops;
 extern const struct http_server_ops sidecar_metrics_ops;
--- /dev/null
+++ b/src/sidecar/sidecar_crash.c
@@ -0,0 +1,175 @@
+/// Owns what is known of requests that crash targets. The node beside a target
+/// that died publishes the requests that were lost with it; each node counts
+/// distinct crashes of a request and refuses one that was in two.
+///
+/// A lost answer alone is no crash: it becomes one when the target then
+/// refuses connections, or reports itself as a new process.
+#include "sidecar/sidecar.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "protocol/crash_record.h"
+#include "state/suspect.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/// Requests that are lost in one crash end within this time.
+#define CRASH_SPREAD_MS 300
+
+/// A crash is noticed within this time of its lost requests.
+#define CRASH_NOTICE_MS 12000
+
+/// Suspects that are remembered.
+#define SUSPECTS_MAX 4096
+
+static struct counter crashes = COUNTER (
+    "crash_targets", "crashes of the own target with lost requests");
+static struct counter refusals = COUNTER (
+    "crash_requests_refused", "requests refused because they crash targets");
+static struct counter malformed
+    = COUNTER ("crash_records_malformed", "records that cannot be read");
+
+struct lost_request
+{
+  uint64_t fingerprint; ///< 0: unused
+  uint64_t lost_ms;
+};
+
+struct sidecar_crashes
+{
+  struct suspect_table suspects;
+  struct lost_request lost[CRASH_REQUESTS_MAX];
+  size_t next;
+};
+
+uint64_t
+sidecar_crash_fingerprint (const char *caller, const char *method,
+                           const char *target, struct evbuffer *body)
+{
+  size_t size = evbuffer_get_length (body);
+  const unsigned char empty = 0;
+  const unsigned char *bytes = size == 0 ? &empty : evbuffer_pullup (body, -1);
+  uint64_t request = suspect_fingerprint (NULL, method, target, bytes, size);
+  return hash_place_pair (request, hash_place_string (caller));
+}
+
+void
+sidecar_crash_lost (struct sidecar *sidecar, uint64_t fingerprint)
+{
+  struct sidecar_crashes *state = sidecar->crashes;
+  state->lost[state->next]
+      = (struct lost_request){ .fingerprint = fingerprint,
+                               .lost_ms = clock_monotonic_ms () };
+  state->next = (state->next + 1) % CRASH_REQUESTS_MAX;
+}
+
+static void
+raise_all (struct sidecar *sidecar, const struct crash_record *record)
+{
+  uint64_t now = clock_monotonic_ms ();
+  for (size_t i = 0; i < record->count; i++)
+    suspect_raise (&sidecar->crashes->suspects, record->fingerprints[i],
+                   record->crash, now);
+}
+
+/// Takes the requests that were lost together last.
+static void
+take_lost (struct sidecar_crashes *state, struct crash_record *record)
+{
+  uint64_t last_ms = 0;
+  uint64_t now = clock_monotonic_ms ();
+  for (size_t i = 0; i < CRASH_REQUESTS_MAX; i++)
+    if (state->lost[i].fingerprint != 0 && state->lost[i].lost_ms > last_ms)
+      last_ms = state->lost[i].lost_ms;
+  for (size_t i = 0; i < CRASH_REQUESTS_MAX; i++)
+    {
+      const struct lost_request *lost = &state->lost[i];
+      if (lost->fingerprint != 0 && now - lost->lost_ms < CRASH_NOTICE_MS
+          && last_ms - lost->lost_ms < CRASH_SPREAD_MS)
+        record->fingerprints[record->count++] = lost->fingerprint;
+    }
+  memset (state->lost, 0, sizeof state->lost);
+}
+
+void
+sidecar_crash_confirmed (struct sidecar *sidecar)
+{
+  struct crash_record record = { 0 };
+  char text[CRASH_RECORD_MAX];
+  take_lost (sidecar->crashes, &record);
+  if (record.count == 0)
+    return;
+  counter_add (&crashes, 1);
+  record.crash = rng_u64 (&sidecar->rng) | 1;
+  log_event (LOG_LEVEL_WARNING, "target_crashed",
+             "instance=%s requests=%zu crash=%016" PRIx64,
+             sidecar->target.report.instance, record.count, record.crash);
+  raise_all (sidecar, &record);
+  size_t size = crash_record_write (&record, text);
+  sidecar_store_publish_crash (sidecar, text, size);
+}
+
+void
+sidecar_crash_on_key (struct sidecar *sidecar, const struct store_key *key)
+{
+  struct crash_record record;
+  if (key->removed)
+    return;
+  if (crash_record_read (key->data, key->size, &record) == STATUS_OK)
+    {
+      raise_all (sidecar, &record);
+      return;
+    }
+  counter_add (&malformed, 1);
+  log_event (LOG_LEVEL_WARNING, "crash_record_malformed",
+             "key=%s revision=%" PRIu64 " reason=\"%s\"", key->key,
+             key->revision, status_message ());
+}
+
+bool
+sidecar_crash_is_refused (struct sidecar *sidecar,
+                          struct http_request *request)
+{
+  struct suspect_table *suspects = &sidecar->crashes->suspects;
+  if (suspects->count == 0)
+    return false;
+  uint64_t fingerprint = sidecar_crash_fingerprint (
+      sidecar->settings.service, http_method_str (request->head->method),
+      request->head->target, request->body);
+  if (suspect_check (suspects, fingerprint, clock_monotonic_ms ())
+      != SUSPECT_REFUSED)
+    return false;
+  counter_add (&refusals, 1);
+  return true;
+}
+
+void
+sidecar_crash_succeeded (struct sidecar *sidecar, struct http_request *request)
+{
+  struct suspect_table *suspects = &sidecar->crashes->suspects;
+  if (suspects->count > 0)
+    suspect_clear (suspects, sidecar_crash_fingerprint (
+                                 sidecar->settings.service,
+                                 http_method_str (request->head->method),
+                                 request->head->target, request->body));
+}
+
+enum status
+sidecar_crash_start (struct sidecar *sidecar)
+{
+  sidecar->crashes = calloc (1, sizeof *sidecar->crashes);
+  return sidecar->crashes == NULL
+             ? status_set (STATUS_NO_MEMORY, "no memory for crashes")
+             : suspect_init (&sidecar->crashes->suspects, SUSPECTS_MAX);
+}
+
+void
+sidecar_crash_stop (struct sidecar *sidecar)
+{
+  suspect_finish (&sidecar->crashes->suspects);
+  free (sidecar->crashes);
+  sidecar->crashes = NULL;
+}
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -207,6 +207,8 @@
   else
     log_end (entry, &served_lines, LOG_LEVEL_INFO, "request_answered",
              entry->answer->status, "-");
+  if (!entry->failure)
+    sidecar_crash_succeeded (entry->sidecar, entry->request);
   if (!entry->passing)
     start_passing (entry);
   http_reply_finish (entry->request);
@@ -618,6 +620,16 @@
                    CALL_REASON_NO_ROUTE, 0);
       return;
     }
+  if (sidecar_crash_is_refused (sidecar, request))
+    {
+      counter_add (&refusals, 1);
+      log_limited (&ended_lines, LOG_LEVEL_WARNING, "request_not_run",
+                   "id=%s route=%s status=503 reason=%s",
+                   id == NULL ? "-" : id, route->name, CALL_REASON_SUSPECT);
+      answer_self (request, 503, call_outcome_name (CALL_NOT_RUN),
+                   CALL_REASON_SUSPECT, RETRY_AFTER_MS_DEFAULT);
+      return;
+    }
   uint32_t deadline_ms;
   struct sidecar_entry *entry = calloc (1, sizeof *entry);
   if (entry == NULL
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -258,6 +258,8 @@
   enum status status = sidecar_store_start (sidecar);
   if (status == STATUS_OK)
     status = sidecar_moves_start (sidecar);
+  if (status == STATUS_OK)
+    status = sidecar_crash_start (sidecar);
   const struct
   {
     struct http_server *server;
@@ -286,6 +288,7 @@
   http_server_stop (&sidecar->metrics);
   sidecar_moves_stop (sidecar);
   sidecar_store_stop (sidecar);
+  sidecar_crash_stop (sidecar);
   http_pool_finish (&sidecar->peer_pool);
   http_pool_finish (&sidecar->target_pool);
   directory_finish (&sidecar->directory);
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -225,6 +225,8 @@
   else
     {
       counter_add (&lost, 1);
+      if (end == HTTP_END_LOST)
+        sidecar_crash_lost (sidecar, run->fingerprint);
       observe (run, true);
       answer_self (sidecar, request, 502, CALL_UNKNOWN,
                    CALL_REASON_CONNECTION_LOST, 0);
@@ -363,6 +365,10 @@
                                .arrived_ms = now_us / 1000,
                                .deadline_ms = now_us / 1000 + left_ms,
                                .next = sidecar->runs };
+  const char *caller = http_head_find (request->head, names->caller_service);
+  run->fingerprint = sidecar_crash_fingerprint (
+      caller == NULL ? "" : caller, http_method_str (request->head->method),
+      request->head->target, request->body);
   if (sidecar->runs != NULL)
     sidecar->runs->previous = run;
   sidecar->runs = run;
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -210,8 +210,11 @@
            != STATUS_OK)
     log_event (LOG_LEVEL_ERROR, "view_incomplete", "key=%s reason=\"%s\"",
                key->key, status_message ());
+  char crash_prefix[KEY_MAX];
   int size = snprintf (prefix, sizeof prefix, "%snode/",
                        sidecar->adapter->own_prefix);
+  snprintf (crash_prefix, sizeof crash_prefix, "%scrash/",
+            sidecar->adapter->own_prefix);
   if (strcmp (key->key, sidecar->adapter->config_key) == 0)
     {
       if (!key->removed)
@@ -219,6 +222,8 @@
     }
   else if (strncmp (key->key, prefix, (size_t)size) == 0)
     take_entry (store, key, key->key + size);
+  else if (strncmp (key->key, crash_prefix, strlen (crash_prefix)) == 0)
+    sidecar_crash_on_key (sidecar, key);
   else
     sidecar_moves_on_key (sidecar, key);
 }
@@ -464,6 +469,27 @@
                         store->lease, store->written, size, on_written, store);
 }
 
+static void
+on_crash_published (void *arg, const struct store_reply *reply)
+{
+  if (reply->status != STATUS_OK)
+    log_event (LOG_LEVEL_WARNING, "crash_not_published", "status=%s",
+               status_name (reply->status));
+}
+
+void
+sidecar_store_publish_crash (struct sidecar *sidecar, const char *text,
+                             size_t size)
+{
+  char key[KEY_MAX];
+  snprintf (key, sizeof key, "%scrash/%s", sidecar->adapter->own_prefix,
+            sidecar->settings.node);
+  /* A delayed copy of an older record only counts the same crash again. */
+  store_client_ops.put (&sidecar->store_client, key, STORE_ANY_REVISION,
+                        sidecar->store->lease, text, size, on_crash_published,
+                        sidecar);
+}
+
 void
 sidecar_store_announce (struct sidecar *sidecar)
 {
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -97,6 +97,8 @@
         || strcmp (report->instance, target->report.instance) != 0;
   if (new_incarnation)
     {
+      if (target->known && !target->draining)
+        sidecar_crash_confirmed (sidecar);
       target->draining = false;
       target->started_ms = now;
       target->cold_ms = report->cold_ms;
@@ -219,8 +221,11 @@
 sidecar_target_refused (struct sidecar *sidecar)
 {
   struct sidecar_target *target = &sidecar->target;
-  if (++target->refusals >= REFUSALS_MAX && target->known && !target->gone)
-    set_gone (sidecar);
+  if (++target->refusals < REFUSALS_MAX || !target->known || target->gone)
+    return;
+  if (!target->draining)
+    sidecar_crash_confirmed (sidecar);
+  set_gone (sidecar);
 }
 
 void
--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -151,6 +151,19 @@
 sleep 1
 expect "later" "$(ask 0 /read/13)" "200 i-c*"
 
+# A request that crashes the targets that run it is refused after two crashes,
+# and others are not.
+report_all 0 2
+for n in $(seq 1 14); do
+  ask 0 /seal/crash >/dev/null
+  sleep 0.25
+  report_all 0 2
+  for other in 1 2 3 4; do ask 0 /read/x$n$other >/dev/null; done
+done
+expect "request that crashes targets" "$(ask 0 /seal/crash)" "503 not-run: crash-suspect*"
+report_all 0 2
+wait_for "other requests" 4 answers 0 /read/14 "200 i-c" || fail "others"
+
 # A move to a new version ends within its time.
 VERSIONS[1]=v2
 INSTANCES[1]=i-b
@@ -172,7 +185,8 @@
 moved || fail "the move did not end"
 expect "after the move" "$(ask 0 /read/20)" "200 i-b*"
 
-read -r runs twice < <(curl -s "$STORE/control/runs")
+read -r runs twice crashed < <(curl -s "$STORE/control/runs")
+[ "$crashed" -le 3 ] || fail "one request crashed $crashed targets"
 [ "$twice" = 0 ] || fail "$twice of $runs requests ran twice"
 grep -q "event=move_write.*phase=1" "$RUN"/s?.out || fail "no line for the move"
 grep -q "event=view_from_peer" "$RUN/s2.out" || fail "no line for the view"
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -4,7 +4,9 @@
 /// Besides the platform's calls, the store's port has:
 ///   POST /control/away?N    1: every store call is answered 503; 0: normal
 ///   POST /control/put?KEY   sets a key to the body, as an operator would
-///   GET /control/runs       "RUNS TWICE": requests run, and run twice
+///   GET /control/runs       "RUNS TWICE CRASHES": requests run, run twice,
+///   and
+///                           crashes by requests with "crash" in their path
 #include "base/clock.h"
 #include "transport/http_server.h"
 #include "transport/timer.h"
@@ -26,6 +28,7 @@
 #define TARGETS_MAX 8
 #define LOOPBACK 0x7f000001u
 #define SLOW_MS 400
+#define CRASHED_MS 700
 
 struct item
 {
@@ -53,7 +56,10 @@
 struct target
 {
   const char *instance;
+  uint16_t port;
   struct http_server server;
+  struct event timer; ///< of a crash: the end, then the new start
+  bool crashed;
 };
 
 static struct event_base *base;
@@ -66,6 +72,7 @@
 static char *run_ids[RUNS_MAX];
 static size_t run_count;
 static size_t twice_count;
+static size_t crash_count;
 static uint64_t revision = 10;
 static bool away;
 
@@ -324,8 +331,8 @@
     }
   else
     {
-      int size
-          = snprintf (text, sizeof text, "%zu %zu\n", run_count, twice_count);
+      int size = snprintf (text, sizeof text, "%zu %zu %zu\n", run_count,
+                           twice_count, crash_count);
       http_reply (request, 200, NULL, text, (size_t)size);
     }
 }
@@ -425,6 +432,8 @@
     run_ids[run_count++] = strdup (id);
 }
 
+static void on_crash_timer (evutil_socket_t fd, short what, void *arg);
+
 static void
 on_target_request (void *arg, struct http_request *request)
 {
@@ -438,6 +447,13 @@
       return;
     }
   note_run (id == NULL ? "-" : id);
+  if (strstr (request->head->target, "crash") != NULL)
+    {
+      crash_count++;
+      evtimer_assign (&target->timer, base, on_crash_timer, target);
+      timer_start (&target->timer, 0);
+      return;
+    }
   struct run *run = calloc (1, sizeof *run);
   run->target = target;
   run->request = request;
@@ -453,6 +469,8 @@
 on_target_gone (void *arg, struct http_request *request)
 {
   struct run *run = request->context;
+  if (run == NULL)
+    return;
   event_del (&run->timer);
   free (run);
 }
@@ -460,6 +478,29 @@
 static const struct http_server_ops target_ops
     = { .request = on_target_request, .gone = on_target_gone };
 
+static const struct http_server_limits limits
+    = { .head_bytes = 65536,
+        .body_bytes = 4 * 1024 * 1024,
+        .receive_ms = 60000,
+        .idle_ms = 60000 };
+
+/// Closes everything of a target, as its process would by dying, and starts it
+/// again later.
+static void
+on_crash_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct target *target = arg;
+  target->crashed = !target->crashed;
+  if (target->crashed)
+    {
+      http_server_stop (&target->server);
+      timer_start (&target->timer, CRASHED_MS);
+    }
+  else
+    http_server_start (&target->server, base, LOOPBACK, target->port, &limits,
+                       &target_ops, target);
+}
+
 static void
 on_lease_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -479,10 +520,6 @@
 main (int argc, char **argv)
 {
   static struct http_server store;
-  const struct http_server_limits limits = { .head_bytes = 65536,
-                                             .body_bytes = 4 * 1024 * 1024,
-                                             .receive_ms = 60000,
-                                             .idle_ms = 60000 };
   if (argc < 2 || argc % 2 != 0 || argc / 2 - 1 > TARGETS_MAX
       || sodium_init () < 0)
     {
@@ -501,9 +538,9 @@
     {
       struct target *target = &targets[i / 2 - 1];
       target->instance = argv[i + 1];
-      if (http_server_start (&target->server, base, LOOPBACK,
-                             (uint16_t)atoi (argv[i]), &limits, &target_ops,
-                             target)
+      target->port = (uint16_t)atoi (argv[i]);
+      if (http_server_start (&target->server, base, LOOPBACK, target->port,
+                             &limits, &target_ops, target)
           != STATUS_OK)
         return 1;
     }
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -1,3 +1,4 @@
+#include "protocol/crash_record.h"
 #include "protocol/entry_record.h"
 #include "protocol/hop.h"
 #include "protocol/move_record.h"
@@ -157,6 +158,30 @@
   CU_ASSERT_EQUAL (move_evidence_read (text, size - 3, &read), STATUS_INVALID);
 }
 
+static void
+test_crash (void)
+{
+  static const char *const malformed[]
+      = { "{}", "{\"crash\":\"0000000000000000\",\"requests\":[]}",
+          "{\"crash\":\"00000000000000ff\",\"requests\":[7]}",
+          "{\"crash\":\"ff\",\"requests\":[]}" };
+  struct crash_record record
+      = { .crash = UINT64_MAX, .count = CRASH_REQUESTS_MAX };
+  struct crash_record read;
+  char text[CRASH_RECORD_MAX];
+  for (size_t i = 0; i < CRASH_REQUESTS_MAX; i++)
+    record.fingerprints[i] = UINT64_MAX - i;
+  size_t size = crash_record_write (&record, text);
+  CU_ASSERT_FATAL (size > 0);
+  CU_ASSERT_EQUAL (crash_record_read ((const uint8_t *)text, size, &read),
+                   STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&record, &read, sizeof record), 0);
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (crash_record_read ((const uint8_t *)malformed[i],
+                                        strlen (malformed[i]), &read),
+                     STATUS_INVALID);
+}
+
 static void
 test_view (void)
 {
@@ -237,6 +262,7 @@
     { "an entry in the store is misread", test_entry },
     { "the record of a move is misread", test_move_record },
     { "evidence of a full table does not fit", test_move_evidence },
+    { "the record of a crash is misread", test_crash },
     { "a view loses or revives keys", test_view },
     { "wrong settings are taken", test_settings },
   };
