--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -18,17 +18,9 @@
 /// A connection to another node that was idle for longer is not used.
 #define PEER_IDLE_MS_MAX 3000
 
-/// After the head of an answer was passed on, its rest may take this much
-/// longer than the route's timeout. The platform allows half a second.
-#define PASS_OVERTIME_MS 350
-
 /// What a caller is told when no node can be asked.
 #define RETRY_AFTER_MS_DEFAULT 300
 
-/// Nodes that may refuse a request for load before it is given up: the ones
-/// with the least load were asked first.
-#define LOAD_REFUSALS_MAX 2
-
 /// Least time in which another offer can succeed.
 #define NEEDED_MS 20
 
@@ -57,18 +49,18 @@
 
 static void offer (struct sidecar_entry *entry);
 
-static struct directory_record *
-current_record (struct sidecar_entry *entry)
+struct directory_record *
+sidecar_entry_member (struct sidecar_entry *entry)
 {
   return directory_get (&entry->sidecar->directory, entry->member,
                         entry->member_serial);
 }
 
 /// Counts the result of the current offer, once.
-static void
-report_result (struct sidecar_entry *entry, enum place_result result)
+void
+sidecar_entry_report (struct sidecar_entry *entry, enum place_result result)
 {
-  struct directory_record *record = current_record (entry);
+  struct directory_record *record = sidecar_entry_member (entry);
   if (entry->reported || record == NULL)
     return;
   entry->reported = true;
@@ -96,7 +88,7 @@
 static const char *
 member_name (struct sidecar_entry *entry)
 {
-  struct directory_record *record = current_record (entry);
+  struct directory_record *record = sidecar_entry_member (entry);
   return record == NULL ? "-" : record->entry.node;
 }
 
@@ -153,8 +145,9 @@
   release (entry);
 }
 
-static void
-end_failed (struct sidecar_entry *entry, unsigned status, const char *reason)
+void
+sidecar_entry_end_failed (struct sidecar_entry *entry, unsigned status,
+                          const char *reason)
 {
   counter_add (&failures, 1);
   log_end (entry, &ended_lines, LOG_LEVEL_WARNING, "request_failed", status,
@@ -181,8 +174,8 @@
 }
 
 /// Passes on what was held, and from now on each piece as it comes.
-static void
-start_passing (struct sidecar_entry *entry)
+void
+sidecar_entry_start_passing (struct sidecar_entry *entry)
 {
   entry->passing = true;
   write_answer_head (entry, entry->answer);
@@ -195,8 +188,8 @@
     }
 }
 
-static void
-end_answered (struct sidecar_entry *entry)
+void
+sidecar_entry_end_answered (struct sidecar_entry *entry)
 {
   counter_add (&answers, 1);
   histogram_add (&answer_times,
@@ -210,7 +203,7 @@
   if (!entry->failure)
     sidecar_crash_succeeded (entry->sidecar, entry->request);
   if (!entry->passing)
-    start_passing (entry);
+    sidecar_entry_start_passing (entry);
   http_reply_finish (entry->request);
   release (entry);
 }
@@ -221,7 +214,7 @@
 take_budget (void *arg)
 {
   struct sidecar_entry *entry = arg;
-  struct directory_record *record = current_record (entry);
+  struct directory_record *record = sidecar_entry_member (entry);
   if (entry->failure && record != NULL && record->load.waiting > 0)
     return false;
   return quota_take (&entry->sidecar->quotas, entry->service,
@@ -229,9 +222,9 @@
 }
 
 /// Goes on after an offer that brought no good answer.
-static void
-go_on (struct sidecar_entry *entry, enum resend_event event,
-       const char *reason)
+void
+sidecar_entry_go_on (struct sidecar_entry *entry, enum resend_event event,
+                     const char *reason)
 {
   uint64_t now = clock_monotonic_ms ();
   uint64_t left_ms = entry->answer_by_ms > now ? entry->answer_by_ms - now : 0;
@@ -249,175 +242,20 @@
       offer (entry);
       break;
     case RESEND_PASS:
-      end_answered (entry);
+      sidecar_entry_end_answered (entry);
       break;
     case RESEND_SAY_NOT_RUN:
       end_not_run (entry);
       break;
     case RESEND_SAY_UNKNOWN:
-      end_failed (entry, 502, reason);
+      sidecar_entry_end_failed (entry, 502, reason);
       break;
     case RESEND_SAY_LATE:
-      end_failed (entry, 504, reason);
+      sidecar_entry_end_failed (entry, 504, reason);
       break;
     }
 }
 
-/// @return a static copy of a reason that a node sent
-static const char *
-known_reason (const char *text)
-{
-  static const char *const reasons[]
-      = { CALL_REASON_NO_TARGET,     CALL_REASON_DRAINING,
-          CALL_REASON_QUEUE_FULL,    CALL_REASON_DEADLINE,
-          CALL_REASON_NOT_CONNECTED, CALL_REASON_SHED,
-          CALL_REASON_BUSY,          CALL_REASON_CONNECTION_LOST };
-  for (size_t i = 0; text != NULL && i < sizeof reasons / sizeof reasons[0];
-       i++)
-    if (strcmp (text, reasons[i]) == 0)
-      return reasons[i];
-  return "unstated";
-}
-
-static void
-read_load (struct sidecar_entry *entry, const struct http_head *head)
-{
-  struct hop_load load;
-  struct directory_record *record = current_record (entry);
-  const char *text = http_head_find (head, CALL_HEADER_LOAD);
-  if (record != NULL && text != NULL
-      && hop_load_parse (text, &load) == STATUS_OK)
-    place_report (record, load.running, load.waiting, load.service_us,
-                  clock_monotonic_ms ());
-}
-
-/// An answer counts as the target's only with its proof, and a success only
-/// with the body as the target made it.
-static bool
-is_genuine (const struct sidecar *sidecar, const struct http_head *head)
-{
-  if (head->status >= 300)
-    return true;
-  return http_head_find (head, sidecar->adapter->headers.proof) != NULL
-         && http_head_find (head, "Content-Encoding") == NULL;
-}
-
-static void
-on_answer_head (void *arg, struct http_head *head)
-{
-  struct sidecar_entry *entry = arg;
-  enum call_outcome outcome;
-  read_load (entry, head);
-  if (call_outcome_parse (http_head_find (head, CALL_HEADER_OUTCOME), &outcome)
-      != STATUS_OK)
-    outcome = CALL_UNKNOWN;
-  entry->answer = talloc_zero (entry->request->arena, struct http_head);
-  *entry->answer = *head;
-  for (size_t i = 0; i < head->field_count; i++)
-    {
-      entry->answer->fields[i].name
-          = talloc_strdup (entry->answer, head->fields[i].name);
-      entry->answer->fields[i].value
-          = talloc_strdup (entry->answer, head->fields[i].value);
-    }
-  entry->not_run = outcome == CALL_NOT_RUN;
-  entry->unusable
-      = outcome == CALL_UNKNOWN
-        || (outcome == CALL_RAN && !is_genuine (entry->sidecar, head));
-  entry->failure = outcome == CALL_RAN && head->status >= 500;
-  if (entry->not_run || entry->unusable || entry->failure)
-    return;
-  report_result (entry, PLACE_ANSWERED);
-  bool small = head->has_length && head->length <= ENTRY_HELD_MAX;
-  if (!small)
-    start_passing (entry);
-  if (entry->passing && entry->answer_by_ms < entry->deadline_ms)
-    timer_start_at (&entry->timer, entry->answer_by_ms + PASS_OVERTIME_MS);
-}
-
-static void
-on_answer_body (void *arg, const char *data, size_t size)
-{
-  struct sidecar_entry *entry = arg;
-  if (entry->not_run || entry->unusable)
-    return;
-  if (!entry->passing)
-    {
-      if (entry->held == NULL)
-        entry->held = evbuffer_new ();
-      evbuffer_add (entry->held, data, size);
-      return;
-    }
-  http_reply_piece (entry->request, data, size);
-  if (http_request_backlog (entry->request) > SIDECAR_BACKLOG_MAX)
-    http_exchange_pause (entry->exchange);
-}
-
-/// Handles a complete answer that says that the request has not run.
-static void
-on_not_run (struct sidecar_entry *entry)
-{
-  const char *reason
-      = known_reason (http_head_find (entry->answer, CALL_HEADER_REASON));
-  const char *after = http_head_find (entry->answer, "Retry-After");
-  uint64_t after_ms = after == NULL ? 0 : (uint64_t)(atof (after) * 1000);
-  if (after_ms > 0
-      && (entry->retry_after_ms == 0 || after_ms < entry->retry_after_ms))
-    entry->retry_after_ms = after_ms;
-  entry->refusal = reason;
-  bool by_target = strcmp (reason, CALL_REASON_SHED) == 0;
-  bool loaded = strcmp (reason, CALL_REASON_DEADLINE) == 0
-                || strcmp (reason, CALL_REASON_QUEUE_FULL) == 0;
-  if (loaded && ++entry->load_refusals >= LOAD_REFUSALS_MAX)
-    entry->resend.closed = true;
-  report_result (entry, by_target ? PLACE_SHED
-                        : loaded  ? PLACE_REFUSED
-                                  : PLACE_NO_TARGET);
-  go_on (entry, by_target ? RESEND_SHED : RESEND_REFUSED, reason);
-}
-
-static void
-on_answer_end (void *arg, enum http_end end)
-{
-  struct sidecar_entry *entry = arg;
-  entry->exchange = NULL;
-  if (end == HTTP_END_NOT_CONNECTED)
-    {
-      report_result (entry, PLACE_LOST);
-      entry->refusal = CALL_REASON_NOT_CONNECTED;
-      go_on (entry, RESEND_NOT_SENT, CALL_REASON_NOT_CONNECTED);
-    }
-  else if (end != HTTP_END_COMPLETE && entry->passing)
-    {
-      report_result (entry, PLACE_LOST);
-      end_failed (entry, 502, CALL_REASON_CONNECTION_LOST);
-    }
-  else if (end != HTTP_END_COMPLETE)
-    {
-      report_result (entry, entry->answer == NULL ? PLACE_LOST : PLACE_FAILED);
-      go_on (entry, RESEND_LOST, CALL_REASON_CONNECTION_LOST);
-    }
-  else if (entry->not_run)
-    on_not_run (entry);
-  else if (entry->unusable)
-    {
-      report_result (entry, PLACE_FAILED);
-      go_on (
-          entry, RESEND_LOST,
-          known_reason (http_head_find (entry->answer, CALL_HEADER_REASON)));
-    }
-  else if (entry->failure)
-    {
-      report_result (entry, PLACE_FAILED);
-      go_on (entry, RESEND_FAILED, "target-failure");
-    }
-  else
-    end_answered (entry);
-}
-
-static const struct http_exchange_ops exchange_ops
-    = { .head = on_answer_head, .body = on_answer_body, .end = on_answer_end };
-
 /// Writes the request as the node beside the chosen target gets it.
 static struct evbuffer *
 build_request (struct sidecar_entry *entry,
@@ -510,11 +348,11 @@
   if (member == SIZE_MAX)
     {
       if (entry->failure)
-        end_answered (entry);
+        sidecar_entry_end_answered (entry);
       else if (resend_give_up (&entry->resend) == RESEND_SAY_NOT_RUN)
         end_not_run (entry);
       else
-        end_failed (entry, 502, "no-other-target");
+        sidecar_entry_end_failed (entry, 502, "no-other-target");
       return;
     }
   struct directory_record *record = &sidecar->directory.records[member];
@@ -534,12 +372,12 @@
     .no_body = entry->request->head->method == HTTP_HEAD,
   };
   place_begin (record);
-  entry->exchange
-      = http_pool_send (&sidecar->peer_pool, &send, &exchange_ops, entry);
+  entry->exchange = http_pool_send (&sidecar->peer_pool, &send,
+                                    &sidecar_entry_exchange_ops, entry);
   evbuffer_free (bytes);
   if (entry->exchange != NULL)
     return;
-  report_result (entry, PLACE_CANCELLED);
+  sidecar_entry_report (entry, PLACE_CANCELLED);
   entry->refusal = CALL_REASON_BUSY;
   end_not_run (entry);
 }
@@ -552,8 +390,8 @@
   if (entry->exchange != NULL)
     http_exchange_cancel (entry->exchange);
   entry->exchange = NULL;
-  report_result (entry, PLACE_CANCELLED);
-  end_failed (entry, 504, CALL_REASON_TIMEOUT);
+  sidecar_entry_report (entry, PLACE_CANCELLED);
+  sidecar_entry_end_failed (entry, 504, CALL_REASON_TIMEOUT);
 }
 
 static void
@@ -667,7 +505,7 @@
            "caller-closed");
   if (entry->exchange != NULL)
     http_exchange_cancel (entry->exchange);
-  report_result (entry, PLACE_CANCELLED);
+  sidecar_entry_report (entry, PLACE_CANCELLED);
   release (entry);
 }
 
--- a/src/sidecar/sidecar_entry.h
+++ b/src/sidecar/sidecar_entry.h
@@ -46,4 +46,30 @@
   struct sidecar_entry *previous;
 };
 
+/* sidecar_entry.c */
+
+/// @return the record of the node that has the request now, NULL when gone
+struct directory_record *sidecar_entry_member (struct sidecar_entry *entry);
+
+/// Counts the result of the current offer, once.
+void sidecar_entry_report (struct sidecar_entry *entry,
+                           enum place_result result);
+
+/// Passes on what was held, and from now on each piece as it comes.
+void sidecar_entry_start_passing (struct sidecar_entry *entry);
+
+/// Ends the request with the target's answer.
+void sidecar_entry_end_answered (struct sidecar_entry *entry);
+
+/// Ends the request with a failure of its own, or cuts a started answer.
+void sidecar_entry_end_failed (struct sidecar_entry *entry, unsigned status,
+                               const char *reason);
+
+/// Goes on after an offer that brought no good answer.
+void sidecar_entry_go_on (struct sidecar_entry *entry, enum resend_event event,
+                          const char *reason);
+
+/* sidecar_entry_answer.c */
+extern const struct http_exchange_ops sidecar_entry_exchange_ops;
+
 #endif
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -3,14 +3,10 @@
 ///
 /// While the store is away, renewals of the lease are the probe: they cost
 /// least. The watch and the entry follow once a renewal was answered.
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_store.h"
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "protocol/call_headers.h"
-#include "protocol/entry_record.h"
-#include "protocol/view.h"
-#include "state/mirror.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -42,11 +38,6 @@
 /// Wait before a read or write that failed is tried again.
 #define RETRY_MS 250
 
-/// Interval of questions to other nodes for their view.
-#define ASK_MS 400
-
-#define KEY_MAX 200
-
 static struct counter lost
     = COUNTER ("store_lost", "times that the store became unreachable");
 static struct counter malformed = COUNTER (
@@ -54,34 +45,6 @@
 static struct counter relists
     = COUNTER ("store_relists", "full reads of the watched keys");
 
-struct sidecar_store
-{
-  struct sidecar *sidecar;
-  char key[KEY_MAX]; ///< of the own entry
-  uint64_t lease;    ///< 0: none
-  uint64_t renewed_ms;
-  uint64_t probed_ms;
-  uint64_t revision; ///< of the own entry as last known
-  uint64_t as_of;    ///< revision that the view describes; 0: none yet
-  uint64_t list_as_of;
-  char list_after[KEY_MAX];
-  uint64_t next_watch_ms;
-  uint64_t next_write_ms;
-  uint64_t away_since_ms; ///< 0: reachable
-  size_t nodes;           ///< entries that are known
-  bool listing;
-  bool watching;
-  bool granting;
-  bool renewing;
-  bool writing;
-  bool announced; ///< the entry in the store is the present one
-  struct mirror mirror;
-  struct http_exchange *asking; ///< question to another node, or NULL
-  struct evbuffer *asked;       ///< its answer so far
-  uint64_t asked_ms;
-  char written[ENTRY_RECORD_MAX]; ///< entry that is being written
-};
-
 static void list_next (struct sidecar_store *store);
 
 static void
@@ -198,11 +161,12 @@
              key->revision);
 }
 
-static void
-take_key (struct sidecar_store *store, const struct store_key *key)
+void
+sidecar_store_take_key (struct sidecar_store *store,
+                        const struct store_key *key)
 {
   struct sidecar *sidecar = store->sidecar;
-  char prefix[KEY_MAX];
+  char prefix[STORE_KEY_MAX];
   if (key->removed)
     mirror_remove (&store->mirror, key->key, key->revision);
   else if (mirror_put (&store->mirror, key->key, key->revision, key->data,
@@ -210,7 +174,7 @@
            != STATUS_OK)
     log_event (LOG_LEVEL_ERROR, "view_incomplete", "key=%s reason=\"%s\"",
                key->key, status_message ());
-  char crash_prefix[KEY_MAX];
+  char crash_prefix[STORE_KEY_MAX];
   int size = snprintf (prefix, sizeof prefix, "%snode/",
                        sidecar->adapter->own_prefix);
   snprintf (crash_prefix, sizeof crash_prefix, "%scrash/",
@@ -232,7 +196,7 @@
 take_keys (struct sidecar_store *store, const struct store_reply *reply)
 {
   for (size_t i = 0; i < reply->key_count; i++)
-    take_key (store, &reply->keys[i]);
+    sidecar_store_take_key (store, &reply->keys[i]);
   size_t nodes = 0;
   const struct directory *directory = &store->sidecar->directory;
   for (size_t i = 0; i < directory->count; i++)
@@ -264,7 +228,7 @@
   take_keys (store, reply);
   if (reply->more && reply->key_count > 0)
     {
-      snprintf (store->list_after, KEY_MAX, "%s",
+      snprintf (store->list_after, STORE_KEY_MAX, "%s",
                 reply->keys[reply->key_count - 1].key);
       list_next (store);
       return;
@@ -481,7 +445,7 @@
 sidecar_store_publish_crash (struct sidecar *sidecar, const char *text,
                              size_t size)
 {
-  char key[KEY_MAX];
+  char key[STORE_KEY_MAX];
   snprintf (key, sizeof key, "%scrash/%s", sidecar->adapter->own_prefix,
             sidecar->settings.node);
   /* A delayed copy of an older record only counts the same crash again. */
@@ -514,91 +478,6 @@
   directory_expire (&sidecar->directory, store->away_since_ms != 0, now);
 }
 
-void
-sidecar_store_answer (struct sidecar *sidecar, struct http_request *request)
-{
-  struct sidecar_store *store = sidecar->store;
-  size_t size = 0;
-  char *text = sidecar->config == NULL
-                   ? NULL
-                   : view_write (&store->mirror, store->as_of, &size);
-  http_reply (request, text == NULL ? 503 : 200, NULL, text, size);
-  free (text);
-}
-
-static void
-on_view_head (void *arg, struct http_head *head)
-{
-}
-
-static void
-on_view_body (void *arg, const char *data, size_t size)
-{
-  struct sidecar_store *store = arg;
-  if (evbuffer_get_length (store->asked) + size <= VIEW_BYTES_MAX)
-    evbuffer_add (store->asked, data, size);
-}
-
-/// Takes over another node's view unless the store answered meanwhile.
-static void
-on_view_end (void *arg, enum http_end end)
-{
-  struct sidecar_store *store = arg;
-  size_t size = evbuffer_get_length (store->asked);
-  store->asking = NULL;
-  if (end != HTTP_END_COMPLETE || size == 0 || store->sidecar->config != NULL)
-    return;
-  struct mirror view;
-  uint64_t as_of;
-  mirror_init (&view);
-  if (view_read ((const char *)evbuffer_pullup (store->asked, -1), size, &view,
-                 &as_of)
-      != STATUS_OK)
-    log_event (LOG_LEVEL_WARNING, "view_refused", "reason=\"%s\"",
-               status_message ());
-  else
-    {
-      log_event (LOG_LEVEL_INFO, "view_from_peer",
-                 "keys=%zu view_revision=%" PRIu64, view.count, as_of);
-      for (size_t i = 0; i < view.count; i++)
-        take_key (store,
-                  &(struct store_key){ .key = view.items[i].key,
-                                       .revision = view.items[i].revision,
-                                       .data = view.items[i].data,
-                                       .size = view.items[i].size });
-      if (store->as_of == 0 && !store->listing)
-        store->as_of = as_of;
-    }
-  mirror_finish (&view);
-}
-
-static const struct http_exchange_ops view_ops
-    = { .head = on_view_head, .body = on_view_body, .end = on_view_end };
-
-void
-sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address,
-                        uint16_t port)
-{
-  struct sidecar_store *store = sidecar->store;
-  uint64_t now = clock_monotonic_ms ();
-  if (address == 0 || store->away_since_ms == 0
-      || now - store->asked_ms < ASK_MS)
-    return;
-  if (store->asking != NULL)
-    http_exchange_cancel (store->asking);
-  store->asked_ms = now;
-  struct evbuffer *bytes = evbuffer_new ();
-  evbuffer_add_printf (bytes, "GET %s HTTP/1.1\r\nHost: view\r\n\r\n",
-                       CALL_PATH_VIEW);
-  evbuffer_drain (store->asked, evbuffer_get_length (store->asked));
-  struct http_send send = {
-    .address = address, .port = port, .request = bytes, .max_idle_ms = ASK_MS
-  };
-  store->asking
-      = http_pool_send (&sidecar->peer_pool, &send, &view_ops, store);
-  evbuffer_free (bytes);
-}
-
 enum status
 sidecar_store_start (struct sidecar *sidecar)
 {
--- /dev/null
+++ b/src/sidecar/sidecar_store.h
@@ -0,0 +1,45 @@
+/// State of the node's connection to the store, shared by sidecar_store.c,
+/// which owns it, and sidecar_view.c, which passes its view on to other nodes.
+#ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
+#define HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
+
+#include "protocol/entry_record.h"
+#include "sidecar/sidecar.h"
+#include "state/mirror.h"
+
+/// Bytes of a key with the terminating zero.
+#define STORE_KEY_MAX 200
+
+struct sidecar_store
+{
+  struct sidecar *sidecar;
+  char key[STORE_KEY_MAX]; ///< of the own entry
+  uint64_t lease;          ///< 0: none
+  uint64_t renewed_ms;
+  uint64_t probed_ms;
+  uint64_t revision; ///< of the own entry as last known
+  uint64_t as_of;    ///< revision that the view describes; 0: none yet
+  uint64_t list_as_of;
+  char list_after[STORE_KEY_MAX];
+  uint64_t next_watch_ms;
+  uint64_t next_write_ms;
+  uint64_t away_since_ms; ///< 0: reachable
+  size_t nodes;           ///< entries that are known
+  bool listing;
+  bool watching;
+  bool granting;
+  bool renewing;
+  bool writing;
+  bool announced; ///< the entry in the store is the present one
+  struct mirror mirror;
+  struct http_exchange *asking; ///< question to another node, or NULL
+  struct evbuffer *asked;       ///< its answer so far
+  uint64_t asked_ms;
+  char written[ENTRY_RECORD_MAX]; ///< entry that is being written
+};
+
+/// Takes one key as it is in the store, or its removal.
+void sidecar_store_take_key (struct sidecar_store *store,
+                             const struct store_key *key);
+
+#endif
--- /dev/null
+++ b/src/sidecar/sidecar_view.c
@@ -0,0 +1,99 @@
+/// Owns no state; passes the node's view of the store on to a node that has
+/// just started while the store is away, and asks for one.
+#include "sidecar/sidecar_store.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "protocol/call_headers.h"
+#include "protocol/view.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+/// Interval of questions to other nodes for their view.
+#define ASK_MS 400
+
+void
+sidecar_store_answer (struct sidecar *sidecar, struct http_request *request)
+{
+  struct sidecar_store *store = sidecar->store;
+  size_t size = 0;
+  char *text = sidecar->config == NULL
+                   ? NULL
+                   : view_write (&store->mirror, store->as_of, &size);
+  http_reply (request, text == NULL ? 503 : 200, NULL, text, size);
+  free (text);
+}
+
+static void
+on_view_head (void *arg, struct http_head *head)
+{
+}
+
+static void
+on_view_body (void *arg, const char *data, size_t size)
+{
+  struct sidecar_store *store = arg;
+  if (evbuffer_get_length (store->asked) + size <= VIEW_BYTES_MAX)
+    evbuffer_add (store->asked, data, size);
+}
+
+/// Takes over another node's view unless the store answered meanwhile.
+static void
+on_view_end (void *arg, enum http_end end)
+{
+  struct sidecar_store *store = arg;
+  size_t size = evbuffer_get_length (store->asked);
+  store->asking = NULL;
+  if (end != HTTP_END_COMPLETE || size == 0 || store->sidecar->config != NULL)
+    return;
+  struct mirror view;
+  uint64_t as_of;
+  mirror_init (&view);
+  if (view_read ((const char *)evbuffer_pullup (store->asked, -1), size, &view,
+                 &as_of)
+      != STATUS_OK)
+    log_event (LOG_LEVEL_WARNING, "view_refused", "reason=\"%s\"",
+               status_message ());
+  else
+    {
+      log_event (LOG_LEVEL_INFO, "view_from_peer",
+                 "keys=%zu view_revision=%" PRIu64, view.count, as_of);
+      for (size_t i = 0; i < view.count; i++)
+        sidecar_store_take_key (
+            store, &(struct store_key){ .key = view.items[i].key,
+                                        .revision = view.items[i].revision,
+                                        .data = view.items[i].data,
+                                        .size = view.items[i].size });
+      if (store->as_of == 0 && !store->listing)
+        store->as_of = as_of;
+    }
+  mirror_finish (&view);
+}
+
+static const struct http_exchange_ops view_ops
+    = { .head = on_view_head, .body = on_view_body, .end = on_view_end };
+
+void
+sidecar_store_ask_peer (struct sidecar *sidecar, uint32_t address,
+                        uint16_t port)
+{
+  struct sidecar_store *store = sidecar->store;
+  uint64_t now = clock_monotonic_ms ();
+  if (address == 0 || store->away_since_ms == 0
+      || now - store->asked_ms < ASK_MS)
+    return;
+  if (store->asking != NULL)
+    http_exchange_cancel (store->asking);
+  store->asked_ms = now;
+  struct evbuffer *bytes = evbuffer_new ();
+  evbuffer_add_printf (bytes, "GET %s HTTP/1.1\r\nHost: view\r\n\r\n",
+                       CALL_PATH_VIEW);
+  evbuffer_drain (store->asked, evbuffer_get_length (store->asked));
+  struct http_send send = {
+    .address = address, .port = port, .request = bytes, .max_idle_ms = ASK_MS
+  };
+  store->asking
+      = http_pool_send (&sidecar->peer_pool, &send, &view_ops, store);
+  evbuffer_free (bytes);
+}
--- a/test/unit/node_mesh_test.c
+++ b/test/unit/node_mesh_test.c
@@ -84,7 +84,8 @@
   else if (call->list)
     {
       for (unsigned i = 0; i < store->entry_count; i++)
-        keys[i] = (struct store_key){ store->entries[i].key, 1 };
+        keys[i] = (struct store_key){ .key = store->entries[i].key,
+                                      .revision = 1 };
       reply.keys = keys;
       reply.key_count = store->entry_count;
     }
--- a/test/unit/store_api_test.c
+++ b/test/unit/store_api_test.c
@@ -12,18 +12,21 @@
     struct store_request request;
     const char *path; ///< NULL: refused
   } rows[] = {
-    { { STORE_CALL_GET, "cfg/head", 0, 0, 0 }, "/kv/cfg/head" },
-    { { STORE_CALL_WATCH, "a", 7, 0, 100 }, "/kv/a?after=7&wait_ms=100" },
-    { { STORE_CALL_PUT, "a", 0, 0, 0 }, "/kv/a?prev=0" },
-    { { STORE_CALL_PUT, "a", 3, 9, 0 }, "/kv/a?prev=3&lease=9" },
-    { { STORE_CALL_REMOVE, "a", 3, 0, 0 }, "/kv/a?prev=3" },
-    { { STORE_CALL_LIST, "", 0, 0, 0 }, "/list?prefix=" },
-    { { STORE_CALL_LEASE_GRANT, NULL, 0, 0, 15000 }, "/lease?ttl_ms=15000" },
-    { { STORE_CALL_LEASE_KEEPALIVE, NULL, 0, 4, 0 }, "/lease/4/keepalive" },
-    { { STORE_CALL_GET, "", 0, 0, 0 }, NULL },
-    { { STORE_CALL_GET, "a b", 0, 0, 0 }, NULL },
-    { { STORE_CALL_GET, "a?prev=1", 0, 0, 0 }, NULL },
-    { { STORE_CALL_PUT, "a\r\nX: y", 0, 0, 0 }, NULL },
+    { { STORE_CALL_GET, "cfg/head", NULL, 0, 0, 0 }, "/kv/cfg/head" },
+    { { STORE_CALL_WATCH, "a", NULL, 7, 0, 100 },
+      "/kv/a?after=7&wait_ms=100" },
+    { { STORE_CALL_PUT, "a", NULL, 0, 0, 0 }, "/kv/a?prev=0" },
+    { { STORE_CALL_PUT, "a", NULL, 3, 9, 0 }, "/kv/a?prev=3&lease=9" },
+    { { STORE_CALL_REMOVE, "a", NULL, 3, 0, 0 }, "/kv/a?prev=3" },
+    { { STORE_CALL_LIST, "", NULL, 0, 0, 0 }, "/list?prefix=" },
+    { { STORE_CALL_LEASE_GRANT, NULL, NULL, 0, 0, 15000 },
+      "/lease?ttl_ms=15000" },
+    { { STORE_CALL_LEASE_KEEPALIVE, NULL, NULL, 0, 4, 0 },
+      "/lease/4/keepalive" },
+    { { STORE_CALL_GET, "", NULL, 0, 0, 0 }, NULL },
+    { { STORE_CALL_GET, "a b", NULL, 0, 0, 0 }, NULL },
+    { { STORE_CALL_GET, "a?prev=1", NULL, 0, 0, 0 }, NULL },
+    { { STORE_CALL_PUT, "a\r\nX: y", NULL, 0, 0, 0 }, NULL },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
