Read the whole range again after a watch was cut; bound the store's connects

Two of 17 nodes had registered the next watch just before, heard nothing of version 6 and were told 410 by the next change, 4.6 s later. Change: a cut watch marks the view for a full read; a connection to the store that is not established after 600 ms is replaced.

--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -53,6 +53,7 @@
   if (store->away_since_ms != 0)
     return;
   store->away_since_ms = clock_monotonic_ms ();
+  store->relist = true;
   counter_add (&lost, 1);
   log_event (LOG_LEVEL_WARNING, "store_lost",
              "call=%s status=%s view_revision=%" PRIu64, call,
@@ -235,6 +236,7 @@
     }
   directory_end_list (&store->sidecar->directory, store->list_as_of,
                       clock_monotonic_ms ());
+  store->relist = false;
   /* Pages are not a snapshot: changes since the first one follow. */
   store->as_of = store->list_as_of;
 }
@@ -299,7 +301,7 @@
   if (store->watching || store->listing || now_ms < store->next_watch_ms
       || store->away_since_ms != 0)
     return;
-  if (store->as_of == 0)
+  if (store->as_of == 0 || store->relist)
     {
       counter_add (&relists, 1);
       store->list_after[0] = '\0';
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -25,6 +25,7 @@
   uint64_t next_write_ms;
   uint64_t away_since_ms; ///< 0: reachable
   size_t nodes;           ///< entries that are known
+  bool relist; ///< a watch was cut: changes may be missing from its history
   bool listing;
   bool watching;
   bool granting;
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -23,6 +23,7 @@
   struct store_connection *connection; ///< NULL while queued
   enum store_call call;
   struct store_wire wire;
+  uint64_t answer_ms; ///< time for the answer once it is sent
   bool sent; ///< bytes of the request were handed to a connected socket
   enum status refused; ///< answer that is due without any call, or STATUS_OK
   struct event *timer;
@@ -50,6 +51,14 @@
          || operation->call == STORE_CALL_WATCH_PREFIX;
 }
 
+static void
+start_timer (struct store_operation *operation, uint64_t after_ms)
+{
+  struct timeval after
+      = { (time_t)(after_ms / 1000), (suseconds_t)(after_ms % 1000) * 1000 };
+  evtimer_add (operation->timer, &after);
+}
+
 static struct store_queue *
 queue_of (struct store_client *client, bool watches)
 {
@@ -273,6 +282,13 @@
       operation_finish (operation, &reply);
       return;
     }
+  if (operation->answer_ms > 0
+      && (operation->connection == NULL || operation->sent))
+    {
+      start_timer (operation, operation->answer_ms);
+      operation->answer_ms = 0;
+      return;
+    }
   if (operation->connection != NULL)
     {
       /* A connection that stopped answering is never used again. */
@@ -304,14 +320,11 @@
     operation->refused = STATUS_UNAVAILABLE;
   operation->timer = evtimer_new (client->base, on_timer, operation);
   assert (operation->timer != NULL);
-  uint64_t wait_ms = STORE_CLIENT_TIMEOUT_MS;
+  operation->answer_ms = STORE_CLIENT_TIMEOUT_MS - STORE_CLIENT_CONNECT_MS;
   if (is_watch (operation))
-    wait_ms += request->ms;
-  if (operation->refused != STATUS_OK)
-    wait_ms = 0;
-  struct timeval after
-      = { (time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000) * 1000 };
-  evtimer_add (operation->timer, &after);
+    operation->answer_ms += request->ms;
+  start_timer (operation,
+               operation->refused != STATUS_OK ? 0 : STORE_CLIENT_CONNECT_MS);
   TAILQ_INSERT_TAIL (queue_of (client, is_watch (operation)), operation, link);
   client->waiting++;
   run_queue (client, is_watch (operation));
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -18,6 +18,10 @@
 /// replaced.
 #define STORE_CLIENT_TIMEOUT_MS 2000
 
+/// A connection that is not established after this time is replaced: a lost
+/// opening packet is sent again only after a second or more.
+#define STORE_CLIENT_CONNECT_MS 600
+
 struct store_codec;
 struct store_operation;
 struct evhttp_connection;
--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -95,6 +95,16 @@
 put_config 00000010 orders
 wait_for "newest configuration" 3 answers 1 /read/4 "200 i-[bc]" || fail "config"
 
+# A configuration that came while the watches heard nothing, and whose history
+# is forgotten then, is in force within two seconds of the cut.
+curl -s -X POST "$STORE/control/deaf?1"
+put_config 00000011 menu
+sleep 0.5
+curl -s -X POST "$STORE/control/deaf?0"
+wait_for "configuration behind a gap" 2 answers 1 /read/5 "200 i-a" || fail "gap"
+put_config 00000012 orders
+wait_for "configuration after the gap" 3 answers 1 /read/6 "200 i-[bc]" || fail "after the gap"
+
 # A leaving target gets nothing a quarter of the drain time later.
 report_all
 expect "leave acknowledged" "$(report 1 draining)" 200
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -3,6 +3,8 @@
 ///   standin-platform STORE_PORT [TARGET_PORT INSTANCE]...
 /// Besides the platform's calls, the store's port has:
 ///   POST /control/away?N    1: every store call is answered 503; 0: normal
+///   POST /control/deaf?N    1: watches hear nothing; 0: what they missed is
+///                           forgotten, and they are cut
 ///   POST /control/put?KEY   sets a key to the body, as an operator would
 ///   GET /control/runs       "RUNS TWICE CRASHES": requests run, run twice,
 ///   and
@@ -75,6 +77,8 @@
 static size_t crash_count;
 static uint64_t revision = 10;
 static bool away;
+static bool deaf;          ///< watches hear nothing
+static uint64_t forgotten; ///< revision up to which watches tell nothing
 
 static void
 reply_json (struct http_request *request, unsigned status, json_t *object)
@@ -133,8 +137,8 @@
 answer_watch (struct watch *watch, bool force)
 {
   json_t *events = json_array ();
-  for (size_t i = 0; i < item_count; i++)
-    if (items[i].revision > watch->after
+  for (size_t i = 0; i < item_count && !deaf; i++)
+    if (items[i].revision > watch->after && items[i].revision > forgotten
         && strncmp (items[i].key, watch->prefix, strlen (watch->prefix)) == 0)
       json_array_append_new (events, item_json (&items[i]));
   if (json_array_size (events) == 0 && !force)
@@ -300,6 +304,19 @@
   reply_json (request, lease == NULL ? 404 : 200, json_object ());
 }
 
+static void
+cut_watches (void)
+{
+  for (size_t i = 0; i < WATCHES_MAX; i++)
+    if (watches[i].request != NULL)
+      {
+        struct http_request *cut = watches[i].request;
+        watches[i].request = NULL;
+        event_del (&watches[i].timer);
+        http_reply_abort (cut);
+      }
+}
+
 static void
 control (struct http_request *request)
 {
@@ -308,14 +325,18 @@
   if (strncmp (target, "/control/away?", 14) == 0)
     {
       away = target[14] == '1';
-      for (size_t i = 0; away && i < WATCHES_MAX; i++)
-        if (watches[i].request != NULL)
-          {
-            struct http_request *cut = watches[i].request;
-            watches[i].request = NULL;
-            event_del (&watches[i].timer);
-            http_reply_abort (cut);
-          }
+      if (away)
+        cut_watches ();
+      http_reply (request, 200, NULL, "", 0);
+    }
+  else if (strncmp (target, "/control/deaf?", 14) == 0)
+    {
+      deaf = target[14] == '1';
+      if (!deaf)
+        {
+          forgotten = revision;
+          cut_watches ();
+        }
       http_reply (request, 200, NULL, "", 0);
     }
   else if (strncmp (target, "/control/put?", 13) == 0)
