--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -6,10 +6,9 @@
 ///   POST /control/deaf?N    1: watches hear nothing; 0: what they missed is
 ///                           forgotten, and they are cut
 ///   POST /control/put?KEY   sets a key to the body, as an operator would
-///   GET /control/runs       "RUNS TWICE CRASHES": all requests that ran;
-///   those
-///                           below /seal/ that ran twice; crashes by requests
-///                           with "crash" in their path
+///   GET /control/runs       "RUNS TWICE CRASHES": requests that ran, those
+///                           below /seal/ that ran twice, and crashes by
+///                           requests with "crash" in their path
 #include "base/clock.h"
 #include "transport/http_server.h"
 #include "transport/timer.h"
