Remove state that nothing reads; share the readers of records and settings

Cause: a reading of the whole change. Latencies of nodes, lists of entries and runs, four functions and several fields were written and never read; a text writer, a name copy, an endpoint, a time and a file reader stood two or three times, once already in settings.c. Ruled out: removing the kind and the repeat mark of the routing header, which the receiver does not use yet either: codec_test asserts them. Change: protocol/scalar, json_text and document_read_file serve both settings, the adapter and the records. Malformed endpoints and times that the laxer of the copies took (a port with letters behind it, a leading space) are refused; nothing well formed changes. place_test passes one argument less.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
   $(addprefix src/coordination/,gate.c place.c quota.c resend.c \
   retry.c rollout.c seqtest.c) \
   $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
-  move_record.c store_api.c view.c) \
+  json_text.c move_record.c scalar.c store_api.c view.c) \
   $(addprefix src/transport/,http_pool.c http_server.c http_stream.c \
   store_client.c timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -41,8 +41,9 @@
   return least;
 }
 
-uint32_t
-gate_service_us (const struct gate *gate, uint32_t kind)
+/// @return expected time in the target for a kind of work, microseconds
+static uint32_t
+service_us (const struct gate *gate, uint32_t kind)
 {
   for (size_t i = 0; i < GATE_KINDS; i++)
     if (gate->kinds[i].kind == kind && gate->kinds[i].used > 0)
@@ -239,8 +240,7 @@
 {
   assert (ticket->state == ADMIT_NEW);
   ticket->work = *work;
-  ticket->arrived_ms = now_us / 1000;
-  ticket->service_us = gate_service_us (gate, work->kind);
+  ticket->service_us = service_us (gate, work->kind);
   ticket->state = ADMIT_OVER;
   if (gate->draining || gate->slots == 0)
     {
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -31,7 +31,6 @@
   enum admit_state state;
   struct gate_work work;
   uint32_t service_us; ///< expected time in the target
-  uint64_t arrived_ms;
   uint64_t started_us;
   size_t place; ///< in the queue
 };
@@ -94,7 +93,4 @@
 /// @return estimated wait of new work of a rank, microseconds
 uint64_t gate_wait_us (const struct gate *gate, uint32_t rank);
 
-/// @return estimated time in the target for a kind of work, microseconds
-uint32_t gate_service_us (const struct gate *gate, uint32_t kind);
-
 #endif
--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -93,10 +93,12 @@
   return fastest == UINT64_MAX ? SERVICE_US_DEFAULT : fastest;
 }
 
-uint64_t
-place_cost_us (const struct directory_record *record,
-               const struct place_request *request, uint64_t usual_us,
-               uint64_t now_ms)
+/// @param usual_us  time in a target of which nothing recent is known
+/// @return expected time until the answer of a node, microseconds
+static uint64_t
+cost_us (const struct directory_record *record,
+         const struct place_request *request, uint64_t usual_us,
+         uint64_t now_ms)
 {
   const struct directory_load *load = &record->load;
   uint64_t service_us = has_speed (load, now_ms) ? load->service_us : usual_us;
@@ -159,8 +161,8 @@
       for (size_t i = 0; i < count; i++)
         {
           size_t handle = chosen[(first + i) % count];
-          uint64_t cost = place_cost_us (&directory->records[handle], request,
-                                         usual_us, now_ms);
+          uint64_t cost = cost_us (&directory->records[handle], request,
+                                   usual_us, now_ms);
           if (cost < best_cost)
             {
               best_cost = cost;
@@ -189,7 +191,7 @@
 
 void
 place_end (struct directory_record *record, enum place_result result,
-           uint32_t latency_us, uint64_t now_ms)
+           uint64_t now_ms)
 {
   struct directory_load *load = &record->load;
   if (load->in_flight > 0)
@@ -199,10 +201,6 @@
     case PLACE_ANSWERED:
       load->failures = 0;
       load->down_until_ms = 0;
-      load->latency_us = load->latency_us == 0
-                             ? latency_us
-                             : (load->latency_us * 7 + latency_us) / 8;
-      load->latency_ms = now_ms;
       smooth_errors (load, 0, now_ms);
       break;
     case PLACE_FAILED:
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -33,16 +33,10 @@
                      const struct place_request *request, struct rng *rng,
                      uint64_t now_ms);
 
-/// @param usual_us  time in a target of which nothing recent is known
-/// @return expected time until the answer of a node, microseconds
-uint64_t place_cost_us (const struct directory_record *record,
-                        const struct place_request *request, uint64_t usual_us,
-                        uint64_t now_ms);
-
 /// Observations of one call to a node.
 enum place_result
 {
-  PLACE_ANSWERED,  ///< a good answer; the latency counts
+  PLACE_ANSWERED,  ///< a good answer
   PLACE_FAILED,    ///< the target ran it and failed
   PLACE_REFUSED,   ///< the node refused it for load
   PLACE_SHED,      ///< the target refused it
@@ -53,7 +47,7 @@
 
 void place_begin (struct directory_record *record);
 void place_end (struct directory_record *record, enum place_result result,
-                uint32_t latency_us, uint64_t now_ms);
+                uint64_t now_ms);
 
 /// Takes the load that came with an answer.
 void place_report (struct directory_record *record, uint32_t running,
--- a/src/protocol/adapter.h
+++ b/src/protocol/adapter.h
@@ -14,8 +14,6 @@
   const char *deadline_ms;    ///< milliseconds that the caller still waits
   const char *proof;          ///< the target's proof that an answer is its own
   const char *instance_want;  ///< only this instance may run the request
-  const char *instance;       ///< instance that answered
-  const char *load;           ///< the target's own load report
   const char *not_run;        ///< the target did not run the request
   const char *caller_service; ///< service of the VM where the request began
 };
--- a/src/protocol/crash_record.c
+++ b/src/protocol/crash_record.c
@@ -2,6 +2,8 @@
 /// integers are signed.
 #include "protocol/crash_record.h"
 
+#include "protocol/json_text.h"
+
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdbool.h>
@@ -39,12 +41,7 @@
     json_array_append_new (requests, hex (record->fingerprints[i]));
   json_t *object = json_pack ("{s:o, s:o}", "crash", hex (record->crash),
                               "requests", requests);
-  size_t size = json_dumpb (object, text, CRASH_RECORD_MAX - 1, JSON_COMPACT);
-  json_decref (object);
-  if (size >= CRASH_RECORD_MAX)
-    return 0;
-  text[size] = '\0';
-  return size;
+  return json_text_write (object, text, CRASH_RECORD_MAX);
 }
 
 enum status
--- a/src/protocol/document.c
+++ b/src/protocol/document.c
@@ -2,8 +2,10 @@
 #include "protocol/document.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 #include <yaml.h>
@@ -383,3 +385,25 @@
     }
   return node;
 }
+
+enum status
+document_read_file (const char *path, size_t max, char **text, size_t *size)
+{
+  FILE *stream = fopen (path, "re");
+  if (stream == NULL)
+    return status_set (STATUS_NOT_FOUND, "%s: %s", path, strerror (errno));
+  enum status status = STATUS_OK;
+  char *bytes = malloc (max + 1);
+  if (bytes == NULL)
+    status = status_set (STATUS_NO_MEMORY, "%s: no memory", path);
+  else
+    *size = fread (bytes, 1, max + 1, stream);
+  if (status == STATUS_OK && ferror (stream))
+    status = status_set (STATUS_UNAVAILABLE, "%s cannot be read", path);
+  fclose (stream);
+  if (status == STATUS_OK)
+    *text = bytes;
+  else
+    free (bytes);
+  return status;
+}
--- a/src/protocol/document.h
+++ b/src/protocol/document.h
@@ -54,6 +54,15 @@
 
 void document_finish (struct document *document);
 
+/// Reads a file for document_parse.
+/// @param max   bytes; of a longer file one more is read, so that the parser
+///              refuses it
+/// @param text  to be freed by the caller; not terminated
+/// @return STATUS_NOT_FOUND, STATUS_UNAVAILABLE or STATUS_NO_MEMORY with a
+///         message
+enum status document_read_file (const char *path, size_t max, char **text,
+                                size_t *size);
+
 /// Adds a finding at the place of a node.
 /// @param node  NULL: place unknown
 void document_problem (struct findings *findings,
--- a/src/protocol/entry_record.c
+++ b/src/protocol/entry_record.c
@@ -1,6 +1,8 @@
 /// Owns no state; codec of entries.
 #include "protocol/entry_record.h"
 
+#include "protocol/json_text.h"
+
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,22 +19,7 @@
       "address", (json_int_t)entry->address, "port", (int)entry->port, "slots",
       (int)entry->slots, "state", (int)entry->state, "cold_ms",
       (int)entry->cold_ms, "epoch", (json_int_t)entry->epoch);
-  size_t size = json_dumpb (object, text, ENTRY_RECORD_MAX - 1, JSON_COMPACT);
-  json_decref (object);
-  if (size >= ENTRY_RECORD_MAX)
-    return 0;
-  text[size] = '\0';
-  return size;
-}
-
-static bool
-copy_name (char name[DIRECTORY_NAME_MAX + 1], const char *text)
-{
-  size_t size = strlen (text);
-  if (size > DIRECTORY_NAME_MAX)
-    return false;
-  memcpy (name, text, size + 1);
-  return true;
+  return json_text_write (object, text, ENTRY_RECORD_MAX);
 }
 
 static enum status
@@ -70,11 +57,11 @@
   if (address <= 0 || address > UINT32_MAX || port < 1 || port > 65535
       || slots < 0 || slots > UINT16_MAX || state < DIRECTORY_ABSENT
       || state > DIRECTORY_LEAVING || cold_ms < 0 || epoch < 0
-      || node[0] == '\0' || !copy_name (entry->node, node)
-      || !copy_name (entry->availability_zone, zone)
-      || !copy_name (entry->service, service)
-      || !copy_name (entry->version, version)
-      || !copy_name (entry->instance, instance))
+      || node[0] == '\0' || !json_text_copy_name (entry->node, node)
+      || !json_text_copy_name (entry->availability_zone, zone)
+      || !json_text_copy_name (entry->service, service)
+      || !json_text_copy_name (entry->version, version)
+      || !json_text_copy_name (entry->instance, instance))
     return invalid (object, "entry with a field out of range");
   entry->address = (uint32_t)address;
   entry->port = (uint16_t)port;
--- a/src/protocol/move_record.c
+++ b/src/protocol/move_record.c
@@ -1,29 +1,17 @@
 /// Owns no state; codecs of moves.
 #include "protocol/move_record.h"
 
+#include "protocol/json_text.h"
+
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
-static size_t
-dump (json_t *object, char *text, size_t room)
-{
-  size_t size = json_dumpb (object, text, room - 1, JSON_COMPACT);
-  json_decref (object);
-  if (size >= room)
-    return 0;
-  text[size] = '\0';
-  return size;
-}
-
+/// A version, a service or an instance always has a name.
 static bool
 copy_name (char name[DIRECTORY_NAME_MAX + 1], const char *text)
 {
-  size_t size = strlen (text);
-  if (size == 0 || size > DIRECTORY_NAME_MAX)
-    return false;
-  memcpy (name, text, size + 1);
-  return true;
+  return text[0] != '\0' && json_text_copy_name (name, text);
 }
 
 static enum status
@@ -42,12 +30,12 @@
     json_array_append_new (kinds, json_pack ("[I, i]",
                                              (json_int_t)record->kinds[i].kind,
                                              (int)record->kinds[i].share_bp));
-  return dump (json_pack ("{s:s, s:s, s:I, s:i, s:i, s:o}", "service",
-                          record->service, "to", record->to_version, "order",
-                          (json_int_t)record->order, "phase",
-                          (int)record->phase, "share_bp",
-                          (int)record->share_bp, "kinds", kinds),
-               text, MOVE_RECORD_MAX);
+  return json_text_write (
+      json_pack ("{s:s, s:s, s:I, s:i, s:i, s:o}", "service", record->service,
+                 "to", record->to_version, "order", (json_int_t)record->order,
+                 "phase", (int)record->phase, "share_bp",
+                 (int)record->share_bp, "kinds", kinds),
+      text, MOVE_RECORD_MAX);
 }
 
 enum status
@@ -110,10 +98,11 @@
                      (json_int_t)counts->calls, (json_int_t)counts->failures,
                      latency));
     }
-  return dump (json_pack ("{s:s, s:s, s:i, s:o}", "instance",
-                          evidence->instance, "version", evidence->version,
-                          "occupied", (int)evidence->occupied, "kinds", kinds),
-               text, MOVE_EVIDENCE_MAX);
+  return json_text_write (json_pack ("{s:s, s:s, s:i, s:o}", "instance",
+                                     evidence->instance, "version",
+                                     evidence->version, "occupied",
+                                     (int)evidence->occupied, "kinds", kinds),
+                          text, MOVE_EVIDENCE_MAX);
 }
 
 static bool
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -2,9 +2,9 @@
 #include "protocol/settings.h"
 
 #include "protocol/document.h"
+#include "protocol/scalar.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -85,22 +85,12 @@
   memcpy (name, text, size + 1);
 }
 
-static bool
-parse_address (const char *text, uint32_t *address)
-{
-  struct in_addr parsed;
-  if (inet_pton (AF_INET, text, &parsed) != 1 || parsed.s_addr == 0)
-    return false;
-  *address = ntohl (parsed.s_addr);
-  return true;
-}
-
 static void
 read_address (struct reader *reader, int field, uint32_t *address)
 {
   const char *text = document_text (reader->values[field], field_names[field],
                                     reader->findings);
-  if (text != NULL && !parse_address (text, address))
+  if (text != NULL && !scalar_address (text, address))
     document_problem (reader->findings, reader->values[field],
                       field_names[field],
                       "\"%.40s\" is no IPv4 address such as 10.0.0.1", text);
@@ -119,7 +109,7 @@
     return;
   document_path (field, path, "address");
   const char *text = document_text (values[0], field, reader->findings);
-  if (text != NULL && !parse_address (text, &endpoint->address))
+  if (text != NULL && !scalar_address (text, &endpoint->address))
     document_problem (reader->findings, values[0], field,
                       "\"%.40s\" is no IPv4 address such as 10.0.0.1", text);
   document_path (field, path, "port");
@@ -140,25 +130,11 @@
   const char *text = document_text (node, path, reader->findings);
   if (text == NULL)
     return;
-  char address[16] = "";
-  const char *colon = strchr (text, ':');
-  size_t size = colon == NULL ? 0 : (size_t)(colon - text);
-  if (size < sizeof address)
-    memcpy (address, text, size);
-  const char *digits = colon == NULL ? "" : colon + 1;
-  size_t digit_count = strlen (digits);
-  long port = digit_count <= 5 ? strtol (digits, NULL, 10) : 0;
-  if (size >= sizeof address || strspn (digits, "0123456789") != digit_count
-      || digits[0] == '0' || port < 1 || port > 65535
-      || !parse_address (address, &endpoint->address))
-    {
-      document_problem (reader->findings, node, path,
-                        "\"%.40s\" is no IPv4 address and port such as "
-                        "10.0.0.1:7000",
-                        text);
-      return;
-    }
-  endpoint->port = (uint16_t)port;
+  if (!scalar_endpoint (text, &endpoint->address, &endpoint->port))
+    document_problem (reader->findings, node, path,
+                      "\"%.40s\" is no IPv4 address and port such as "
+                      "10.0.0.1:7000",
+                      text);
 }
 
 static void
@@ -337,22 +313,13 @@
 settings_load (struct settings *settings, const char *path,
                struct findings *findings)
 {
-  FILE *stream = fopen (path, "re");
-  if (stream == NULL)
-    return status_set (STATUS_NOT_FOUND, "%s: %s", path, strerror (errno));
-  char *yaml = malloc (SETTINGS_BYTES_MAX + 1);
-  if (yaml == NULL)
-    {
-      fclose (stream);
-      return status_set (STATUS_NO_MEMORY, "%s: no memory", path);
-    }
-  size_t size = fread (yaml, 1, SETTINGS_BYTES_MAX + 1, stream);
-  enum status status;
-  if (ferror (stream))
-    status = status_set (STATUS_UNAVAILABLE, "%s cannot be read", path);
-  else
-    status = settings_parse (settings, path, yaml, size, findings);
+  char *yaml;
+  size_t size;
+  enum status status
+      = document_read_file (path, SETTINGS_BYTES_MAX, &yaml, &size);
+  if (status != STATUS_OK)
+    return status;
+  status = settings_parse (settings, path, yaml, size, findings);
   free (yaml);
-  fclose (stream);
   return status;
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -40,8 +40,6 @@
 /// requests of other nodes: it goes on running, and has no other way to them.
 #define SIDECAR_STOP_PEERS_MS 2400
 
-struct sidecar_entry;
-struct sidecar_run;
 struct sidecar_store;
 struct sidecar_moves;
 struct sidecar_crashes;
@@ -55,8 +53,7 @@
   struct target_report report;
   uint64_t heard_ms;    ///< last report
   uint64_t draining_ms; ///< when its leaving was acknowledged
-  uint64_t started_ms;  ///< when this incarnation was first heard
-  uint32_t cold_ms;     ///< how long it was said to be slow at that time
+  uint32_t cold_ms;     ///< how long it was said to be slow at its start
   unsigned refusals;    ///< connections that it refused in a row
 };
 
@@ -87,8 +84,6 @@
   struct sidecar_store *store;
   struct sidecar_moves *moves;
   struct sidecar_crashes *crashes;
-  struct sidecar_entry *entries; ///< requests of callers in progress
-  struct sidecar_run *runs;      ///< requests at the own target
   struct event tick;
   struct event log_timer;
   bool stopping;
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -64,22 +64,13 @@
   if (entry->reported || record == NULL)
     return;
   entry->reported = true;
-  place_end (record, result,
-             (uint32_t)(clock_monotonic_us () - entry->sent_us),
-             clock_monotonic_ms ());
+  place_end (record, result, clock_monotonic_ms ());
 }
 
 static void
 release (struct sidecar_entry *entry)
 {
-  struct sidecar *sidecar = entry->sidecar;
   event_del (&entry->timer);
-  if (entry->previous != NULL)
-    entry->previous->next = entry->next;
-  else
-    sidecar->entries = entry->next;
-  if (entry->next != NULL)
-    entry->next->previous = entry->previous;
   if (entry->held != NULL)
     evbuffer_free (entry->held);
   free (entry);
@@ -485,10 +476,6 @@
   entry->request = request;
   entry->id = id == NULL ? "-" : id;
   entry->arrived_ms = request->received_us / 1000;
-  entry->next = sidecar->entries;
-  if (sidecar->entries != NULL)
-    sidecar->entries->previous = entry;
-  sidecar->entries = entry;
   request->context = entry;
   evtimer_assign (&entry->timer, sidecar->base, on_timeout, entry);
   start (entry, route, deadline_ms);
--- a/src/sidecar/sidecar_entry.h
+++ b/src/sidecar/sidecar_entry.h
@@ -42,8 +42,6 @@
   bool unusable;            ///< the current answer is not the target's
   struct http_head *answer; ///< held head, child of the request's arena
   struct evbuffer *held;    ///< held body, NULL until needed
-  struct sidecar_entry *next;
-  struct sidecar_entry *previous;
 };
 
 /* sidecar_entry.c */
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -47,19 +47,6 @@
 static struct log_limit refusal_lines = { .per_second = 20 };
 static struct log_limit failure_lines = { .per_second = 40 };
 
-static void
-release (struct sidecar_run *run)
-{
-  struct sidecar *sidecar = run->sidecar;
-  if (run->previous != NULL)
-    run->previous->next = run->next;
-  else
-    sidecar->runs = run->next;
-  if (run->next != NULL)
-    run->next->previous = run->previous;
-  free (run);
-}
-
 static void
 write_node_fields (struct sidecar *sidecar, struct evbuffer *fields,
                    enum call_outcome outcome, const char *reason)
@@ -130,7 +117,7 @@
                                - offsetof (struct sidecar_run, ticket));
   refuse (sidecar, run->request, run->id, &run->hop,
           call_refusal_reason (why));
-  release (run);
+  free (run);
 }
 
 /// Ends a run and gives its slot to the next.
@@ -139,7 +126,7 @@
 {
   struct sidecar *sidecar = run->sidecar;
   struct gate_ticket ticket = run->ticket;
-  release (run);
+  free (run);
   gate_finish (&sidecar->gate, &ticket, served, clock_monotonic_us ());
 }
 
@@ -363,15 +350,11 @@
                                .hop = hop,
                                .id = id,
                                .arrived_ms = now_us / 1000,
-                               .deadline_ms = now_us / 1000 + left_ms,
-                               .next = sidecar->runs };
+                               .deadline_ms = now_us / 1000 + left_ms };
   const char *caller = http_head_find (request->head, names->caller_service);
   run->fingerprint = sidecar_crash_fingerprint (
       caller == NULL ? "" : caller, http_method_str (request->head->method),
       request->head->target, request->body);
-  if (sidecar->runs != NULL)
-    sidecar->runs->previous = run;
-  sidecar->runs = run;
   request->context = run;
   struct gate_work work = {
     .kind = hop.kind,
@@ -384,7 +367,7 @@
       != STATUS_OK)
     {
       refuse (sidecar, request, id, &hop, call_refusal_reason (why));
-      release (run);
+      free (run);
       return;
     }
   if (run->ticket.state == ADMIT_RUNNING)
@@ -405,7 +388,7 @@
   if (run->ticket.state == ADMIT_QUEUED)
     {
       gate_cancel (&sidecar->gate, &run->ticket);
-      release (run);
+      free (run);
       return;
     }
   finish (run, false);
--- a/src/sidecar/sidecar_run.h
+++ b/src/sidecar/sidecar_run.h
@@ -17,8 +17,6 @@
   uint64_t deadline_ms;
   uint64_t sent_us;
   uint64_t fingerprint; ///< of the request, for crashes of the target
-  struct sidecar_run *next;
-  struct sidecar_run *previous;
 };
 
 #endif
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -2,10 +2,8 @@
 #include "sidecar/sidecar_settings.h"
 
 #include "protocol/document.h"
+#include "protocol/scalar.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -61,43 +59,6 @@
 /// The fields up to "metrics" have no default.
 #define FIELDS_REQUIRED ((1U << 11) - 1)
 
-static bool
-parse_endpoint (const char *text, struct settings_endpoint *endpoint)
-{
-  const char *colon = strchr (text, ':');
-  char host[INET_ADDRSTRLEN];
-  struct in_addr parsed;
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
-    return false;
-  memcpy (host, text, (size_t)(colon - text));
-  host[colon - text] = '\0';
-  char *end;
-  long port = strtol (colon + 1, &end, 10);
-  if (inet_pton (AF_INET, host, &parsed) != 1 || *end != '\0' || port < 1
-      || port > 65535)
-    return false;
-  endpoint->address = ntohl (parsed.s_addr);
-  endpoint->port = (uint16_t)port;
-  return true;
-}
-
-static bool
-parse_time (const char *text, uint32_t *ms)
-{
-  char *unit;
-  double number = strtod (text, &unit);
-  if (unit == text || !(number >= 0))
-    return false;
-  if (strcmp (unit, "s") == 0)
-    number *= 1000;
-  else if (strcmp (unit, "ms") != 0)
-    return false;
-  if (number > TIME_MS_MAX)
-    return false;
-  *ms = (uint32_t)(number + 0.5);
-  return true;
-}
-
 static bool
 parse_number (const char *text, double scale, uint32_t *number)
 {
@@ -148,10 +109,13 @@
       good = parse_name (text, place);
       break;
     case FIELD_ENDPOINT:
-      good = parse_endpoint (text, (struct settings_endpoint *)place);
-      break;
+      {
+        struct settings_endpoint *endpoint = (struct settings_endpoint *)place;
+        good = scalar_endpoint (text, &endpoint->address, &endpoint->port);
+        break;
+      }
     case FIELD_TIME:
-      good = parse_time (text, (uint32_t *)place);
+      good = scalar_time_ms (text, TIME_MS_MAX, (uint32_t *)place);
       break;
     case FIELD_RATIO:
       good = parse_number (text, 1000, (uint32_t *)place);
@@ -199,21 +163,12 @@
 sidecar_settings_load (struct sidecar_settings *settings, const char *path,
                        struct findings *findings)
 {
-  FILE *stream = fopen (path, "re");
-  if (stream == NULL)
-    return status_set (STATUS_NOT_FOUND, "%s: %s", path, strerror (errno));
-  char *yaml = malloc (BYTES_MAX + 1);
-  if (yaml == NULL)
-    {
-      fclose (stream);
-      return status_set (STATUS_NO_MEMORY, "%s: no memory", path);
-    }
-  size_t size = fread (yaml, 1, BYTES_MAX + 1, stream);
-  enum status status
-      = ferror (stream)
-            ? status_set (STATUS_UNAVAILABLE, "%s cannot be read", path)
-            : sidecar_settings_parse (settings, yaml, size, findings);
+  char *yaml;
+  size_t size;
+  enum status status = document_read_file (path, BYTES_MAX, &yaml, &size);
+  if (status != STATUS_OK)
+    return status;
+  status = sidecar_settings_parse (settings, yaml, size, findings);
   free (yaml);
-  fclose (stream);
   return status;
 }
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -100,7 +100,6 @@
       if (target->known && !target->draining)
         sidecar_crash_confirmed (sidecar);
       target->draining = false;
-      target->started_ms = now;
       target->cold_ms = report->cold_ms;
     }
   bool changed = new_incarnation || target->gone
--- a/src/state/directory.h
+++ b/src/state/directory.h
@@ -56,8 +56,6 @@
   unsigned failures;       ///< connects or answers lost in a row
   uint32_t error_permille; ///< smoothed share of failed answers
   uint64_t error_ms;       ///< when that share was last changed
-  uint32_t latency_us;     ///< smoothed time until the answer's head
-  uint64_t latency_ms;     ///< time of the last answer
 };
 
 struct directory_record
--- a/src/state/mesh_config.c
+++ b/src/state/mesh_config.c
@@ -121,12 +121,3 @@
   best->credit -= total;
   return best->service;
 }
-
-const struct mesh_service *
-mesh_config_service (const struct mesh_config *config, const char *name)
-{
-  for (size_t i = 0; i < config->service_count; i++)
-    if (strcmp (config->services[i].name, name) == 0)
-      return &config->services[i];
-  return NULL;
-}
--- a/src/state/mesh_config.h
+++ b/src/state/mesh_config.h
@@ -86,8 +86,4 @@
 /// over short spans.
 const char *mesh_route_choose (struct mesh_route *route);
 
-/// @return the service's entry or NULL
-const struct mesh_service *
-mesh_config_service (const struct mesh_config *config, const char *name);
-
 #endif
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -31,7 +31,6 @@
   uint64_t idle_since_ms;
   uint64_t idle_limit_ms; ///< from the server's Keep-Alive field
   bool established;
-  bool used;
   struct http_connection *next; ///< among all of the server
 };
 
@@ -51,7 +50,6 @@
   struct event timer; ///< connect timeout, then the delivery of the end
   char id[64];
   enum http_end end;
-  bool reused;
   bool skipping; ///< the current answer belongs to another request
   bool answered; ///< the head was passed on
   bool ended;    ///< `end` is set, its delivery is due
@@ -217,7 +215,6 @@
     }
   connection->idle_since_ms = clock_monotonic_ms ();
   connection->idle_limit_ms = idle_ms;
-  connection->used = true;
   http_stream_next (stream);
   http_stream_resume (stream);
 }
@@ -276,7 +273,6 @@
   connection->next = server->first;
   server->first = connection;
   pool->connections++;
-  pool->opened++;
   counter_add (&opened, 1);
   return connection;
 }
@@ -328,8 +324,8 @@
       return NULL;
     }
   struct http_connection *connection
-      = send->fresh ? NULL : take_idle (pool, server, send->max_idle_ms);
-  exchange->reused = connection != NULL;
+      = take_idle (pool, server, send->max_idle_ms);
+  bool reused = connection != NULL;
   if (connection == NULL)
     connection = open_connection (pool, server);
   if (connection == NULL)
@@ -346,7 +342,7 @@
   connection->exchange = exchange;
   connection->stream->no_body = send->no_body;
   evbuffer_add_buffer (http_stream_output (connection->stream), send->request);
-  if (!exchange->reused)
+  if (!reused)
     start_connect (connection);
   return exchange;
 }
@@ -363,12 +359,6 @@
   close_connection (connection);
 }
 
-bool
-http_exchange_is_reused (const struct http_exchange *exchange)
-{
-  return exchange->reused;
-}
-
 void
 http_exchange_pause (struct http_exchange *exchange)
 {
@@ -383,20 +373,6 @@
     http_stream_resume (exchange->connection->stream);
 }
 
-void
-http_pool_forget (struct http_pool *pool, uint32_t address, uint16_t port)
-{
-  struct http_server_slot *server = find_server (pool, address, port, false);
-  struct http_connection *next;
-  for (struct http_connection *c = server == NULL ? NULL : server->first;
-       c != NULL; c = next)
-    {
-      next = c->next;
-      if (c->exchange == NULL)
-        close_connection (c);
-    }
-}
-
 static void
 on_sweep (evutil_socket_t fd, short what, void *arg)
 {
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -44,7 +44,6 @@
   struct http_server_slot *servers; ///< by address
   struct event sweep;
   size_t connections;
-  uint64_t opened; ///< connections opened so far
 };
 
 struct http_send
@@ -53,7 +52,6 @@
   uint16_t port;
   struct evbuffer *request; ///< whole request; emptied
   const char *id;           ///< value of the id header, or NULL
-  bool fresh;               ///< use no kept connection
   uint32_t max_idle_ms;     ///< take only connections idle for at most this
   bool no_body;             ///< the answer has no body (HEAD)
 };
@@ -72,14 +70,7 @@
 /// Ends an exchange without a callback and closes its connection.
 void http_exchange_cancel (struct http_exchange *exchange);
 
-/// @return true when the connection had been used before
-bool http_exchange_is_reused (const struct http_exchange *exchange);
-
 void http_exchange_pause (struct http_exchange *exchange);
 void http_exchange_resume (struct http_exchange *exchange);
 
-/// Closes the idle connections to one server.
-void http_pool_forget (struct http_pool *pool, uint32_t address,
-                       uint16_t port);
-
 #endif
--- a/test/unit/place_test.c
+++ b/test/unit/place_test.c
@@ -110,7 +110,7 @@
   for (int i = 0; i < 8; i++)
     {
       place_begin (&records[2]);
-      place_end (&records[2], PLACE_FAILED, 1000, 1000);
+      place_end (&records[2], PLACE_FAILED, 1000);
     }
   struct place_request request = request_from ("z1");
   count_choices (&request, 1010, counts);
@@ -131,7 +131,7 @@
   add ("a", "z1", "v1", DIRECTORY_READY);
   add ("b", "z1", "v1", DIRECTORY_READY);
   place_begin (&directory.records[0]);
-  place_end (&directory.records[0], PLACE_LOST, 0, 1000);
+  place_end (&directory.records[0], PLACE_LOST, 1000);
   struct place_request request = request_from ("z1");
   count_choices (&request, 1010, counts);
   CU_ASSERT_EQUAL (counts[0], 0);
