Count versions only after a change; put key dispatch and load refusals in one place

Cause: a reading of the whole change. Each request counted the versions of its service over all entries, once per target of the service; keys of the store were told apart in two files with their prefixes built anew; the limit of load refusals stood in the I/O part beside the module that decides on offers; the end of a leaving target's time was computed twice. Change: the usual version is kept until the directory changes; one function dispatches keys by the names of sidecar.h; RESEND_LOADED carries the limit, with rows of its own in resend_test; has_left serves both places.

--- a/src/coordination/resend.c
+++ b/src/coordination/resend.c
@@ -11,7 +11,8 @@
 static bool
 may_offer (const struct resend *resend, uint64_t left_ms, uint64_t needed_ms)
 {
-  return !resend->closed && resend->offers < RESEND_OFFERS_MAX
+  return resend->load_refusals < RESEND_LOAD_REFUSALS_MAX
+         && resend->offers < RESEND_OFFERS_MAX
          && left_ms > needed_ms
          && (resend->runs == 0
              || (resend->repeat != MESH_ONCE
@@ -27,6 +28,8 @@
       = event == RESEND_SHED || event == RESEND_LOST || event == RESEND_FAILED;
   if (event == RESEND_LOST || event == RESEND_FAILED)
     resend->runs++;
+  if (event == RESEND_LOADED)
+    resend->load_refusals++;
   if (event == RESEND_EXPIRED)
     return RESEND_SAY_LATE;
   if (may_offer (resend, left_ms, needed_ms) && (!reached || budget (arg)))
--- a/src/coordination/resend.h
+++ b/src/coordination/resend.h
@@ -12,10 +12,15 @@
 /// Nodes that one request is offered to at most.
 #define RESEND_OFFERS_MAX 5
 
+/// Nodes that may refuse a request for load before it is given up: the ones
+/// with the least load are asked first.
+#define RESEND_LOAD_REFUSALS_MAX 2
+
 enum resend_event
 {
   RESEND_NOT_SENT, ///< no connection to the node
   RESEND_REFUSED,  ///< the node refused it; the target has not seen it
+  RESEND_LOADED,   ///< the same, since it has no room for it in time
   RESEND_SHED,     ///< the target refused it
   RESEND_LOST,     ///< sent, and no usable answer
   RESEND_FAILED,   ///< the target ran it and answered with a failure
@@ -37,7 +42,7 @@
   uint32_t attempts_max; ///< targets that may run it
   uint32_t offers;       ///< nodes that it was offered to
   uint32_t runs;         ///< targets that began or may have begun to run it
-  bool closed;           ///< no further node is asked
+  uint32_t load_refusals; ///< nodes that had no room for it
 };
 
 /// @param left_ms    time until the caller's deadline
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -25,6 +25,11 @@
 #include <event2/event.h>
 #include <event2/event_struct.h>
 
+/// Keys of the project, behind the adapter's prefix for them.
+#define OWN_NODE "node/"
+#define OWN_MOVE "move/"
+#define OWN_CRASH "crash/"
+
 /// Largest request body that is held, bytes; the configuration may allow less.
 #define SIDECAR_BODY_MAX (8u * 1024 * 1024)
 
@@ -165,9 +170,13 @@
 void sidecar_moves_answer (struct sidecar *sidecar,
                            struct http_request *request);
 
-/// Takes a change below the operators' or the project's own prefix.
-void sidecar_moves_on_key (struct sidecar *sidecar,
-                           const struct store_key *key);
+/// Takes an order of the operators, or a record of a move, from the store.
+/// @param service  named by the key
+void sidecar_moves_on_order (struct sidecar *sidecar,
+                             const struct store_key *key, const char *service);
+void sidecar_moves_on_record (struct sidecar *sidecar,
+                              const struct store_key *key,
+                              const char *service);
 void sidecar_moves_tick (struct sidecar *sidecar);
 
 /* sidecar_crash.c */
@@ -187,8 +196,8 @@
 void sidecar_crash_confirmed (struct sidecar *sidecar);
 
 /// Takes a record of a crash from the store.
-void sidecar_crash_on_key (struct sidecar *sidecar,
-                           const struct store_key *key);
+void sidecar_crash_on_record (struct sidecar *sidecar,
+                              const struct store_key *key);
 
 /// @return true when a caller's request was in flight in two crashes
 bool sidecar_crash_is_refused (struct sidecar *sidecar,
--- a/src/sidecar/sidecar_crash.c
+++ b/src/sidecar/sidecar_crash.c
@@ -113,11 +113,9 @@
 }
 
 void
-sidecar_crash_on_key (struct sidecar *sidecar, const struct store_key *key)
+sidecar_crash_on_record (struct sidecar *sidecar, const struct store_key *key)
 {
   struct crash_record record;
-  if (key->removed)
-    return;
   if (crash_record_read (key->data, key->size, &record) == STATUS_OK)
     {
       raise_all (sidecar, &record);
--- a/src/sidecar/sidecar_entry.h
+++ b/src/sidecar/sidecar_entry.h
@@ -34,7 +34,6 @@
   uint64_t sent_us;
   uint64_t retry_after_ms;  ///< smallest that a node asked for; 0: none
   const char *refusal;      ///< last reason for not running; static text
-  unsigned load_refusals;   ///< nodes that refused it for load
   bool reported;            ///< the current node's result was counted
   bool passing;             ///< the answer's head was passed on
   bool not_run;             ///< the current answer says so
--- a/src/sidecar/sidecar_entry_answer.c
+++ b/src/sidecar/sidecar_entry_answer.c
@@ -14,10 +14,6 @@
 /// longer than the route's timeout. The platform allows half a second.
 #define PASS_OVERTIME_MS 350
 
-/// Nodes that may refuse a request for load before it is given up: the ones
-/// with the least load were asked first.
-#define LOAD_REFUSALS_MAX 2
-
 /// @return a static copy of a reason that a node sent
 static const char *
 known_reason (const char *text)
@@ -120,16 +116,21 @@
       && (entry->retry_after_ms == 0 || after_ms < entry->retry_after_ms))
     entry->retry_after_ms = after_ms;
   entry->refusal = reason;
-  bool by_target = strcmp (reason, CALL_REASON_SHED) == 0;
-  bool loaded = strcmp (reason, CALL_REASON_DEADLINE) == 0
-                || strcmp (reason, CALL_REASON_QUEUE_FULL) == 0;
-  if (loaded && ++entry->load_refusals >= LOAD_REFUSALS_MAX)
-    entry->resend.closed = true;
-  sidecar_entry_report (entry, by_target ? PLACE_SHED
-                               : loaded  ? PLACE_REFUSED
-                                         : PLACE_NO_TARGET);
-  sidecar_entry_go_on (entry, by_target ? RESEND_SHED : RESEND_REFUSED,
-                       reason);
+  enum place_result result = PLACE_NO_TARGET;
+  enum resend_event event = RESEND_REFUSED;
+  if (strcmp (reason, CALL_REASON_SHED) == 0)
+    {
+      result = PLACE_SHED;
+      event = RESEND_SHED;
+    }
+  else if (strcmp (reason, CALL_REASON_DEADLINE) == 0
+           || strcmp (reason, CALL_REASON_QUEUE_FULL) == 0)
+    {
+      result = PLACE_REFUSED;
+      event = RESEND_LOADED;
+    }
+  sidecar_entry_report (entry, result);
+  sidecar_entry_go_on (entry, event, reason);
 }
 
 static void
--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -3,9 +3,11 @@
 #include "sidecar/sidecar_move.h"
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -57,13 +59,11 @@
          && move->record.order == move->order_revision;
 }
 
-static void
-take_order (struct sidecar *sidecar, const struct store_key *key,
-            const char *service)
+void
+sidecar_moves_on_order (struct sidecar *sidecar, const struct store_key *key,
+                        const char *service)
 {
   struct move_order order;
-  if (key->removed)
-    return;
   if (sidecar->adapter->read_order (key->data, key->size, &order) != STATUS_OK
       || strcmp (order.service, service) != 0)
     {
@@ -89,13 +89,11 @@
              order.to_version, order.duration_ms, key->revision);
 }
 
-static void
-take_record (struct sidecar *sidecar, const struct store_key *key,
-             const char *service)
+void
+sidecar_moves_on_record (struct sidecar *sidecar, const struct store_key *key,
+                         const char *service)
 {
   struct move_record record;
-  if (key->removed)
-    return;
   if (move_record_read (key->data, key->size, &record) != STATUS_OK
       || strcmp (record.service, service) != 0)
     {
@@ -118,19 +116,6 @@
              key->revision, record.order);
 }
 
-void
-sidecar_moves_on_key (struct sidecar *sidecar, const struct store_key *key)
-{
-  const struct adapter_ops *adapter = sidecar->adapter;
-  size_t order_size = strlen (adapter->order_prefix);
-  size_t own_size = strlen (adapter->own_prefix);
-  if (strncmp (key->key, adapter->order_prefix, order_size) == 0)
-    take_order (sidecar, key, key->key + order_size);
-  else if (strncmp (key->key, adapter->own_prefix, own_size) == 0
-           && strncmp (key->key + own_size, "move/", 5) == 0)
-    take_record (sidecar, key, key->key + own_size + 5);
-}
-
 static uint32_t
 share_of (const struct move_record *record, uint32_t kind)
 {
@@ -165,10 +150,8 @@
   return true;
 }
 
-/// @return the version that most ready targets of a service run; a version
-///         that nobody ordered a move to gets no requests by itself
 static const char *
-usual_version (const struct sidecar *sidecar, const char *service)
+count_versions (const struct sidecar *sidecar, const char *service)
 {
   const char *best = NULL;
   size_t best_count = 0;
@@ -199,6 +182,26 @@
   return best;
 }
 
+/// @return the version that most ready targets of a service run; a version
+///         that nobody ordered a move to gets no requests by itself. NULL
+///         without a target. The targets are counted only after a change.
+static const char *
+usual_version (struct sidecar *sidecar, const char *service)
+{
+  uint64_t generation = sidecar->directory.generation;
+  struct usual_version *usual
+      = &sidecar->moves->usual[hash_place_string (service) % USUAL_VERSIONS];
+  if (usual->generation != generation || strcmp (usual->service, service) != 0)
+    {
+      const char *version = count_versions (sidecar, service);
+      usual->generation = generation;
+      snprintf (usual->service, sizeof usual->service, "%s", service);
+      snprintf (usual->version, sizeof usual->version, "%s",
+                version == NULL ? "" : version);
+    }
+  return usual->version[0] == '\0' ? NULL : usual->version;
+}
+
 static bool
 has_target (const struct sidecar *sidecar, const char *service,
             const struct place_version *version)
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -55,8 +55,19 @@
   enum move_phase writing_phase;
 };
 
+/// Services whose usual version is kept.
+#define USUAL_VERSIONS 64
+
+struct usual_version
+{
+  uint64_t generation; ///< of the directory when it was counted; 0: never
+  char service[DIRECTORY_NAME_MAX + 1];
+  char version[DIRECTORY_NAME_MAX + 1]; ///< empty: no target
+};
+
 struct sidecar_moves
 {
+  struct usual_version usual[USUAL_VERSIONS];
   struct service_move items[MOVES_MAX];
   struct move_evidence own; ///< counts of the own target
   uint64_t next_drive_ms;
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -282,6 +282,16 @@
 const struct gate_ops sidecar_gate_ops
     = { .run = on_gate_run, .refuse = on_gate_refuse };
 
+/// @return true when the target announced its leaving so long ago that it gets
+///         no request any more
+static bool
+has_left (const struct sidecar *sidecar, uint64_t now_ms)
+{
+  const struct sidecar_target *target = &sidecar->target;
+  uint64_t accept_ms = sidecar->settings.drain_ms / DRAIN_ACCEPT_DIVISOR;
+  return target->draining && now_ms >= target->draining_ms + accept_ms;
+}
+
 /// @return a reason why the own target must not get a request, or NULL
 static const char *
 target_obstacle (const struct sidecar *sidecar, const struct hop *hop,
@@ -294,8 +304,7 @@
     return CALL_REASON_NO_TARGET;
   if (sidecar_moves_bars_target (sidecar))
     return CALL_REASON_NO_TARGET;
-  uint64_t accept_ms = sidecar->settings.drain_ms / DRAIN_ACCEPT_DIVISOR;
-  if (target->draining && now_ms >= target->draining_ms + accept_ms)
+  if (has_left (sidecar, now_ms))
     return CALL_REASON_DRAINING;
   return NULL;
 }
@@ -409,12 +418,11 @@
 sidecar_run_tick (struct sidecar *sidecar)
 {
   uint64_t now_us = clock_monotonic_us ();
-  const struct sidecar_target *target = &sidecar->target;
-  uint64_t accept_ms = sidecar->settings.drain_ms / DRAIN_ACCEPT_DIVISOR;
+  uint64_t now_ms = now_us / 1000;
   bool draining
-      = (target->draining && now_us / 1000 >= target->draining_ms + accept_ms)
+      = has_left (sidecar, now_ms)
         || (sidecar->stopping
-            && now_us / 1000 >= sidecar->stopping_ms + SIDECAR_STOP_PEERS_MS);
+            && now_ms >= sidecar->stopping_ms + SIDECAR_STOP_PEERS_MS);
   if (draining != sidecar->gate.draining)
     gate_set_draining (&sidecar->gate, draining);
   if (sidecar->gate.queued > 0)
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -166,12 +166,20 @@
              key->revision);
 }
 
+/// @return what follows a prefix in a key, or NULL when it has another one
+static const char *
+behind (const char *key, const char *prefix)
+{
+  size_t size = strlen (prefix);
+  return strncmp (key, prefix, size) == 0 ? key + size : NULL;
+}
+
 void
 sidecar_store_take_key (struct sidecar_store *store,
                         const struct store_key *key)
 {
   struct sidecar *sidecar = store->sidecar;
-  char prefix[STORE_KEY_MAX];
+  const struct adapter_ops *adapter = sidecar->adapter;
   if (key->removed)
     mirror_remove (&store->mirror, key->key, key->revision);
   else if (mirror_put (&store->mirror, key->key, key->revision, key->data,
@@ -179,22 +187,23 @@
            != STATUS_OK)
     log_event (LOG_LEVEL_ERROR, "view_incomplete", "key=%s reason=\"%s\"",
                key->key, status_message ());
-  char crash_prefix[STORE_KEY_MAX];
-  int size = snprintf (prefix, sizeof prefix, "%snode/",
-                       sidecar->adapter->own_prefix);
-  snprintf (crash_prefix, sizeof crash_prefix, "%scrash/",
-            sidecar->adapter->own_prefix);
-  if (strcmp (key->key, sidecar->adapter->config_key) == 0)
-    {
-      if (!key->removed)
-        take_config (sidecar, key);
-    }
-  else if (strncmp (key->key, prefix, (size_t)size) == 0)
-    take_entry (store, key, key->key + size);
-  else if (strncmp (key->key, crash_prefix, strlen (crash_prefix)) == 0)
-    sidecar_crash_on_key (sidecar, key);
-  else
-    sidecar_moves_on_key (sidecar, key);
+  const char *order = behind (key->key, adapter->order_prefix);
+  const char *own = behind (key->key, adapter->own_prefix);
+  const char *node = own == NULL ? NULL : behind (own, OWN_NODE);
+  const char *move = own == NULL ? NULL : behind (own, OWN_MOVE);
+  const char *crash = own == NULL ? NULL : behind (own, OWN_CRASH);
+  if (node != NULL)
+    take_entry (store, key, node);
+  else if (key->removed)
+    return;
+  else if (strcmp (key->key, adapter->config_key) == 0)
+    take_config (sidecar, key);
+  else if (order != NULL)
+    sidecar_moves_on_order (sidecar, key, order);
+  else if (move != NULL)
+    sidecar_moves_on_record (sidecar, key, move);
+  else if (crash != NULL)
+    sidecar_crash_on_record (sidecar, key);
 }
 
 static void
@@ -455,7 +464,7 @@
                              size_t size)
 {
   char key[STORE_KEY_MAX];
-  snprintf (key, sizeof key, "%scrash/%s", sidecar->adapter->own_prefix,
+  snprintf (key, sizeof key, "%s" OWN_CRASH "%s", sidecar->adapter->own_prefix,
             sidecar->settings.node);
   /* A delayed copy of an older record only counts the same crash again. */
   store_client_ops.put (&sidecar->store_client, key, STORE_ANY_REVISION,
@@ -496,7 +505,7 @@
   store->sidecar = sidecar;
   mirror_init (&store->mirror);
   store->asked = evbuffer_new ();
-  snprintf (store->key, sizeof store->key, "%snode/%s",
+  snprintf (store->key, sizeof store->key, "%s" OWN_NODE "%s",
             sidecar->adapter->own_prefix, sidecar->settings.node);
   sidecar->store = store;
   return STATUS_OK;
--- a/test/unit/resend_test.c
+++ b/test/unit/resend_test.c
@@ -70,6 +70,23 @@
     }
 }
 
+/// A request that finds no room must not go round all nodes of its service.
+static void
+test_load_refusals (void)
+{
+  struct resend resend
+      = { .repeat = MESH_IDEMPOTENT, .attempts_max = 2, .offers = 1 };
+  unsigned asked = 0;
+  CU_ASSERT_EQUAL (
+      resend_decide (&resend, RESEND_LOADED, 500, 20, budget_left, &asked),
+      RESEND_AGAIN);
+  resend.offers++;
+  CU_ASSERT_EQUAL (
+      resend_decide (&resend, RESEND_LOADED, 500, 20, budget_left, &asked),
+      RESEND_SAY_NOT_RUN);
+  CU_ASSERT_EQUAL (asked, 0);
+}
+
 /// The bound holds for the sum of all nodes in any window.
 static void
 test_budget_of_all_nodes (void)
@@ -119,6 +136,8 @@
   static const struct test_case cases[] = {
     { "a request that may have run is sent again, or a refusal is untrue",
       test_decisions },
+    { "a request that finds no room is offered to every node",
+      test_load_refusals },
     { "all nodes together repeat more than the budget",
       test_budget_of_all_nodes },
     { "one service spends the budget of another",
