--- a/src/coordination/resend.h
+++ b/src/coordination/resend.h
@@ -39,9 +39,9 @@
 struct resend
 {
   enum mesh_repeat repeat;
-  uint32_t attempts_max; ///< targets that may run it
-  uint32_t offers;       ///< nodes that it was offered to
-  uint32_t runs;         ///< targets that began or may have begun to run it
+  uint32_t attempts_max;  ///< targets that may run it
+  uint32_t offers;        ///< nodes that it was offered to
+  uint32_t runs;          ///< targets that began or may have begun to run it
   uint32_t load_refusals; ///< nodes that had no room for it
 };
 
