Add a fault soak of real sidecars; let a node announce another address

Cause: faults between real processes were covered by one scripted test only; silent connections, one-way cuts and overlapping signals were not. Change: test/soak runs sidecars as processes beside a store, targets and callers of its own, with a loopback proxy on the paths to peers, store and target. The store's stand-in moved to a header that the scripted test shares. The new setting `announced` lets a port mapping stand before the peers' address.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 OPERATOR_LIBRARY := $(BUILD)/libhawthornseam.a
 STANDINS := $(patsubst test/standin/%.c,$(BUILD)/standin-%, \
   $(wildcard test/standin/*.c))
+SOAK := $(BUILD)/soak
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/example-%,$(wildcard examples/*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench-%,$(wildcard bench/*.c))
 MODEL := $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard src/model/*.c))
@@ -55,8 +56,8 @@
 FUZZERS := $(patsubst test/fuzz/%.c,$(BUILD)/fuzz-%, \
   $(wildcard test/fuzz/*_fuzz.c))
 
-all: $(NODE) $(SIDECAR) $(CTL) $(LOAD) $(OPERATOR_LIBRARY) $(STANDINS) $(EXAMPLES) \
-  $(BENCHES)
+all: $(NODE) $(SIDECAR) $(CTL) $(LOAD) $(OPERATOR_LIBRARY) $(STANDINS) $(SOAK) \
+  $(EXAMPLES) $(BENCHES)
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
@@ -86,6 +87,9 @@
 $(BUILD)/standin-%: $(BUILD)/obj/test/standin/%.o $(LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(SOAK): $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard test/soak/*.c)) $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/example-%: $(BUILD)/obj/examples/%.o $(OPERATOR_LIBRARY)
 	$(CC) $(CFLAGS) -o $@ $^
 
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -271,8 +271,8 @@
                         ? (uint32_t)(entry->objective_ms - now_ms)
                         : 0,
     .repeated = entry->resend.runs > 0,
-    .address = sidecar->settings.peers.address,
-    .port = sidecar->settings.peers.port,
+    .address = sidecar->settings.announced.address,
+    .port = sidecar->settings.announced.port,
   };
   strcpy (hop.service, entry->service);
   strcpy (hop.version, record->entry.version);
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -20,7 +20,8 @@
   FIELD_ENDPOINT,
   FIELD_TIME,
   FIELD_RATIO, ///< a fraction, kept in thousandths
-  FIELD_COUNT
+  FIELD_COUNT,
+  FIELD_ENDPOINT_OPTIONAL
 };
 
 struct field
@@ -52,6 +53,7 @@
   { "grace", FIELD_TIME, AT (grace_ms), 6000 },
   { "retry_ratio", FIELD_RATIO, AT (retry_ratio_permille), 200 },
   { "retry_slack", FIELD_COUNT, AT (retry_slack), 50 },
+  { "announced", FIELD_ENDPOINT_OPTIONAL, AT (announced), 0 },
 };
 
 #define FIELDS (sizeof fields / sizeof fields[0])
@@ -91,6 +93,7 @@
     [FIELD_TIME] = "a time such as 1500ms or 2s",
     [FIELD_RATIO] = "a fraction such as 0.2",
     [FIELD_COUNT] = "a number",
+    [FIELD_ENDPOINT_OPTIONAL] = "an IPv4 address and port such as 10.0.0.1:7000",
   };
   char *place = (char *)settings + field->offset;
   const char *text = document_text (node, field->name, findings);
@@ -109,6 +112,7 @@
       good = parse_name (text, place);
       break;
     case FIELD_ENDPOINT:
+    case FIELD_ENDPOINT_OPTIONAL:
       {
         struct settings_endpoint *endpoint = (struct settings_endpoint *)place;
         good = scalar_endpoint (text, &endpoint->address, &endpoint->port);
@@ -152,6 +156,8 @@
     for (size_t i = 0; i < FIELDS; i++)
       read_field (&fields[i], values[i], &parsed, findings);
   document_finish (&document);
+  if (parsed.announced.port == 0)
+    parsed.announced = parsed.peers;
   if (findings->total != before)
     return status_set (STATUS_INVALID, "the settings have %zu findings",
                        findings->total - before);
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -26,6 +26,8 @@
   uint32_t grace_ms; ///< from SIGTERM to SIGKILL
   uint32_t retry_ratio_permille; ///< retries of all nodes per request
   uint32_t retry_slack;          ///< retries of all nodes beyond the ratio
+  /// Where other nodes reach `peers`; differs behind a port mapping.
+  struct settings_endpoint announced;
 };
 
 /// @param findings  started by the caller
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -60,8 +60,8 @@
   strcpy (entry->service, target->report.service);
   strcpy (entry->version, target->report.version);
   strcpy (entry->instance, target->report.instance);
-  entry->address = sidecar->settings.peers.address;
-  entry->port = sidecar->settings.peers.port;
+  entry->address = sidecar->settings.announced.address;
+  entry->port = sidecar->settings.announced.port;
   entry->slots = target->report.slots;
   entry->cold_ms = target->cold_ms;
   entry->epoch = sidecar->epoch;
--- /dev/null
+++ b/test/soak/soak_callers.c
@@ -0,0 +1,342 @@
+/// Owns the callers: they send requests on kept connections for as long as
+/// these are open, and check each answer.
+#include "soak.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEADLINE_MS 2500
+
+/// One caller in this many leaves before its answer.
+#define LEAVES_ONE_IN 40
+#define LEAVES_MS 150
+
+/// An answer is owed at the latest after this time.
+#define GIVE_UP_MS 8000
+
+/// A request that was read is known to be so after this time.
+#define LOSS_SLACK_MS 200
+
+/// A node may show an older version for this long after a newer one.
+#define ROLLBACK_SLACK_MS 250
+
+struct call
+{
+  struct soak_node *node;
+  struct soak_request *request;
+  struct http_exchange *exchange;
+  struct event timer; ///< the caller leaves, or gives up
+  bool leaves;
+  unsigned status;
+  bool sealed;
+  bool named; ///< the answer bears the request's id, or none
+  size_t received;
+  bool wrong_bytes;
+  struct call *next;
+  struct call *previous;
+};
+
+static struct call *calls;
+
+size_t
+soak_answer_size (const struct soak_request *request)
+{
+  uint64_t mixed = hash_place_pair (request->id, 17);
+  return request->kind == SOAK_SHEET ? 100000 + mixed % 300000
+                                     : 50 + mixed % 4000;
+}
+
+size_t
+soak_body_size (const struct soak_request *request)
+{
+  uint64_t mixed = hash_place_pair (request->id, 23);
+  return request->kind == SOAK_SEAL ? 20 + mixed % 30000 : 0;
+}
+
+void
+soak_fill (uint64_t id, size_t offset, char *bytes, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    bytes[i]
+        = (char)('a'
+                 + (id * 31 + (offset + i) * 7 + ((offset + i) >> 6)) % 26);
+}
+
+static void
+end_call (struct call *call)
+{
+  call->request->ended_ms = clock_monotonic_ms ();
+  call->request->status = call->status;
+  if (call->next != NULL)
+    call->next->previous = call->previous;
+  if (call->previous != NULL)
+    call->previous->next = call->next;
+  else
+    calls = call->next;
+  event_del (&call->timer);
+  free (call);
+}
+
+static void
+on_head (void *arg, struct http_head *head)
+{
+  struct call *call = arg;
+  char id[32];
+  soak_ledger_id (call->request, id);
+  const char *named = http_head_find (head, "Hawthornseam-Request-Id");
+  call->status = head->status;
+  call->sealed = http_head_find (head, "Hawthornseam-Response-Seal") != NULL;
+  call->named = named == NULL ? !call->sealed : strcmp (named, id) == 0;
+}
+
+static void
+on_body (void *arg, const char *data, size_t size)
+{
+  struct call *call = arg;
+  char expected[4096];
+  for (size_t done = 0; call->status == 200 && done < size;)
+    {
+      size_t part
+          = size - done < sizeof expected ? size - done : sizeof expected;
+      soak_fill (call->request->id, call->received + done, expected, part);
+      call->wrong_bytes |= memcmp (expected, data + done, part) != 0;
+      done += part;
+    }
+  call->received += size;
+}
+
+/// An answer without a route shows which version the node has in force.
+static void
+check_missing (struct call *call)
+{
+  struct soak_node *node = call->node;
+  struct soak *soak = node->soak;
+  const struct soak_request *request = call->request;
+  if (request->kind != SOAK_ADDED)
+    {
+      soak_violation (soak, "DENIED", "r-%08" PRIx64 " got 404 from %s",
+                      request->id, node->name);
+      return;
+    }
+  uint64_t by_ms = request->sent_ms - SOAK_CONFIG_APPLY_MS;
+  if (soak_in_touch (node, request->sent_ms)
+      && request->version <= soak_store_version_at (by_ms))
+    soak_violation (soak, "CONFIG",
+                    "r-%08" PRIx64 ": %s lacks version %u, acknowledged %d ms "
+                    "before",
+                    request->id, node->name, request->version,
+                    SOAK_CONFIG_APPLY_MS);
+  if (request->process_start == node->starts
+      && request->version <= node->newest_version)
+    soak_violation (soak, "CONFIG",
+                    "r-%08" PRIx64 ": %s fell behind version %u", request->id,
+                    node->name, request->version);
+}
+
+static void
+check_answer (struct call *call)
+{
+  struct soak *soak = call->node->soak;
+  const struct soak_request *request = call->request;
+  unsigned status = call->status;
+  if (!call->named)
+    soak_violation (soak, "MIXED", "r-%08" PRIx64 " got another's answer",
+                    request->id);
+  if (status == 200
+      && (!call->sealed || call->wrong_bytes || request->runs == 0
+          || call->received != soak_answer_size (request)))
+    soak_violation (soak, "MIXED",
+                    "r-%08" PRIx64 " got a wrong success: sealed %d, "
+                    "%zu of %zu bytes, runs %u",
+                    request->id, call->sealed, call->received,
+                    soak_answer_size (request), request->runs);
+  if (status == 404)
+    check_missing (call);
+  else if (status >= 300 && status < 500 && status != 408 && status != 421
+           && status != 429)
+    soak_violation (soak, "DENIED", "r-%08" PRIx64 " got %u from %s",
+                    request->id, status, call->node->name);
+  else if (request->kind == SOAK_ADDED && status == 200
+           && request->process_start == call->node->starts
+           && request->version > call->node->newest_version)
+    call->node->newest_version = request->version;
+}
+
+/// Around planned work, a request that was read gets its whole answer.
+static void
+check_lost (struct call *call)
+{
+  struct soak *soak = call->node->soak;
+  const struct soak_request *request = call->request;
+  uint64_t waited_ms = clock_monotonic_ms () - request->sent_ms;
+  if (!soak_is_calm (soak, request->sent_ms)
+      || (request->runs == 0 && waited_ms <= LOSS_SLACK_MS))
+    return;
+  soak_violation (soak, "LOST",
+                  "r-%08" PRIx64 " by %s lost its connection after %" PRIu64
+                  " ms, runs %u, status %u, %zu bytes",
+                  request->id, call->node->name, waited_ms, request->runs,
+                  call->status, call->received);
+}
+
+static void
+check_time (struct call *call)
+{
+  struct soak_node *node = call->node;
+  const struct soak_request *request = call->request;
+  uint64_t waited_ms = clock_monotonic_ms () - request->sent_ms;
+  if (waited_ms > SOAK_TIMEOUT_MS + SOAK_TIMEOUT_SLACK_MS
+      && soak_in_touch (node, request->sent_ms))
+    soak_violation (node->soak, "CONFIG",
+                    "r-%08" PRIx64 " by %s had no final answer for %" PRIu64
+                    " ms",
+                    request->id, node->name, waited_ms);
+}
+
+static void
+on_end (void *arg, enum http_end end)
+{
+  struct call *call = arg;
+  if (end == HTTP_END_COMPLETE)
+    {
+      check_answer (call);
+      check_time (call);
+    }
+  else
+    {
+      if (end == HTTP_END_LOST || end == HTTP_END_MALFORMED)
+        check_lost (call);
+      if (end == HTTP_END_MALFORMED
+          && soak_is_calm (call->node->soak, call->request->sent_ms))
+        soak_violation (call->node->soak, "MIXED",
+                        "r-%08" PRIx64 " got bytes that are no answer",
+                        call->request->id);
+      call->status = 0;
+    }
+  end_call (call);
+}
+
+static const struct http_exchange_ops ops
+    = { .head = on_head, .body = on_body, .end = on_end };
+
+static void
+on_call_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct call *call = arg;
+  http_exchange_cancel (call->exchange);
+  if (call->leaves)
+    call->request->left_ms = clock_monotonic_ms ();
+  else
+    check_time (call);
+  call->status = 0;
+  end_call (call);
+}
+
+static enum soak_kind
+choose_kind (struct rng *rng)
+{
+  static const enum soak_kind kinds[]
+      = { SOAK_READ, SOAK_READ, SOAK_READ,  SOAK_SEAL, SOAK_SEAL,
+          SOAK_SEAL, SOAK_TURN, SOAK_SHEET, SOAK_TURN, SOAK_ADDED };
+  return kinds[rng_below (rng, sizeof kinds / sizeof kinds[0])];
+}
+
+static void
+send_call (struct soak_node *node)
+{
+  struct soak *soak = node->soak;
+  uint64_t now = clock_monotonic_ms ();
+  enum soak_kind kind = choose_kind (&soak->rng);
+  unsigned newest = soak_store_version_at (now);
+  struct call *call = calloc (1, sizeof *call);
+  call->node = node;
+  call->request = soak_ledger_add (kind, node->index, now);
+  call->request->version = newest;
+  call->request->process_start = node->starts;
+  char id[32];
+  char path[64];
+  soak_ledger_id (call->request, id);
+  if (kind == SOAK_ADDED)
+    snprintf (path, sizeof path, "/v%u/%" PRIx64, newest, call->request->id);
+  else
+    snprintf (path, sizeof path, "%s%" PRIx64, soak_paths[kind],
+              call->request->id);
+  size_t size = soak_body_size (call->request);
+  struct evbuffer *bytes = evbuffer_new ();
+  evbuffer_add_printf (bytes,
+                       "%s %s HTTP/1.1\r\nHost: a.example\r\n"
+                       "Hawthornseam-Request-Id: %s\r\n"
+                       "Hawthornseam-Deadline-Ms: %d\r\n"
+                       "Hawthornseam-Caller-Service: forged\r\n",
+                       kind == SOAK_SEAL ? "POST" : "GET", path, id,
+                       DEADLINE_MS);
+  if (size > 0)
+    evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
+  evbuffer_add (bytes, "\r\n", 2);
+  char *body = malloc (size + 1);
+  soak_fill (call->request->id, 0, body, size);
+  evbuffer_add (bytes, body, size);
+  free (body);
+  struct http_send send = { .address = SOAK_LOOPBACK,
+                            .port = soak_port (node, SOAK_PORT_CALLS),
+                            .request = bytes,
+                            .max_idle_ms = 10000 };
+  call->leaves = rng_below (&soak->rng, LEAVES_ONE_IN) == 0;
+  call->next = calls;
+  if (calls != NULL)
+    calls->previous = call;
+  calls = call;
+  evtimer_assign (&call->timer, soak->base, on_call_timer, call);
+  timer_start (&call->timer, call->leaves
+                                 ? 1 + rng_below (&soak->rng, LEAVES_MS)
+                                 : GIVE_UP_MS);
+  call->exchange = http_pool_send (&node->callers, &send, &ops, call);
+  evbuffer_free (bytes);
+  if (call->exchange == NULL)
+    end_call (call);
+}
+
+static void
+on_think (evutil_socket_t fd, short what, void *arg)
+{
+  struct soak_node *node = arg;
+  struct soak *soak = node->soak;
+  uint64_t mean_ms = 1000 * soak->node_count / soak->options.calls_per_s;
+  timer_start (&node->think, 1 + rng_below (&soak->rng, 2 * mean_ms + 1));
+  if (node->ready && soak_store_version_at (clock_monotonic_ms ()) > 0)
+    send_call (node);
+}
+
+void
+soak_callers_start (struct soak_node *node)
+{
+  static const struct http_pool_options options
+      = { .idle_ms = 10000, .connect_ms = 1000 };
+  http_pool_init (&node->callers, node->soak->base, &options);
+  evtimer_assign (&node->think, node->soak->base, on_think, node);
+  timer_start (&node->think, 500);
+}
+
+void
+soak_callers_stop (struct soak_node *node)
+{
+  event_del (&node->think);
+  struct call *call = calls;
+  while (call != NULL)
+    {
+      struct call *next = call->next;
+      if (call->node == node)
+        {
+          http_exchange_cancel (call->exchange);
+          call->request->left_ms = clock_monotonic_ms ();
+          end_call (call);
+        }
+      call = next;
+    }
+  http_pool_finish (&node->callers);
+}
--- /dev/null
+++ b/test/soak/soak_main.c
@@ -0,0 +1,334 @@
+/// Runs one soak: starts the parts, ticks, and prints the result.
+///   soak [--seed N] [--seconds N] [--nodes N] [--calls N] [--port N]
+///        --program SIDECAR --directory DIR
+/// Exit codes: 0 every promise held, 1 one was broken, 2 usage.
+#include "soak.h"
+
+#include "base/clock.h"
+
+#include <errno.h>
+#include <getopt.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#define TICK_MS 20
+
+/// When a tick is later than this, the machine held this program up, and what
+/// it measured says nothing of the nodes.
+#define STALL_MS 120
+
+#define READY_MS 1000
+
+/// Time without faults at the end: recovery, then a time to measure.
+#define QUIET_MS (SOAK_RECOVER_MS + 4000)
+
+const char *const soak_services[SOAK_SERVICES]
+    = { "menu", "orders", "sheets" };
+const char *const soak_paths[SOAK_KINDS]
+    = { "/read/", "/seal/", "/sheet/", "/turn/", "" };
+
+static FILE *notes;
+
+static void
+note (struct soak *soak, const char *kind, const char *format, va_list list)
+{
+  fprintf (notes, "%8.3f %s ",
+           (double)(clock_monotonic_ms () - soak->started_ms) / 1000, kind);
+  vfprintf (notes, format, list);
+  fputc ('\n', notes);
+}
+
+void
+soak_note (struct soak *soak, const char *format, ...)
+{
+  va_list list;
+  va_start (list, format);
+  note (soak, "note", format, list);
+  va_end (list);
+}
+
+void
+soak_violation (struct soak *soak, const char *promise, const char *format,
+                ...)
+{
+  va_list list;
+  soak->violations++;
+  va_start (list, format);
+  note (soak, promise, format, list);
+  va_end (list);
+  if (soak->violations > 20)
+    return;
+  printf ("BROKEN seed=%" PRIu64 " at=%.3f %s: ", soak->options.seed,
+          (double)(clock_monotonic_ms () - soak->started_ms) / 1000, promise);
+  va_start (list, format);
+  vprintf (format, list);
+  va_end (list);
+  putchar ('\n');
+}
+
+bool
+soak_is_calm (const struct soak *soak, uint64_t since_ms)
+{
+  uint64_t harmed_ms = soak->harmed_until_ms > soak->stalled_until_ms
+                           ? soak->harmed_until_ms
+                           : soak->stalled_until_ms;
+  return since_ms > harmed_ms + SOAK_STABLE_MS;
+}
+
+bool
+soak_in_touch (const struct soak_node *node, uint64_t since_ms)
+{
+  const struct soak *soak = node->soak;
+  return since_ms > node->harmed_until_ms + SOAK_STABLE_MS
+         && since_ms > soak->store_harmed_until_ms + SOAK_STABLE_MS
+         && since_ms > soak->stalled_until_ms + SOAK_STABLE_MS
+         && since_ms > node->started_ms + SOAK_STABLE_MS && node->process > 0;
+}
+
+uint16_t
+soak_port (const struct soak_node *node, unsigned use)
+{
+  return (uint16_t)(node->soak->options.base_port + 1
+                    + node->index * SOAK_PORTS + use);
+}
+
+void
+soak_ignore_body (void *arg, const char *data, size_t size)
+{
+}
+
+static void
+on_ready_head (void *arg, struct http_head *head)
+{
+  ((struct soak_node *)arg)->ready = head->status == 200;
+}
+
+static void
+on_ready_end (void *arg, enum http_end end)
+{
+  struct soak_node *node = arg;
+  if (end != HTTP_END_COMPLETE)
+    node->ready = false;
+}
+
+static const struct http_exchange_ops ready_ops
+    = { .head = on_ready_head, .body = soak_ignore_body, .end = on_ready_end };
+
+static struct http_pool ready_pool;
+static uint64_t ready_ms;
+
+/// Asks each node whether it takes callers, as the platform does.
+static void
+ask_ready (struct soak *soak, uint64_t now_ms)
+{
+  if (now_ms < ready_ms + READY_MS)
+    return;
+  ready_ms = now_ms;
+  for (size_t i = 0; i < soak->node_count; i++)
+    {
+      struct soak_node *node = &soak->nodes[i];
+      struct evbuffer *bytes = evbuffer_new ();
+      evbuffer_add_printf (bytes,
+                           "GET /api/readyz HTTP/1.1\r\nHost: node\r\n\r\n");
+      struct http_send send = { .address = SOAK_LOOPBACK,
+                                .port = soak_port (node, SOAK_PORT_READY),
+                                .request = bytes };
+      if (http_pool_send (&ready_pool, &send, &ready_ops, node) == NULL)
+        node->ready = false;
+      evbuffer_free (bytes);
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  struct soak *soak = arg;
+  uint64_t now = clock_monotonic_ms ();
+  if (now > soak->tick_ms + TICK_MS + STALL_MS)
+    {
+      soak_note (soak, "this program was held up for %" PRIu64 " ms",
+                 now - soak->tick_ms);
+      soak->stalled_until_ms = now;
+    }
+  soak->tick_ms = now;
+  soak_process_tick (soak);
+  ask_ready (soak, now);
+  static bool healed;
+  if (!healed && now >= soak->faults_end_ms)
+    {
+      healed = true;
+      soak_note (soak, "no more faults");
+      soak_faults_heal (soak);
+    }
+  if (now >= soak->faults_end_ms + QUIET_MS)
+    event_base_loopbreak (soak->base);
+}
+
+static bool
+parse_options (int argc, char **argv, struct soak_options *options)
+{
+  static const struct option names[]
+      = { { "seed", required_argument, NULL, 's' },
+          { "seconds", required_argument, NULL, 't' },
+          { "nodes", required_argument, NULL, 'n' },
+          { "calls", required_argument, NULL, 'c' },
+          { "port", required_argument, NULL, 'p' },
+          { "program", required_argument, NULL, 'x' },
+          { "directory", required_argument, NULL, 'd' },
+          { NULL, 0, NULL, 0 } };
+  *options = (struct soak_options){ .seed = 1,
+                                    .seconds = 60,
+                                    .nodes = 9,
+                                    .calls_per_s = 150,
+                                    .base_port = 21000 };
+  int option;
+  while ((option = getopt_long (argc, argv, "", names, NULL)) != -1)
+    switch (option)
+      {
+      case 's':
+        options->seed = strtoull (optarg, NULL, 10);
+        break;
+      case 't':
+        options->seconds = (unsigned)atoi (optarg);
+        break;
+      case 'n':
+        options->nodes = (unsigned)atoi (optarg);
+        break;
+      case 'c':
+        options->calls_per_s = (unsigned)atoi (optarg);
+        break;
+      case 'p':
+        options->base_port = (unsigned)atoi (optarg);
+        break;
+      case 'x':
+        options->program = optarg;
+        break;
+      case 'd':
+        options->directory = optarg;
+        break;
+      default:
+        return false;
+      }
+  return options->program != NULL && options->directory != NULL
+         && options->nodes >= SOAK_SERVICES && options->nodes <= SOAK_NODES_MAX
+         && options->calls_per_s > 0 && options->seconds * 1000 > QUIET_MS
+         && options->base_port + 1 + options->nodes * SOAK_PORTS < 32000;
+}
+
+static enum status
+start_node (struct soak *soak, size_t index)
+{
+  struct soak_node *node = &soak->nodes[index];
+  node->soak = soak;
+  node->index = index;
+  node->service = index % SOAK_SERVICES;
+  snprintf (node->name, sizeof node->name, "node-%zu", index);
+  static const unsigned behind[PROXY_SIDES]
+      = { SOAK_PORT_PEERS, 0, SOAK_PORT_TARGET };
+  for (unsigned i = 0; i < PROXY_SIDES; i++)
+    {
+      uint16_t forward = i == PROXY_STORE ? (uint16_t)soak->options.base_port
+                                          : soak_port (node, behind[i]);
+      node->proxies[i] = soak_proxy_new (
+          soak->base, soak_port (node, SOAK_PORT_PROXY + i), forward);
+    }
+  soak_proxy_open (node->proxies[PROXY_STORE], true);
+  enum status status = soak_target_start (node);
+  if (status != STATUS_OK)
+    return status;
+  soak_process_start (node);
+  soak_callers_start (node);
+  return STATUS_OK;
+}
+
+static void
+stop_all (struct soak *soak)
+{
+  soak->stopping = true;
+  for (size_t i = 0; i < soak->node_count; i++)
+    soak_callers_stop (&soak->nodes[i]);
+  soak_process_end_all (soak);
+  for (size_t i = 0; i < soak->node_count; i++)
+    {
+      struct soak_node *node = &soak->nodes[i];
+      soak_target_stop (node);
+      for (int side = 0; side < PROXY_SIDES; side++)
+        soak_proxy_free (node->proxies[side]);
+    }
+  http_pool_finish (&ready_pool);
+  soak_store_stop (soak);
+}
+
+static void
+on_interrupt (evutil_socket_t number, short what, void *arg)
+{
+  event_base_loopbreak (arg);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct soak soak;
+  if (sodium_init () < 0 || !parse_options (argc, argv, &soak.options))
+    {
+      fprintf (stderr, "usage: soak --program SIDECAR --directory DIR "
+                       "[--seed N] [--seconds N (20 or more)] [--nodes N] "
+                       "[--calls N] [--port N]\n");
+      return 2;
+    }
+  char path[512];
+  mkdir (soak.options.directory, 0755);
+  snprintf (path, sizeof path, "%s/soak.log", soak.options.directory);
+  notes = fopen (path, "w");
+  if (notes == NULL)
+    {
+      perror (path);
+      return 2;
+    }
+  setvbuf (notes, NULL, _IOLBF, 0);
+  signal (SIGPIPE, SIG_IGN);
+  rng_init (&soak.rng, soak.options.seed);
+  soak.base = event_base_new ();
+  soak.started_ms = clock_monotonic_ms ();
+  soak.tick_ms = soak.started_ms;
+  soak.faults_end_ms
+      = soak.started_ms + soak.options.seconds * 1000 - QUIET_MS;
+  static const struct http_pool_options ready_options
+      = { .idle_ms = 500, .connect_ms = 1000 };
+  http_pool_init (&ready_pool, soak.base, &ready_options);
+  soak_ledger_init ();
+  enum status status = soak_store_start (&soak);
+  while (status == STATUS_OK && soak.node_count < soak.options.nodes)
+    status = start_node (&soak, soak.node_count++);
+  if (status != STATUS_OK)
+    {
+      fprintf (stderr, "soak: cannot listen: %s\n", status_message ());
+      stop_all (&soak);
+      return 2;
+    }
+  soak_store_next_version (&soak);
+  soak_faults_start (&soak);
+  evtimer_assign (&soak.tick, soak.base, on_tick, &soak);
+  event_assign (&soak.tick, soak.base, -1, EV_PERSIST, on_tick, &soak);
+  event_add (&soak.tick, &(struct timeval){ 0, TICK_MS * 1000 });
+  struct event *interrupt
+      = evsignal_new (soak.base, SIGINT, on_interrupt, soak.base);
+  struct event *terminate
+      = evsignal_new (soak.base, SIGTERM, on_interrupt, soak.base);
+  event_add (interrupt, NULL);
+  event_add (terminate, NULL);
+  event_base_dispatch (soak.base);
+  soak_ledger_check (&soak);
+  stop_all (&soak);
+  soak_ledger_finish ();
+  event_free (interrupt);
+  event_free (terminate);
+  fclose (notes);
+  return soak.violations > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/test/soak/soak_process.c
@@ -0,0 +1,153 @@
+/// Owns the processes of the system that the soak started; only these are
+/// signalled.
+#include "soak.h"
+
+#include "base/clock.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static void
+write_settings (const struct soak_node *node, const char *path)
+{
+  FILE *file = fopen (path, "w");
+  if (file == NULL)
+    {
+      perror (path);
+      exit (1);
+    }
+  fprintf (file, "format: 1\nnode: %s\navailability_zone: z%zu\nservice: %s\n",
+           node->name, node->index % 3, soak_services[node->service]);
+  static const struct
+  {
+    const char *name;
+    unsigned use;
+  } ports[] = {
+    { "calls", SOAK_PORT_CALLS },
+    { "peers", SOAK_PORT_PEERS },
+    { "announced", SOAK_PORT_PROXY + PROXY_PEERS },
+    { "ready", SOAK_PORT_READY },
+    { "reports", SOAK_PORT_REPORTS },
+    { "metrics", SOAK_PORT_METRICS },
+    { "store", SOAK_PORT_PROXY + PROXY_STORE },
+    { "target", SOAK_PORT_PROXY + PROXY_TARGET },
+  };
+  for (size_t i = 0; i < sizeof ports / sizeof ports[0]; i++)
+    fprintf (file, "%s: 127.0.0.1:%u\n", ports[i].name,
+             soak_port (node, ports[i].use));
+  fprintf (file, "heartbeat: 1500ms\ndrain: %dms\ngrace: %dms\n",
+           SOAK_DRAIN_MS, SOAK_GRACE_MS);
+  fclose (file);
+}
+
+void
+soak_process_start (struct soak_node *node)
+{
+  const struct soak_options *options = &node->soak->options;
+  char settings[512];
+  char log[512];
+  snprintf (settings, sizeof settings, "%s/%s.yaml", options->directory,
+            node->name);
+  snprintf (log, sizeof log, "%s/%s.log", options->directory, node->name);
+  write_settings (node, settings);
+  pid_t process = fork ();
+  if (process < 0)
+    {
+      perror ("fork");
+      exit (1);
+    }
+  if (process == 0)
+    {
+      /* Nothing that was started outlives the soak. */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
+      int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+      dup2 (fd, STDOUT_FILENO);
+      dup2 (fd, STDERR_FILENO);
+      execl (options->program, options->program, "--settings", settings,
+             (char *)NULL);
+      perror (options->program);
+      _exit (127);
+    }
+  node->process = process;
+  node->starts++;
+  node->started_ms = clock_monotonic_ms ();
+  node->restart_ms = 0;
+  node->kill_ms = 0;
+  node->expected_to_end = false;
+  node->newest_version = 0;
+  soak_proxy_open (node->proxies[PROXY_PEERS], true);
+}
+
+void
+soak_process_signal (struct soak_node *node, int number)
+{
+  if (node->process > 0)
+    kill (node->process, number);
+}
+
+static void
+collect (struct soak_node *node, uint64_t now_ms)
+{
+  int status;
+  pid_t process = waitpid (node->process, &status, WNOHANG);
+  if (process != node->process)
+    return;
+  node->process = 0;
+  soak_proxy_open (node->proxies[PROXY_PEERS], false);
+  soak_note (node->soak, "%s ended status=%d signal=%d", node->name,
+             WIFEXITED (status) ? WEXITSTATUS (status) : -1,
+             WIFSIGNALED (status) ? WTERMSIG (status) : 0);
+  if (!node->expected_to_end)
+    soak_violation (node->soak, "FAULT",
+                    "%s ended by itself: exit %d, signal %d", node->name,
+                    WIFEXITED (status) ? WEXITSTATUS (status) : -1,
+                    WIFSIGNALED (status) ? WTERMSIG (status) : 0);
+  if (node->restart_ms == 0)
+    node->restart_ms = now_ms + 100 + rng_below (&node->soak->rng, 1500);
+}
+
+void
+soak_process_tick (struct soak *soak)
+{
+  uint64_t now = clock_monotonic_ms ();
+  for (size_t i = 0; i < soak->node_count; i++)
+    {
+      struct soak_node *node = &soak->nodes[i];
+      if (node->process > 0)
+        collect (node, now);
+      if (node->process > 0 && node->kill_ms != 0 && now >= node->kill_ms)
+        {
+          soak_note (soak, "%s outlived its grace period", node->name);
+          soak_process_signal (node, SIGKILL);
+          node->kill_ms = 0;
+        }
+      if (node->process == 0 && now >= node->restart_ms && !soak->stopping)
+        {
+          soak_note (soak, "%s started again", node->name);
+          soak_process_start (node);
+        }
+    }
+}
+
+void
+soak_process_end_all (struct soak *soak)
+{
+  for (size_t i = 0; i < soak->node_count; i++)
+    {
+      struct soak_node *node = &soak->nodes[i];
+      if (node->process <= 0)
+        continue;
+      soak_process_signal (node, SIGCONT);
+      soak_process_signal (node, SIGKILL);
+      while (waitpid (node->process, NULL, 0) < 0 && errno == EINTR)
+        ;
+      node->process = 0;
+    }
+}
--- /dev/null
+++ b/test/soak/soak_store.c
@@ -0,0 +1,157 @@
+/// Owns the store of a run and plays the operator, whose versions move one
+/// route between two services and add a route each.
+#include "soak.h"
+
+#include "../standin/platform_store.h"
+
+#define VERSIONS_MAX 512
+
+/// Versions increase in uneven steps, as the operator's do.
+#define VERSION_FIRST 10
+#define VERSION_STEP 3
+
+static struct http_server server;
+static struct event lease_tick;
+static uint64_t acknowledged_ms[VERSIONS_MAX];
+static unsigned newest; ///< number of versions that were sent
+
+static void
+on_request (void *arg, struct http_request *request)
+{
+  store_handle (request);
+}
+
+static const struct http_server_ops ops
+    = { .request = on_request, .gone = on_store_gone };
+
+static void
+on_lease_tick (evutil_socket_t fd, short what, void *arg)
+{
+  end_leases (false);
+}
+
+enum status
+soak_store_start (struct soak *soak)
+{
+  base = soak->base;
+  rng_init (&store_rng, soak->options.seed + 1);
+  event_assign (&lease_tick, base, -1, EV_PERSIST, on_lease_tick, NULL);
+  event_add (&lease_tick, &(struct timeval){ 0, 100000 });
+  return http_server_start (&server, base, SOAK_LOOPBACK,
+                            (uint16_t)soak->options.base_port, &standin_limits,
+                            &ops, soak);
+}
+
+void
+soak_store_stop (struct soak *soak)
+{
+  http_server_stop (&server);
+  event_del (&lease_tick);
+  for (size_t i = 0; i < item_count; i++)
+    {
+      free (items[i].key);
+      free (items[i].value);
+    }
+}
+
+void
+soak_store_set_away (bool away)
+{
+  store_faults.away = away;
+  if (away)
+    cut_watches ();
+}
+
+void
+soak_store_set_slow (uint32_t ms)
+{
+  store_faults.slow_ms = ms;
+}
+
+void
+soak_store_set_lossy (uint32_t permille)
+{
+  store_faults.lost_permille = permille;
+}
+
+void
+soak_store_lapse_leases (void)
+{
+  end_leases (true);
+}
+
+void
+soak_store_forget_history (void)
+{
+  compact_history ();
+}
+
+uint64_t
+soak_store_calls (void)
+{
+  return store_calls;
+}
+
+size_t
+soak_store_turn_service (unsigned version)
+{
+  return version % 2;
+}
+
+static void
+write_route (struct evbuffer *text, const char *name, const char *prefix,
+             const char *type, const char *service)
+{
+  evbuffer_add_printf (
+      text,
+      "%s{\"Name\":\"%s\",\"Host\":\"a.example\",\"Prefix\":\"%s\","
+      "\"RouteType\":\"%s\",\"Timeout\":\"%dms\",\"TargetLatency\":\"300ms\","
+      "\"Priority\":1,\"Service\":\"%s\",\"MaxAttempts\":2}",
+      strcmp (name, "read") == 0 ? "" : ",", name, prefix, type,
+      SOAK_TIMEOUT_MS, service);
+}
+
+void
+soak_store_next_version (struct soak *soak)
+{
+  if (newest + 1 >= VERSIONS_MAX)
+    return;
+  unsigned number = ++newest;
+  struct evbuffer *text = evbuffer_new ();
+  evbuffer_add_printf (text, "{\"Version\":\"%08x\",\"Routes\":[",
+                       VERSION_FIRST + VERSION_STEP * number);
+  write_route (text, "read", "/read/", "safe", soak_services[0]);
+  write_route (text, "seal", "/seal/", "unsafe", soak_services[1]);
+  write_route (text, "sheet", "/sheet/", "download", soak_services[2]);
+  write_route (text, "turn", "/turn/", "safe",
+               soak_services[soak_store_turn_service (number)]);
+  for (unsigned i = 1; i <= number; i++)
+    {
+      char name[32];
+      char prefix[32];
+      snprintf (name, sizeof name, "added-%u", i);
+      snprintf (prefix, sizeof prefix, "/v%u/", i);
+      write_route (text, name, prefix, "safe", soak_services[0]);
+    }
+  evbuffer_add_printf (
+      text,
+      "],\"Services\":[{\"Name\":\"%s\"},{\"Name\":\"%s\"},"
+      "{\"Name\":\"%s\"}],\"Limits\":{\"MaxHeaderBytes\":16384,"
+      "\"MaxBodyBytes\":1048576,\"HeaderTimeout\":\"3000ms\","
+      "\"IdleTimeout\":\"15000ms\"}}",
+      soak_services[0], soak_services[1], soak_services[2]);
+  put_text ("op/config", evbuffer_pullup (text, -1),
+            evbuffer_get_length (text));
+  evbuffer_free (text);
+  acknowledged_ms[number] = clock_monotonic_ms ();
+  soak_note (soak, "version %u acknowledged", number);
+}
+
+unsigned
+soak_store_version_at (uint64_t when_ms)
+{
+  unsigned version = newest;
+  while (version > 0 && acknowledged_ms[version] > when_ms)
+    version--;
+  return version;
+}
--- /dev/null
+++ b/test/standin/platform_store.h
@@ -0,0 +1,448 @@
+/// The metadata store of the platform's stand-in: keys with revisions, leases,
+/// watches and the faults that a store can have. Shared by platform.c and the
+/// soak; a program includes it once.
+#ifndef HAWTHORNSEAM_TEST_PLATFORM_STORE_H
+#define HAWTHORNSEAM_TEST_PLATFORM_STORE_H
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "transport/http_server.h"
+#include "transport/timer.h"
+
+#include <event2/http.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define ITEMS_MAX 4096
+#define WATCHES_MAX 1024
+
+struct item
+{
+  char *key;
+  char *value; ///< base64 text; NULL: removed
+  uint64_t revision;
+  uint64_t lease;
+};
+
+struct watch
+{
+  struct http_request *request; ///< NULL: unused
+  char prefix[256];
+  uint64_t after;
+  struct event timer;
+};
+
+struct lease
+{
+  uint64_t id; ///< 0: unused
+  uint64_t ttl_ms;
+  uint64_t ends_ms;
+};
+
+/// What is wrong with the store.
+struct store_faults
+{
+  bool away;        ///< every call is answered 503
+  bool deaf;        ///< watches hear nothing
+  uint32_t slow_ms; ///< every call waits this long
+  uint32_t
+      lost_permille; ///< calls whose answer is lost after they took effect
+};
+
+static struct event_base *base;
+static struct item items[ITEMS_MAX];
+static size_t item_count;
+static struct watch watches[WATCHES_MAX];
+static struct lease leases[ITEMS_MAX];
+static uint64_t lease_count; ///< leases that were ever granted
+static uint64_t revision = 10;
+static struct store_faults store_faults;
+static struct rng store_rng;
+static uint64_t forgotten; ///< revision up to which watches tell nothing
+static uint64_t compacted; ///< watches from before this revision get 410
+static uint64_t store_calls;
+static bool losing; ///< the answer to the present call is lost
+
+static void
+reply_json (struct http_request *request, unsigned status, json_t *object)
+{
+  if (losing)
+    {
+      http_reply_abort (request);
+      json_decref (object);
+      return;
+    }
+  char *text = json_dumps (object, JSON_COMPACT);
+  http_reply (request, status, "Content-Type: application/json\r\n", text,
+              strlen (text));
+  free (text);
+  json_decref (object);
+}
+
+/// Reads one value of the query.
+static const char *
+query (void *arena, const char *target, const char *name)
+{
+  const char *at = strchr (target, '?');
+  size_t size = strlen (name);
+  while (at != NULL)
+    {
+      at++;
+      if (strncmp (at, name, size) == 0 && at[size] == '=')
+        {
+          char *value = talloc_strndup (arena, at + size + 1,
+                                        strcspn (at + size + 1, "&"));
+          return evhttp_decode_uri (value);
+        }
+      at = strchr (at, '&');
+    }
+  return "";
+}
+
+static struct item *
+find_item (const char *key)
+{
+  for (size_t i = 0; i < item_count; i++)
+    if (strcmp (items[i].key, key) == 0)
+      return &items[i];
+  return NULL;
+}
+
+static json_t *
+item_json (const struct item *item)
+{
+  if (item->value == NULL)
+    return json_pack ("{s:s, s:I, s:b}", "Key", item->key, "Rev",
+                      (json_int_t)item->revision, "Tombstone", 1);
+  return json_pack ("{s:s, s:s, s:I, s:I, s:I}", "Key", item->key, "Value",
+                    item->value, "Rev", (json_int_t)item->revision, "Created",
+                    (json_int_t)item->revision, "Lease",
+                    (json_int_t)item->lease);
+}
+
+/// Answers a watch when a key below its prefix changed.
+/// @param force  true: answers without events as well
+static void
+answer_watch (struct watch *watch, bool force)
+{
+  json_t *events = json_array ();
+  for (size_t i = 0; i < item_count && !store_faults.deaf; i++)
+    if (items[i].revision > watch->after && items[i].revision > forgotten
+        && strncmp (items[i].key, watch->prefix, strlen (watch->prefix)) == 0)
+      json_array_append_new (events, item_json (&items[i]));
+  if (json_array_size (events) == 0 && !force)
+    {
+      json_decref (events);
+      return;
+    }
+  struct http_request *request = watch->request;
+  watch->request = NULL;
+  event_del (&watch->timer);
+  reply_json (request, 200,
+              json_pack ("{s:o, s:I}", "events", events, "AsOf",
+                         (json_int_t)revision));
+}
+
+static void
+set_item (const char *key, const char *value, uint64_t lease)
+{
+  struct item *item = find_item (key);
+  if (item == NULL)
+    {
+      if (item_count == ITEMS_MAX)
+        abort ();
+      item = &items[item_count++];
+      item->key = strdup (key);
+    }
+  free (item->value);
+  item->value = value == NULL ? NULL : strdup (value);
+  item->revision = ++revision;
+  item->lease = lease;
+  for (size_t i = 0; i < WATCHES_MAX; i++)
+    if (watches[i].request != NULL)
+      answer_watch (&watches[i], false);
+}
+
+static void
+on_watch_timer (evutil_socket_t fd, short what, void *arg)
+{
+  answer_watch (arg, true);
+}
+
+static void
+start_watch (struct http_request *request)
+{
+  const char *target = request->head->target;
+  for (size_t i = 0; i < WATCHES_MAX; i++)
+    {
+      struct watch *watch = &watches[i];
+      if (watch->request != NULL)
+        continue;
+      watch->request = request;
+      request->context = watch;
+      snprintf (watch->prefix, sizeof watch->prefix, "%s",
+                query (request->arena, target, "Prefix"));
+      watch->after
+          = strtoull (query (request->arena, target, "after"), NULL, 10);
+      if (watch->after < compacted)
+        {
+          watch->request = NULL;
+          http_reply (request, 410, NULL, "", 0);
+          return;
+        }
+      evtimer_assign (&watch->timer, base, on_watch_timer, watch);
+      timer_start (
+          &watch->timer,
+          strtoull (query (request->arena, target, "WaitMs"), NULL, 10));
+      answer_watch (watch, false);
+      return;
+    }
+  http_reply (request, 429, NULL, "", 0);
+}
+
+static void
+answer_range (struct http_request *request)
+{
+  json_t *found = json_array ();
+  const char *prefix = query (request->arena, request->head->target, "Prefix");
+  for (size_t i = 0; i < item_count; i++)
+    if (items[i].value != NULL
+        && strncmp (items[i].key, prefix, strlen (prefix)) == 0)
+      json_array_append_new (found, item_json (&items[i]));
+  reply_json (request, 200,
+              json_pack ("{s:o, s:b, s:I}", "items", found, "HasMore", 0,
+                         "AsOf", (json_int_t)revision));
+}
+
+static bool
+condition_holds (json_t *expect, json_t *current)
+{
+  bool holds = true;
+  for (size_t i = 0; i < json_array_size (expect); i++)
+    {
+      json_t *row = json_array_get (expect, i);
+      const char *key = json_string_value (json_object_get (row, "Key"));
+      uint64_t wanted
+          = (uint64_t)json_integer_value (json_object_get (row, "Rev"));
+      const struct item *item = find_item (key);
+      bool present = item != NULL && item->value != NULL;
+      holds = holds && (present ? item->revision : 0) == wanted;
+      if (present)
+        json_array_append_new (current, item_json (item));
+    }
+  return holds;
+}
+
+static struct lease *
+find_lease (uint64_t id)
+{
+  for (size_t i = 0; i < ITEMS_MAX; i++)
+    if (leases[i].id == id && leases[i].ends_ms > clock_monotonic_ms ())
+      return &leases[i];
+  return NULL;
+}
+
+static void
+answer_txn (struct http_request *request, json_t *body)
+{
+  json_t *current = json_array ();
+  json_t *writes = json_object_get (body, "Writes");
+  json_t *deletes = json_object_get (body, "Deletes");
+  if (!condition_holds (json_object_get (body, "Expect"), current))
+    {
+      reply_json (request, 412, json_pack ("{s:o}", "items", current));
+      return;
+    }
+  json_decref (current);
+  for (size_t i = 0; i < json_array_size (writes); i++)
+    {
+      uint64_t lease = (uint64_t)json_integer_value (
+          json_object_get (json_array_get (writes, i), "Lease"));
+      if (lease != 0 && find_lease (lease) == NULL)
+        {
+          reply_json (request, 404, json_object ());
+          return;
+        }
+    }
+  for (size_t i = 0; i < json_array_size (writes); i++)
+    {
+      json_t *row = json_array_get (writes, i);
+      set_item (json_string_value (json_object_get (row, "Key")),
+                json_string_value (json_object_get (row, "Value")),
+                (uint64_t)json_integer_value (json_object_get (row, "Lease")));
+    }
+  for (size_t i = 0; i < json_array_size (deletes); i++)
+    set_item (json_string_value (json_array_get (deletes, i)), NULL, 0);
+  reply_json (request, 200, json_pack ("{s:I}", "Rev", (json_int_t)revision));
+}
+
+static void
+answer_lease (struct http_request *request, json_t *body)
+{
+  const char *ttl = json_string_value (json_object_get (body, "Ttl"));
+  struct lease *lease = &leases[0];
+  for (size_t i = 0; i < ITEMS_MAX; i++)
+    if (leases[i].ends_ms < lease->ends_ms)
+      lease = &leases[i];
+  lease->id = 70001 + lease_count++;
+  lease->ttl_ms = ttl == NULL ? 1000 : strtoull (ttl, NULL, 10);
+  lease->ends_ms = clock_monotonic_ms () + lease->ttl_ms;
+  reply_json (
+      request, 200,
+      json_pack ("{s:I, s:s}", "Lease", (json_int_t)lease->id, "Ttl", ttl));
+}
+
+static void
+answer_keep (struct http_request *request)
+{
+  const char *id = strrchr (request->head->target, '/') + 1;
+  struct lease *lease = find_lease (strtoull (id, NULL, 10));
+  if (lease != NULL)
+    lease->ends_ms = clock_monotonic_ms () + lease->ttl_ms;
+  reply_json (request, lease == NULL ? 404 : 200, json_object ());
+}
+
+/// Carries out one call.
+static void
+perform_call (struct http_request *request)
+{
+  const char *target = request->head->target;
+  size_t size = evbuffer_get_length (request->body);
+  json_t *body = size == 0
+                     ? NULL
+                     : json_loadb ((char *)evbuffer_pullup (request->body, -1),
+                                   size, 0, NULL);
+  if (strncmp (target, "/api/kv-watch", 13) == 0)
+    start_watch (request);
+  else if (strncmp (target, "/api/kv-range", 13) == 0)
+    answer_range (request);
+  else if (strcmp (target, "/api/kv-txn") == 0)
+    answer_txn (request, body);
+  else if (strcmp (target, "/api/kv-lease") == 0)
+    answer_lease (request, body);
+  else if (strncmp (target, "/api/kv-keep/", 13) == 0)
+    answer_keep (request);
+  else
+    http_reply (request, 404, NULL, "", 0);
+  json_decref (body);
+}
+
+struct delayed_call
+{
+  struct http_request *request;
+  struct event timer;
+};
+
+static void
+on_delayed_call (evutil_socket_t fd, short what, void *arg)
+{
+  struct delayed_call *call = arg;
+  struct http_request *request = call->request;
+  request->context = NULL;
+  free (call);
+  perform_call (request);
+}
+
+/// Handles a call as the present faults of the store let it.
+static void
+store_handle (struct http_request *request)
+{
+  bool is_watch = strncmp (request->head->target, "/api/kv-watch", 13) == 0;
+  store_calls++;
+  if (store_faults.away)
+    http_reply (request, 503, NULL, "", 0);
+  else if (!is_watch && store_faults.lost_permille > 0
+           && rng_below (&store_rng, 1000) < store_faults.lost_permille)
+    {
+      losing = true;
+      perform_call (request);
+      losing = false;
+    }
+  else if (store_faults.slow_ms > 0)
+    {
+      struct delayed_call *call = calloc (1, sizeof *call);
+      call->request = request;
+      request->context = call;
+      evtimer_assign (&call->timer, base, on_delayed_call, call);
+      timer_start (&call->timer, store_faults.slow_ms);
+    }
+  else
+    perform_call (request);
+}
+
+static void
+on_store_gone (void *arg, struct http_request *request)
+{
+  if (request->context == NULL)
+    return;
+  struct watch *watch = request->context;
+  if (watch >= watches && watch < watches + WATCHES_MAX)
+    {
+      if (watch->request != request)
+        return;
+      watch->request = NULL;
+      event_del (&watch->timer);
+      return;
+    }
+  struct delayed_call *call = request->context;
+  event_del (&call->timer);
+  free (call);
+}
+
+static void
+cut_watches (void)
+{
+  for (size_t i = 0; i < WATCHES_MAX; i++)
+    if (watches[i].request != NULL)
+      {
+        struct http_request *cut = watches[i].request;
+        watches[i].request = NULL;
+        event_del (&watches[i].timer);
+        http_reply_abort (cut);
+      }
+}
+
+/// Sets a key to plain text, as an operator would.
+static void
+put_text (const char *key, const void *text, size_t size)
+{
+  size_t room
+      = sodium_base64_ENCODED_LEN (size, sodium_base64_VARIANT_ORIGINAL);
+  char *value = malloc (room);
+  sodium_bin2base64 (value, room, text, size, sodium_base64_VARIANT_ORIGINAL);
+  set_item (key, value, 0);
+  free (value);
+}
+
+/// Ends all leases of which the time is over, with their keys.
+/// @param all  ends every lease, as a store does that lapses them
+static void
+end_leases (bool all)
+{
+  if (all)
+    memset (leases, 0, sizeof leases);
+  for (size_t i = 0; i < item_count; i++)
+    if (items[i].value != NULL && items[i].lease != 0
+        && find_lease (items[i].lease) == NULL)
+      set_item (items[i].key, NULL, 0);
+}
+
+/// Forgets the history: watches that continue from before now get 410.
+static void
+compact_history (void)
+{
+  compacted = revision;
+  cut_watches ();
+}
+
+static const struct http_server_limits standin_limits
+    = { .head_bytes = 65536,
+        .body_bytes = 4 * 1024 * 1024,
+        .receive_ms = 60000,
+        .idle_ms = 60000 };
+
+#endif
