Limit large answers by the VM's link; give up calls of a silent store on its return

After a silent outage of the store, watches of before the outage were kept for up to 27 s, and probes of before timed out later and were taken for a new outage: versions came into force more than 2.5 s late. Ruled out: slots of `routes` (43 of 96 needed), processor time (0.012 cores). Change: the gate runs at most as many answers of a kind as keep the link busy, from its rate and the kind's size and time. The client of the store gives up all calls in flight when an outage ends.

--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -26,6 +26,9 @@
 /// A refusal needs this long to reach the caller's node before the deadline.
 #define ANSWER_MARGIN_US 15000
 
+/// Answers that take less time on the link than this are not limited by it.
+#define TRANSFER_US_MIN 10000
+
 static struct gate_kind *
 find_kind (struct gate *gate, uint32_t kind)
 {
@@ -34,36 +37,84 @@
     {
       if (gate->kinds[i].kind == kind && gate->kinds[i].used > 0)
         return &gate->kinds[i];
-      if (gate->kinds[i].used < least->used)
+      if (gate->kinds[i].running == 0
+          && (least->running > 0 || gate->kinds[i].used < least->used))
         least = &gate->kinds[i];
     }
   *least = (struct gate_kind){ .kind = kind };
   return least;
 }
 
-/// @return expected time in the target for a kind of work, microseconds
-static uint32_t
-service_us (const struct gate *gate, uint32_t kind)
+/// @return what is known of a kind of work, or NULL
+static struct gate_kind *
+known_kind (struct gate *gate, uint32_t kind)
 {
   for (size_t i = 0; i < GATE_KINDS; i++)
     if (gate->kinds[i].kind == kind && gate->kinds[i].used > 0)
-      return gate->kinds[i].mean_us;
-  return gate->mean_us;
+      return &gate->kinds[i];
+  return NULL;
+}
+
+/// @return expected time in the target for a kind of work, microseconds
+static uint32_t
+service_us (struct gate *gate, uint32_t kind)
+{
+  const struct gate_kind *known = known_kind (gate, kind);
+  return known == NULL ? gate->mean_us : known->mean_us;
+}
+
+/// @return time that an answer of a kind takes on the link, microseconds; 0
+///         when the link does not limit it
+static uint64_t
+transfer_us (const struct gate *gate, const struct gate_kind *kind)
+{
+  if (kind == NULL || gate->link_bytes_per_s == 0)
+    return 0;
+  uint64_t us = (uint64_t)kind->mean_bytes * 1000000 / gate->link_bytes_per_s;
+  return us < TRANSFER_US_MIN ? 0 : us;
+}
+
+/// @return tickets of a kind that may run at once
+static size_t
+kind_limit (const struct gate *gate, const struct gate_kind *kind)
+{
+  uint64_t link_us = transfer_us (gate, kind);
+  return link_us == 0 ? SIZE_MAX : 2 + kind->head_mean_us / link_us;
+}
+
+static bool
+is_held_by_link (struct gate *gate, const struct gate_ticket *ticket)
+{
+  const struct gate_kind *kind = known_kind (gate, ticket->work.kind);
+  return kind != NULL && kind->running >= kind_limit (gate, kind);
+}
+
+static uint32_t
+smooth (uint32_t mean, uint64_t value, bool first)
+{
+  uint64_t taken
+      = value < UINT32_MAX / SMOOTHING ? value : UINT32_MAX / SMOOTHING;
+  return (uint32_t)(first ? taken
+                          : (mean * (uint64_t)(SMOOTHING - 1) + taken)
+                                / SMOOTHING);
 }
 
 static void
-remember_time (struct gate *gate, uint32_t kind, uint64_t us)
+remember_time (struct gate *gate, const struct gate_ticket *ticket,
+               uint64_t now_us)
 {
-  uint32_t taken = us < SERVICE_US_MAX ? (uint32_t)us : SERVICE_US_MAX;
-  struct gate_kind *entry = find_kind (gate, kind);
-  entry->mean_us
-      = entry->used == 0
-            ? taken
-            : (entry->mean_us * (SMOOTHING - 1) + taken) / SMOOTHING;
-  entry->used++;
-  gate->mean_us = gate->mean_us == 0
-                      ? taken
-                      : (gate->mean_us * (SMOOTHING - 1) + taken) / SMOOTHING;
+  uint64_t us = now_us - ticket->started_us;
+  uint64_t taken = us < SERVICE_US_MAX ? us : SERVICE_US_MAX;
+  uint64_t head_us
+      = ticket->head_us == 0 ? taken : ticket->head_us - ticket->started_us;
+  struct gate_kind *kind = find_kind (gate, ticket->work.kind);
+  bool first = kind->used == 0;
+  kind->mean_us = smooth (kind->mean_us, taken, first);
+  kind->head_mean_us
+      = smooth (kind->head_mean_us, head_us < taken ? head_us : taken, first);
+  kind->mean_bytes = smooth (kind->mean_bytes, ticket->bytes, first);
+  kind->used++;
+  gate->mean_us = smooth (gate->mean_us, taken, gate->mean_us == 0);
 }
 
 static void
@@ -130,12 +181,15 @@
   return a->work.deadline_ms < b->work.deadline_ms;
 }
 
+/// @return the waiting ticket that is started next, or NULL when the link
+///         holds all of them
 static struct gate_ticket *
-best_queued (const struct gate *gate, uint64_t now_us)
+best_queued (struct gate *gate, uint64_t now_us)
 {
   struct gate_ticket *best = NULL;
   for (size_t i = 0; i < gate->queued; i++)
-    if (best == NULL || goes_first (gate->queue[i], best, now_us))
+    if ((best == NULL || goes_first (gate->queue[i], best, now_us))
+        && !is_held_by_link (gate, gate->queue[i]))
       best = gate->queue[i];
   return best;
 }
@@ -143,7 +197,11 @@
 static void
 start (struct gate *gate, struct gate_ticket *ticket, uint64_t now_us)
 {
+  struct gate_kind *kind = known_kind (gate, ticket->work.kind);
   gate->running++;
+  if (kind != NULL)
+    kind->running++;
+  ticket->counted = kind != NULL;
   ticket->state = ADMIT_RUNNING;
   ticket->started_us = now_us;
 }
@@ -154,6 +212,8 @@
   while (gate->queued > 0 && gate->running < gate->slots)
     {
       struct gate_ticket *ticket = best_queued (gate, now_us);
+      if (ticket == NULL)
+        return;
       if (!ends_before (ticket, ticket->work.deadline_ms, now_us))
         {
           refuse_queued (gate, ticket, ADMIT_REFUSED_LATE);
@@ -191,6 +251,18 @@
   start_queued (gate, now_us);
 }
 
+void
+gate_note_head (struct gate_ticket *ticket, uint64_t now_us)
+{
+  ticket->head_us = now_us;
+}
+
+void
+gate_note_bytes (struct gate_ticket *ticket, size_t size)
+{
+  ticket->bytes += size;
+}
+
 void
 gate_set_draining (struct gate *gate, bool draining)
 {
@@ -218,9 +290,14 @@
 }
 
 uint64_t
-gate_wait_us (const struct gate *gate, uint32_t rank)
+gate_wait_us (struct gate *gate, uint32_t kind, uint32_t rank)
 {
-  return wait_us (gate, count_ahead (gate, rank));
+  uint64_t slots_us = wait_us (gate, count_ahead (gate, rank));
+  uint64_t waiting = 0;
+  for (size_t i = 0; i < gate->queued; i++)
+    waiting += gate->queue[i]->work.kind == kind;
+  uint64_t link_us = waiting * transfer_us (gate, known_kind (gate, kind));
+  return link_us > slots_us ? link_us : slots_us;
 }
 
 static size_t
@@ -233,6 +310,19 @@
   return ahead;
 }
 
+/// @return time until the link has room for a held ticket
+static uint64_t
+link_wait_us (struct gate *gate, const struct gate_ticket *ticket,
+              uint64_t now_us)
+{
+  const struct gate_kind *kind = known_kind (gate, ticket->work.kind);
+  uint64_t ahead = 1;
+  for (size_t i = 0; i < gate->queued; i++)
+    ahead += gate->queue[i]->work.kind == ticket->work.kind
+             && goes_first (gate->queue[i], ticket, now_us);
+  return ahead * transfer_us (gate, kind);
+}
+
 enum status
 gate_offer (struct gate *gate, struct gate_ticket *ticket,
             const struct gate_work *work, uint64_t now_us,
@@ -247,7 +337,9 @@
       *why = gate->draining ? ADMIT_REFUSED_DRAINING : ADMIT_REFUSED_ABSENT;
       return STATUS_UNAVAILABLE;
     }
-  if (gate->running < gate->slots && gate->queued == 0)
+  bool held = is_held_by_link (gate, ticket);
+  if (gate->running < gate->slots && !held
+      && best_queued (gate, now_us) == NULL)
     {
       if (!ends_before (ticket, work->deadline_ms, now_us))
         {
@@ -263,6 +355,8 @@
       return STATUS_UNAVAILABLE;
     }
   uint64_t wait = wait_us (gate, count_before (gate, ticket, now_us));
+  if (held)
+    wait = link_wait_us (gate, ticket, now_us);
   if (!ends_before (ticket, work->deadline_ms, now_us + wait))
     {
       *why = ADMIT_REFUSED_LATE;
@@ -281,8 +375,11 @@
   assert (ticket->state == ADMIT_RUNNING && gate->running > 0);
   ticket->state = ADMIT_OVER;
   gate->running--;
+  struct gate_kind *kind = known_kind (gate, ticket->work.kind);
+  if (kind != NULL && ticket->counted && kind->running > 0)
+    kind->running--;
   if (served)
-    remember_time (gate, ticket->work.kind, now_us - ticket->started_us);
+    remember_time (gate, ticket, now_us);
   start_queued (gate, now_us);
 }
 
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -7,6 +7,12 @@
 /// as the slots that late ones got lately will serve them before their
 /// deadline: the others are refused at once and may come back, instead of
 /// waiting for an end that is known.
+///
+/// Large answers leave through the VM's link, which may carry fewer of them
+/// than the slots produce. Only as many of a kind run at once as keep the link
+/// busy (its rate times the time one takes, Little's law). More would share
+/// the link: all of them would be late, and small answers would wait behind
+/// them.
 #ifndef HAWTHORNSEAM_COORDINATION_GATE_H
 #define HAWTHORNSEAM_COORDINATION_GATE_H
 
@@ -32,7 +38,10 @@
   struct gate_work work;
   uint32_t service_us; ///< expected time in the target
   uint64_t started_us;
-  size_t place; ///< in the queue
+  uint64_t head_us; ///< when the answer's head came; 0: not yet
+  uint64_t bytes;   ///< of the answer's body so far
+  bool counted;     ///< among the running tickets of its kind
+  size_t place;     ///< in the queue
 };
 
 struct gate_ops
@@ -45,8 +54,11 @@
 struct gate_kind
 {
   uint32_t kind;
-  uint32_t mean_us; ///< smoothed time in the target
-  uint64_t used;    ///< for replacement of the least used
+  uint32_t mean_us;      ///< smoothed time in the target
+  uint32_t head_mean_us; ///< smoothed time to the answer's head
+  uint32_t mean_bytes;   ///< smoothed size of the answer
+  size_t running;
+  uint64_t used; ///< for replacement of the least used
 };
 
 struct gate
@@ -57,7 +69,8 @@
   size_t running;
   size_t queued;
   bool draining;
-  uint32_t mean_us;      ///< smoothed time in the target over all kinds
+  uint64_t link_bytes_per_s; ///< of the VM's link; 0: not a limit
+  uint32_t mean_us;          ///< smoothed time in the target over all kinds
   double late_per_s;     ///< smoothed rate at which late tickets are started
   uint64_t late_us;      ///< when that rate was last brought up to date
   uint64_t late_free_us; ///< when no late ticket waited last
@@ -70,6 +83,10 @@
 /// Sets the target's slots; 0: there is no target and queued work is refused.
 void gate_set_slots (struct gate *gate, size_t slots, uint64_t now_us);
 
+/// Notes the start and the size of an answer, for the limit by the link.
+void gate_note_head (struct gate_ticket *ticket, uint64_t now_us);
+void gate_note_bytes (struct gate_ticket *ticket, size_t size);
+
 /// Refuses what waits and all new work while true.
 void gate_set_draining (struct gate *gate, bool draining);
 
@@ -90,7 +107,7 @@
 /// Refuses waiting tickets that cannot be done in time any more.
 void gate_expire (struct gate *gate, uint64_t now_us);
 
-/// @return estimated wait of new work of a rank, microseconds
-uint64_t gate_wait_us (const struct gate *gate, uint32_t rank);
+/// @return estimated wait of new work of a kind and rank, microseconds
+uint64_t gate_wait_us (struct gate *gate, uint32_t kind, uint32_t rank);
 
 #endif
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -253,6 +253,8 @@
   directory_init (&sidecar->directory);
   quota_init (&sidecar->quotas, settings->retry_ratio_permille);
   gate_init (&sidecar->gate, &sidecar_gate_ops, sidecar);
+  sidecar->gate.link_bytes_per_s
+      = (uint64_t)sidecar->settings.link_kbit_per_s * 1000 / 8;
   http_pool_init (&sidecar->peer_pool, sidecar->base, &peer);
   http_pool_init (&sidecar->target_pool, sidecar->base, &target);
   enum status status = sidecar_store_start (sidecar);
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -86,7 +86,7 @@
 static uint64_t
 retry_after_ms (struct sidecar *sidecar, const struct hop *hop)
 {
-  uint64_t wait_ms = gate_wait_us (&sidecar->gate, hop->rank) / 1000;
+  uint64_t wait_ms = gate_wait_us (&sidecar->gate, hop->kind, hop->rank) / 1000;
   if (wait_ms < RETRY_AFTER_MS_MIN)
     wait_ms = RETRY_AFTER_MS_MIN;
   if (wait_ms > RETRY_AFTER_MS_MAX)
@@ -151,6 +151,7 @@
   struct sidecar_run *run = arg;
   struct sidecar *sidecar = run->sidecar;
   bool not_run = says_not_run (sidecar, head);
+  gate_note_head (&run->ticket, clock_monotonic_us ());
   sidecar->target.refusals = 0;
   if (not_run)
     {
@@ -175,6 +176,7 @@
 on_answer_body (void *arg, const char *data, size_t size)
 {
   struct sidecar_run *run = arg;
+  gate_note_bytes (&run->ticket, size);
   http_reply_piece (run->request, data, size);
   if (http_request_backlog (run->request) > SIDECAR_BACKLOG_MAX)
     http_exchange_pause (run->exchange);
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -53,6 +53,7 @@
   { "grace", FIELD_TIME, AT (grace_ms), 6000 },
   { "retry_ratio", FIELD_RATIO, AT (retry_ratio_permille), 200 },
   { "retry_slack", FIELD_COUNT, AT (retry_slack), 50 },
+  { "link_mbit_per_s", FIELD_RATIO, AT (link_kbit_per_s), 0 },
   { "announced", FIELD_ENDPOINT_OPTIONAL, AT (announced), 0 },
 };
 
@@ -93,7 +94,8 @@
     [FIELD_TIME] = "a time such as 1500ms or 2s",
     [FIELD_RATIO] = "a fraction such as 0.2",
     [FIELD_COUNT] = "a number",
-    [FIELD_ENDPOINT_OPTIONAL] = "an IPv4 address and port such as 10.0.0.1:7000",
+    [FIELD_ENDPOINT_OPTIONAL]
+    = "an IPv4 address and port such as 10.0.0.1:7000",
   };
   char *place = (char *)settings + field->offset;
   const char *text = document_text (node, field->name, findings);
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -26,6 +26,7 @@
   uint32_t grace_ms; ///< from SIGTERM to SIGKILL
   uint32_t retry_ratio_permille; ///< retries of all nodes per request
   uint32_t retry_slack;          ///< retries of all nodes beyond the ratio
+  uint32_t link_kbit_per_s;      ///< of the VM; 0: not a limit
   /// Where other nodes reach `peers`; differs behind a port mapping.
   struct settings_endpoint announced;
 };
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -52,16 +52,17 @@
 static void list_next (struct sidecar_store *store);
 
 static void
-note_away (struct sidecar_store *store, const char *call, enum status status)
+note_away (struct sidecar_store *store, const char *call,
+           const struct store_reply *reply)
 {
-  if (store->away_since_ms != 0)
+  if (store->away_since_ms != 0 || reply->abandoned)
     return;
   store->away_since_ms = clock_monotonic_ms ();
   store->relist = true;
   counter_add (&lost, 1);
   log_event (LOG_LEVEL_WARNING, "store_lost",
              "call=%s status=%s view_revision=%" PRIu64, call,
-             status_name (status), store->as_of);
+             status_name (reply->status), store->as_of);
 }
 
 static void
@@ -74,6 +75,9 @@
              "away_ms=%" PRIu64 " view_revision=%" PRIu64,
              now - store->away_since_ms, store->as_of);
   store->away_since_ms = 0;
+  /* Calls that were sent during the outage may never be answered, and must
+     not be taken for a new one when they time out. */
+  store_client_abandon (&store->sidecar->store_client);
   store->next_watch_ms = now;
   store->next_write_ms = now;
 }
@@ -228,7 +232,7 @@
   if (reply->status != STATUS_OK)
     {
       if (!is_answer (reply))
-        note_away (store, "range", reply->status);
+        note_away (store, "range", reply);
       store->next_watch_ms = clock_monotonic_ms () + RETRY_MS;
       return;
     }
@@ -305,7 +309,7 @@
       break;
     default:
       if (!is_answer (reply))
-        note_away (store, "watch", reply->status);
+        note_away (store, "watch", reply);
       break;
     }
 }
@@ -359,7 +363,7 @@
       store->next_write_ms = now;
       break;
     default:
-      note_away (store, "put", reply->status);
+      note_away (store, "put", reply);
       break;
     }
 }
@@ -371,7 +375,7 @@
   store->granting = false;
   if (reply->status != STATUS_OK)
     {
-      note_away (store, "lease", reply->status);
+      note_away (store, "lease", reply);
       store->next_write_ms = clock_monotonic_ms () + RETRY_MS;
       return;
     }
@@ -388,7 +392,7 @@
   store->renewing = false;
   if (!is_answer (reply))
     {
-      note_away (store, "keepalive", reply->status);
+      note_away (store, "keepalive", reply);
       return;
     }
   note_back (store);
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -25,6 +25,7 @@
   struct store_wire wire;
   uint64_t answer_ms; ///< time for the answer once it is sent
   bool sent; ///< bytes of the request were handed to a connected socket
+  bool abandoned;      ///< by store_client_abandon
   enum status refused; ///< answer that is due without any call, or STATUS_OK
   struct event *timer;
   void (*done) (void *arg, const struct store_reply *reply);
@@ -116,9 +117,11 @@
 static void
 operation_fail (struct store_operation *operation)
 {
-  note_reachable (operation->client, false);
+  if (!operation->abandoned)
+    note_reachable (operation->client, false);
   struct store_reply reply
-      = { .status = operation->sent ? STATUS_UNKNOWN : STATUS_UNAVAILABLE };
+      = { .status = operation->sent ? STATUS_UNKNOWN : STATUS_UNAVAILABLE,
+          .abandoned = operation->abandoned };
   operation_finish (operation, &reply);
 }
 
@@ -282,7 +285,7 @@
       operation_finish (operation, &reply);
       return;
     }
-  if (operation->answer_ms > 0
+  if (operation->answer_ms > 0 && !operation->abandoned
       && (operation->connection == NULL || operation->sent))
     {
       start_timer (operation, operation->answer_ms);
@@ -458,6 +461,17 @@
   client->codec = codec;
 }
 
+void
+store_client_abandon (struct store_client *client)
+{
+  struct store_operation *operation;
+  TAILQ_FOREACH (operation, &client->active, link)
+  {
+    operation->abandoned = true;
+    event_active (operation->timer, EV_TIMEOUT, 0);
+  }
+}
+
 void
 store_client_finish (struct store_client *client)
 {
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -65,6 +65,11 @@
 void store_client_set_codec (struct store_client *client,
                              const struct store_codec *codec);
 
+/// Gives up the calls in flight, with their connections. Each is called back
+/// from the event loop with STATUS_UNKNOWN or STATUS_UNAVAILABLE and
+/// `abandoned` set.
+void store_client_abandon (struct store_client *client);
+
 /// Closes all connections. Operations in flight are not called back. Must not
 /// be called from a `done` callback.
 void store_client_finish (struct store_client *client);
--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -105,6 +105,16 @@
 put_config 00000012 orders
 wait_for "configuration after the gap" 3 answers 1 /read/6 "200 i-[bc]" || fail "after the gap"
 
+# A store that takes calls and answers none: what is sent right after its
+# return is in force within two seconds, although calls of before still wait.
+curl -s -X POST "$STORE/control/silent?1"
+for n in 1 2 3 4; do report_all; sleep 1.4; done
+curl -s -X POST "$STORE/control/silent?0"
+put_config 00000013 menu
+wait_for "configuration after silence" 2 answers 1 /read/7 "200 i-a" || fail "silence"
+put_config 00000014 orders
+wait_for "configuration later" 3 answers 1 /read/8 "200 i-[bc]" || fail "after silence"
+
 # A leaving target gets nothing a quarter of the drain time later.
 report_all
 expect "leave acknowledged" "$(report 1 draining)" 200
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -182,6 +182,7 @@
 enum status soak_store_start (struct soak *soak);
 void soak_store_stop (struct soak *soak);
 void soak_store_set_away (bool away);
+void soak_store_set_silent (bool silent);
 void soak_store_set_slow (uint32_t ms);
 void soak_store_set_lossy (uint32_t permille);
 void soak_store_lapse_leases (void);
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -146,6 +146,19 @@
   soak_store_set_away (false);
 }
 
+/// The store takes calls and answers none.
+static void
+store_silent (struct soak_node *node, uint32_t for_ms)
+{
+  soak_store_set_silent (true);
+}
+
+static void
+end_store_silent (struct soak_node *node)
+{
+  soak_store_set_silent (false);
+}
+
 /// The store is away for so long that all leases lapse.
 static void
 store_away_lapse (struct soak_node *node, uint32_t for_ms)
@@ -266,6 +279,7 @@
   { "cut", false, false, 500, 5000, cut_side, end_cut },
   { "store-away", false, true, 300, 5000, store_away, store_back },
   { "store-lapse", false, true, 2000, 5000, store_away_lapse, store_back },
+  { "store-silent", false, true, 1000, 6000, store_silent, end_store_silent },
   { "store-slow", false, true, 500, 4000, store_slow, end_store_slow },
   { "store-lossy", false, true, 500, 4000, store_lossy, end_store_lossy },
   { "store-forget", false, true, 0, 0, store_forget, NULL },
@@ -363,6 +377,7 @@
       continue_node (node);
     }
   store_back (&soak->nodes[0]);
+  end_store_silent (&soak->nodes[0]);
   end_store_slow (&soak->nodes[0]);
   end_store_lossy (&soak->nodes[0]);
 }
--- a/test/soak/soak_store.c
+++ b/test/soak/soak_store.c
@@ -62,6 +62,12 @@
     cut_watches ();
 }
 
+void
+soak_store_set_silent (bool silent)
+{
+  store_faults.silent = silent;
+}
+
 void
 soak_store_set_slow (uint32_t ms)
 {
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -3,6 +3,7 @@
 ///   standin-platform STORE_PORT [TARGET_PORT INSTANCE]...
 /// Besides the platform's calls, the store's port has:
 ///   POST /control/away?N    1: every store call is answered 503; 0: normal
+///   POST /control/silent?N  1: calls are taken and never answered
 ///   POST /control/deaf?N    1: watches hear nothing; 0: what they missed is
 ///                           forgotten, and they are cut
 ///   POST /control/compact   forgets the history: watches are cut, then get
@@ -47,6 +48,11 @@
         cut_watches ();
       http_reply (request, 200, NULL, "", 0);
     }
+  else if (strncmp (target, "/control/silent?", 16) == 0)
+    {
+      store_faults.silent = target[16] == '1';
+      http_reply (request, 200, NULL, "", 0);
+    }
   else if (strncmp (target, "/control/deaf?", 14) == 0)
     {
       store_faults.deaf = target[14] == '1';
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -47,6 +47,7 @@
 struct store_faults
 {
   bool away;        ///< every call is answered 503
+  bool silent;      ///< calls are taken and never answered
   bool deaf;        ///< watches hear nothing
   uint32_t slow_ms; ///< every call waits this long
   uint32_t
@@ -142,6 +143,8 @@
   struct http_request *request = watch->request;
   watch->request = NULL;
   event_del (&watch->timer);
+  if (store_faults.silent)
+    return;
   reply_json (request, 200,
               json_pack ("{s:o, s:I}", "events", events, "AsOf",
                          (json_int_t)revision));
@@ -355,6 +358,8 @@
   store_calls++;
   if (store_faults.away)
     http_reply (request, 503, NULL, "", 0);
+  else if (store_faults.silent)
+    return;
   else if (!is_watch && store_faults.lost_permille > 0
            && rng_below (&store_rng, 1000) < store_faults.lost_permille)
     {
