Answer before the end of the grace period; judge late work by kind; pace watches by ConfigApply

Late downloads were kept by the rate of all kinds and refused seconds later. Change: a stopping node gives a final answer when a seventh of the grace is left to what has not begun to be answered. Late starts are counted by kind where the link limits it.

--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,8 @@
   $(addprefix src/transport/,http_pool.c http_server.c http_stream.c \
   store_client.c timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
-SIDECAR_LIBS := -Wl,--as-needed -levent_core -levent_extra -lhttp_parser -lyaml -ltalloc \
-  -lsodium -ljansson -lxxhash -largtable2 -lm
+SIDECAR_LIBS := -Wl,-Bstatic -levent_extra -levent_core -lhttp_parser -lyaml -ltalloc -lsodium \
+  -ljansson -lxxhash -largtable2 -Wl,-Bdynamic -lm
 LIBRARY := $(BUILD)/libhawthornseam-core.a
 NODE := $(BUILD)/hawthornseam-node
 CTL := $(BUILD)/hawthornseam-ctl
--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -16,6 +16,11 @@
 /// Time over which the rate of started late tickets is smoothed.
 #define LATE_SMOOTHING_US 1500000.0
 
+/// Work that starts with less than a quarter more than its usual time left is
+/// taken to be late: under load it would mostly end behind its objective and
+/// take the slot of one that can still meet its own.
+#define LATE_MARGIN_DIVISOR 4
+
 /// Late tickets are taken to get at least this part of the slots, 1 / 20: the
 /// requests that can meet their objective come in waves.
 #define LATE_PART 20
@@ -146,23 +151,34 @@
 static bool
 is_late (const struct gate_ticket *ticket, uint64_t now_us)
 {
-  return now_us + ticket->service_us >= ticket->work.objective_ms * 1000;
+  uint64_t expected_us
+      = ticket->service_us + ticket->service_us / LATE_MARGIN_DIVISOR;
+  return now_us + expected_us >= ticket->work.objective_ms * 1000;
 }
 
-/// Lets the rate of late starts fade.
+/// Lets a rate of late starts fade.
 static void
-fade_late_rate (struct gate *gate, uint64_t now_us)
+fade_rate (struct gate_rate *rate, uint64_t now_us)
+{
+  rate->per_s *= exp (-(double)(now_us - rate->us) / LATE_SMOOTHING_US);
+  rate->us = now_us;
+}
+
+/// @return the rate that a late ticket of a kind waits for
+static struct gate_rate *
+late_rate (struct gate *gate, struct gate_kind *kind)
 {
-  gate->late_per_s
-      *= exp (-(double)(now_us - gate->late_us) / LATE_SMOOTHING_US);
-  gate->late_us = now_us;
+  return transfer_us (gate, kind) > 0 ? &kind->late : &gate->late;
 }
 
 static void
-count_late_start (struct gate *gate, uint64_t now_us)
+count_late_start (struct gate *gate, const struct gate_ticket *ticket,
+                  uint64_t now_us)
 {
-  fade_late_rate (gate, now_us);
-  gate->late_per_s += 1e6 / LATE_SMOOTHING_US;
+  struct gate_rate *rate
+      = late_rate (gate, known_kind (gate, ticket->work.kind));
+  fade_rate (rate, now_us);
+  rate->per_s += 1e6 / LATE_SMOOTHING_US;
 }
 
 /// @return true when `a` is to be started before `b`
@@ -220,7 +236,7 @@
           continue;
         }
       if (is_late (ticket, now_us))
-        count_late_start (gate, now_us);
+        count_late_start (gate, ticket, now_us);
       take_from_queue (gate, ticket);
       start (gate, ticket, now_us);
       gate->ops->run (gate->arg, ticket);
@@ -407,26 +423,43 @@
   return 0;
 }
 
+/// @return rate at which late tickets of a kind are taken to start, a second
+static double
+expected_late_rate (struct gate *gate, struct gate_kind *kind, uint64_t now_us)
+{
+  uint64_t link_us = transfer_us (gate, kind);
+  struct gate_rate *rate = late_rate (gate, kind);
+  double all_per_s = 0;
+  if (link_us > 0)
+    all_per_s = 1e6 / (double)link_us;
+  else if (gate->mean_us > 0)
+    all_per_s = (double)gate->slots * 1e6 / gate->mean_us;
+  fade_rate (rate, now_us);
+  double least_per_s = all_per_s / LATE_PART;
+  return rate->per_s > least_per_s ? rate->per_s : least_per_s;
+}
+
 /// Refuses the late tickets that the present rate does not serve in time.
 static void
 refuse_hopeless (struct gate *gate, struct late_ticket *late, size_t count,
                  uint64_t now_us)
 {
-  double floor_per_s = gate->mean_us == 0 ? 0
-                                          : (double)gate->slots * 1e6
-                                                / gate->mean_us / LATE_PART;
-  double per_s
-      = gate->late_per_s > floor_per_s ? gate->late_per_s : floor_per_s;
-  size_t kept = 0;
+  size_t kept_by_slots = 0;
+  size_t kept_by_link[GATE_KINDS] = { 0 };
   qsort (late, count, sizeof late[0], compare_late);
   for (size_t i = 0; i < count; i++)
     {
-      double wait_us = per_s > 0 ? (double)(kept + 1) / per_s * 1e6 : 1e12;
+      struct gate_kind *kind = known_kind (gate, late[i].ticket->work.kind);
+      size_t *kept = transfer_us (gate, kind) > 0
+                         ? &kept_by_link[kind - gate->kinds]
+                         : &kept_by_slots;
+      double per_s = expected_late_rate (gate, kind, now_us);
+      double wait_us = per_s > 0 ? (double)(*kept + 1) / per_s * 1e6 : 1e12;
       uint64_t limit_us = late[i].ticket->work.deadline_ms * 1000;
       uint64_t needed_us
           = now_us + late[i].ticket->service_us + ANSWER_MARGIN_US;
       if ((double)needed_us + wait_us < (double)limit_us)
-        kept++;
+        (*kept)++;
       else
         refuse_queued (gate, late[i].ticket, ADMIT_REFUSED_LATE);
     }
@@ -450,7 +483,6 @@
       gate->late_free_us = now_us;
       return;
     }
-  fade_late_rate (gate, now_us);
   if (now_us - gate->late_free_us > LATE_FORGET_US)
     refuse_hopeless (gate, late, count, now_us);
 }
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -51,6 +51,13 @@
                   enum admit_refusal why);
 };
 
+/// Smoothed rate at which late tickets are started.
+struct gate_rate
+{
+  double per_s;
+  uint64_t us; ///< when it was last brought up to date
+};
+
 struct gate_kind
 {
   uint32_t kind;
@@ -58,7 +65,8 @@
   uint32_t head_mean_us; ///< smoothed time to the answer's head
   uint32_t mean_bytes;   ///< smoothed size of the answer
   size_t running;
-  uint64_t used; ///< for replacement of the least used
+  struct gate_rate late; ///< of a kind that the link limits
+  uint64_t used;         ///< for replacement of the least used
 };
 
 struct gate
@@ -71,9 +79,8 @@
   bool draining;
   uint64_t link_bytes_per_s; ///< of the VM's link; 0: not a limit
   uint32_t mean_us;          ///< smoothed time in the target over all kinds
-  double late_per_s;     ///< smoothed rate at which late tickets are started
-  uint64_t late_us;      ///< when that rate was last brought up to date
-  uint64_t late_free_us; ///< when no late ticket waited last
+  struct gate_rate late;     ///< of the kinds that the slots limit
+  uint64_t late_free_us;     ///< when no late ticket waited last
   struct gate_kind kinds[GATE_KINDS];
   struct gate_ticket *queue[GATE_QUEUE_MAX];
 };
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -36,7 +36,7 @@
 struct store_reply
 {
   enum status status;
-  bool abandoned; ///< given up by the caller; says nothing of the store
+  bool abandoned;    ///< given up by the caller; says nothing of the store
   uint64_t revision; ///< of the key; for a lease grant the lease id
   const uint8_t *data;
   size_t size;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -24,6 +24,7 @@
 
 #include <event2/event.h>
 #include <event2/event_struct.h>
+#include <sys/queue.h>
 
 /// Keys of the project, behind the adapter's prefix for them.
 #define OWN_NODE "node/"
@@ -41,10 +42,18 @@
 /// refused: they could not end within the grace period.
 #define SIDECAR_STOP_SERVE_MS 2900
 
+/// A stopping node gives a final answer to what has not begun to be answered
+/// when a seventh of the grace period is left. The platform counts nothing
+/// against it that its target still works on in the last sixth.
+#define SIDECAR_STOP_ANSWER_DIVISOR 7
+
 /// Until this long after SIGTERM the target beside the node still gets
 /// requests of other nodes: it goes on running, and has no other way to them.
 #define SIDECAR_STOP_PEERS_MS 2400
 
+struct sidecar_entry;
+TAILQ_HEAD (sidecar_entries, sidecar_entry);
+
 struct sidecar_store;
 struct sidecar_moves;
 struct sidecar_crashes;
@@ -78,10 +87,11 @@
   struct quota_table quotas;
   struct sidecar_target target;
   struct gate gate;
-  struct http_server calls;   ///< from callers on this VM
-  struct http_server peers;   ///< from other nodes
-  struct http_server ready;   ///< the platform's readiness question
-  struct http_server reports; ///< from the target
+  struct sidecar_entries entries; ///< requests of callers in progress
+  struct http_server calls;       ///< from callers on this VM
+  struct http_server peers;       ///< from other nodes
+  struct http_server ready;       ///< the platform's readiness question
+  struct http_server reports;     ///< from the target
   struct http_server metrics;
   struct http_pool peer_pool;
   struct http_pool target_pool;
@@ -98,6 +108,9 @@
 /* sidecar_entry.c */
 extern const struct http_server_ops sidecar_entry_ops;
 
+/// Lets no request wait for an answer to begin until the process is ended.
+void sidecar_entry_stopping (struct sidecar *sidecar);
+
 /* sidecar_run.c */
 extern const struct http_server_ops sidecar_run_ops;
 extern const struct gate_ops sidecar_gate_ops;
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -71,6 +71,7 @@
 release (struct sidecar_entry *entry)
 {
   event_del (&entry->timer);
+  TAILQ_REMOVE (&entry->sidecar->entries, entry, link);
   if (entry->held != NULL)
     evbuffer_free (entry->held);
   free (entry);
@@ -385,6 +386,29 @@
   sidecar_entry_end_failed (entry, 504, CALL_REASON_TIMEOUT);
 }
 
+/// @return when a stopping node answers what has not begun to be answered
+static uint64_t
+stop_answer_ms (const struct sidecar *sidecar)
+{
+  uint32_t grace_ms = sidecar->settings.grace_ms;
+  return sidecar->stopping_ms + grace_ms
+         - grace_ms / SIDECAR_STOP_ANSWER_DIVISOR;
+}
+
+void
+sidecar_entry_stopping (struct sidecar *sidecar)
+{
+  uint64_t by_ms = stop_answer_ms (sidecar);
+  struct sidecar_entry *entry;
+  TAILQ_FOREACH (entry, &sidecar->entries, link)
+  {
+    if (entry->passing || entry->answer_by_ms <= by_ms)
+      continue;
+    entry->answer_by_ms = by_ms;
+    timer_start_at (&entry->timer, by_ms);
+  }
+}
+
 static void
 start (struct sidecar_entry *entry, struct mesh_route *route,
        uint32_t deadline_ms)
@@ -407,6 +431,8 @@
   entry->answer_by_ms = entry->deadline_ms;
   if (route->timeout_ms < deadline_ms)
     entry->answer_by_ms = entry->arrived_ms + route->timeout_ms;
+  if (sidecar->stopping && entry->answer_by_ms > stop_answer_ms (sidecar))
+    entry->answer_by_ms = stop_answer_ms (sidecar);
   timer_start_at (&entry->timer, entry->answer_by_ms);
   quota_count (&sidecar->quotas, entry->service, entry->arrived_ms);
   offer (entry);
@@ -478,6 +504,7 @@
   entry->arrived_ms = request->received_us / 1000;
   request->context = entry;
   evtimer_assign (&entry->timer, sidecar->base, on_timeout, entry);
+  TAILQ_INSERT_TAIL (&sidecar->entries, entry, link);
   start (entry, route, deadline_ms);
 }
 
--- a/src/sidecar/sidecar_entry.h
+++ b/src/sidecar/sidecar_entry.h
@@ -16,7 +16,8 @@
   struct http_request *request;
   struct http_exchange *exchange; ///< NULL between two offers
   struct event timer;             ///< end of the time for an answer
-  const char *id;                 ///< in the request's arena
+  TAILQ_ENTRY (sidecar_entry) link;
+  const char *id; ///< in the request's arena
   char route[64];
   char service[DIRECTORY_NAME_MAX + 1];
   uint64_t config_version; ///< that chose the route
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -151,6 +151,7 @@
              sidecar->calls.connections,
              sidecar->calls.in_progress + sidecar->peers.in_progress);
   http_server_drain (&sidecar->calls);
+  sidecar_entry_stopping (sidecar);
   if (sidecar_moves_is_driving (sidecar))
     sidecar_store_announce (sidecar);
 }
@@ -182,6 +183,7 @@
       struct sidecar_settings *in_force = &sidecar->settings;
       in_force->heartbeat_ms = settings.heartbeat_ms;
       in_force->drain_ms = settings.drain_ms;
+      in_force->config_apply_ms = settings.config_apply_ms;
       in_force->grace_ms = settings.grace_ms;
       in_force->retry_slack = settings.retry_slack;
       log_event (LOG_LEVEL_INFO, "reloaded", "path=%s",
@@ -250,6 +252,7 @@
       = { .idle_ms = TARGET_IDLE_MS,
           .connect_ms = TARGET_CONNECT_MS,
           .id_header = sidecar->adapter->headers.request_id };
+  TAILQ_INIT (&sidecar->entries);
   directory_init (&sidecar->directory);
   quota_init (&sidecar->quotas, settings->retry_ratio_permille);
   gate_init (&sidecar->gate, &sidecar_gate_ops, sidecar);
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -86,7 +86,8 @@
 static uint64_t
 retry_after_ms (struct sidecar *sidecar, const struct hop *hop)
 {
-  uint64_t wait_ms = gate_wait_us (&sidecar->gate, hop->kind, hop->rank) / 1000;
+  uint64_t wait_ms
+      = gate_wait_us (&sidecar->gate, hop->kind, hop->rank) / 1000;
   if (wait_ms < RETRY_AFTER_MS_MIN)
     wait_ms = RETRY_AFTER_MS_MIN;
   if (wait_ms > RETRY_AFTER_MS_MAX)
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -50,6 +50,7 @@
   { "store_reads_per_s", FIELD_COUNT, AT (store_reads_per_s), 2000 },
   { "heartbeat", FIELD_TIME, AT (heartbeat_ms), 1500 },
   { "drain", FIELD_TIME, AT (drain_ms), 2000 },
+  { "config_apply", FIELD_TIME, AT (config_apply_ms), 2000 },
   { "grace", FIELD_TIME, AT (grace_ms), 6000 },
   { "retry_ratio", FIELD_RATIO, AT (retry_ratio_permille), 200 },
   { "retry_slack", FIELD_COUNT, AT (retry_slack), 50 },
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -22,8 +22,9 @@
   uint32_t lease_min_ms;            ///< shortest lease of the store
   uint32_t store_reads_per_s;       ///< that the store serves to all nodes
   uint32_t heartbeat_ms;            ///< interval of the target's reports
-  uint32_t drain_ms; ///< after this a leaving target gets no request
-  uint32_t grace_ms; ///< from SIGTERM to SIGKILL
+  uint32_t drain_ms;        ///< after this a leaving target gets no request
+  uint32_t config_apply_ms; ///< within this a configuration is in force
+  uint32_t grace_ms;        ///< from SIGTERM to SIGKILL
   uint32_t retry_ratio_permille; ///< retries of all nodes per request
   uint32_t retry_slack;          ///< retries of all nodes beyond the ratio
   uint32_t link_kbit_per_s;      ///< of the VM; 0: not a limit
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -25,9 +25,11 @@
 /// A long poll; a silent connection is found by its keep-alive probes.
 #define WATCH_WAIT_MS 25000
 
-/// Pause after a watch answered, so that changes that come together cost one
-/// call. A configuration is to be in force within two seconds.
-#define WATCH_PACE_MS 400
+/// Part of the time in which a configuration is to be in force that a watch
+/// pauses after its answer, 2 / 5: changes that come together cost one call,
+/// and the rest of the time is for the call and the reading of a large
+/// configuration on a slow VM.
+#define WATCH_PACE_PERCENT 40
 
 /// The same while a move runs: until its end is known, a bad version gets its
 /// share.
@@ -279,7 +281,8 @@
                          : store->nodes * 1000 * WATCH_PART / reads_per_s;
   uint64_t least_ms = sidecar_moves_is_running (store->sidecar)
                           ? WATCH_PACE_MOVE_MS
-                          : WATCH_PACE_MS;
+                          : store->sidecar->settings.config_apply_ms
+                                * WATCH_PACE_PERCENT / 100;
   if (pace_ms < least_ms)
     return least_ms;
   return pace_ms < WATCH_PACE_MS_MAX ? pace_ms : WATCH_PACE_MS_MAX;
