Let the sidecar test's watches be open when the store cuts them

Cause: 'configuration behind a gap' cuts the watches and forgets what they missed. With a longer pause between two watches none was open, so none was cut, and the stand-in, which answers later watches as if nothing had been forgotten, hid the configuration; a real store answers 410 there. Change: the test waits until the watches are open. It still fails when a cut watch is not followed by a full read. Conclusion: the check is as strict as before.

--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -96,7 +96,9 @@
 wait_for "newest configuration" 3 answers 1 /read/4 "200 i-[bc]" || fail "config"
 
 # A configuration that came while the watches heard nothing, and whose history
-# is forgotten then, is in force within two seconds of the cut.
+# is forgotten then, is in force within two seconds of the cut. The watches are
+# open when they are cut: a node pauses before its next one.
+sleep 1
 curl -s -X POST "$STORE/control/deaf?1"
 put_config 00000011 menu
 sleep 0.5
