Use the late margin only where the link limits; undo two settings that cost worth

Change: the margin holds for work that the link limits; watches pause for a fifth of ConfigApply as before; half of the retry budget is used as before. Conclusion: the link's part stays, the rest is undone.

--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -16,9 +16,10 @@
 /// Time over which the rate of started late tickets is smoothed.
 #define LATE_SMOOTHING_US 1500000.0
 
-/// Work that starts with less than a quarter more than its usual time left is
-/// taken to be late: under load it would mostly end behind its objective and
-/// take the slot of one that can still meet its own.
+/// Work that the link limits and that starts with less than a quarter more
+/// than its usual time left is taken to be late: its time varies with what
+/// else uses the link, and it would mostly end behind its objective in the
+/// place of one that can still meet its own.
 #define LATE_MARGIN_DIVISOR 4
 
 /// Late tickets are taken to get at least this part of the slots, 1 / 20: the
@@ -151,8 +152,9 @@
 static bool
 is_late (const struct gate_ticket *ticket, uint64_t now_us)
 {
-  uint64_t expected_us
-      = ticket->service_us + ticket->service_us / LATE_MARGIN_DIVISOR;
+  uint64_t expected_us = ticket->service_us;
+  if (ticket->link_limited)
+    expected_us += ticket->service_us / LATE_MARGIN_DIVISOR;
   return now_us + expected_us >= ticket->work.objective_ms * 1000;
 }
 
@@ -347,6 +349,7 @@
   assert (ticket->state == ADMIT_NEW);
   ticket->work = *work;
   ticket->service_us = service_us (gate, work->kind);
+  ticket->link_limited = transfer_us (gate, known_kind (gate, work->kind)) > 0;
   ticket->state = ADMIT_OVER;
   if (gate->draining || gate->slots == 0)
     {
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -38,10 +38,11 @@
   struct gate_work work;
   uint32_t service_us; ///< expected time in the target
   uint64_t started_us;
-  uint64_t head_us; ///< when the answer's head came; 0: not yet
-  uint64_t bytes;   ///< of the answer's body so far
-  bool counted;     ///< among the running tickets of its kind
-  size_t place;     ///< in the queue
+  uint64_t head_us;  ///< when the answer's head came; 0: not yet
+  uint64_t bytes;    ///< of the answer's body so far
+  bool link_limited; ///< the VM's link, not the slots, limits its kind
+  bool counted;      ///< among the running tickets of its kind
+  size_t place;      ///< in the queue
 };
 
 struct gate_ops
--- a/src/coordination/quota.c
+++ b/src/coordination/quota.c
@@ -8,7 +8,7 @@
 
 /// Part of the ratio and of the slack that is used. The rest covers calls that
 /// repeated runs make, and requests that were counted in another window.
-#define USED_PERCENT 70
+#define USED_PERCENT 50
 
 void
 quota_init (struct quota_table *table, uint32_t ratio_permille)
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -26,10 +26,10 @@
 #define WATCH_WAIT_MS 25000
 
 /// Part of the time in which a configuration is to be in force that a watch
-/// pauses after its answer, 2 / 5: changes that come together cost one call,
+/// pauses after its answer, 1 / 5: changes that come together cost one call,
 /// and the rest of the time is for the call and the reading of a large
 /// configuration on a slow VM.
-#define WATCH_PACE_PERCENT 40
+#define WATCH_PACE_PERCENT 20
 
 /// The same while a move runs: until its end is known, a bad version gets its
 /// share.
