Follow the store through two relays of the zone

Cause: every node watched the store. Change: two nodes of a zone, chosen by rendezvous hashing in the directory, watch the store; the others ask one of them for changes (long poll, 600 ms), the other one when that does not answer within a second or has had no answer of the store for 1.1 s, and watch the store themselves when both fail. Zones of fewer than 8 nodes share the relays of the whole mesh. The mirror keeps removals, so that changes can be told from any revision; large answers are compressed with zstd.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
   platform/*.c) $(addprefix src/state/,directory.c mesh_config.c mirror.c \
   suspect.c) \
-  $(addprefix src/coordination/,gate.c place.c quota.c resend.c \
+  $(addprefix src/coordination/,gate.c place.c quota.c relay.c resend.c \
   retry.c rollout.c seqtest.c) \
   $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
   json_text.c move_record.c scalar.c store_api.c view.c) \
@@ -39,7 +39,7 @@
   store_client.c timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
 SIDECAR_LIBS := -Wl,-Bstatic -levent_extra -levent_core -lhttp_parser -lyaml -ltalloc -lsodium \
-  -ljansson -lxxhash -largtable2 -Wl,-Bdynamic -lm
+  -lzstd -ljansson -lxxhash -largtable2 -Wl,-Bdynamic -lm
 LIBRARY := $(BUILD)/libhawthornseam-core.a
 NODE := $(BUILD)/hawthornseam-node
 CTL := $(BUILD)/hawthornseam-ctl
--- /dev/null
+++ b/src/coordination/relay.c
@@ -0,0 +1,100 @@
+/// Owns no state; what failed lies with the caller.
+#include "coordination/relay.h"
+
+#include "base/hash.h"
+
+#include <string.h>
+
+/// Tells this choice from other choices by the same names.
+#define RELAY_ROLE 0x72656c6179u
+
+static bool
+is_candidate (const struct directory_record *record, const char *zone)
+{
+  return record->used && record->missing_ms == 0
+         && record->entry.state != DIRECTORY_LEAVING
+         && (zone == NULL
+             || strcmp (record->entry.availability_zone, zone) == 0);
+}
+
+static size_t
+count_candidates (const struct directory *directory, const char *zone)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < directory->count; i++)
+    count += is_candidate (&directory->records[i], zone);
+  return count;
+}
+
+void
+relay_choose (const struct directory *directory, const char *own_node,
+              const char *zone, struct relay_group *group)
+{
+  uint64_t scores[RELAY_COUNT] = { 0 };
+  if (count_candidates (directory, zone) < RELAY_ZONE_NODES_MIN)
+    zone = NULL;
+  *group = (struct relay_group){ 0 };
+  for (size_t i = 0; i < directory->count; i++)
+    {
+      const struct directory_record *record = &directory->records[i];
+      if (!is_candidate (record, zone))
+        continue;
+      uint64_t score = hash_place_pair (hash_place_string (record->entry.node),
+                                        RELAY_ROLE);
+      size_t place = group->count;
+      while (place > 0 && score > scores[place - 1])
+        place--;
+      if (place >= RELAY_COUNT)
+        continue;
+      if (group->count < RELAY_COUNT)
+        group->count++;
+      for (size_t k = group->count - 1; k > place; k--)
+        {
+          scores[k] = scores[k - 1];
+          group->handles[k] = group->handles[k - 1];
+        }
+      scores[place] = score;
+      group->handles[place] = i;
+    }
+  for (size_t i = 0; i < group->count; i++)
+    group->member
+        |= strcmp (directory->records[group->handles[i]].entry.node, own_node)
+           == 0;
+}
+
+static bool
+is_barred (const struct relay_follow *follow, uint64_t serial, uint64_t now_ms)
+{
+  for (size_t i = 0; i < RELAY_COUNT; i++)
+    if (follow->serials[i] == serial && now_ms < follow->until_ms[i])
+      return true;
+  return false;
+}
+
+size_t
+relay_pick (const struct relay_follow *follow,
+            const struct directory *directory, const char *own_node,
+            const char *zone, uint64_t now_ms)
+{
+  struct relay_group group;
+  relay_choose (directory, own_node, zone, &group);
+  if (group.member || group.count < RELAY_COUNT)
+    return SIZE_MAX;
+  /* Followers spread over the relays by their names. */
+  size_t first = hash_place_string (own_node) % RELAY_COUNT;
+  for (size_t i = 0; i < RELAY_COUNT; i++)
+    {
+      size_t handle = group.handles[(first + i) % RELAY_COUNT];
+      if (!is_barred (follow, directory->records[handle].serial, now_ms))
+        return handle;
+    }
+  return SIZE_MAX;
+}
+
+void
+relay_failed (struct relay_follow *follow, uint64_t serial, uint64_t now_ms)
+{
+  follow->serials[follow->next] = serial;
+  follow->until_ms[follow->next] = now_ms + RELAY_BAR_MS;
+  follow->next = (follow->next + 1) % RELAY_COUNT;
+}
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -31,6 +31,9 @@
 #define CALL_PATH_TARGET "/_hawthornseam/target"
 #define CALL_PATH_DRAIN "/_hawthornseam/drain"
 #define CALL_PATH_VIEW "/_hawthornseam/view"
+
+/// Changes of a node's view, long poll; the revision follows.
+#define CALL_PATH_CHANGES "/_hawthornseam/changes?after="
 #define CALL_PATH_EVIDENCE "/_hawthornseam/evidence"
 
 /// Largest deadline that a caller may ask for, ms.
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -146,6 +146,18 @@
 void sidecar_store_answer (struct sidecar *sidecar,
                            struct http_request *request);
 
+/* sidecar_relay.c */
+
+/// Answers another node's question for changes, now or when there are some.
+void sidecar_relay_answer (struct sidecar *sidecar,
+                           struct http_request *request);
+
+/// Forgets a question whose node has gone.
+void sidecar_relay_gone (struct sidecar *sidecar,
+                         struct http_request *request);
+
+/* sidecar_store.c */
+
 /// Publishes a crash of the own target for as long as the node's lease lasts.
 void sidecar_store_publish_crash (struct sidecar *sidecar, const char *text,
                                   size_t size);
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -312,6 +312,14 @@
   return NULL;
 }
 
+static bool
+is_changes_question (const struct http_request *request)
+{
+  return strncmp (request->head->target, CALL_PATH_CHANGES,
+                  strlen (CALL_PATH_CHANGES))
+         == 0;
+}
+
 static void
 on_request (void *arg, struct http_request *request)
 {
@@ -325,6 +333,11 @@
       sidecar_store_answer (sidecar, request);
       return;
     }
+  if (is_changes_question (request))
+    {
+      sidecar_relay_answer (sidecar, request);
+      return;
+    }
   if (strcmp (request->head->target, CALL_PATH_EVIDENCE) == 0)
     {
       sidecar_moves_answer (sidecar, request);
@@ -392,6 +405,8 @@
 on_gone (void *arg, struct http_request *request)
 {
   struct sidecar_run *run = request->context;
+  if (is_changes_question (request))
+    sidecar_relay_gone (arg, request);
   if (run == NULL)
     return;
   struct sidecar *sidecar = run->sidecar;
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -18,6 +18,10 @@
 #define LEASE_MS 7000
 #define RENEW_MS 2200
 
+/// The same while other nodes follow the store through this one: they are to
+/// learn soon that it has lost the store.
+#define RENEW_FOLLOWED_MS 500
+
 /// Interval of probes while the store is away. Entries are to be back within
 /// two seconds of its return.
 #define PROBE_MS 500
@@ -84,12 +88,17 @@
   store->next_write_ms = now;
 }
 
+/// Notes the time of an answer.
 /// @return true when the store answered the call
 static bool
-is_answer (const struct store_reply *reply)
+is_answer (struct sidecar_store *store, const struct store_reply *reply)
 {
-  return reply->status != STATUS_UNAVAILABLE && reply->status != STATUS_UNKNOWN
-         && reply->status != STATUS_TIMEOUT && reply->status != STATUS_CORRUPT;
+  bool answered
+      = reply->status != STATUS_UNAVAILABLE && reply->status != STATUS_UNKNOWN
+        && reply->status != STATUS_TIMEOUT && reply->status != STATUS_CORRUPT;
+  if (answered)
+    store->contact_ms = clock_monotonic_ms ();
+  return answered;
 }
 
 static void
@@ -186,11 +195,11 @@
 {
   struct sidecar *sidecar = store->sidecar;
   const struct adapter_ops *adapter = sidecar->adapter;
-  if (key->removed)
-    mirror_remove (&store->mirror, key->key, key->revision);
-  else if (mirror_put (&store->mirror, key->key, key->revision, key->data,
-                       key->size)
-           != STATUS_OK)
+  enum status kept
+      = key->removed ? mirror_remove (&store->mirror, key->key, key->revision)
+                     : mirror_put (&store->mirror, key->key, key->revision,
+                                   key->data, key->size);
+  if (kept != STATUS_OK)
     log_event (LOG_LEVEL_ERROR, "view_incomplete", "key=%s reason=\"%s\"",
                key->key, status_message ());
   const char *order = behind (key->key, adapter->order_prefix);
@@ -226,14 +235,47 @@
                    store->sidecar->settings.retry_slack, nodes);
 }
 
+void
+sidecar_store_take_changes (struct sidecar_store *store,
+                            const struct mirror *view, uint64_t as_of,
+                            bool whole)
+{
+  struct store_key *keys
+      = talloc_zero_array (NULL, struct store_key, view->count + 1);
+  if (keys == NULL)
+    return;
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct mirror_item *item = &view->items[i];
+      keys[i] = (struct store_key){ .key = item->key,
+                                    .revision = item->revision,
+                                    .removed = item->removed,
+                                    .data = item->data,
+                                    .size = item->size };
+    }
+  struct store_reply reply = { .keys = keys, .key_count = view->count };
+  if (whole)
+    {
+      mirror_clear (&store->mirror, as_of);
+      directory_begin_list (&store->sidecar->directory);
+    }
+  take_keys (store, &reply);
+  if (whole)
+    directory_end_list (&store->sidecar->directory, as_of,
+                        clock_monotonic_ms ());
+  store->as_of = as_of;
+  talloc_free (keys);
+}
+
 static void
 on_list (void *arg, const struct store_reply *reply)
 {
   struct sidecar_store *store = arg;
+  bool answered = is_answer (store, reply);
   store->listing = false;
   if (reply->status != STATUS_OK)
     {
-      if (!is_answer (reply))
+      if (!answered)
         note_away (store, "range", reply);
       store->next_watch_ms = clock_monotonic_ms () + RETRY_MS;
       return;
@@ -242,7 +284,7 @@
   if (store->list_after[0] == '\0')
     {
       store->list_as_of = reply->as_of;
-      mirror_clear (&store->mirror);
+      mirror_clear (&store->mirror, reply->as_of);
       directory_begin_list (&store->sidecar->directory);
     }
   take_keys (store, reply);
@@ -292,6 +334,7 @@
 on_watch (void *arg, const struct store_reply *reply)
 {
   struct sidecar_store *store = arg;
+  bool answered = is_answer (store, reply);
   store->watching = false;
   store->next_watch_ms = clock_monotonic_ms () + watch_pace_ms (store);
   switch (reply->status)
@@ -301,6 +344,7 @@
       take_keys (store, reply);
       if (reply->as_of > store->as_of)
         store->as_of = reply->as_of;
+      sidecar_relay_tick (store->sidecar);
       break;
     case STATUS_TOO_OLD:
       log_event (LOG_LEVEL_INFO, "store_history_lost",
@@ -311,7 +355,7 @@
     case STATUS_TIMEOUT:
       break;
     default:
-      if (!is_answer (reply))
+      if (!answered)
         note_away (store, "watch", reply);
       break;
     }
@@ -321,8 +365,13 @@
 follow (struct sidecar_store *store, uint64_t now_ms)
 {
   struct sidecar *sidecar = store->sidecar;
-  if (store->watching || store->listing || now_ms < store->next_watch_ms
-      || store->away_since_ms != 0)
+  if (store->watching || store->listing || now_ms < store->next_watch_ms)
+    return;
+  /* A relay may still reach the store while this node does not, and knows all
+     changes since this node's view. */
+  if (store->as_of != 0 && sidecar_relay_follow (sidecar, now_ms))
+    return;
+  if (store->away_since_ms != 0)
     return;
   if (store->as_of == 0 || store->relist)
     {
@@ -393,7 +442,7 @@
 {
   struct sidecar_store *store = arg;
   store->renewing = false;
-  if (!is_answer (reply))
+  if (!is_answer (store, reply))
     {
       note_away (store, "keepalive", reply);
       return;
@@ -417,9 +466,12 @@
 {
   struct sidecar *sidecar = store->sidecar;
   bool away = store->away_since_ms != 0;
+  uint64_t interval_ms = sidecar_relay_is_followed (sidecar, now_ms)
+                             ? RENEW_FOLLOWED_MS
+                             : RENEW_MS;
   if (away ? now_ms - store->probed_ms < PROBE_MS
            : store->lease == 0 || store->renewing
-                 || now_ms - store->renewed_ms < RENEW_MS)
+                 || now_ms - store->renewed_ms < interval_ms)
     return;
   store->probed_ms = now_ms;
   store->renewing = true;
@@ -500,6 +552,7 @@
   renew (store, now);
   follow (store, now);
   announce (store, now);
+  sidecar_relay_tick (sidecar);
   directory_expire (&sidecar->directory, store->away_since_ms != 0, now);
 }
 
@@ -515,7 +568,7 @@
   snprintf (store->key, sizeof store->key, "%s" OWN_NODE "%s",
             sidecar->adapter->own_prefix, sidecar->settings.node);
   sidecar->store = store;
-  return STATUS_OK;
+  return sidecar_relay_start (sidecar);
 }
 
 void
@@ -523,6 +576,7 @@
 {
   if (sidecar->store->asking != NULL)
     http_exchange_cancel (sidecar->store->asking);
+  sidecar_relay_stop (sidecar);
   evbuffer_free (sidecar->store->asked);
   mirror_finish (&sidecar->store->mirror);
   free (sidecar->store);
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -1,8 +1,10 @@
 /// State of the node's connection to the store, shared by sidecar_store.c,
-/// which owns it, and sidecar_view.c, which passes its view on to other nodes.
+/// which owns it, and sidecar_view.c, which passes its view on to other nodes
+/// that start, and sidecar_relay.c, which passes changes on.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 
+#include "coordination/relay.h"
 #include "protocol/entry_record.h"
 #include "sidecar/sidecar.h"
 #include "state/mirror.h"
@@ -10,12 +12,15 @@
 /// Bytes of a key with the terminating zero.
 #define STORE_KEY_MAX 200
 
+struct sidecar_relay;
+
 struct sidecar_store
 {
   struct sidecar *sidecar;
   char key[STORE_KEY_MAX]; ///< of the own entry
   uint64_t lease;          ///< 0: none
   uint64_t renewed_ms;
+  uint64_t contact_ms; ///< when the store answered last
   uint64_t probed_ms;
   uint64_t revision; ///< of the own entry as last known
   uint64_t as_of;    ///< revision that the view describes; 0: none yet
@@ -33,6 +38,7 @@
   bool writing;
   bool announced; ///< the entry in the store is the present one
   struct mirror mirror;
+  struct sidecar_relay *relay;
   struct http_exchange *asking; ///< question to another node, or NULL
   struct evbuffer *asked;       ///< its answer so far
   uint64_t asked_ms;
@@ -43,4 +49,23 @@
 void sidecar_store_take_key (struct sidecar_store *store,
                              const struct store_key *key);
 
+/// Takes what another node said of the store.
+/// @param whole  the view lacks nothing; what it does not have is gone
+void sidecar_store_take_changes (struct sidecar_store *store,
+                                 const struct mirror *view, uint64_t as_of,
+                                 bool whole);
+
+/* sidecar_relay.c */
+enum status sidecar_relay_start (struct sidecar *sidecar);
+void sidecar_relay_stop (struct sidecar *sidecar);
+void sidecar_relay_tick (struct sidecar *sidecar);
+
+/// Follows the store through a relay.
+/// @return false when there is none to ask: the store is to be watched
+bool sidecar_relay_follow (struct sidecar *sidecar, uint64_t now_ms);
+
+/// @return true while other nodes follow the store through this one
+bool sidecar_relay_is_followed (const struct sidecar *sidecar,
+                                uint64_t now_ms);
+
 #endif
--- a/src/sidecar/sidecar_view.c
+++ b/src/sidecar/sidecar_view.c
@@ -20,7 +20,7 @@
   size_t size = 0;
   char *text = sidecar->config == NULL
                    ? NULL
-                   : view_write (&store->mirror, store->as_of, &size);
+                   : view_write (&store->mirror, 0, store->as_of, &size);
   http_reply (request, text == NULL ? 503 : 200, NULL, text, size);
   free (text);
 }
@@ -49,9 +49,10 @@
     return;
   struct mirror view;
   uint64_t as_of;
+  bool whole;
   mirror_init (&view);
   if (view_read ((const char *)evbuffer_pullup (store->asked, -1), size, &view,
-                 &as_of)
+                 &as_of, &whole)
       != STATUS_OK)
     log_event (LOG_LEVEL_WARNING, "view_refused", "reason=\"%s\"",
                status_message ());
--- a/src/state/mirror.c
+++ b/src/state/mirror.c
@@ -11,7 +11,7 @@
 }
 
 void
-mirror_clear (struct mirror *mirror)
+mirror_clear (struct mirror *mirror, uint64_t as_of)
 {
   for (size_t i = 0; i < mirror->count; i++)
     {
@@ -19,12 +19,14 @@
       free (mirror->items[i].data);
     }
   mirror->count = 0;
+  mirror->removed = 0;
+  mirror->complete_since = as_of;
 }
 
 void
 mirror_finish (struct mirror *mirror)
 {
-  mirror_clear (mirror);
+  mirror_clear (mirror, 0);
   free (mirror->items);
   mirror_init (mirror);
 }
@@ -75,6 +77,8 @@
       return status_set (STATUS_NO_MEMORY, "no memory for a copy of %s", key);
     }
   memcpy (copy, data, size);
+  mirror->removed -= item->removed;
+  item->removed = false;
   free (item->data);
   item->data = copy;
   item->size = size;
@@ -82,13 +86,42 @@
   return STATUS_OK;
 }
 
-void
+/// Forgets the oldest removal; changes from before it are not known whole.
+static void
+forget_oldest_removal (struct mirror *mirror)
+{
+  struct mirror_item *oldest = NULL;
+  for (size_t i = 0; i < mirror->count; i++)
+    if (mirror->items[i].removed
+        && (oldest == NULL || mirror->items[i].revision < oldest->revision))
+      oldest = &mirror->items[i];
+  if (oldest == NULL)
+    return;
+  if (oldest->revision > mirror->complete_since)
+    mirror->complete_since = oldest->revision;
+  free (oldest->key);
+  *oldest = mirror->items[--mirror->count];
+  mirror->removed--;
+}
+
+enum status
 mirror_remove (struct mirror *mirror, const char *key, uint64_t revision)
 {
   struct mirror_item *item = find (mirror, key);
-  if (item == NULL || item->revision > revision)
-    return;
-  free (item->key);
+  if (item == NULL)
+    item = add (mirror, key);
+  if (item == NULL)
+    return status_set (STATUS_NO_MEMORY, "no memory for the removal of %s",
+                       key);
+  if (item->revision > revision)
+    return STATUS_OK;
+  mirror->removed += !item->removed;
+  item->removed = true;
+  item->revision = revision;
   free (item->data);
-  *item = mirror->items[--mirror->count];
+  item->data = NULL;
+  item->size = 0;
+  if (mirror->removed > MIRROR_REMOVED_MAX)
+    forget_oldest_removal (mirror);
+  return STATUS_OK;
 }
--- a/src/state/mirror.h
+++ b/src/state/mirror.h
@@ -1,18 +1,25 @@
-/// Copy of the watched part of the store: the last known value of each key. A
-/// node gives it to another that has just started while the store is away.
+/// Copy of the watched part of the store: the last known value of each key,
+/// and the keys that were removed lately. A node gives it to one that has just
+/// started while the store is away, and changes of it to those that follow the
+/// store through it.
 #ifndef HAWTHORNSEAM_STATE_MIRROR_H
 #define HAWTHORNSEAM_STATE_MIRROR_H
 
 #include "base/status.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
+/// Removed keys that are remembered.
+#define MIRROR_REMOVED_MAX 256
+
 struct mirror_item
 {
   char *key;
   uint64_t revision;
-  uint8_t *data;
+  bool removed;
+  uint8_t *data; ///< NULL when removed
   size_t size;
 };
 
@@ -21,6 +28,9 @@
   struct mirror_item *items;
   size_t count;
   size_t capacity;
+  size_t removed;
+  /// All changes after this revision are in the items.
+  uint64_t complete_since;
 };
 
 void mirror_init (struct mirror *mirror);
@@ -30,10 +40,13 @@
 enum status mirror_put (struct mirror *mirror, const char *key,
                         uint64_t revision, const uint8_t *data, size_t size);
 
-/// Forgets a key that was removed at a revision.
-void mirror_remove (struct mirror *mirror, const char *key, uint64_t revision);
+/// Notes that a key was removed at a revision. The oldest removal is forgotten
+/// when there are too many.
+enum status mirror_remove (struct mirror *mirror, const char *key,
+                           uint64_t revision);
 
 /// Forgets everything, before a full list.
-void mirror_clear (struct mirror *mirror);
+/// @param as_of  revision of the store that the list describes
+void mirror_clear (struct mirror *mirror, uint64_t as_of);
 
 #endif
--- a/test/fuzz/platform_fuzz.c
+++ b/test/fuzz/platform_fuzz.c
@@ -58,11 +58,13 @@
 {
   struct mirror mirror;
   uint64_t as_of;
+  bool whole;
   mirror_init (&mirror);
-  if (view_read ((const char *)data, size, &mirror, &as_of) == STATUS_OK)
+  if (view_read ((const char *)data, size, &mirror, &as_of, &whole)
+      == STATUS_OK)
     {
       size_t written;
-      char *text = view_write (&mirror, as_of, &written);
+      char *text = view_write (&mirror, whole ? 0 : 1, as_of, &written);
       free (text);
     }
   mirror_finish (&mirror);
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -6,6 +6,8 @@
 #include "sidecar/sidecar_settings.h"
 #include "testing.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -198,19 +200,98 @@
   mirror_remove (&mirror, "c", 6); /* older than what is kept */
   mirror_put (&mirror, "d", 7, (const uint8_t *)"gone", 4);
   mirror_remove (&mirror, "d", 8);
-  char *text = view_write (&mirror, 9, &size);
+  char *text = view_write (&mirror, 0, 9, &size);
+  bool whole = false;
   CU_ASSERT_FATAL (text != NULL);
-  CU_ASSERT_EQUAL (view_read (text, size, &read, &as_of), STATUS_OK);
+  CU_ASSERT_EQUAL (view_read (text, size, &read, &as_of, &whole), STATUS_OK);
+  CU_ASSERT (whole);
   CU_ASSERT_EQUAL (as_of, 9);
   CU_ASSERT_EQUAL_FATAL (read.count, 3);
   CU_ASSERT_EQUAL (read.items[0].revision, 5);
   CU_ASSERT_EQUAL (memcmp (read.items[0].data, "one", 3), 0);
-  CU_ASSERT_EQUAL (view_read (text, size - 1, &read, &as_of), STATUS_INVALID);
+  CU_ASSERT_EQUAL (view_read (text, size - 1, &read, &as_of, &whole),
+                   STATUS_INVALID);
   free (text);
   mirror_finish (&mirror);
   mirror_finish (&read);
 }
 
+static void
+check_changes (const struct mirror *mirror, uint64_t after, bool whole_owed,
+               size_t items_owed, size_t removed_owed)
+{
+  struct mirror read;
+  uint64_t as_of = 0;
+  bool whole = !whole_owed;
+  size_t size;
+  mirror_init (&read);
+  char *bytes = view_write (mirror, after, 20, &size);
+  CU_ASSERT_FATAL (bytes != NULL);
+  CU_ASSERT_EQUAL (view_read (bytes, size, &read, &as_of, &whole), STATUS_OK);
+  CU_ASSERT_EQUAL (whole, whole_owed);
+  CU_ASSERT_EQUAL (as_of, 20);
+  CU_ASSERT_EQUAL (read.count, items_owed);
+  CU_ASSERT_EQUAL (read.removed, removed_owed);
+  free (bytes);
+  mirror_finish (&read);
+}
+
+static void
+test_changes (void)
+{
+  struct mirror mirror;
+  mirror_init (&mirror);
+  mirror_clear (&mirror, 10);
+  mirror_put (&mirror, "a", 5, (const uint8_t *)"one", 3);
+  mirror_put (&mirror, "b", 12, (const uint8_t *)"two", 3);
+  mirror_put (&mirror, "c", 13, (const uint8_t *)"three", 5);
+  mirror_remove (&mirror, "c", 14);
+  check_changes (&mirror, 9, true, 2, 0); /* from before the list */
+  check_changes (&mirror, 10, false, 2, 1);
+  check_changes (&mirror, 12, false, 1, 1);
+  check_changes (&mirror, 14, false, 0, 0);
+  mirror_put (&mirror, "c", 15, (const uint8_t *)"again", 5);
+  check_changes (&mirror, 12, false, 1, 0);
+  for (uint64_t i = 0; i <= MIRROR_REMOVED_MAX; i++)
+    {
+      char key[16];
+      snprintf (key, sizeof key, "gone-%" PRIu64, i);
+      mirror_remove (&mirror, key, 16 + i);
+    }
+  /* The removal at 16 was forgotten. */
+  check_changes (&mirror, 15, true, 3, 0);
+  check_changes (&mirror, 16, false, MIRROR_REMOVED_MAX, MIRROR_REMOVED_MAX);
+  mirror_finish (&mirror);
+}
+
+static void
+test_large_view (void)
+{
+  struct mirror mirror;
+  struct mirror read;
+  uint64_t as_of;
+  bool whole;
+  size_t size;
+  char value[100000];
+  for (size_t i = 0; i < sizeof value; i++)
+    value[i] = "route-"[i % 6];
+  mirror_init (&mirror);
+  mirror_init (&read);
+  mirror_put (&mirror, "config", 5, (const uint8_t *)value, sizeof value);
+  char *bytes = view_write (&mirror, 0, 9, &size);
+  CU_ASSERT_FATAL (bytes != NULL);
+  CU_ASSERT (size < sizeof value / 10);
+  CU_ASSERT_EQUAL (view_read (bytes, size, &read, &as_of, &whole), STATUS_OK);
+  CU_ASSERT_EQUAL_FATAL (read.count, 1);
+  CU_ASSERT_EQUAL (read.items[0].size, sizeof value);
+  CU_ASSERT_EQUAL (memcmp (read.items[0].data, value, sizeof value), 0);
+  CU_ASSERT_EQUAL (view_read (bytes, size - 3, &read, &as_of, &whole),
+                   STATUS_INVALID);
+  free (bytes);
+  mirror_finish (&mirror);
+  mirror_finish (&read);
+}
+
 #define SETTINGS_HEAD                                                         \
   "format: 1\nnode: n1\navailability_zone: z1\nservice: orders\n"             \
   "calls: 127.0.0.1:7001\npeers: 127.0.0.1:7002\nready: 127.0.0.1:7003\n"     \
@@ -264,6 +345,8 @@
     { "evidence of a full table does not fit", test_move_evidence },
     { "the record of a crash is misread", test_crash },
     { "a view loses or revives keys", test_view },
+    { "changes lack a removal, or are taken for the whole", test_changes },
+    { "a compressed view is changed or read when cut", test_large_view },
     { "wrong settings are taken", test_settings },
   };
   return testing_run ("codec", cases, sizeof cases / sizeof cases[0]);
