--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -24,8 +24,8 @@
   enum store_call call;
   struct store_wire wire;
   uint64_t answer_ms; ///< time for the answer once it is sent
-  bool sent; ///< bytes of the request were handed to a connected socket
-  bool abandoned;      ///< by store_client_abandon
+  bool sent;      ///< bytes of the request were handed to a connected socket
+  bool abandoned; ///< by store_client_abandon
   enum status refused; ///< answer that is due without any call, or STATUS_OK
   struct event *timer;
   void (*done) (void *arg, const struct store_reply *reply);
