--- a/test/soak/run.sh
+++ b/test/soak/run.sh
@@ -15,12 +15,29 @@
   for _ in $(seq "${COUNT:-1}"); do set -- "$@" "$((RANDOM * 32768 + RANDOM))"; done
 fi
 
-# run_seed SEED PORT: prints the run's result; the logs of a good run go.
+# take_ports: locks a block of 2,000 ports, as the functional tests do, until
+# the calling shell ends. Sets `port`.
+take_ports() {
+  local try
+  for try in $(seq 1 200); do
+    port=$((10000 + (RANDOM % 10) * 2000))
+    exec {lock}>"${TMPDIR:-/tmp}/hawthornseam-ports-$port"
+    flock -n "$lock" && return 0
+    exec {lock}>&-
+    sleep 0.5
+  done
+  echo "FAILED: no free block of ports"
+  return 1
+}
+
+# run_seed SEED: prints the run's result; the logs of a good run go.
 run_seed() {
-  local directory="build/soak-$1"
+  local directory="build/soak-$1" port lock
+  take_ports || return 1
   if timeout $((seconds + 30)) "$bin/soak" --seed "$1" --seconds "$seconds" \
-    --nodes "$nodes" --calls "$calls" --port "$2" \
-    --program "$bin/hawthornseam-sidecar" --directory "$directory"; then
+    --nodes "$nodes" --calls "$calls" --port "$port" \
+    --program "$bin/hawthornseam-sidecar" --directory "$directory" \
+    {lock}>&-; then
     rm -rf "$directory"
     return 0
   fi
@@ -29,13 +46,9 @@
 }
 
 failed=0
-port=21000
 for seed in "$@"; do
   while [ "$(jobs -rp | wc -l)" -ge "$jobs" ]; do wait -n || failed=1; done
-  run_seed "$seed" "$port" &
-  # A port range is free again when the runs that came before have ended.
-  port=$((port + nodes * 9 + 20))
-  [ $((port + nodes * 9 + 20)) -lt 32000 ] || port=21000
+  run_seed "$seed" &
 done
 while [ "$(jobs -rp | wc -l)" -gt 0 ]; do wait -n || failed=1; done
 exit $failed
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -11,11 +11,11 @@
 #include <string.h>
 
 /// Length of a phase; in every second one only planned work happens.
-#define PHASE_MS 9000
+#define PHASE_MS 10000
 
-#define GAP_MS_MIN 150
-#define GAP_MS_SPREAD 900
-#define ACTIVE_MAX 16
+#define GAP_MS_MIN 80
+#define GAP_MS_SPREAD 500
+#define ACTIVE_MAX 32
 
 struct fault
 {
@@ -350,11 +350,11 @@
   if (now >= soak->faults_end_ms)
     return;
   bool planned_only = (now - soak->started_ms) / PHASE_MS % 2 == 0;
-  const struct fault *fault = &faults[rng_below (&soak->rng, FAULTS)];
-  struct soak_node *node
-      = &soak->nodes[rng_below (&soak->rng, soak->node_count)];
-  if (!planned_only || fault->planned)
-    begin (soak, fault, node);
+  const struct fault *fault;
+  do
+    fault = &faults[rng_below (&soak->rng, FAULTS)];
+  while (planned_only && !fault->planned);
+  begin (soak, fault, &soak->nodes[rng_below (&soak->rng, soak->node_count)]);
 }
 
 void
--- a/test/soak/soak_target.c
+++ b/test/soak/soak_target.c
@@ -95,7 +95,6 @@
 {
   run->target->running--;
   event_del (&run->timer);
-  run->request->context = NULL;
   free (run);
 }
 
@@ -120,6 +119,8 @@
 {
   struct run *run = arg;
   struct soak_target *target = run->target;
+  /* The request is freed with its answer. */
+  run->request->context = NULL;
   check_left (run);
   if (happens (target, target->lose_permille))
     http_reply_abort (run->request);
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -97,7 +97,10 @@
         {
           char *value = talloc_strndup (arena, at + size + 1,
                                         strcspn (at + size + 1, "&"));
-          return evhttp_decode_uri (value);
+          char *decoded = evhttp_decode_uri (value);
+          char *kept = talloc_strdup (arena, decoded);
+          free (decoded);
+          return kept;
         }
       at = strchr (at, '&');
     }
@@ -144,7 +147,10 @@
   watch->request = NULL;
   event_del (&watch->timer);
   if (store_faults.silent)
-    return;
+    {
+      json_decref (events);
+      return;
+    }
   reply_json (request, 200,
               json_pack ("{s:o, s:I}", "events", events, "AsOf",
                          (json_int_t)revision));
