Relays hold questions while they read; watches wait for 3/5 of ConfigApply at most

Its log: relay_failed status=503 by both relays, which were reading the range anew after the store forgot its history; then a watch of its own from revision 172, which the store had forgotten and which was answered 410 only 3.2 s later (store_history_lost). Change: a relay that reads the range anew lets its followers wait instead of sending them to the store. A follower whose relay failed reads the whole range before it watches. Watches wait for 1.2 s at ConfigApply 2 s, so that one from a forgotten revision ends in time.

--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -93,17 +93,23 @@
   free (relay);
 }
 
-/// @return true when this node's view is as new as the store's
+/// @return true when this node hears of changes in the store
 static bool
-can_serve (const struct sidecar *sidecar, uint64_t now_ms)
+is_in_contact (const struct sidecar *sidecar, uint64_t now_ms)
 {
   const struct sidecar_store *store = sidecar->store;
-  return !sidecar->stopping && store->as_of != 0 && !store->relist
-         && !store->listing && store->away_since_ms == 0
+  return !sidecar->stopping && store->as_of != 0 && store->away_since_ms == 0
          && store->relay->asking == NULL
          && now_ms - store->contact_ms < CONTACT_MS_MAX;
 }
 
+/// @return true when the view is whole: no full read is due or under way
+static bool
+is_whole (const struct sidecar_store *store)
+{
+  return !store->relist && !store->listing;
+}
+
 static void
 refuse (struct http_request *request)
 {
@@ -140,12 +146,12 @@
       request->head->target + strlen (CALL_PATH_CHANGES), NULL, 10);
   counter_add (&questions, 1);
   relay->followed_ms = now;
-  if (!can_serve (sidecar, now))
+  if (!is_in_contact (sidecar, now))
     {
       refuse (request);
       return;
     }
-  if (sidecar->store->as_of > after)
+  if (is_whole (sidecar->store) && sidecar->store->as_of > after)
     {
       answer (sidecar, request, after);
       return;
@@ -181,19 +187,21 @@
 {
   struct sidecar_relay *relay = sidecar->store->relay;
   uint64_t now = clock_monotonic_ms ();
-  bool serves = can_serve (sidecar, now);
+  bool in_contact = is_in_contact (sidecar, now);
+  bool whole = is_whole (sidecar->store);
   struct relay_waiter *waiter = TAILQ_FIRST (&relay->waiters);
   while (waiter != NULL)
     {
       struct relay_waiter *next = TAILQ_NEXT (waiter, link);
-      if (!serves || sidecar->store->as_of > waiter->after
-          || now >= waiter->due_ms)
+      bool due = now >= waiter->due_ms;
+      bool changed = whole && sidecar->store->as_of > waiter->after;
+      if (!in_contact || changed || due)
         {
           struct http_request *request = waiter->request;
           uint64_t after = waiter->after;
           TAILQ_REMOVE (&relay->waiters, waiter, link);
           free (waiter);
-          if (serves)
+          if (in_contact && whole)
             answer (sidecar, request, after);
           else
             refuse (request);
@@ -224,6 +232,9 @@
   if (served)
     return;
   counter_add (&failures, 1);
+  /* The store may have forgotten what this node has not heard of, and keeps a
+     watch from there waiting. */
+  store->relist = true;
   struct directory_record *record = NULL;
   for (size_t i = 0; i < sidecar->directory.count; i++)
     if (sidecar->directory.records[i].serial == relay->asked_serial)
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -26,8 +26,10 @@
 /// two seconds of its return.
 #define PROBE_MS 500
 
-/// A long poll; a silent connection is found by its keep-alive probes.
-#define WATCH_WAIT_MS 25000
+/// Part of the time in which a configuration is to be in force that a watch
+/// waits, 3 / 5. A watch from a revision that the store has forgotten since
+/// may be told so only at its end.
+#define WATCH_WAIT_PERCENT 60
 
 /// Part of the time in which a configuration is to be in force that a watch
 /// pauses after its answer, 1 / 5: changes that come together cost one call,
@@ -381,9 +383,10 @@
       return;
     }
   store->watching = true;
-  store_client_ops.watch_prefix (&sidecar->store_client,
-                                 sidecar->adapter->watch_prefix, store->as_of,
-                                 WATCH_WAIT_MS, on_watch, store);
+  store_client_ops.watch_prefix (
+      &sidecar->store_client, sidecar->adapter->watch_prefix, store->as_of,
+      sidecar->settings.config_apply_ms * WATCH_WAIT_PERCENT / 100, on_watch,
+      store);
 }
 
 static void
