Send large answers in turns; keep the new version's target alive in the sidecar test

Ruled out: fewer large answers at once, which leaves the link idle while they are worked on. Change: of the large answers of a VM two are sent at a time, the others wait for their turn; one that takes half a second no longer keeps others waiting. The test repeats the report. The stand-in tells a watch from a forgotten revision at its end that the history is gone, as the bench's store does, and the test waits for open watches before it cuts them.

--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -69,17 +69,31 @@
   return known == NULL ? gate->mean_us : known->mean_us;
 }
 
-/// @return time that an answer of a kind takes on the link, microseconds; 0
-///         when the link does not limit it
+/// @return time that an answer takes on the link, microseconds; 0 when it is
+///         not large for the link
 static uint64_t
-transfer_us (const struct gate *gate, const struct gate_kind *kind)
+bytes_us (const struct gate *gate, uint64_t bytes)
 {
-  if (kind == NULL || gate->link_bytes_per_s == 0)
+  if (gate->link_bytes_per_s == 0)
     return 0;
-  uint64_t us = (uint64_t)kind->mean_bytes * 1000000 / gate->link_bytes_per_s;
+  uint64_t us = bytes * 1000000 / gate->link_bytes_per_s;
   return us < TRANSFER_US_MIN ? 0 : us;
 }
 
+bool
+gate_is_large (const struct gate *gate, uint64_t bytes)
+{
+  return bytes_us (gate, bytes) > 0;
+}
+
+/// @return the same for the usual answer of a kind; 0 also when nothing is
+///         known of it
+static uint64_t
+transfer_us (const struct gate *gate, const struct gate_kind *kind)
+{
+  return kind == NULL ? 0 : bytes_us (gate, kind->mean_bytes);
+}
+
 /// @return tickets of a kind that may run at once
 static size_t
 kind_limit (const struct gate *gate, const struct gate_kind *kind)
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -91,6 +91,10 @@
 /// Sets the target's slots; 0: there is no target and queued work is refused.
 void gate_set_slots (struct gate *gate, size_t slots, uint64_t now_us);
 
+/// @return true for an answer that takes so long on the link that the link may
+///         limit its kind
+bool gate_is_large (const struct gate *gate, uint64_t bytes);
+
 /// Notes the start and the size of an answer, for the limit by the link.
 void gate_note_head (struct gate_ticket *ticket, uint64_t now_us);
 void gate_note_bytes (struct gate_ticket *ticket, size_t size);
--- /dev/null
+++ b/src/coordination/transfer.c
@@ -0,0 +1,77 @@
+/// Owns no state; transfers lie with the caller.
+#include "coordination/transfer.h"
+
+void
+transfer_line_init (struct transfer_line *line, const struct transfer_ops *ops,
+                    void *arg)
+{
+  *line = (struct transfer_line){ .ops = ops, .arg = arg };
+  TAILQ_INIT (&line->transfers);
+}
+
+static void
+take_turn (struct transfer_line *line, struct transfer *transfer,
+           uint64_t now_ms)
+{
+  line->sending++;
+  transfer->state = TRANSFER_SENDING;
+  transfer->since_ms = now_ms;
+}
+
+/// Gives free turns to those that wait longest.
+static void
+give_turns (struct transfer_line *line, uint64_t now_ms)
+{
+  struct transfer *transfer = TAILQ_FIRST (&line->transfers);
+  while (transfer != NULL && line->sending < TRANSFER_TURNS)
+    {
+      struct transfer *next = TAILQ_NEXT (transfer, link);
+      if (transfer->state == TRANSFER_WAITING)
+        {
+          take_turn (line, transfer, now_ms);
+          line->ops->go (line->arg, transfer);
+        }
+      transfer = next;
+    }
+}
+
+bool
+transfer_begin (struct transfer_line *line, struct transfer *transfer,
+                uint64_t now_ms)
+{
+  TAILQ_INSERT_TAIL (&line->transfers, transfer, link);
+  if (line->sending < TRANSFER_TURNS)
+    {
+      take_turn (line, transfer, now_ms);
+      return true;
+    }
+  transfer->state = TRANSFER_WAITING;
+  return false;
+}
+
+void
+transfer_end (struct transfer_line *line, struct transfer *transfer,
+              uint64_t now_ms)
+{
+  if (transfer->state == TRANSFER_NONE)
+    return;
+  TAILQ_REMOVE (&line->transfers, transfer, link);
+  line->sending -= transfer->state == TRANSFER_SENDING;
+  transfer->state = TRANSFER_NONE;
+  give_turns (line, now_ms);
+}
+
+void
+transfer_tick (struct transfer_line *line, uint64_t now_ms)
+{
+  struct transfer *transfer;
+  TAILQ_FOREACH (transfer, &line->transfers, link)
+  {
+    if (transfer->state != TRANSFER_SENDING
+        || now_ms < transfer->since_ms + TRANSFER_TURN_MS)
+      continue;
+    transfer->state = TRANSFER_OVERDUE;
+    line->sending--;
+  }
+  give_turns (line, now_ms);
+}
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -14,6 +14,7 @@
 #include "coordination/gate.h"
 #include "coordination/place.h"
 #include "coordination/quota.h"
+#include "coordination/transfer.h"
 #include "protocol/adapter.h"
 #include "sidecar/sidecar_settings.h"
 #include "state/directory.h"
@@ -87,6 +88,7 @@
   struct quota_table quotas;
   struct sidecar_target target;
   struct gate gate;
+  struct transfer_line transfers; ///< of large answers of the own target
   struct sidecar_entries entries; ///< requests of callers in progress
   struct http_server calls;       ///< from callers on this VM
   struct http_server peers;       ///< from other nodes
@@ -114,6 +116,7 @@
 /* sidecar_run.c */
 extern const struct http_server_ops sidecar_run_ops;
 extern const struct gate_ops sidecar_gate_ops;
+extern const struct transfer_ops sidecar_transfer_ops;
 
 /// Ends the requests at the target that must not go on.
 void sidecar_run_tick (struct sidecar *sidecar);
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -255,6 +255,7 @@
   TAILQ_INIT (&sidecar->entries);
   directory_init (&sidecar->directory);
   quota_init (&sidecar->quotas, settings->retry_ratio_permille);
+  transfer_line_init (&sidecar->transfers, &sidecar_transfer_ops, sidecar);
   gate_init (&sidecar->gate, &sidecar_gate_ops, sidecar);
   sidecar->gate.link_bytes_per_s
       = (uint64_t)sidecar->settings.link_kbit_per_s * 1000 / 8;
--- a/src/sidecar/sidecar_run.c
+++ b/src/sidecar/sidecar_run.c
@@ -127,6 +127,7 @@
 {
   struct sidecar *sidecar = run->sidecar;
   struct gate_ticket ticket = run->ticket;
+  transfer_end (&sidecar->transfers, &run->transfer, clock_monotonic_ms ());
   free (run);
   gate_finish (&sidecar->gate, &ticket, served, clock_monotonic_us ());
 }
@@ -171,8 +172,24 @@
   http_reply_start (run->request, head->status, fields,
                     whole ? (int64_t)head->length : -1);
   evbuffer_free (fields);
+  if (whole && gate_is_large (&sidecar->gate, head->length)
+      && !transfer_begin (&sidecar->transfers, &run->transfer,
+                          clock_monotonic_ms ()))
+    http_exchange_pause (run->exchange);
 }
 
+static void
+on_transfer_go (void *arg, struct transfer *transfer)
+{
+  struct sidecar_run *run
+      = (struct sidecar_run *)((char *)transfer
+                               - offsetof (struct sidecar_run, transfer));
+  if (run->exchange != NULL)
+    http_exchange_resume (run->exchange);
+}
+
+const struct transfer_ops sidecar_transfer_ops = { .go = on_transfer_go };
+
 static void
 on_answer_body (void *arg, const char *data, size_t size)
 {
@@ -425,7 +442,8 @@
 on_writable (void *arg, struct http_request *request)
 {
   struct sidecar_run *run = request->context;
-  if (run != NULL && run->exchange != NULL)
+  if (run != NULL && run->exchange != NULL
+      && run->transfer.state != TRANSFER_WAITING)
     http_exchange_resume (run->exchange);
 }
 
@@ -445,4 +463,5 @@
     gate_set_draining (&sidecar->gate, draining);
   if (sidecar->gate.queued > 0)
     gate_expire (&sidecar->gate, now_us);
+  transfer_tick (&sidecar->transfers, now_ms);
 }
--- a/src/sidecar/sidecar_run.h
+++ b/src/sidecar/sidecar_run.h
@@ -12,7 +12,8 @@
   struct http_exchange *exchange; ///< NULL while it waits
   struct hop hop;
   struct gate_ticket ticket;
-  const char *id; ///< in the request's arena
+  struct transfer transfer; ///< of an answer that is large for the link
+  const char *id;           ///< in the request's arena
   uint64_t arrived_ms;
   uint64_t deadline_ms;
   uint64_t sent_us;
--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -96,12 +96,12 @@
 wait_for "newest configuration" 3 answers 1 /read/4 "200 i-[bc]" || fail "config"
 
 # A configuration that came while the watches heard nothing, and whose history
-# is forgotten then, is in force within two seconds of the cut. The watches are
-# open when they are cut: a node pauses before its next one.
-sleep 1
+# is forgotten then, is in force within two seconds of the cut. The watches of
+# both relays are open when they are cut: a node pauses before its next one.
+watches_are_open() { [ "$(curl -s "$STORE/control/watches")" = 2 ]; }
+wait_for "open watches" 5 watches_are_open || fail "watches"
 curl -s -X POST "$STORE/control/deaf?1"
 put_config 00000011 menu
-sleep 0.5
 curl -s -X POST "$STORE/control/deaf?0"
 wait_for "configuration behind a gap" 2 answers 1 /read/5 "200 i-a" || fail "gap"
 put_config 00000012 orders
@@ -189,8 +189,14 @@
 # A move to a new version ends within its time.
 VERSIONS[1]=v2
 INSTANCES[1]=i-b
-curl -s -X POST "http://127.0.0.1:$(port 1 3)/api/instances/i-b/heartbeat" -o /dev/null \
-  -d "{\"Address\":\"127.0.0.1:$(port 1 4)\",\"Info\":{\"Service\":\"orders\",\"Version\":\"v2\",\"Zone\":\"z\",\"Capacity\":4},\"Status\":{\"State\":\"ready\",\"SeqNo\":1},\"born\":99999}"
+# The new version's target reports itself all the while: it would count as ended
+# after five missing reports.
+report_new() {
+  SEQUENCE=$((SEQUENCE + 1))
+  curl -s -X POST "http://127.0.0.1:$(port 1 3)/api/instances/i-b/heartbeat" -o /dev/null \
+    -d "{\"Address\":\"127.0.0.1:$(port 1 4)\",\"Info\":{\"Service\":\"orders\",\"Version\":\"v2\",\"Zone\":\"z\",\"Capacity\":4},\"Status\":{\"State\":\"ready\",\"SeqNo\":$SEQUENCE},\"born\":99999}"
+}
+report_new
 sleep 0.6
 for n in $(seq 1 10); do
   expect "before the order" "$(ask 0 /read/$n)" "200 i-c*"
@@ -202,6 +208,7 @@
   for n in 1 2 3 4 5 6; do ask 0 /read/$n >/dev/null & done
   wait $(jobs -rp | grep -v "^${PID[platform]}$" | grep -vx "${PID[s0]}" | grep -vx "${PID[s1]}" | grep -vx "${PID[s2]}") 2>/dev/null
   report_all 0 2
+  report_new
   sleep 0.1
 done
 moved || fail "the move did not end"
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -8,6 +8,7 @@
 ///                           forgotten, and they are cut
 ///   POST /control/compact   forgets the history: watches are cut, then get
 ///   410 POST /control/put?KEY   sets a key to the body, as an operator would
+///   GET /control/watches    number of watches that wait
 ///   GET /control/runs       "RUNS TWICE CRASHES": requests that ran, those
 ///                           below /seal/ that ran twice, and crashes by
 ///                           requests with "crash" in their path
@@ -74,6 +75,14 @@
       put_text (target + 13, evbuffer_pullup (request->body, -1), size);
       http_reply (request, 200, NULL, "", 0);
     }
+  else if (strcmp (target, "/control/watches") == 0)
+    {
+      size_t waiting = 0;
+      for (size_t i = 0; i < WATCHES_MAX; i++)
+        waiting += watches[i].request != NULL;
+      int size = snprintf (text, sizeof text, "%zu\n", waiting);
+      http_reply (request, 200, NULL, text, (size_t)size);
+    }
   else
     {
       int size = snprintf (text, sizeof text, "%zu %zu %zu\n", run_count,
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -63,7 +63,9 @@
 static uint64_t revision = 10;
 static struct store_faults store_faults;
 static struct rng store_rng;
-static uint64_t forgotten; ///< revision up to which watches tell nothing
+/// Revision up to which watches tell nothing; one from before it is told at
+/// its end that the history is gone.
+static uint64_t forgotten;
 static uint64_t compacted; ///< watches from before this revision get 410
 static uint64_t store_calls;
 static bool losing; ///< the answer to the present call is lost
@@ -151,6 +153,12 @@
       json_decref (events);
       return;
     }
+  if (json_array_size (events) == 0 && watch->after < forgotten)
+    {
+      json_decref (events);
+      http_reply (request, 410, NULL, "", 0);
+      return;
+    }
   reply_json (request, 200,
               json_pack ("{s:o, s:I}", "events", events, "AsOf",
                          (json_int_t)revision));
