Close no connection that still has bytes of an answer to send

Ruled out: the stop of the node that took the request (it was to serve for 3.7 s more). Change: connections with bytes to send stay, and the process exits when both servers have sent everything.

--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -121,8 +121,10 @@
   uint64_t since_ms = now_ms - sidecar->stopping_ms;
   if (since_ms < SIDECAR_STOP_SERVE_MS)
     return;
-  bool idle
-      = sidecar->calls.in_progress == 0 && sidecar->peers.in_progress == 0;
+  bool idle = sidecar->calls.in_progress == 0
+              && sidecar->peers.in_progress == 0
+              && http_server_unsent (&sidecar->calls) == 0
+              && http_server_unsent (&sidecar->peers) == 0;
   close_idle_callers (sidecar);
   if (!idle && since_ms + STOP_RESERVE_MS < sidecar->settings.grace_ms)
     return;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -367,11 +367,22 @@
     {
       next = c->next;
       if (c->request == NULL && !c->stream->started
-          && http_stream_unread (c->stream) == 0)
+          && http_stream_unread (c->stream) == 0
+          && evbuffer_get_length (http_stream_output (c->stream)) == 0)
         free_connection (c);
     }
 }
 
+size_t
+http_server_unsent (const struct http_server *server)
+{
+  size_t size = 0;
+  for (struct http_server_connection *c = server->first; c != NULL;
+       c = c->next)
+    size += evbuffer_get_length (http_stream_output (c->stream));
+  return size;
+}
+
 /// A server that stops closes behind the last request that it has read, so
 /// that none of those is lost.
 static bool
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -76,9 +76,12 @@
 /// From now on answers close their connections.
 void http_server_drain (struct http_server *server);
 
-/// Closes the connections without a request.
+/// Closes the connections without a request or bytes to send.
 void http_server_close_idle (struct http_server *server);
 
+/// @return bytes of answers, whole ones too, that the kernel has not taken yet
+size_t http_server_unsent (const struct http_server *server);
+
 /// Sends a whole answer.
 /// @param fields  header lines ending in CRLF, or NULL
 void http_reply (struct http_request *request, unsigned status,
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -51,6 +51,16 @@
   raw->received[raw->size] = '\0';
 }
 
+/// Counts what is received without keeping it.
+static void
+raw_count (struct bufferevent *bev, void *arg)
+{
+  struct raw *raw = arg;
+  struct evbuffer *input = bufferevent_get_input (bev);
+  raw->size += evbuffer_get_length (input);
+  evbuffer_drain (input, evbuffer_get_length (input));
+}
+
 static void
 raw_event (struct bufferevent *bev, short what, void *arg)
 {
@@ -485,6 +495,34 @@
   pool_tear_down ();
 }
 
+/// The answer is finished while its reader takes nothing yet.
+static void
+test_stopping_server_sends_what_is_finished (void)
+{
+  static char body[8 * 1024 * 1024];
+  struct raw raw;
+  raw_connect (&raw, server_set_up ());
+  raw_send (&raw, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  bufferevent_disable (raw.bev, EV_READ);
+  CU_ASSERT_EQUAL_FATAL (held_count, 1);
+  http_server_drain (&server);
+  memset (body, 'x', sizeof body);
+  http_reply (held[0], 200, NULL, body, sizeof body);
+  run_ms (50);
+  CU_ASSERT_EQUAL (server.in_progress, 0);
+  CU_ASSERT (http_server_unsent (&server) > 0);
+  http_server_close_idle (&server);
+  CU_ASSERT_EQUAL (server.connections, 1);
+  /* Drops what it reads: only the end matters. */
+  bufferevent_setcb (raw.bev, raw_count, NULL, raw_event, &raw);
+  bufferevent_enable (raw.bev, EV_READ);
+  run_ms (500);
+  CU_ASSERT (raw.size > sizeof body);
+  CU_ASSERT_EQUAL (http_server_unsent (&server), 0);
+  server_tear_down (&raw);
+}
+
 int
 main (void)
 {
@@ -496,6 +534,8 @@
       test_refused_requests },
     { "a stopping server drops requests that it has read",
       test_stopping_server_loses_nothing },
+    { "a stopping server cuts an answer that waits for its reader",
+      test_stopping_server_sends_what_is_finished },
     { "a cut answer looks whole to the caller",
       test_cut_answer_does_not_look_whole },
     { "an answer that is cut or another's is taken for whole",
