--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make bench      figures against their bounds
 #   make demo       set-up, build and a guided run on loopback
 #   make fuzz       libFuzzer targets, FUZZ_SECONDS each (default 60)
+#   make soak       fault soak of real processes with fresh seeds
 #   make lint       formatter, linters and the layer check
 VARIANT ?= opt
 BUILD := build/$(VARIANT)
@@ -129,6 +130,11 @@
 	$(MAKE) VARIANT=fuzz fuzzers
 	test/fuzz/run.sh $${FUZZ_SECONDS:-60}
 
+# Runs the soak with fresh seeds: SECONDS_EACH, PROCESSES, COUNT, JOBS.
+soak: deps
+	$(MAKE) VARIANT=opt all
+	test/soak/run.sh
+
 lint: deps
 	.ci/lint
 
@@ -136,5 +142,5 @@
 	rm -rf build
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all unit-tests fuzzers deps check bench demo fuzz lint clean
+.PHONY: all unit-tests fuzzers deps check bench demo fuzz soak lint clean
 .SECONDARY:
--- a/src/coordination/gate.c
+++ b/src/coordination/gate.c
@@ -13,6 +13,11 @@
 /// A single slow answer must not make all later work look too late.
 #define SERVICE_US_MAX 2000000
 
+/// A service time counts half after this time without a new one. Otherwise
+/// work that is refused because its kind took too long is refused for good:
+/// only work that runs shows that the target has become faster.
+#define SERVICE_HALF_LIFE_US 1000000
+
 /// Time over which the rate of started late tickets is smoothed.
 #define LATE_SMOOTHING_US 1500000.0
 
@@ -63,10 +68,15 @@
 
 /// @return expected time in the target for a kind of work, microseconds
 static uint32_t
-service_us (struct gate *gate, uint32_t kind)
+service_us (struct gate *gate, uint32_t kind, uint64_t now_us)
 {
   const struct gate_kind *known = known_kind (gate, kind);
-  return known == NULL ? gate->mean_us : known->mean_us;
+  if (known == NULL)
+    return gate->mean_us;
+  /* A request is offered at the time of its arrival, which may lie before. */
+  uint64_t age_us = now_us > known->learnt_us ? now_us - known->learnt_us : 0;
+  uint64_t halvings = age_us / SERVICE_HALF_LIFE_US;
+  return halvings < 31 ? known->mean_us >> halvings : 0;
 }
 
 /// @return time that an answer takes on the link, microseconds; 0 when it is
@@ -134,6 +144,7 @@
       = smooth (kind->head_mean_us, head_us < taken ? head_us : taken, first);
   kind->mean_bytes = smooth (kind->mean_bytes, ticket->bytes, first);
   kind->used++;
+  kind->learnt_us = now_us;
   gate->mean_us = smooth (gate->mean_us, taken, gate->mean_us == 0);
 }
 
@@ -362,7 +373,7 @@
 {
   assert (ticket->state == ADMIT_NEW);
   ticket->work = *work;
-  ticket->service_us = service_us (gate, work->kind);
+  ticket->service_us = service_us (gate, work->kind, now_us);
   ticket->link_limited = transfer_us (gate, known_kind (gate, work->kind)) > 0;
   ticket->state = ADMIT_OVER;
   if (gate->draining || gate->slots == 0)
--- a/src/coordination/gate.h
+++ b/src/coordination/gate.h
@@ -63,6 +63,7 @@
 {
   uint32_t kind;
   uint32_t mean_us;      ///< smoothed time in the target
+  uint64_t learnt_us;    ///< when a time was learnt last
   uint32_t head_mean_us; ///< smoothed time to the answer's head
   uint32_t mean_bytes;   ///< smoothed size of the answer
   size_t running;
--- a/test/soak/run.sh
+++ b/test/soak/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Runs the soak. Usage: test/soak/run.sh [SEED...]
-# Settings by environment: SECONDS_EACH (45), PROCESSES (9 sidecars), CALLS
-# (requests a second), JOBS (runs at a time), VARIANT (opt or san). Without
-# seeds, COUNT fresh ones are drawn. Logs of a run that broke a promise stay
-# in build/soak-SEED.
+# Settings by environment: SECONDS_EACH (45), PROCESSES (9 sidecars), CALLS (150
+# requests a second), JOBS (1 run at a time), VARIANT (opt or san), PROGRAM (the
+# sidecar that is run). Without seeds, COUNT (1) fresh ones are drawn. Logs of a
+# run that broke a promise stay in build/soak-SEED.
 set -u
 cd "$(dirname "$0")/../.."
 bin="build/${VARIANT:-opt}"
@@ -11,6 +11,7 @@
 nodes=${PROCESSES:-9}
 calls=${CALLS:-150}
 jobs=${JOBS:-1}
+program=${PROGRAM:-$bin/hawthornseam-sidecar}
 if [ $# -eq 0 ]; then
   for _ in $(seq "${COUNT:-1}"); do set -- "$@" "$((RANDOM * 32768 + RANDOM))"; done
 fi
@@ -36,7 +37,7 @@
   take_ports || return 1
   if timeout $((seconds + 30)) "$bin/soak" --seed "$1" --seconds "$seconds" \
     --nodes "$nodes" --calls "$calls" --port "$port" \
-    --program "$bin/hawthornseam-sidecar" --directory "$directory" \
+    --program "$program" --directory "$directory" \
     {lock}>&-; then
     rm -rf "$directory"
     return 0
--- a/test/unit/gate_test.c
+++ b/test/unit/gate_test.c
@@ -158,6 +158,47 @@
   CU_ASSERT (gate.queued >= 1);
 }
 
+/// The target was slow for a while. Work with less time than that is refused
+/// at first, and accepted when nothing has been learnt for some time.
+static void
+test_slow_times_are_forgotten (void)
+{
+  set_up (2);
+  learn_service (2000);
+  CU_ASSERT_EQUAL (offer (0, 1, 2500, 2600, 2100), ADMIT_OVER);
+  CU_ASSERT_EQUAL (offer (1, 1, 5500, 5600, 5100), ADMIT_RUNNING);
+}
+
+/// Large answers that fill the link: no more of them run at once than it
+/// carries, and small answers go on beside them.
+static void
+test_link_limits_large_answers (void)
+{
+  set_up (16);
+  gate.link_bytes_per_s = 1000000;
+  /* 100 ms to the head, then 200 ms on the link. */
+  offer (TICKETS - 1, 1, 100000, 100000, 0);
+  gate_note_head (&tickets[TICKETS - 1], 100 * 1000);
+  gate_note_bytes (&tickets[TICKETS - 1], 200000);
+  gate_finish (&gate, &tickets[TICKETS - 1], true, 300 * 1000);
+  for (size_t i = 0; i < 10; i++)
+    offer (i, 1, 5000, 9000, 300);
+  size_t running = gate.running;
+  CU_ASSERT (running >= 2 && running <= 3);
+  /* Another kind is not held, although others wait. */
+  struct gate_work small
+      = { .kind = 2, .rank = 1, .objective_ms = 900, .deadline_ms = 1500 };
+  enum admit_refusal why;
+  gate_offer (&gate, &tickets[20], &small, 300 * 1000, &why);
+  CU_ASSERT_EQUAL (tickets[20].state, ADMIT_RUNNING);
+  /* The next one starts when one has left. */
+  gate_note_bytes (&tickets[0], 200000);
+  gate_finish (&gate, &tickets[0], true, 600 * 1000);
+  CU_ASSERT_EQUAL (started, 1);
+  /* One that the link cannot carry before its deadline is refused at once. */
+  CU_ASSERT_EQUAL (offer (21, 1, 900, 1500, 600), ADMIT_OVER);
+}
+
 /* A load in virtual time: requests arrive faster than the slots serve them. */
 
 #define LOAD_REQUESTS 4000
@@ -316,6 +357,10 @@
       test_cancelled_ticket_never_starts },
     { "late work waits for its deadline although no slot will reach it",
       test_hopeless_are_refused_early },
+    { "a kind of work that was slow once is refused for good",
+      test_slow_times_are_forgotten },
+    { "large answers share a link that cannot carry them",
+      test_link_limits_large_answers },
     { "an overloaded queue serves callers too late",
       test_overload_serves_more_in_time_than_fifo },
   };
