--- a/src/coordination/transfer.h
+++ b/src/coordination/transfer.h
@@ -44,7 +44,7 @@
   const struct transfer_ops *ops;
   void *arg;
   size_t sending;
-  TAILQ_HEAD (, transfer) transfers;
+  TAILQ_HEAD (transfer_queue, transfer) transfers;
 };
 
 void transfer_line_init (struct transfer_line *line,
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -47,7 +47,7 @@
 
 struct sidecar_relay
 {
-  TAILQ_HEAD (, relay_waiter) waiters;
+  TAILQ_HEAD (relay_waiters, relay_waiter) waiters;
   uint64_t followed_ms; ///< last question of another node
   struct relay_follow follow;
   struct http_exchange *asking; ///< own question, or NULL
--- a/test/soak/soak_target.c
+++ b/test/soak/soak_target.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <talloc.h>
 
 #define SLOTS 8
@@ -31,9 +32,11 @@
   struct http_request *request;
   struct soak_request *known;
   struct event timer;
-  uint64_t started_ms;
+  TAILQ_ENTRY (run) link;
 };
 
+static TAILQ_HEAD (runs, run) runs = TAILQ_HEAD_INITIALIZER (runs);
+
 static struct http_pool beats;
 static bool beats_started;
 static unsigned long long incarnations;
@@ -95,6 +98,7 @@
 {
   run->target->running--;
   event_del (&run->timer);
+  TAILQ_REMOVE (&runs, run, link);
   free (run);
 }
 
@@ -258,7 +262,7 @@
   run->target = target;
   run->request = request;
   run->known = known;
-  run->started_ms = now;
+  TAILQ_INSERT_TAIL (&runs, run, link);
   request->context = run;
   target->running++;
   evtimer_assign (&run->timer, soak->base, on_run_end, run);
@@ -369,6 +373,21 @@
   timer_start (&target->beat, 0);
 }
 
+/// Closes the target's server; its requests end with it.
+static void
+close_server (struct soak_target *target)
+{
+  struct run *run = TAILQ_FIRST (&runs);
+  while (run != NULL)
+    {
+      struct run *next = TAILQ_NEXT (run, link);
+      if (run->target == target)
+        free_run (run);
+      run = next;
+    }
+  http_server_stop (&target->server);
+}
+
 /// Ends the target's process, with all its requests.
 static void
 go_down (struct soak_target *target, uint32_t down_ms)
@@ -376,7 +395,7 @@
   target->up = false;
   soak_proxy_open (target->node->proxies[PROXY_TARGET], false);
   soak_proxy_reset (target->node->proxies[PROXY_TARGET]);
-  http_server_stop (&target->server);
+  close_server (target);
   timer_start (&target->change, down_ms);
 }
 
@@ -434,7 +453,7 @@
   event_del (&target->beat);
   event_del (&target->change);
   if (target->up)
-    http_server_stop (&target->server);
+    close_server (target);
   target->up = false;
   if (beats_started)
     http_pool_finish (&beats);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -15,6 +15,7 @@
 #include "platform_store.h"
 
 #include <signal.h>
+#include <sys/queue.h>
 
 #define RUNS_MAX 65536
 #define TARGETS_MAX 8
@@ -110,8 +111,19 @@
   struct target *target;
   struct http_request *request;
   struct event timer;
+  TAILQ_ENTRY (run) link;
 };
 
+static TAILQ_HEAD (runs, run) runs = TAILQ_HEAD_INITIALIZER (runs);
+
+static void
+free_run (struct run *run)
+{
+  event_del (&run->timer);
+  TAILQ_REMOVE (&runs, run, link);
+  free (run);
+}
+
 static void
 answer_run (struct run *run)
 {
@@ -128,8 +140,7 @@
             caller == NULL ? "" : caller);
   http_reply (request, fails ? 500 : 200, fields, run->target->instance,
               strlen (run->target->instance));
-  event_del (&run->timer);
-  free (run);
+  free_run (run);
 }
 
 static void
@@ -178,6 +189,7 @@
   run->target = target;
   run->request = request;
   request->context = run;
+  TAILQ_INSERT_TAIL (&runs, run, link);
   evtimer_assign (&run->timer, base, on_run_timer, run);
   if (strstr (request->head->target, "slow") != NULL)
     timer_start (&run->timer, SLOW_MS);
@@ -189,10 +201,8 @@
 on_target_gone (void *arg, struct http_request *request)
 {
   struct run *run = request->context;
-  if (run == NULL)
-    return;
-  event_del (&run->timer);
-  free (run);
+  if (run != NULL)
+    free_run (run);
 }
 
 static const struct http_server_ops target_ops
@@ -207,6 +217,14 @@
   target->crashed = !target->crashed;
   if (target->crashed)
     {
+      struct run *run = TAILQ_FIRST (&runs);
+      while (run != NULL)
+        {
+          struct run *after = TAILQ_NEXT (run, link);
+          if (run->target == target)
+            free_run (run);
+          run = after;
+        }
       http_server_stop (&target->server);
       timer_start (&target->timer, CRASHED_MS);
     }
