Soak: requests beyond their timeout, versions that must be in force, leaving targets

Cause: deliberate faults were not found: configurations 6 s late, a timeout 3 s late, requests to targets that had left. Versions came too fast for the check to name one that had to be in force, no request lasted beyond its timeout in a calm phase, and a leaving target counted as harmed until it was gone. Change: half of the requests ask for a version of two seconds ago; one request in 400 lasts for 3.5 s; a leaving target serves 3.5 s after the acknowledgement.

--- a/test/soak/run.sh
+++ b/test/soak/run.sh
@@ -2,7 +2,8 @@
 # Runs the soak. Usage: test/soak/run.sh [SEED...]
 # Settings by environment: SECONDS_EACH (45), PROCESSES (9 sidecars), CALLS (150
 # requests a second), JOBS (1 run at a time), VARIANT (opt or san), PROGRAM (the
-# sidecar that is run). Without seeds, COUNT (1) fresh ones are drawn. Logs of a
+# sidecar that is run). Without seeds, COUNT (1) fresh ones are drawn, or with
+# SEEDS=kept those of seeds.txt are run. Logs of a
 # run that broke a promise stay in build/soak-SEED.
 set -u
 cd "$(dirname "$0")/../.."
@@ -12,7 +13,9 @@
 calls=${CALLS:-150}
 jobs=${JOBS:-1}
 program=${PROGRAM:-$bin/hawthornseam-sidecar}
-if [ $# -eq 0 ]; then
+if [ $# -eq 0 ] && [ "${SEEDS:-}" = kept ]; then
+  set -- $(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' test/soak/seeds.txt)
+elif [ $# -eq 0 ]; then
   for _ in $(seq "${COUNT:-1}"); do set -- "$@" "$((RANDOM * 32768 + RANDOM))"; done
 fi
 
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -167,14 +167,15 @@
     call->node->newest_version = request->version;
 }
 
-/// Around planned work, a request that was read gets its whole answer.
+/// Around planned work, a request that was read gets its whole answer, unless
+/// its route's timeout has passed.
 static void
 check_lost (struct call *call)
 {
   struct soak *soak = call->node->soak;
   const struct soak_request *request = call->request;
   uint64_t waited_ms = clock_monotonic_ms () - request->sent_ms;
-  if (!soak_is_calm (soak, request->sent_ms)
+  if (!soak_is_calm (soak, request->sent_ms) || waited_ms >= SOAK_TIMEOUT_MS
       || (request->runs == 0 && waited_ms <= LOSS_SLACK_MS))
     return;
   soak_violation (soak, "LOST",
@@ -252,7 +253,10 @@
   struct soak *soak = node->soak;
   uint64_t now = clock_monotonic_ms ();
   enum soak_kind kind = choose_kind (&soak->rng);
-  unsigned newest = soak_store_version_at (now);
+  /* Half of the requests ask for the route of a version that has to be in
+     force. */
+  unsigned newest = soak_store_version_at (
+      rng_below (&soak->rng, 2) == 0 ? now - SOAK_CONFIG_APPLY_MS : now);
   struct call *call = calloc (1, sizeof *call);
   call->node = node;
   call->request = soak_ledger_add (kind, node->index, now);
@@ -261,6 +265,8 @@
   char id[32];
   char path[64];
   soak_ledger_id (call->request, id);
+  if (kind == SOAK_ADDED && newest == 0)
+    call->request->kind = kind = SOAK_READ;
   if (kind == SOAK_ADDED)
     snprintf (path, sizeof path, "/v%u/%" PRIx64, newest, call->request->id);
   else
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -313,9 +313,9 @@
     soak->harmed_until_ms = until_ms;
   if (fault->on_store && until_ms > soak->store_harmed_until_ms)
     soak->store_harmed_until_ms = until_ms;
-  bool whole_node = !fault->on_store && fault->start != next_version
-                    && fault->start != many_versions;
-  if (whole_node && until_ms > node->harmed_until_ms)
+  bool harms_node
+      = (!fault->planned && !fault->on_store) || fault->start == term_node;
+  if (harms_node && until_ms > node->harmed_until_ms)
     node->harmed_until_ms = until_ms;
   fault->start (node, for_ms);
   if (fault->end == NULL)
--- a/test/soak/soak_target.c
+++ b/test/soak/soak_target.c
@@ -17,9 +17,13 @@
 #define WORK_MS_MIN 3
 #define WORK_MS_SPREAD 30
 
+/// One request in this many takes longer than its route's timeout.
+#define LONG_ONE_IN 400
+#define LONG_MS (SOAK_TIMEOUT_MS + 2000)
+
 /// A leaving target serves on for this long after its leaving was
 /// acknowledged, then says that it ends.
-#define LEAVE_SERVE_MS (SOAK_DRAIN_MS + 600)
+#define LEAVE_SERVE_MS (SOAK_DRAIN_MS + 1500)
 #define LEFT_MS 700
 
 /// Requests that may go on for longer than SOAK_GONE_MS after their caller
@@ -266,9 +270,11 @@
   request->context = run;
   target->running++;
   evtimer_assign (&run->timer, soak->base, on_run_end, run);
-  timer_start (&run->timer,
-               (WORK_MS_MIN + rng_below (&soak->rng, WORK_MS_SPREAD))
-                   * target->slow_factor);
+  uint64_t work_ms = (WORK_MS_MIN + rng_below (&soak->rng, WORK_MS_SPREAD))
+                     * target->slow_factor;
+  if (now < soak->faults_end_ms && rng_below (&soak->rng, LONG_ONE_IN) == 0)
+    work_ms = LONG_MS;
+  timer_start (&run->timer, work_ms);
 }
 
 static void
