--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -455,9 +455,10 @@
     store->renewed_ms = clock_monotonic_ms ();
   else
     {
-      log_event (LOG_LEVEL_WARNING, "lease_ended",
-                 "lease=%" PRIu64 " age_ms=%" PRIu64, store->lease,
-                 clock_monotonic_ms () - store->renewed_ms);
+      log_event (
+          LOG_LEVEL_WARNING, "lease_ended",
+          "lease=%" PRIu64 " age_ms=%" PRIu64, store->lease,
+          store->lease == 0 ? 0 : clock_monotonic_ms () - store->renewed_ms);
       store->lease = 0;
       store->announced = false;
     }
