Move the application of keys out of the store's file

Ruled out: further pieces; the lease and the watch share most of their state. Change: sidecar_keys.c applies keys to configuration, directory, moves and crash suspects. No behaviour changes.

--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -3,9 +3,9 @@
 ///
 /// A caller's request comes in at the entry (sidecar_entry.c), is offered to
 /// the nodes of its service, and runs behind the gate of one of them
-/// (sidecar_run.c). sidecar_store.c keeps the configuration and the directory
-/// in step with the store, sidecar_target.c the state of the own target,
-/// sidecar_move.c the moves to new target versions.
+/// (sidecar_run.c). sidecar_store.c and sidecar_relay.c keep the configuration
+/// and the directory in step with the store, sidecar_target.c the state of the
+/// own target, sidecar_move.c the moves to new target versions.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_H
 
--- /dev/null
+++ b/src/sidecar/sidecar_keys.c
@@ -0,0 +1,181 @@
+/// Owns no state; applies what was read from the store, or passed on by
+/// another node, to the configuration, the directory, the moves and the crash
+/// suspects.
+#include "sidecar/sidecar_store.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+static struct counter malformed = COUNTER (
+    "store_entries_malformed", "entries and records that cannot be read");
+static void
+take_config (struct sidecar *sidecar, const struct store_key *key)
+{
+  struct mesh_config *config;
+  if (sidecar->adapter->read_config (key->data, key->size, &config)
+      != STATUS_OK)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_ERROR, "config_refused",
+                 "revision=%" PRIu64 " reason=\"%s\"", key->revision,
+                 status_message ());
+      return;
+    }
+  if (sidecar->config != NULL && config->version <= sidecar->config->version)
+    {
+      log_event (LOG_LEVEL_INFO, "config_ignored",
+                 "version=%" PRIx64 " in_force=%" PRIx64, config->version,
+                 sidecar->config->version);
+      talloc_free (config);
+      return;
+    }
+  log_event (LOG_LEVEL_INFO, "config_in_force",
+             "version=%" PRIx64 " before=%" PRIx64 " revision=%" PRIu64
+             " routes=%zu services=%zu",
+             config->version,
+             sidecar->config == NULL ? 0 : sidecar->config->version,
+             key->revision, config->route_count, config->service_count);
+  talloc_free (sidecar->config);
+  sidecar->config = config;
+  sidecar->config_ms = clock_monotonic_ms ();
+  uint64_t body_bytes = config->limits.body_bytes;
+  sidecar->calls.limits = (struct http_server_limits){
+    .head_bytes = config->limits.head_bytes,
+    .body_bytes
+    = body_bytes < SIDECAR_BODY_MAX ? body_bytes : SIDECAR_BODY_MAX,
+    .receive_ms = config->limits.head_ms,
+    .idle_ms = config->limits.idle_ms,
+  };
+}
+
+static void
+take_entry (struct sidecar_store *store, const struct store_key *key,
+            const char *node)
+{
+  struct sidecar *sidecar = store->sidecar;
+  uint64_t now = clock_monotonic_ms ();
+  bool own = strcmp (key->key, store->key) == 0;
+  if (own && key->revision > store->revision)
+    store->revision = key->removed ? 0 : key->revision;
+  if (key->removed)
+    {
+      directory_lapse (&sidecar->directory, node, key->revision, now);
+      log_event (LOG_LEVEL_INFO, "entry_lapsed", "node=%s revision=%" PRIu64,
+                 node, key->revision);
+      if (own && !sidecar->stopping)
+        {
+          /* The lease may have ended with the key. */
+          store->lease = 0;
+          store->announced = false;
+        }
+      return;
+    }
+  struct directory_entry entry;
+  if (entry_record_read (key->data, key->size, &entry) != STATUS_OK
+      || strcmp (entry.node, node) != 0)
+    {
+      counter_add (&malformed, 1);
+      log_event (LOG_LEVEL_WARNING, "entry_malformed",
+                 "node=%s revision=%" PRIu64 " reason=\"%s\"", node,
+                 key->revision, status_message ());
+      return;
+    }
+  directory_put (&sidecar->directory, &entry, key->revision, now);
+  log_event (LOG_LEVEL_INFO, "entry",
+             "node=%s service=%s version=%s instance=%s state=%d "
+             "revision=%" PRIu64,
+             node, entry.service, entry.version, entry.instance, entry.state,
+             key->revision);
+}
+
+/// @return what follows a prefix in a key, or NULL when it has another one
+static const char *
+behind (const char *key, const char *prefix)
+{
+  size_t size = strlen (prefix);
+  return strncmp (key, prefix, size) == 0 ? key + size : NULL;
+}
+
+void
+sidecar_store_take_key (struct sidecar_store *store,
+                        const struct store_key *key)
+{
+  struct sidecar *sidecar = store->sidecar;
+  const struct adapter_ops *adapter = sidecar->adapter;
+  enum status kept
+      = key->removed ? mirror_remove (&store->mirror, key->key, key->revision)
+                     : mirror_put (&store->mirror, key->key, key->revision,
+                                   key->data, key->size);
+  if (kept != STATUS_OK)
+    log_event (LOG_LEVEL_ERROR, "view_incomplete", "key=%s reason=\"%s\"",
+               key->key, status_message ());
+  const char *order = behind (key->key, adapter->order_prefix);
+  const char *own = behind (key->key, adapter->own_prefix);
+  const char *node = own == NULL ? NULL : behind (own, OWN_NODE);
+  const char *move = own == NULL ? NULL : behind (own, OWN_MOVE);
+  const char *crash = own == NULL ? NULL : behind (own, OWN_CRASH);
+  if (node != NULL)
+    take_entry (store, key, node);
+  else if (key->removed)
+    return;
+  else if (strcmp (key->key, adapter->config_key) == 0)
+    take_config (sidecar, key);
+  else if (order != NULL)
+    sidecar_moves_on_order (sidecar, key, order);
+  else if (move != NULL)
+    sidecar_moves_on_record (sidecar, key, move);
+  else if (crash != NULL)
+    sidecar_crash_on_record (sidecar, key);
+}
+
+void
+sidecar_store_take_keys (struct sidecar_store *store,
+                         const struct store_reply *reply)
+{
+  for (size_t i = 0; i < reply->key_count; i++)
+    sidecar_store_take_key (store, &reply->keys[i]);
+  size_t nodes = 0;
+  const struct directory *directory = &store->sidecar->directory;
+  for (size_t i = 0; i < directory->count; i++)
+    nodes += directory->records[i].used;
+  store->nodes = nodes;
+  quota_set_slack (&store->sidecar->quotas,
+                   store->sidecar->settings.retry_slack, nodes);
+}
+
+void
+sidecar_store_take_changes (struct sidecar_store *store,
+                            const struct mirror *view, uint64_t as_of,
+                            bool whole)
+{
+  struct store_key *keys
+      = talloc_zero_array (NULL, struct store_key, view->count + 1);
+  if (keys == NULL)
+    return;
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct mirror_item *item = &view->items[i];
+      keys[i] = (struct store_key){ .key = item->key,
+                                    .revision = item->revision,
+                                    .removed = item->removed,
+                                    .data = item->data,
+                                    .size = item->size };
+    }
+  struct store_reply reply = { .keys = keys, .key_count = view->count };
+  if (whole)
+    {
+      mirror_clear (&store->mirror, as_of);
+      directory_begin_list (&store->sidecar->directory);
+    }
+  sidecar_store_take_keys (store, &reply);
+  if (whole)
+    directory_end_list (&store->sidecar->directory, as_of,
+                        clock_monotonic_ms ());
+  store->as_of = as_of;
+  talloc_free (keys);
+}
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -1,6 +1,6 @@
-/// State of the node's connection to the store, shared by sidecar_store.c,
-/// which owns it, and sidecar_view.c, which passes its view on to other nodes
-/// that start, and sidecar_relay.c, which passes changes on.
+/// State of the node's connection to the store. sidecar_store.c owns it,
+/// sidecar_keys.c applies what was read, sidecar_view.c passes the view on to
+/// nodes that start, and sidecar_relay.c passes changes on.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 
@@ -45,10 +45,16 @@
   char written[ENTRY_RECORD_MAX]; ///< entry that is being written
 };
 
+/* sidecar_keys.c */
+
 /// Takes one key as it is in the store, or its removal.
 void sidecar_store_take_key (struct sidecar_store *store,
                              const struct store_key *key);
 
+/// Takes the keys of an answer of the store.
+void sidecar_store_take_keys (struct sidecar_store *store,
+                              const struct store_reply *reply);
+
 /// Takes what another node said of the store.
 /// @param whole  the view lacks nothing; what it does not have is gone
 void sidecar_store_take_changes (struct sidecar_store *store,
