Give a leaving target nothing after a restart of its node

Its node was stopped and started again in between; the new process took the first report of the leaving for its beginning and accepted requests for half a second more, from nodes that the store, away just then, had not told. Ruled out: the nodes that sent them (their view was as new as the store's). Change: a first report that says 'draining' closes the gate at once. Figures: sidecar_test.sh 'leaving target behind a restart' got 200, now 503.

--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -92,8 +92,9 @@
 {
   struct sidecar_target *target = &sidecar->target;
   uint64_t now = clock_monotonic_ms ();
+  bool first_report = !target->known;
   bool new_incarnation
-      = !target->known || report->started_ms != target->report.started_ms
+      = first_report || report->started_ms != target->report.started_ms
         || strcmp (report->instance, target->report.instance) != 0;
   if (new_incarnation)
     {
@@ -108,7 +109,9 @@
   if (report->draining && !target->draining)
     {
       target->draining = true;
-      target->draining_ms = now;
+      /* A node that has just started may have acknowledged the leaving long
+         before: the target gets nothing more. */
+      target->draining_ms = first_report ? 0 : now;
       changed = true;
     }
   target->report = *report;
--- a/test/functional/sidecar_test.sh
+++ b/test/functional/sidecar_test.sh
@@ -125,6 +125,15 @@
   expect "leaving target" "$(ask 0 /read/$n)" "200 i-c*"
 done
 
+# Nor does it after a restart of its node: the process that acknowledged the
+# leaving is gone, so the report says nothing of when that was. The request comes
+# from a node that has not heard of the leaving.
+stop s1 KILL
+sidecar_run 1
+wait_for "reports taken again" 5 curl -s -o /dev/null "http://127.0.0.1:$(port 1 3)/"
+expect "leave acknowledged again" "$(report 1 draining)" 200
+expect "leaving target behind a restart" "$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Hawthornseam-Hop: orders v1 0 1 2 3 0 0 0' -H 'Hawthornseam-Request-Id: hop1' -H 'Hawthornseam-Deadline-Ms: 1000' "http://127.0.0.1:$(port 1 1)/read/x")" 503
+
 # A slow request is finished although its node is told to stop.
 INSTANCES[1]=i-b
 curl -s -m 4 -o "$RUN/slow" -w '%{http_code}' -H 'Host: a.example' \
