--- a/src/coordination/transfer.c
+++ b/src/coordination/transfer.c
@@ -64,14 +64,14 @@
 void
 transfer_tick (struct transfer_line *line, uint64_t now_ms)
 {
-  struct transfer *transfer;
-  TAILQ_FOREACH (transfer, &line->transfers, link)
-  {
-    if (transfer->state != TRANSFER_SENDING
-        || now_ms < transfer->since_ms + TRANSFER_TURN_MS)
-      continue;
-    transfer->state = TRANSFER_OVERDUE;
-    line->sending--;
-  }
+  for (struct transfer *transfer = TAILQ_FIRST (&line->transfers);
+       transfer != NULL; transfer = TAILQ_NEXT (transfer, link))
+    {
+      if (transfer->state != TRANSFER_SENDING
+          || now_ms < transfer->since_ms + TRANSFER_TURN_MS)
+        continue;
+      transfer->state = TRANSFER_OVERDUE;
+      line->sending--;
+    }
   give_turns (line, now_ms);
 }
--- a/src/sidecar/sidecar_entry.c
+++ b/src/sidecar/sidecar_entry.c
@@ -399,14 +399,14 @@
 sidecar_entry_stopping (struct sidecar *sidecar)
 {
   uint64_t by_ms = stop_answer_ms (sidecar);
-  struct sidecar_entry *entry;
-  TAILQ_FOREACH (entry, &sidecar->entries, link)
-  {
-    if (entry->passing || entry->answer_by_ms <= by_ms)
-      continue;
-    entry->answer_by_ms = by_ms;
-    timer_start_at (&entry->timer, by_ms);
-  }
+  for (struct sidecar_entry *entry = TAILQ_FIRST (&sidecar->entries);
+       entry != NULL; entry = TAILQ_NEXT (entry, link))
+    {
+      if (entry->passing || entry->answer_by_ms <= by_ms)
+        continue;
+      entry->answer_by_ms = by_ms;
+      timer_start_at (&entry->timer, by_ms);
+    }
 }
 
 static void
--- a/test/unit/relay_test.c
+++ b/test/unit/relay_test.c
@@ -20,9 +20,9 @@
 }
 
 static void
-name_of (size_t index, char name[16])
+name_of (size_t index, char name[32])
 {
-  snprintf (name, 16, "node-%zu", index);
+  snprintf (name, 32, "node-%zu", index);
 }
 
 /// Half of the nodes in each of two zones.
@@ -34,7 +34,7 @@
   memset (&follow, 0, sizeof follow);
   for (size_t i = 0; i < nodes; i++)
     {
-      char name[16];
+      char name[32];
       name_of (i, name);
       put (name, i % 2 == 0 ? "za" : "zb", DIRECTORY_READY);
     }
@@ -50,7 +50,7 @@
   CU_ASSERT_EQUAL (first.count, RELAY_COUNT);
   for (size_t i = 0; i < NODES; i++)
     {
-      char name[16];
+      char name[32];
       struct relay_group group;
       name_of (i, name);
       relay_choose (&directory, name, i % 2 == 0 ? "za" : "zb", &group);
@@ -112,10 +112,10 @@
   struct relay_group group;
   size_t before = SIZE_MAX;
   set_up (NODES);
-  char own[16] = "";
+  char own[32] = "";
   for (size_t i = 0; i < NODES && own[0] == '\0'; i += 2)
     {
-      char name[16];
+      char name[32];
       name_of (i, name);
       relay_choose (&directory, name, "za", &group);
       if (!group.member)
