Keep a target's leave over a restart of its node

Cause: a node forgot with its process that it had acknowledged a target's leave, or that a newer incarnation was known. Ruled out: ordering by sequence, which starts anew with the process; the stale entry in the directory of others, since only the node beside a target reaches it. Change: the entry in the store names the start and the leave of the target; the next process restores them from its own old entry, from the store or from another node's view, and passes nothing to its target before it has a view. A leave is acknowledged once the store has it, after 0.4 s at the latest. A new incarnation is admitted at once, not with the next tick.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 # The sidecar links only what it uses: its memory is billed.
 SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
   platform/*.c) $(addprefix src/state/,directory.c mesh_config.c mirror.c \
-  suspect.c) \
+  suspect.c target_history.c) \
   $(addprefix src/coordination/,admission_queue.c placement.c retry_quota.c relay.c resend.c \
   retry.c rollout.c seqtest.c transfer.c) \
   $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
--- a/src/protocol/entry_record.c
+++ b/src/protocol/entry_record.c
@@ -13,12 +13,14 @@
                     char text[ENTRY_RECORD_MAX])
 {
   json_t *object = json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I}", "node",
-      entry->node, "availability_zone", entry->availability_zone, "service",
-      entry->service, "version", entry->version, "instance", entry->instance,
-      "address", (json_int_t)entry->address, "port", (int)entry->port, "slots",
-      (int)entry->slots, "state", (int)entry->state, "cold_ms",
-      (int)entry->cold_ms, "epoch", (json_int_t)entry->epoch);
+      "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I, s:I, s:b}",
+      "node", entry->node, "availability_zone", entry->availability_zone,
+      "service", entry->service, "version", entry->version, "instance",
+      entry->instance, "address", (json_int_t)entry->address, "port",
+      (int)entry->port, "slots", (int)entry->slots, "state", (int)entry->state,
+      "cold_ms", (int)entry->cold_ms, "epoch", (json_int_t)entry->epoch,
+      "started_ms", (json_int_t)entry->started_ms, "leaving",
+      (int)entry->leaving);
   return json_text_write (object, text, ENTRY_RECORD_MAX);
 }
 
@@ -46,19 +48,25 @@
   int slots;
   int state;
   int cold_ms;
+  /* Absent in the records of older versions. */
+  json_int_t started_ms = 0;
+  int leaving = 0;
   if (json_unpack (object,
-                   "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I}",
+                   "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I, "
+                   "s?I, s?b}",
                    "node", &node, "availability_zone", &zone, "service",
                    &service, "version", &version, "instance", &instance,
                    "address", &address, "port", &port, "slots", &slots,
-                   "state", &state, "cold_ms", &cold_ms, "epoch", &epoch)
+                   "state", &state, "cold_ms", &cold_ms, "epoch", &epoch,
+                   "started_ms", &started_ms, "leaving", &leaving)
       != 0)
     return invalid (
         object, "directory entry: a field is missing or of the wrong type");
   if (address <= 0 || address > UINT32_MAX || port < 1 || port > 65535
       || slots < 0 || slots > UINT16_MAX || state < DIRECTORY_ABSENT
       || state > DIRECTORY_LEAVING || cold_ms < 0 || epoch < 0
-      || node[0] == '\0' || !json_text_copy_name (entry->node, node)
+      || started_ms < 0 || node[0] == '\0'
+      || !json_text_copy_name (entry->node, node)
       || !json_text_copy_name (entry->availability_zone, zone)
       || !json_text_copy_name (entry->service, service)
       || !json_text_copy_name (entry->version, version)
@@ -70,6 +78,8 @@
   entry->state = (enum directory_state)state;
   entry->cold_ms = (uint32_t)cold_ms;
   entry->epoch = (uint64_t)epoch;
+  entry->started_ms = (uint64_t)started_ms;
+  entry->leaving = leaving != 0;
   json_decref (object);
   return STATUS_OK;
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -21,6 +21,7 @@
 #include "sidecar/sidecar_settings.h"
 #include "state/directory.h"
 #include "state/mesh_config.h"
+#include "state/target_history.h"
 #include "transport/http_pool.h"
 #include "transport/http_server.h"
 #include "transport/store_client.h"
@@ -66,9 +67,21 @@
 struct sidecar_moves;
 struct sidecar_crashes;
 
+/// Acknowledgements of a target's leave that may wait for the store at once.
+#define SIDECAR_LEAVE_ACKS_MAX 4
+
+/// Acknowledgement that is held back until the leave is in the store.
+struct sidecar_leave_ack
+{
+  struct http_request *request; ///< NULL: unused
+  uint64_t due_ms;              ///< sent at the latest then
+};
+
 /// State of the target beside this node.
 struct sidecar_target
 {
+  struct target_history history; ///< from before this process started
+  struct sidecar_leave_ack leave_acks[SIDECAR_LEAVE_ACKS_MAX];
   bool known;    ///< a report has been accepted
   bool draining; ///< the target announced that it is leaving
   bool gone;     ///< reports stopped, or connections were refused repeatedly
@@ -143,9 +156,19 @@
 /// target as gone.
 void sidecar_target_refused (struct sidecar *sidecar);
 
-/// Marks the target as gone when its reports have stopped.
+/// Marks the target as gone when its reports have stopped, and sends the
+/// acknowledgements that are due.
 void sidecar_target_tick (struct sidecar *sidecar);
 
+/// Sends the acknowledgements of a leave: the store has it now, so a restart
+/// of this node does not lose it.
+void sidecar_target_recorded (struct sidecar *sidecar);
+
+/// Takes over what an earlier process of this node has announced about the
+/// target.
+void sidecar_target_restore (struct sidecar *sidecar,
+                             const struct directory_entry *entry);
+
 /// @param entry  set to the directory entry that this node announces
 void sidecar_target_entry (const struct sidecar *sidecar,
                            struct directory_entry *entry);
@@ -186,6 +209,13 @@
 void sidecar_store_publish_crash (struct sidecar *sidecar, const char *text,
                                   size_t size);
 
+/// @return true once the contents of the store were read, from the store or
+///         from another node
+bool sidecar_store_has_view (const struct sidecar *sidecar);
+
+/// @return true when the store has this node's current entry
+bool sidecar_store_is_announced (const struct sidecar *sidecar);
+
 /// @return true while the store is unreachable
 bool sidecar_store_is_unreachable (const struct sidecar *sidecar);
 void sidecar_store_tick (struct sidecar *sidecar);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -334,7 +334,9 @@
                 uint64_t now_ms)
 {
   const struct sidecar_target *target = &sidecar->target;
-  if (!target->known || target->gone
+  /* Only the view tells whether an earlier process of this node acknowledged
+     that the target is leaving. */
+  if (!sidecar_store_has_view (sidecar) || !target->known || target->gone
       || strcmp (target->report.service, hop->service) != 0
       || strcmp (target->report.version, hop->version) != 0)
     return CALL_REASON_NO_TARGET;
@@ -388,7 +390,7 @@
     }
   if (id == NULL)
     id = "";
-  if (sidecar->config == NULL)
+  if (!sidecar_store_has_view (sidecar))
     sidecar_store_request_view (sidecar, hop.address, hop.port);
   const char *reason = refusal_reason (sidecar, &hop, now_us / 1000);
   struct sidecar_inbound *inbound
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -86,6 +86,8 @@
                  key->revision, status_message ());
       return;
     }
+  if (is_own && entry.epoch != sidecar->epoch)
+    sidecar_target_restore (sidecar, &entry);
   directory_put (&sidecar->directory, &entry, key->revision, now);
   log_event (LOG_LEVEL_INFO, "entry",
              "node=%s service=%s version=%s instance=%s state=%d "
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -243,6 +243,8 @@
         entry_record_write (&entry, current);
         store->announced = strcmp (current, store->pending_entry) == 0;
         store->next_write_ms = now;
+        if (store->announced)
+          sidecar_target_recorded (store->sidecar);
         break;
       }
     case STATUS_CONFLICT:
@@ -381,6 +383,18 @@
   write_entry (sidecar->store, clock_monotonic_ms ());
 }
 
+bool
+sidecar_store_has_view (const struct sidecar *sidecar)
+{
+  return sidecar->store->as_of != 0;
+}
+
+bool
+sidecar_store_is_announced (const struct sidecar *sidecar)
+{
+  return sidecar->store->announced;
+}
+
 bool
 sidecar_store_is_unreachable (const struct sidecar *sidecar)
 {
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -18,12 +18,19 @@
 /// single refusal may come from a connection limit.
 #define CONNECT_REFUSALS_MAX 3
 
+/// Longest time for which the acknowledgement of a leave waits for the store.
+/// Targets wait a second for it.
+#define LEAVE_ACK_WAIT_MS 400
+
 static struct counter reports
     = COUNTER ("target_reports", "reports of the own target");
 static struct counter stale = COUNTER (
     "target_reports_stale", "reports that a newer one had overtaken");
 static struct counter malformed
     = COUNTER ("target_reports_malformed", "reports that cannot be read");
+static struct counter overruled
+    = COUNTER ("target_reports_overruled",
+               "reports of a target whose leave was acknowledged earlier");
 
 static const char *
 state_name (const struct sidecar_target *target)
@@ -41,6 +48,7 @@
   admission_queue_set_slots (&sidecar->admission,
                              present ? target->report.slots : 0,
                              clock_monotonic_us ());
+  sidecar_inbound_tick (sidecar);
   log_event (LOG_LEVEL_INFO, "target_state",
              "state=%s instance=%s version=%s slots=%u report_age_ms=%" PRIu64
              " sequence=%" PRIu64,
@@ -67,6 +75,8 @@
   entry->slots = target->report.slots;
   entry->cold_ms = target->cold_ms;
   entry->epoch = sidecar->epoch;
+  entry->started_ms = target->report.started_ms;
+  entry->leaving = target->draining;
   if (sidecar->stopping)
     entry->state = DIRECTORY_LEAVING;
   else if (!target->known || target->gone)
@@ -80,6 +90,10 @@
 is_newer (const struct sidecar_target *target,
           const struct target_report *report)
 {
+  if (target_history_judge (&target->history, report->instance,
+                            report->started_ms)
+      == TARGET_REPLACED)
+    return false;
   if (!target->known)
     return true;
   if (report->started_ms != target->report.started_ms)
@@ -132,6 +146,39 @@
               strlen (text));
 }
 
+void
+sidecar_target_recorded (struct sidecar *sidecar)
+{
+  for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
+    {
+      struct sidecar_leave_ack *ack = &sidecar->target.leave_acks[i];
+      struct http_request *request = ack->request;
+      ack->request = NULL;
+      if (request != NULL)
+        send_reply (request, 200, "{}");
+    }
+}
+
+/// Acknowledges a leave once the store has it, so that the next process of
+/// this node knows of it too. An unreachable store is not waited for.
+static void
+acknowledge_leave (struct sidecar *sidecar, struct http_request *request)
+{
+  if (sidecar->target.known && !sidecar_store_is_announced (sidecar)
+      && !sidecar_store_is_unreachable (sidecar))
+    for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
+      {
+        struct sidecar_leave_ack *ack = &sidecar->target.leave_acks[i];
+        if (ack->request != NULL)
+          continue;
+        *ack = (struct sidecar_leave_ack){ .request = request,
+                                           .due_ms = clock_monotonic_ms ()
+                                                     + LEAVE_ACK_WAIT_MS };
+        return;
+      }
+  send_reply (request, 200, "{}");
+}
+
 static void
 on_report (struct sidecar *sidecar, struct http_request *request,
            const char *instance)
@@ -150,6 +197,14 @@
       send_reply (request, 400, "{\"error\":\"malformed report\"}");
       return;
     }
+  if (!report.draining
+      && target_history_judge (&sidecar->target.history, instance,
+                               report.started_ms)
+             == TARGET_LEAVING)
+    {
+      counter_add (&overruled, 1);
+      report.draining = true;
+    }
   if (is_newer (&sidecar->target, &report))
     apply_report (sidecar, &report);
   else
@@ -161,7 +216,10 @@
                  instance, report.sequence, sidecar->target.report.instance,
                  sidecar->target.report.sequence);
     }
-  send_reply (request, 200, "{}");
+  if (sidecar->target.draining)
+    acknowledge_leave (sidecar, request);
+  else
+    send_reply (request, 200, "{}");
 }
 
 /// Handles the target's notice that it is about to end. Targets may send it
@@ -171,14 +229,16 @@
           const char *instance)
 {
   struct sidecar_target *target = &sidecar->target;
-  if (target->known && strcmp (target->report.instance, instance) == 0
-      && !target->draining)
+  if (!target->known)
+    target_history_note_leave (&target->history, instance);
+  else if (strcmp (target->report.instance, instance) == 0
+           && !target->draining)
     {
       target->draining = true;
       target->draining_ms = clock_monotonic_ms ();
       sidecar_target_update (sidecar);
     }
-  send_reply (request, 200, "{}");
+  acknowledge_leave (sidecar, request);
 }
 
 static void
@@ -210,6 +270,10 @@
 static void
 on_disconnected (void *arg, struct http_request *request)
 {
+  struct sidecar *sidecar = arg;
+  for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
+    if (sidecar->target.leave_acks[i].request == request)
+      sidecar->target.leave_acks[i].request = NULL;
 }
 
 const struct http_server_ops sidecar_report_ops
@@ -238,9 +302,41 @@
 sidecar_target_tick (struct sidecar *sidecar)
 {
   struct sidecar_target *target = &sidecar->target;
+  uint64_t now = clock_monotonic_ms ();
   uint64_t report_age_max_ms
       = (uint64_t)MISSED_REPORTS_MAX * sidecar->settings.heartbeat_ms;
   if (target->known && !target->gone
-      && clock_monotonic_ms () - target->last_report_ms > report_age_max_ms)
+      && now - target->last_report_ms > report_age_max_ms)
     mark_gone (sidecar);
+  for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
+    if (target->leave_acks[i].request != NULL
+        && now >= target->leave_acks[i].due_ms)
+      {
+        sidecar_target_recorded (sidecar);
+        return;
+      }
+}
+
+void
+sidecar_target_restore (struct sidecar *sidecar,
+                        const struct directory_entry *entry)
+{
+  struct sidecar_target *target = &sidecar->target;
+  target_history_restore (&target->history, entry);
+  if (!target->known || target->gone || target->draining)
+    return;
+  switch (target_history_judge (&target->history, target->report.instance,
+                                target->report.started_ms))
+    {
+    case TARGET_CURRENT:
+      return;
+    case TARGET_LEAVING:
+      target->draining = true;
+      target->draining_ms = 0;
+      sidecar_target_update (sidecar);
+      return;
+    case TARGET_REPLACED:
+      mark_gone (sidecar);
+      return;
+    }
 }
--- a/src/sidecar/sidecar_view.c
+++ b/src/sidecar/sidecar_view.c
@@ -83,7 +83,7 @@
 {
   struct sidecar_store *store = sidecar->store;
   uint64_t now = clock_monotonic_ms ();
-  if (address == 0 || store->unreachable_since_ms == 0
+  if (address == 0 || store->as_of != 0
       || now - store->view_requested_ms < REQUEST_INTERVAL_MS)
     return;
   if (store->view_exchange != NULL)
--- a/src/state/directory.h
+++ b/src/state/directory.h
@@ -43,6 +43,8 @@
   enum directory_state state;
   uint32_t cold_ms; ///< time for which a new target is slower (warm-up)
   uint64_t epoch;   ///< start of the node's process, Unix ms; larger is newer
+  uint64_t started_ms; ///< start of the target, Unix ms; 0: unknown
+  bool leaving;        ///< the target has announced its end
 };
 
 /// Load and failures of another node and its target, as seen by this node.
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -87,7 +87,9 @@
                                    .slots = 12,
                                    .state = DIRECTORY_DRAINING,
                                    .cold_ms = 3000,
-                                   .epoch = 1767268433020 };
+                                   .epoch = 1767268433020,
+                                   .started_ms = 1767268431000,
+                                   .leaving = true };
   struct directory_entry read;
   char text[ENTRY_RECORD_MAX];
   size_t size = entry_record_write (&entry, text);
