Pace probes of the store by the mesh and read early at start

At the start of a mesh each node read the range and watched it twice before it knew a relay. Ruled out: longer pauses for all alike: a return has to be found within 2 s. Change: store_pace decides the interval by the number of nodes and by what the relay did; a follower whose relay refuses probes rarely and at once when the relay serves again. A starting node's first reads may be seconds old (a tenth of the price) until a relay has brought its view up to date; a relay reads the store itself.

--- a/src/coordination/relay.c
+++ b/src/coordination/relay.c
@@ -95,9 +95,17 @@
 
 void
 relay_exclude (struct relay_exclusions *exclusions, uint64_t serial,
-               uint64_t now_ms)
+               uint64_t for_ms, uint64_t now_ms)
 {
   exclusions->serials[exclusions->next] = serial;
-  exclusions->until_ms[exclusions->next] = now_ms + RELAY_EXCLUSION_MS;
+  exclusions->until_ms[exclusions->next] = now_ms + for_ms;
   exclusions->next = (exclusions->next + 1) % RELAY_COUNT;
 }
+
+void
+relay_retry_soon (struct relay_exclusions *exclusions, uint64_t now_ms)
+{
+  for (size_t i = 0; i < RELAY_COUNT; i++)
+    if (exclusions->until_ms[i] > now_ms + RELAY_RETRY_MS)
+      exclusions->until_ms[i] = now_ms + RELAY_RETRY_MS;
+}
--- a/src/coordination/relay.h
+++ b/src/coordination/relay.h
@@ -19,6 +19,10 @@
 /// Time for which a relay that failed is not followed.
 #define RELAY_EXCLUSION_MS 5000
 
+/// The same while this node cannot turn to the store instead: it is
+/// unreachable for this node too, or the whole mesh has just started.
+#define RELAY_RETRY_MS 800
+
 struct relay_group
 {
   size_t handles[RELAY_COUNT]; ///< directory handles, highest score first
@@ -46,7 +50,11 @@
                    const char *zone, uint64_t now_ms);
 
 /// Records that a relay did not respond or reported that it cannot serve.
+/// @param for_ms  RELAY_EXCLUSION_MS or RELAY_RETRY_MS
 void relay_exclude (struct relay_exclusions *exclusions, uint64_t serial,
-                    uint64_t now_ms);
+                    uint64_t for_ms, uint64_t now_ms);
+
+/// Shortens the exclusions to RELAY_RETRY_MS from now.
+void relay_retry_soon (struct relay_exclusions *exclusions, uint64_t now_ms);
 
 #endif
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -75,7 +75,9 @@
                 void *arg);
   /// Lists one page of keys with their values.
   /// @param after  last key of the previous page, or NULL
+  /// @param stale  the reply may be seconds old; costs a tenth
   void (*range) (void *store, const char *prefix, const char *after,
+                 bool stale,
                  void (*done) (void *arg, const struct store_reply *reply),
                  void *arg);
   /// Replies with the changes below a prefix after a revision, at the latest
--- a/src/protocol/store_api.h
+++ b/src/protocol/store_api.h
@@ -32,6 +32,7 @@
   enum store_call call;
   const char *key;   ///< key, or prefix (may be empty)
   const char *after; ///< of a range: last key of the previous page, or NULL
+  bool stale;        ///< of a range: the reply may be seconds old
   uint64_t revision; ///< expected revision; of a watch: newest known one
   uint64_t lease;    ///< of a put (0: none) or a keepalive
   uint32_t ms;       ///< longest wait of a watch, or lifetime of a lease
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -209,8 +209,8 @@
 void sidecar_store_publish_crash (struct sidecar *sidecar, const char *text,
                                   size_t size);
 
-/// @return true once the contents of the store were read, from the store or
-///         from another node
+/// @return true once the contents of the store are known as they were after
+///         this process started, or as another node knows them
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
 /// @return true when the store has this node's current entry
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -56,6 +56,7 @@
   struct http_exchange *exchange; ///< own request to a relay, or NULL
   uint64_t relay_serial;          ///< of the relay's directory record
   unsigned status;                ///< HTTP status of its response
+  enum store_pace_relay contact;  ///< what the last relay asked did
   struct evbuffer *response;      ///< body received so far
   struct event timer;
   /* Last encoded response, reused for followers at the same revision. */
@@ -217,6 +218,43 @@
     }
 }
 
+enum store_pace_relay
+sidecar_relay_contact (const struct sidecar *sidecar)
+{
+  return sidecar->store->relay->contact;
+}
+
+void
+sidecar_relay_retry_soon (struct sidecar *sidecar)
+{
+  relay_retry_soon (&sidecar->store->relay->exclusions, clock_monotonic_ms ());
+}
+
+bool
+sidecar_relay_is_member (const struct sidecar *sidecar)
+{
+  struct relay_group group;
+  relay_choose (&sidecar->directory, sidecar->settings.node,
+                sidecar->settings.availability_zone, &group);
+  return group.count == RELAY_COUNT && group.member;
+}
+
+/// @return handle of the relay to ask now, or SIZE_MAX
+static size_t
+pick_relay (const struct sidecar *sidecar, uint64_t now_ms)
+{
+  return relay_pick (&sidecar->store->relay->exclusions, &sidecar->directory,
+                     sidecar->settings.node,
+                     sidecar->settings.availability_zone, now_ms);
+}
+
+bool
+sidecar_relay_is_available (const struct sidecar *sidecar)
+{
+  return sidecar_relay_is_member (sidecar)
+         || pick_relay (sidecar, clock_monotonic_ms ()) != SIZE_MAX;
+}
+
 bool
 sidecar_relay_has_followers (const struct sidecar *sidecar, uint64_t now_ms)
 {
@@ -236,8 +274,20 @@
   relay->exchange = NULL;
   store->watching = false;
   store->next_watch_ms = now;
+  enum store_pace_relay contact = STORE_PACE_RELAY_SILENT;
+  if (served)
+    contact = STORE_PACE_RELAY_SERVING;
+  else if (relay->status == 503)
+    contact = STORE_PACE_RELAY_REFUSING;
+  bool returned = served && relay->contact != STORE_PACE_RELAY_SERVING;
+  relay->contact = contact;
   if (served)
-    return;
+    {
+      store->caught_up = true;
+      if (returned)
+        sidecar_store_probe_now (sidecar);
+      return;
+    }
   counter_add (&failed_requests, 1);
   /* The store may have compacted changes that this node has not seen, and
      would leave a watch on the old revision waiting: read all keys instead. */
@@ -250,7 +300,9 @@
                     "node=%s status=%u view_revision=%" PRIu64,
                     record == NULL ? "-" : record->entry.node, relay->status,
                     store->as_of);
-  relay_exclude (&relay->exclusions, relay->relay_serial, now);
+  bool has_no_store = store->unreachable_since_ms != 0 || !store->caught_up;
+  relay_exclude (&relay->exclusions, relay->relay_serial,
+                 has_no_store ? RELAY_RETRY_MS : RELAY_EXCLUSION_MS, now);
 }
 
 /// Applies the changes that a relay sent.
@@ -321,9 +373,7 @@
 {
   struct sidecar_store *store = sidecar->store;
   struct sidecar_relay *relay = store->relay;
-  size_t handle = relay_pick (&relay->exclusions, &sidecar->directory,
-                              sidecar->settings.node,
-                              sidecar->settings.availability_zone, now_ms);
+  size_t handle = pick_relay (sidecar, now_ms);
   if (handle == SIZE_MAX)
     return false;
   const struct directory_record *record = &sidecar->directory.records[handle];
@@ -331,7 +381,7 @@
   evbuffer_add_printf (request,
                        "GET " CALL_PATH_CHANGES "%" PRIu64
                        " HTTP/1.1\r\nHost: view\r\n\r\n",
-                       store->as_of);
+                       store->caught_up ? store->as_of : store->as_of - 1);
   evbuffer_drain (relay->response, evbuffer_get_length (relay->response));
   relay->status = 0;
   relay->relay_serial = record->serial;
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -23,10 +23,6 @@
 /// learn soon when it has lost the store.
 #define RENEW_INTERVAL_RELAY_MS 500
 
-/// Interval of probes while the store is unreachable. Entries must be
-/// registered again within two seconds of its return.
-#define PROBE_INTERVAL_MS 500
-
 /// Longest wait of a watch, percent of the config_apply setting (the time
 /// within which a configuration must be in force). A watch on a revision that
 /// the store compacts meanwhile may learn of it only when the watch ends.
@@ -52,6 +48,14 @@
 /// Delay before a failed read or write is retried.
 #define RETRY_DELAY_MS 250
 
+/// Full reads of a starting node that may be seconds old. They cost a tenth; a
+/// relay, once known, brings the view up to date.
+#define EARLY_READS_MAX 4
+
+/// Pause between two such reads, varied by up to as much again, in which the
+/// first nodes of a mesh register.
+#define EARLY_READ_PAUSE_MS 300
+
 static struct counter outages
     = COUNTER ("store_lost", "times that the store became unreachable");
 static struct counter relists
@@ -67,6 +71,7 @@
     return;
   store->unreachable_since_ms = clock_monotonic_ms ();
   store->relist = true;
+  sidecar_relay_retry_soon (store->sidecar);
   counter_add (&outages, 1);
   log_event (LOG_LEVEL_WARNING, "store_lost",
              "call=%s status=%s view_revision=%" PRIu64, call,
@@ -83,6 +88,7 @@
              "away_ms=%" PRIu64 " view_revision=%" PRIu64,
              now - store->unreachable_since_ms, store->as_of);
   store->unreachable_since_ms = 0;
+  store->probe_failures = 0;
   /* Calls that were sent during the outage may never be answered. Abandon
      them, so that their timeouts are not mistaken for a new outage. */
   store_client_abandon (&store->sidecar->store_client);
@@ -137,6 +143,34 @@
   /* The pages are not a consistent snapshot. The watch starts at the revision
      of the first page and delivers the changes since then. */
   store->as_of = store->list_as_of;
+  if (!store->list_stale)
+    store->caught_up = true;
+  if (sidecar_relay_is_available (store->sidecar))
+    store->next_watch_ms = 0;
+}
+
+/// @return true when a full read may be seconds old: this node starts, and a
+///         relay will bring its view up to date once one is known. A relay has
+///         nobody else to ask.
+static bool
+reads_early (const struct sidecar_store *store)
+{
+  return !store->caught_up && store->early_reads < EARLY_READS_MAX
+         && !sidecar_relay_is_member (store->sidecar);
+}
+
+static void
+begin_list (struct sidecar_store *store)
+{
+  counter_add (&relists, 1);
+  store->list_after[0] = '\0';
+  store->list_stale = reads_early (store);
+  store->early_reads += store->list_stale;
+  if (store->list_stale)
+    store->next_watch_ms
+        = clock_monotonic_ms () + EARLY_READ_PAUSE_MS
+          + rng_below (&store->sidecar->rng, EARLY_READ_PAUSE_MS);
+  list_next (store);
 }
 
 static void
@@ -146,7 +180,8 @@
   store->listing = true;
   store_client_ops.range (
       &sidecar->store_client, sidecar->adapter->watch_prefix,
-      store->list_after[0] == '\0' ? NULL : store->list_after, on_list, store);
+      store->list_after[0] == '\0' ? NULL : store->list_after,
+      store->list_stale, on_list, store);
 }
 
 /// @return pause between two watches that keeps all nodes together within
@@ -179,6 +214,7 @@
     {
     case STATUS_OK:
       mark_reachable (store);
+      store->caught_up = true;
       sidecar_store_apply_keys (store, reply);
       if (reply->as_of > store->as_of)
         store->as_of = reply->as_of;
@@ -191,6 +227,7 @@
       store->next_watch_ms = 0;
       break;
     case STATUS_TIMEOUT:
+      store->caught_up = true;
       break;
     default:
       if (!responded)
@@ -211,11 +248,9 @@
     return;
   if (store->unreachable_since_ms != 0)
     return;
-  if (store->as_of == 0 || store->relist)
+  if (store->as_of == 0 || store->relist || !store->caught_up)
     {
-      counter_add (&relists, 1);
-      store->list_after[0] = '\0';
-      list_next (store);
+      begin_list (store);
       return;
     }
   store->watching = true;
@@ -286,6 +321,7 @@
   if (!has_responded (store, reply))
     {
       mark_unreachable (store, "keepalive", reply);
+      store->probe_failures++;
       return;
     }
   mark_reachable (store);
@@ -302,6 +338,27 @@
     }
 }
 
+/// @return time until the next probe of the unreachable store, varied by a
+///         quarter so that the nodes' probes spread
+static uint64_t
+probe_delay_ms (struct sidecar_store *store, uint64_t now_ms)
+{
+  struct sidecar *sidecar = store->sidecar;
+  struct store_pace_view view
+      = { .nodes = store->node_count,
+          .failures = store->probe_failures,
+          .is_relay = sidecar_relay_has_followers (sidecar, now_ms),
+          .relay = sidecar_relay_contact (sidecar) };
+  uint64_t pace_ms = store_pace_probe_ms (&view);
+  return pace_ms * 3 / 4 + rng_below (&sidecar->rng, pace_ms / 2 + 1);
+}
+
+void
+sidecar_store_probe_now (struct sidecar *sidecar)
+{
+  sidecar->store->next_probe_ms = 0;
+}
+
 /// Renews the lease, or probes an unreachable store.
 static void
 renew (struct sidecar_store *store, uint64_t now_ms)
@@ -311,11 +368,11 @@
   uint64_t interval_ms = sidecar_relay_has_followers (sidecar, now_ms)
                              ? RENEW_INTERVAL_RELAY_MS
                              : RENEW_INTERVAL_MS;
-  if (unreachable ? now_ms - store->last_probe_ms < PROBE_INTERVAL_MS
+  if (unreachable ? now_ms < store->next_probe_ms
                   : store->lease == 0 || store->renewing
                         || now_ms - store->renewed_ms < interval_ms)
     return;
-  store->last_probe_ms = now_ms;
+  store->next_probe_ms = now_ms + probe_delay_ms (store, now_ms);
   store->renewing = true;
   /* Without a lease, renew one that does not exist: the response "not found"
      shows as well that the store is reachable. */
@@ -386,7 +443,7 @@
 bool
 sidecar_store_has_view (const struct sidecar *sidecar)
 {
-  return sidecar->store->as_of != 0;
+  return sidecar->store->caught_up;
 }
 
 bool
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -6,6 +6,7 @@
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 
 #include "coordination/relay.h"
+#include "coordination/store_pace.h"
 #include "protocol/entry_record.h"
 #include "sidecar/sidecar.h"
 #include "state/mirror.h"
@@ -22,7 +23,8 @@
   uint64_t lease;            ///< 0: none
   uint64_t renewed_ms;       ///< last successful renewal of the lease
   uint64_t last_response_ms; ///< last response of the store
-  uint64_t last_probe_ms;    ///< last keepalive that was sent
+  uint64_t next_probe_ms;    ///< while unreachable: time of the next probe
+  unsigned probe_failures;   ///< probes in a row that failed
   uint64_t revision;         ///< last known revision of this node's entry
   uint64_t as_of; ///< store revision that the view describes; 0: no view yet
   uint64_t list_as_of; ///< revision of the first page of a full read
@@ -32,6 +34,9 @@
   uint64_t
       unreachable_since_ms; ///< start of the outage; 0: the store is reachable
   size_t node_count;        ///< nodes in the directory
+  unsigned early_reads;     ///< full reads that may have been seconds old
+  bool caught_up;           ///< the view was current at some time
+  bool list_stale;          ///< the full read in progress may be seconds old
   bool relist; ///< changes may have been missed: all keys are to be read again
   bool listing;
   bool watching;
@@ -75,6 +80,21 @@
 /// @return false when no relay is available: the caller watches the store
 bool sidecar_relay_follow (struct sidecar *sidecar, uint64_t now_ms);
 
+/// @return what the relay that was asked last did
+enum store_pace_relay sidecar_relay_contact (const struct sidecar *sidecar);
+
+/// Asks relays that failed again soon: the store is unreachable for this node.
+void sidecar_relay_retry_soon (struct sidecar *sidecar);
+
+/// Called when a relay has the store again that it lacked: probes it at once.
+void sidecar_store_probe_now (struct sidecar *sidecar);
+
+/// @return true when this node is one of the relays of its zone
+bool sidecar_relay_is_member (const struct sidecar *sidecar);
+
+/// @return true when this node can follow a relay now, or is one
+bool sidecar_relay_is_available (const struct sidecar *sidecar);
+
 /// @return true while other nodes use this node as their relay
 bool sidecar_relay_has_followers (const struct sidecar *sidecar,
                                   uint64_t now_ms);
--- a/src/sidecar/sidecar_view.c
+++ b/src/sidecar/sidecar_view.c
@@ -70,6 +70,7 @@
                                         .size = view.items[i].size });
       if (store->as_of == 0 && !store->listing)
         store->as_of = as_of;
+      store->caught_up = true;
     }
   mirror_finish (&view);
 }
@@ -83,7 +84,7 @@
 {
   struct sidecar_store *store = sidecar->store;
   uint64_t now = clock_monotonic_ms ();
-  if (address == 0 || store->as_of != 0
+  if (address == 0 || store->caught_up
       || now - store->view_requested_ms < REQUEST_INTERVAL_MS)
     return;
   if (store->view_exchange != NULL)
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -392,11 +392,12 @@
 }
 
 static void
-client_range (void *store, const char *prefix, const char *after,
+client_range (void *store, const char *prefix, const char *after, bool stale,
               void (*done) (void *, const struct store_reply *), void *arg)
 {
-  struct store_request request
-      = { .call = STORE_CALL_RANGE, .key = prefix, .after = after };
+  struct store_request request = {
+    .call = STORE_CALL_RANGE, .key = prefix, .after = after, .stale = stale
+  };
   start_operation (store, &request, NULL, 0, done, arg);
 }
 
--- a/test/functional/return_test.sh
+++ b/test/functional/return_test.sh
@@ -56,6 +56,7 @@
 sleep 0.5
 restart 1
 report_of 1 i-b 1000 11 ready >/dev/null
+sleep 1
 expect "replaced target" "$(hop 1)" 503
 report_of 1 i-b 3000 2 ready >/dev/null
 expect "current target" "$(hop 1)" 200
@@ -64,13 +65,15 @@
 restart 2
 curl -s -m 2 -o /dev/null -X POST "http://127.0.0.1:$(port 2 3)/api/instances/i-c/deregister" -d '{}'
 report_of 2 i-c 2000 8 ready >/dev/null
-sleep 0.7
+sleep 1
 expect "target that left before its first report" "$(hop 2)" 503
+expect "its next incarnation" "$(report_of 2 i-c 4000 1 ready)$(hop 2)" 200200
 
 # The store is unreachable when the node restarts: another node's view tells of
 # the leave. Until then the node passes nothing on.
 expect "leave acknowledged" "$(report_of 1 i-b 3000 3 draining)" 200
-wait_for "node 0 knows of it" 3 grep -q "event=entry node=node-1 .*state=2" "$RUN/s0.out" || fail "node 0 does not see the leave"
+knows_of_leave() { grep "event=entry node=node-1 " "$RUN/s0.out" | tail -n 1 | grep -q "state=2"; }
+wait_for "node 0 knows of it" 3 knows_of_leave || fail "node 0 does not see the leave"
 curl -s -X POST "$STORE/control/away?1"
 stop s1 KILL
 sidecar_run 1
--- a/test/unit/relay_test.c
+++ b/test/unit/relay_test.c
@@ -131,7 +131,7 @@
       before = handle;
       if (handle != SIZE_MAX)
         relay_exclude (&exclusions, directory.records[handle].serial,
-                       steps[i].at_ms);
+                       RELAY_EXCLUSION_MS, steps[i].at_ms);
     }
 }
 
