Prefer the own zone for small responses until its targets are busy

Besides, a target with all slots taken cost less than one with a free slot. Change: three candidates of the own zone and two of the others are compared; crossing costs a quarter of the service time; the cost grows with each request in progress. The new tests fail on the code before (three rows).

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -3,10 +3,13 @@
 
 #include <string.h>
 
-/// Number of random candidates that are compared. Two are enough to avoid the
-/// most loaded node. Three find a fast target among unequal ones more often,
-/// while different callers still choose different targets.
-#define CANDIDATES_COMPARED 3
+/// Numbers of random candidates of the own zone and of the other zones that
+/// are compared. Two are enough to avoid the most loaded node of a group. Three
+/// find a fast target among unequal ones more often, while different callers
+/// still choose different targets.
+#define CANDIDATES_NEAR 3
+#define CANDIDATES_FAR 2
+#define CANDIDATES_COMPARED (CANDIDATES_NEAR + CANDIDATES_FAR)
 
 /// Maximum age of a load report that is used.
 #define REPORT_AGE_MS_MAX 1000
@@ -19,8 +22,11 @@
 /// Service time that is assumed when no candidate has a recent report.
 #define SERVICE_US_DEFAULT 50000
 
-/// Cost of a small response from another zone, microseconds.
-#define CROSS_ZONE_SMALL_US 1500
+/// Cost of a small response from another zone: the service time divided by
+/// this, and at least the round trip. Bytes between zones are paid for, so
+/// requests leave the zone when its targets are clearly busier or slower.
+#define CROSS_ZONE_SMALL_DIVISOR 4
+#define CROSS_ZONE_SMALL_US_MIN 1500
 
 /// Cost of a large response from another zone: the latency objective divided
 /// by this.
@@ -95,6 +101,24 @@
   return fastest == UINT64_MAX ? SERVICE_US_DEFAULT : fastest;
 }
 
+static bool
+is_near (const struct directory_record *record,
+         const struct placement_request *request)
+{
+  return strcmp (record->entry.availability_zone, request->availability_zone)
+         == 0;
+}
+
+/// @return cost of a response from another zone, microseconds
+static uint64_t
+cross_zone_us (const struct placement_request *request, uint64_t service_us)
+{
+  if (request->large_response)
+    return (uint64_t)request->objective_ms * 1000 / CROSS_ZONE_LARGE_DIVISOR;
+  uint64_t cost_us = service_us / CROSS_ZONE_SMALL_DIVISOR;
+  return cost_us > CROSS_ZONE_SMALL_US_MIN ? cost_us : CROSS_ZONE_SMALL_US_MIN;
+}
+
 /// @param default_us  service time of a target without a recent report
 /// @return expected time until the response of a node, microseconds
 static uint64_t
@@ -116,22 +140,45 @@
       if (reported > occupied)
         occupied = reported;
     }
-  uint64_t cost = service_us;
+  uint64_t busy = occupied < slots ? occupied : slots;
+  uint64_t cost = service_us + busy * service_us / (4 * slots);
   if (occupied >= slots)
     cost += (occupied - slots + 1) * service_us / slots;
-  else
-    cost += occupied * service_us / (4 * slots);
-  if (strcmp (record->entry.availability_zone, request->availability_zone)
-      != 0)
-    cost += request->large_response ? (uint64_t)request->objective_ms * 1000
-                                          / CROSS_ZONE_LARGE_DIVISOR
-                                    : CROSS_ZONE_SMALL_US;
+  if (!is_near (record, request))
+    cost += cross_zone_us (request, service_us);
   uint64_t failures = current_error_permille (load, now_ms);
   cost += (cost + (uint64_t)request->objective_ms * 1000) * failures
           / (1001 - (failures < 1000 ? failures : 1000));
   return cost;
 }
 
+/// Random sample of the eligible nodes of one group.
+struct sample
+{
+  size_t *handles;
+  size_t limit;
+  size_t eligible;
+};
+
+/// Adds a node by reservoir sampling: each eligible one is equally likely to
+/// be in the sample.
+static void
+add_to_sample (struct sample *sample, size_t handle, struct rng *rng)
+{
+  uint64_t position = sample->eligible < sample->limit
+                          ? sample->eligible
+                          : rng_below (rng, sample->eligible + 1);
+  if (position < sample->limit)
+    sample->handles[position] = handle;
+  sample->eligible++;
+}
+
+static size_t
+sample_count (const struct sample *sample)
+{
+  return sample->eligible < sample->limit ? sample->eligible : sample->limit;
+}
+
 size_t
 placement_choose (const struct directory *directory,
                   const struct placement_request *request, struct rng *rng,
@@ -144,23 +191,21 @@
       /* The second pass includes nodes that failed recently, since some of
          them may have recovered. */
       size_t chosen[CANDIDATES_COMPARED];
-      size_t eligible = 0;
+      size_t far_handles[CANDIDATES_FAR];
+      struct sample near = { chosen, CANDIDATES_NEAR, 0 };
+      struct sample far = { far_handles, CANDIDATES_FAR, 0 };
       for (size_t i = 0; i < directory->count; i++)
         {
           const struct directory_record *record = &directory->records[i];
           if (!is_allowed (record, request) || was_tried (request, i)
               || (pass == 0 && now_ms < record->load.down_until_ms))
             continue;
-          /* Reservoir sampling: each eligible node is equally likely. */
-          uint64_t position = eligible < CANDIDATES_COMPARED
-                                  ? eligible
-                                  : rng_below (rng, eligible + 1);
-          if (position < CANDIDATES_COMPARED)
-            chosen[position] = i;
-          eligible++;
+          add_to_sample (is_near (record, request) ? &near : &far, i, rng);
         }
-      size_t count
-          = eligible < CANDIDATES_COMPARED ? eligible : CANDIDATES_COMPARED;
+      size_t count = sample_count (&near);
+      memcpy (chosen + count, far_handles,
+              sample_count (&far) * sizeof far_handles[0]);
+      count += sample_count (&far);
       uint64_t default_us = fastest_us (directory, chosen, count, now_ms);
       /* Starting at a random candidate breaks ties at random. */
       size_t first = count > 0 ? rng_below (rng, count) : 0;
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -164,6 +164,57 @@
   CU_ASSERT_EQUAL (counts[1], 200);
 }
 
+/// Targets of the own zone and of another one, with equal service times of
+/// 5 ms, 200 ms and 2 s: how much busier the near one may be.
+static void
+test_small_responses_stay_in_the_zone (void)
+{
+  static const uint32_t service_us[] = { 5000, 200000, 2000000 };
+  static const struct
+  {
+    uint32_t near_running;
+    uint32_t near_waiting;
+    uint32_t far_running;
+    size_t expected;
+  } rows[] = {
+    { 0, 0, 0, 0 }, /* equal load */
+    { 2, 0, 1, 0 }, /* slightly busier */
+    { 4, 4, 1, 1 }, /* its queue is long */
+    { 4, 0, 0, 1 }, /* full, while the other one is idle */
+  };
+  for (size_t k = 0; k < sizeof service_us / sizeof service_us[0]; k++)
+    for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+      {
+        size_t counts[4];
+        set_up ();
+        add ("a", "z1", "v1", DIRECTORY_READY);
+        add ("b", "z2", "v1", DIRECTORY_READY);
+        placement_report (&directory.records[0], rows[i].near_running,
+                          rows[i].near_waiting, service_us[k], 1000);
+        placement_report (&directory.records[1], rows[i].far_running, 0,
+                          service_us[k], 1000);
+        struct placement_request request = request_from ("z1");
+        count_choices (&request, 1010, counts);
+        CU_ASSERT_EQUAL (counts[rows[i].expected], 200);
+      }
+}
+
+static void
+test_full_targets_cost_more (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  for (int i = 0; i < 2; i++)
+    directory.records[i].entry.slots = 9;
+  placement_report (&directory.records[0], 9, 0, 30000, 1000);
+  placement_report (&directory.records[1], 8, 0, 30000, 1000);
+  struct placement_request request = request_from ("z1");
+  count_choices (&request, 1010, counts);
+  CU_ASSERT_EQUAL (counts[1], 200);
+}
+
 /// A target whose last reported service time was long, for instance from its
 /// cold phase, gets no requests and so never reports a shorter one. Reports
 /// must expire, and a target without any report must get requests too.
@@ -198,6 +249,10 @@
       test_lost_nodes_are_not_chosen_for_a_while },
     { "large responses cross zones without need",
       test_large_responses_stay_in_the_zone },
+    { "small responses cross zones without need",
+      test_small_responses_stay_in_the_zone },
+    { "a full target is preferred to one with a free slot",
+      test_full_targets_cost_more },
     { "a target that was slow once is never used again",
       test_old_service_times_expire },
   };
