Reject ambiguous HTTP, late copies and bodies without end

Cause: the parser accepts line ends without CR, folded fields, spaces before a colon, several hosts and codings. A second copy of a response that came while its connection was idle was taken for the answer to the next request, or blocked the connection; so was one without an id. A 5xx body was buffered at any size, and an unusable or refused response was read to its end, which may never come. A target could name the outcome in its node's stead. A malformed request behind others cost those their answers. Ruled out: the parser's strict mode, a build option of the library. Change: http_head_check reads the heads before the parser; a connection with a response nobody asked for is closed, one whose last request had the same id isn't reused, an id that is missing after others were named is a foreign response; discarded bytes are limited to 64 KiB, buffered ones to 16 KiB; Retry-After is read within bounds.

--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -173,8 +173,11 @@
     }
   else
     count_outcome (inbound, head->status >= 500);
+  /* A target must not speak for its node. */
+  static const char *const skip[]
+      = { CALL_HEADER_OUTCOME, CALL_HEADER_REASON, CALL_HEADER_LOAD, NULL };
   struct evbuffer *fields = evbuffer_new ();
-  http_write_fields (fields, head, NULL);
+  http_write_fields (fields, head, skip);
   add_node_fields (sidecar, fields, not_run ? CALL_NOT_RUN : CALL_RAN,
                    not_run ? CALL_REASON_SHED : NULL);
   bool has_length = head->has_length && !head->chunked;
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -396,7 +396,10 @@
     http_exchange_cancel (outbound->exchange);
   outbound->exchange = NULL;
   sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
-  sidecar_outbound_end_failed (outbound, 504, CALL_REASON_TIMEOUT);
+  if (outbound->not_run && outbound->retry.runs == 0)
+    end_not_run (outbound);
+  else
+    sidecar_outbound_end_failed (outbound, 504, CALL_REASON_TIMEOUT);
 }
 
 /// @return time at which a stopping node ends requests whose response has not
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -9,10 +9,14 @@
 
 /// Largest response, bytes, that is buffered until it is complete, so that the
 /// request can be retried when the response is cut short. Larger ones and
-/// those without a Content-Length are forwarded as they arrive, except 5xx
-/// responses, which are buffered at any size.
+/// those without a Content-Length are forwarded as they arrive; a 5xx response
+/// is forwarded, and no longer retried, once it exceeds this size.
 #define OUTBOUND_BUFFER_BYTES_MAX (16u * 1024)
 
+/// Bytes of a response that is not passed on after which its connection is
+/// closed: they may come without end.
+#define OUTBOUND_DISCARD_BYTES_MAX (64u * 1024)
+
 struct sidecar_outbound
 {
   struct sidecar *sidecar;
@@ -45,6 +49,7 @@
   bool unusable;              ///< the response is not the target's own
   struct http_head *response; ///< response head, child of the request's arena
   struct evbuffer *buffered;  ///< buffered body, NULL until needed
+  size_t discarded;           ///< bytes of a body that is not passed on
 };
 
 /* sidecar_outbound.c */
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -14,6 +14,9 @@
 /// longer than the route's timeout. The platform tolerates 500 ms.
 #define FORWARD_OVERTIME_MS 350
 
+/// Longest Retry-After of a node that is believed, seconds.
+#define RETRY_AFTER_S_MAX 60.0
+
 /// @return the reason that a node sent as static text, "unstated" when unknown
 static const char *
 known_reason (const char *text)
@@ -55,6 +58,17 @@
          && http_head_find (head, "Content-Encoding") == NULL;
 }
 
+static void on_response_end (void *arg, enum http_end end);
+
+/// Ends an attempt whose response is not passed on without waiting for the
+/// rest of it.
+static void
+stop_reading (struct sidecar_outbound *outbound)
+{
+  http_exchange_cancel (outbound->exchange);
+  on_response_end (outbound, HTTP_END_COMPLETE);
+}
+
 static void
 on_response_head (void *arg, struct http_head *head)
 {
@@ -74,12 +88,18 @@
       outbound->response->fields[i].value
           = talloc_strdup (outbound->response, head->fields[i].value);
     }
+  outbound->discarded = 0;
   outbound->not_run = outcome == CALL_NOT_RUN;
   outbound->unusable
       = outcome == CALL_UNKNOWN
         || (outcome == CALL_RAN && !is_genuine (outbound->sidecar, head));
   outbound->target_failed = outcome == CALL_RAN && head->status >= 500;
-  if (outbound->not_run || outbound->unusable || outbound->target_failed)
+  if (outbound->unusable)
+    {
+      stop_reading (outbound);
+      return;
+    }
+  if (outbound->not_run || outbound->target_failed)
     return;
   sidecar_outbound_report_result (outbound, PLACEMENT_ANSWERED);
   bool small = head->has_length && head->length <= OUTBOUND_BUFFER_BYTES_MAX;
@@ -94,20 +114,40 @@
 on_response_body (void *arg, const char *data, size_t size)
 {
   struct sidecar_outbound *outbound = arg;
-  if (outbound->not_run || outbound->unusable)
-    return;
+  if (outbound->not_run)
+    {
+      outbound->discarded += size;
+      if (outbound->discarded > OUTBOUND_DISCARD_BYTES_MAX)
+        stop_reading (outbound);
+      return;
+    }
   if (!outbound->forwarding)
     {
       if (outbound->buffered == NULL)
         outbound->buffered = evbuffer_new ();
-      evbuffer_add (outbound->buffered, data, size);
-      return;
+      if (evbuffer_get_length (outbound->buffered) + size
+          <= OUTBOUND_BUFFER_BYTES_MAX)
+        {
+          evbuffer_add (outbound->buffered, data, size);
+          return;
+        }
+      sidecar_outbound_start_forwarding (outbound);
     }
   http_reply_write (outbound->request, data, size);
   if (http_request_backlog (outbound->request) > SIDECAR_BACKLOG_BYTES_MAX)
     http_exchange_pause (outbound->exchange);
 }
 
+/// @return Retry-After in milliseconds; 0 when it is missing or out of range
+static uint64_t
+read_retry_after_ms (const char *text)
+{
+  double seconds = text == NULL ? 0 : strtod (text, NULL);
+  return seconds > 0 && seconds <= RETRY_AFTER_S_MAX
+             ? (uint64_t)(seconds * 1000)
+             : 0;
+}
+
 /// Handles a complete response that says that the request was not executed.
 static void
 on_not_run (struct sidecar_outbound *outbound)
@@ -115,8 +155,7 @@
   const char *reason
       = known_reason (http_head_find (outbound->response, CALL_HEADER_REASON));
   const char *retry_after = http_head_find (outbound->response, "Retry-After");
-  uint64_t retry_after_ms
-      = retry_after == NULL ? 0 : (uint64_t)(atof (retry_after) * 1000);
+  uint64_t retry_after_ms = read_retry_after_ms (retry_after);
   if (retry_after_ms > 0
       && (outbound->retry_after_ms == 0
           || retry_after_ms < outbound->retry_after_ms))
@@ -174,14 +213,18 @@
           known_reason (
               http_head_find (outbound->response, CALL_HEADER_REASON)));
     }
-  else if (outbound->target_failed)
+  else if (outbound->target_failed && !outbound->forwarding)
     {
       sidecar_outbound_report_result (outbound, PLACEMENT_FAILED);
       sidecar_outbound_retry_or_end (outbound, RESEND_FAILED,
                                      "target-failure");
     }
   else
-    sidecar_outbound_end_answered (outbound);
+    {
+      if (outbound->target_failed)
+        sidecar_outbound_report_result (outbound, PLACEMENT_FAILED);
+      sidecar_outbound_end_answered (outbound);
+    }
 }
 
 const struct http_exchange_ops sidecar_outbound_exchange_ops = {
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -12,6 +12,10 @@
 
 #define SWEEP_MS 500
 
+/// Longest id that is compared; a request with a longer one gets a connection
+/// of its own.
+#define HTTP_ID_MAX 63
+
 /// Responses with another id that may precede the expected one; at this number
 /// the exchange fails.
 #define SKIPPED_RESPONSES_MAX 3
@@ -20,6 +24,8 @@
     = COUNTER ("http_connections_opened", "connections opened");
 static struct counter mismatched = COUNTER (
     "http_answers_foreign", "answers dropped because they name another id");
+static struct counter late_copies = COUNTER (
+    "http_answers_late", "connections closed: response without a request");
 static struct counter unsolicited = COUNTER (
     "http_bytes_unasked", "connections closed: bytes without a request");
 
@@ -30,7 +36,9 @@
   struct http_stream *stream;
   struct http_exchange *exchange; ///< NULL while idle
   uint64_t idle_since_ms;
-  uint64_t idle_limit_ms; ///< timeout in the server's Keep-Alive field
+  uint64_t idle_limit_ms;        ///< timeout in the server's Keep-Alive field
+  char last_id[HTTP_ID_MAX + 1]; ///< of the last exchange
+  bool echoes_id;                ///< a response named the id of its request
   bool established;
   struct http_connection *next; ///< list of the endpoint's connections
 };
@@ -49,10 +57,11 @@
   const struct http_exchange_ops *ops;
   void *arg;
   struct event timer; ///< connect timeout, then deferred call of `end`
-  char id[64];
+  char id[HTTP_ID_MAX + 1];
   enum http_end end;
   bool skipping_response; ///< the current response has another id
   bool head_delivered;    ///< the head callback was called
+  bool long_id;           ///< the id cannot be compared
   bool ended;             ///< `end` is set, its callback is still to be called
   unsigned skipped_responses;
 };
@@ -135,12 +144,20 @@
   struct http_connection *connection = stream->owner;
   struct http_exchange *exchange = connection->exchange;
   if (exchange == NULL)
-    return;
+    {
+      /* A second copy of an earlier response. */
+      counter_add (&late_copies, 1);
+      close_connection (connection);
+      return;
+    }
   const char *header = connection->pool->options.id_header;
-  const char *id = header == NULL || exchange->id[0] == '\0'
-                       ? NULL
-                       : http_head_find (head, header);
-  exchange->skipping_response = id != NULL && strcmp (id, exchange->id) != 0;
+  bool compares_id = header != NULL && exchange->id[0] != '\0';
+  const char *id = compares_id ? http_head_find (head, header) : NULL;
+  if (id != NULL)
+    exchange->skipping_response = strcmp (id, exchange->id) != 0;
+  else
+    exchange->skipping_response = compares_id && connection->echoes_id;
+  connection->echoes_id |= id != NULL;
   if (exchange->skipping_response)
     {
       counter_add (&mismatched, 1);
@@ -180,7 +197,7 @@
 {
   struct http_stream *stream = connection->stream;
   return stream->head->keep_alive && exchange->skipped_responses == 0
-         && http_stream_unread (stream) == 0
+         && !exchange->long_id && http_stream_unread (stream) == 0
          && evbuffer_get_length (http_stream_output (stream)) == 0;
 }
 
@@ -294,10 +311,13 @@
                               sizeof server_address);
 }
 
+/// @param id  of the request, or NULL. A connection whose last request had the
+///            same one is not taken: a late copy of that response would pass
+///            for the next.
 /// @return the most recently used idle connection, or NULL
 static struct http_connection *
 take_idle (struct http_pool *pool, struct http_endpoint *endpoint,
-           uint32_t max_idle_ms)
+           uint32_t max_idle_ms, const char *id)
 {
   uint64_t now = clock_monotonic_ms ();
   struct http_connection *newest = NULL;
@@ -306,7 +326,8 @@
       uint64_t idle_ms = now - c->idle_since_ms;
       if (c->exchange != NULL || !c->established || idle_ms > max_idle_ms
           || idle_ms + 500 > c->idle_limit_ms || http_stream_unread (c->stream)
-          || c->stream->ended)
+          || c->stream->ended || c->stream->started
+          || (id != NULL && id[0] != '\0' && strcmp (c->last_id, id) == 0))
         continue;
       if (newest == NULL || c->idle_since_ms > newest->idle_since_ms)
         newest = c;
@@ -327,7 +348,7 @@
       return NULL;
     }
   struct http_connection *connection
-      = take_idle (pool, endpoint, send->max_idle_ms);
+      = take_idle (pool, endpoint, send->max_idle_ms, send->id);
   bool reused = connection != NULL;
   if (connection == NULL)
     connection = open_connection (pool, endpoint);
@@ -339,8 +360,10 @@
   exchange->connection = connection;
   exchange->ops = ops;
   exchange->arg = arg;
-  if (send->id != NULL && strlen (send->id) < sizeof exchange->id)
+  exchange->long_id = send->id != NULL && strlen (send->id) > HTTP_ID_MAX;
+  if (send->id != NULL && !exchange->long_id)
     strcpy (exchange->id, send->id);
+  strcpy (connection->last_id, exchange->id);
   evtimer_assign (&exchange->timer, pool->base, on_timer, exchange);
   connection->exchange = exchange;
   connection->stream->no_body = send->no_body;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -47,8 +47,10 @@
   struct http_request *receiving_request; ///< request that is being received
   uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
                              ///< the last response, or begin of closing
-  bool closing;              ///< shut down once the output is sent
-  bool lingering;            ///< shut down, waits for the caller's close
+  unsigned rejected; ///< status for malformed bytes behind the requests that
+                     ///< are in progress; 0: none
+  bool closing;      ///< shut down once the output is sent
+  bool lingering;    ///< shut down, waits for the caller's close
   struct http_server_connection *next;
   struct http_server_connection *previous;
 };
@@ -214,22 +216,16 @@
 on_closed (struct http_stream *stream, enum http_close reason)
 {
   struct http_server_connection *connection = stream->owner;
-  if (connection->request != NULL)
-    {
-      drop_requests (connection, true);
-      free_connection (connection);
-      return;
-    }
   if (reason != HTTP_CLOSE_PROTOCOL || connection->closing)
     {
+      drop_requests (connection, true);
       free_connection (connection);
       return;
     }
-  if (stream->head_too_large)
-    counter_add (&too_large, 1);
-  else
-    counter_add (&malformed, 1);
-  reject (connection, stream->head_too_large ? 431 : 400);
+  counter_add (stream->head_too_large ? &too_large : &malformed, 1);
+  connection->rejected = stream->head_too_large ? 431 : 400;
+  if (connection->request == NULL)
+    reject (connection, connection->rejected);
 }
 
 static void
@@ -446,6 +442,11 @@
           close_when_sent (connection);
           return;
         }
+      if (connection->rejected != 0 && connection->request == NULL)
+        {
+          reject (connection, connection->rejected);
+          return;
+        }
       http_stream_next (connection->stream);
     }
 }
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -127,8 +127,13 @@
 {
   struct http_stream *stream = stream_of (parser);
   struct http_head *head = stream->head;
-  if (parser->upgrade)
-    return 1;
+  /* A tunnel is refused; any other request to switch protocols is served as if
+     it had not been made. */
+  if (parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT)
+    return -1;
+  parser->upgrade = 0;
+  if (!http_head_is_strict (head, parser))
+    return -1;
   head->method = (enum http_method)parser->method;
   head->status = parser->status_code;
   head->keep_alive = http_should_keep_alive (parser);
@@ -198,6 +203,7 @@
 {
   stream->completed = false;
   stream->started = false;
+  http_line_check_next (&stream->line_check);
   stream->ops->complete (stream);
 }
 
@@ -212,6 +218,12 @@
       struct evbuffer_iovec data;
       if (evbuffer_peek (input, -1, NULL, &data, 1) < 1)
         break;
+      if (!http_line_check_feed (&stream->line_check, data.iov_base,
+                                 data.iov_len))
+        {
+          report_close (stream, HTTP_CLOSE_PROTOCOL);
+          break;
+        }
       size_t used = http_parser_execute (&stream->parser, &parser_settings,
                                          data.iov_base, data.iov_len);
       enum http_errno error = HTTP_PARSER_ERRNO (&stream->parser);
@@ -301,6 +313,7 @@
   stream->owner = owner;
   stream->head_bytes_max = HTTP_HEAD_BYTES_MAX;
   http_parser_init (&stream->parser, type);
+  http_line_check_init (&stream->line_check, type);
   stream->parser.data = stream;
   bufferevent_setcb (bev, on_read, on_write, on_event, stream);
   bufferevent_setwatermark (bev, EV_READ, 0, INPUT_BYTES_MAX);
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -4,6 +4,8 @@
 #ifndef HAWTHORNSEAM_TRANSPORT_HTTP_STREAM_H
 #define HAWTHORNSEAM_TRANSPORT_HTTP_STREAM_H
 
+#include "transport/http_head_check.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -68,6 +70,7 @@
   const struct http_stream_ops *ops;
   void *owner;
   http_parser parser;
+  struct http_line_check line_check;
   /// Head and talloc context of the current message; an owner that takes it
   /// over sets this to NULL.
   struct http_head *head;
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -22,6 +22,12 @@
 #define TARGETS_MAX 8
 #define LOOPBACK 0x7f000001u
 #define SLOW_REQUEST_MS 400
+
+/// Bodies without end: bytes of one part, pause between two of them, and
+/// unsent bytes above which the target waits.
+#define ENDLESS_PART_BYTES 16384
+#define ENDLESS_INTERVAL_MS 2
+#define ENDLESS_BACKLOG_BYTES (4u * 1024 * 1024)
 #define RESTART_DELAY_MS 700
 
 struct target
@@ -125,6 +131,40 @@
   free (run);
 }
 
+/// Writes the next bytes of a response body that has no end.
+static void
+on_endless_timer (evutil_socket_t fd, short what, void *arg)
+{
+  static const char bytes[ENDLESS_PART_BYTES];
+  struct run *run = arg;
+  if (http_request_backlog (run->request) < ENDLESS_BACKLOG_BYTES)
+    http_reply_write (run->request, bytes, sizeof bytes);
+  timer_start (&run->timer, ENDLESS_INTERVAL_MS);
+}
+
+/// Starts a response whose body has no end: "endless-ok", "endless-error",
+/// "endless-foreign" (without the target's proof) or "endless-shed" (not run).
+static void
+start_endless (struct run *run)
+{
+  struct http_request *request = run->request;
+  const char *path = request->head->target;
+  const char *id = http_head_find (request->head, "Hawthornseam-Request-Id");
+  bool shed = strstr (path, "shed") != NULL;
+  struct evbuffer *fields = evbuffer_new ();
+  evbuffer_add_printf (fields, "Hawthornseam-Request-Id: %s\r\n",
+                       id == NULL ? "" : id);
+  if (shed)
+    evbuffer_add_printf (fields, "Hawthornseam-Not-Executed: 1\r\n");
+  else if (strstr (path, "foreign") == NULL)
+    evbuffer_add_printf (fields, "Hawthornseam-Response-Seal: x\r\n");
+  unsigned status = strstr (path, "error") != NULL ? 500 : 200;
+  http_reply_start (request, shed ? 503 : status, fields, -1);
+  evbuffer_free (fields);
+  evtimer_assign (&run->timer, base, on_endless_timer, run);
+  timer_start (&run->timer, ENDLESS_INTERVAL_MS);
+}
+
 static void
 answer_run (struct run *run)
 {
@@ -136,9 +176,12 @@
   bool fails = strstr (request->head->target, "fail") != NULL;
   snprintf (fields, sizeof fields,
             "Hawthornseam-Request-Id: %s\r\nHawthornseam-Response-Seal: x\r\n"
-            "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n",
+            "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n%s",
             id == NULL ? "" : id, run->target->instance,
-            caller == NULL ? "" : caller);
+            caller == NULL ? "" : caller,
+            strstr (request->head->target, "forge") == NULL
+                ? ""
+                : "Hawthornseam-Outcome: not-run\r\n");
   http_reply (request, fails ? 500 : 200, fields, run->target->instance,
               strlen (run->target->instance));
   free_run (run);
@@ -193,7 +236,9 @@
   request->context = run;
   TAILQ_INSERT_TAIL (&runs, run, link);
   evtimer_assign (&run->timer, base, on_run_timer, run);
-  if (strstr (request->head->target, "slow") != NULL)
+  if (strstr (request->head->target, "endless") != NULL)
+    start_endless (run);
+  else if (strstr (request->head->target, "slow") != NULL)
     timer_start (&run->timer, SLOW_REQUEST_MS);
   else
     answer_run (run);
--- /dev/null
+++ b/test/unit/http_strict_test.c
@@ -0,0 +1,305 @@
+#include "http_peers.h"
+
+struct request_row
+{
+  const char *what;
+  const char *bytes;
+};
+
+#define HOST "Host: h\r\n"
+
+static void
+test_ambiguous_requests (void)
+{
+  static const struct request_row rows[] = {
+    { "space before a colon",
+      "POST / HTTP/1.1\r\n" HOST "Content-Length : 3\r\n\r\nabc" },
+    { "line feeds only", "GET / HTTP/1.1\nHost: h\n\n" },
+    { "line feed after the request line", "GET / HTTP/1.1\n" HOST "\r\n" },
+    { "carriage return in a value",
+      "GET / HTTP/1.1\r\n" HOST "A: b\rc\r\n\r\n" },
+    { "folded field", "GET / HTTP/1.1\r\n" HOST "A: b\r\n c\r\n\r\n" },
+    { "folded first field", "GET / HTTP/1.1\r\n " HOST "\r\n" },
+    { "two hosts", "GET / HTTP/1.1\r\n" HOST HOST "\r\n" },
+    { "list of hosts", "GET / HTTP/1.1\r\nHost: h, i\r\n\r\n" },
+    { "no host", "GET / HTTP/1.1\r\n\r\n" },
+    { "control character in a value",
+      "GET / HTTP/1.1\r\n" HOST "A: \001\r\n\r\n" },
+    { "field without a name", "GET / HTTP/1.1\r\n" HOST ": a\r\n\r\n" },
+    { "field without a colon", "GET / HTTP/1.1\r\n" HOST "abc\r\n\r\n" },
+    { "two spaces in the request line", "GET  / HTTP/1.1\r\n" HOST "\r\n" },
+    { "tab in the request line", "GET\t/ HTTP/1.1\r\n" HOST "\r\n" },
+    { "HTTP/2.0", "GET / HTTP/2.0\r\n" HOST "\r\n" },
+    { "HTTP/0.9", "GET /\r\n\r\n" },
+    { "unknown method", "G@T / HTTP/1.1\r\n" HOST "\r\n" },
+    { "tunnel", "CONNECT h:80 HTTP/1.1\r\n" HOST "\r\n" },
+    { "signed length",
+      "POST / HTTP/1.1\r\n" HOST "Content-Length: +3\r\n\r\nabc" },
+    { "negative length",
+      "POST / HTTP/1.1\r\n" HOST "Content-Length: -3\r\n\r\nabc" },
+    { "hexadecimal length",
+      "POST / HTTP/1.1\r\n" HOST "Content-Length: 0x3\r\n\r\nabc" },
+    { "list of lengths",
+      "POST / HTTP/1.1\r\n" HOST "Content-Length: 3, 3\r\n\r\nabc" },
+    { "empty length", "POST / HTTP/1.1\r\n" HOST "Content-Length:\r\n\r\n" },
+    { "length over 64 bits",
+      "POST / HTTP/1.1\r\n" HOST
+      "Content-Length: 99999999999999999999999\r\n\r\nabc" },
+    { "two lengths", "POST / HTTP/1.1\r\n" HOST "Content-Length: 3\r\n"
+                     "Content-Length: 3\r\n\r\nabc" },
+    { "length and chunks", "POST / HTTP/1.1\r\n" HOST "Content-Length: 3\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "chunks and length",
+      "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n"
+      "Content-Length: 3\r\n\r\n0\r\n\r\n" },
+    { "two codings",
+      "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "other coding",
+      "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: gzip\r\n\r\n" },
+    { "list of codings", "POST / HTTP/1.1\r\n" HOST
+                         "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" },
+    { "signed chunk size", "POST / HTTP/1.1\r\n" HOST
+                           "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n" },
+    { "chunk size over 64 bits",
+      "POST / HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
+      "fffffffffffffffff\r\nabc\r\n" },
+    { "chunk size that is no number",
+      "POST / HTTP/1.1\r\n" HOST
+      "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, rows[i].bytes);
+      run_ms (30);
+      bool refused = strncmp (raw_client.received, "HTTP/1.1 400", 12) == 0
+                     && request_count == 0;
+      if (!refused)
+        printf ("  %s: %.20s\n", rows[i].what, raw_client.received);
+      CU_ASSERT (refused);
+      server_tear_down (&raw_client);
+    }
+}
+
+static void
+test_proper_requests (void)
+{
+  static const struct request_row rows[] = {
+    { "empty line before", "\r\nGET / HTTP/1.1\r\n" HOST "\r\n" },
+    { "HTTP/1.0 without a host", "GET / HTTP/1.0\r\n\r\n" },
+    { "empty value", "GET / HTTP/1.1\r\n" HOST "A:\r\n\r\n" },
+    { "bytes over 127", "GET / HTTP/1.1\r\n" HOST "A: \xc3\xa9\r\n\r\n" },
+    { "spaces around a length",
+      "POST / HTTP/1.1\r\n" HOST "Content-Length:  3 \r\n\r\nabc" },
+    { "chunks with an extension",
+      "POST / HTTP/1.1\r\n" HOST
+      "Transfer-Encoding: Chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\n\r\n" },
+    { "trailer", "POST / HTTP/1.1\r\n" HOST
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\r\n" },
+    { "offer of another protocol",
+      "GET / HTTP/1.1\r\n" HOST
+      "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n" },
+    { "port in the host", "GET / HTTP/1.1\r\nHost: h:80\r\n\r\n" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    for (int split = 0; split < 2; split++)
+      {
+        struct raw_client raw_client;
+        client_connect (&raw_client, server_set_up ());
+        for (const char *byte = rows[i].bytes; split && *byte != '\0'; byte++)
+          {
+            char one[2] = { *byte, '\0' };
+            client_send (&raw_client, one);
+            event_base_loop (base, EVLOOP_NONBLOCK);
+          }
+        if (!split)
+          client_send (&raw_client, rows[i].bytes);
+        run_ms (30);
+        if (request_count != 1)
+          printf ("  %s: %zu requests\n", rows[i].what, request_count);
+        CU_ASSERT_EQUAL (request_count, 1);
+        server_tear_down (&raw_client);
+      }
+}
+
+static void
+test_malformed_request_behind_a_good_one (void)
+{
+  struct raw_client raw_client;
+  client_connect (&raw_client, server_set_up ());
+  client_send (&raw_client, "GET /a HTTP/1.1\r\n" HOST "\r\n"
+                            "GET /b HTTP/1.1\r\n" HOST "A : b\r\n\r\n"
+                            "GET /c HTTP/1.1\r\n" HOST "\r\n");
+  run_ms (30);
+  CU_ASSERT_EQUAL (request_count, 1);
+  CU_ASSERT_EQUAL (disconnect_count, 0);
+  http_reply (requests[0], 200, NULL, "x", 1);
+  run_ms (30);
+  CU_ASSERT_EQUAL (strncmp (raw_client.received, "HTTP/1.1 200", 12), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (raw_client.received, "HTTP/1.1 400"));
+  CU_ASSERT_EQUAL (request_count, 1);
+  server_tear_down (&raw_client);
+}
+
+static void
+test_ambiguous_responses (void)
+{
+  static const struct
+  {
+    const char *what;
+    const char *bytes;
+  } rows[] = {
+    { "line feeds only", "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc" },
+    { "space before a colon",
+      "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabc" },
+    { "folded field",
+      "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 3\r\n\r\nabc" },
+    { "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                     "Content-Length: 5\r\n\r\nabc" },
+    { "length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nabc" },
+    { "informational responses without end",
+      "HTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\n"
+      "HTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\n"
+      "HTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct script responses = { .responses = { rows[i].bytes } };
+      uint16_t port = pool_set_up (&responses);
+      struct result result = exchange (port, "a");
+      if (result.end != HTTP_END_MALFORMED)
+        printf ("  %s: end %d\n", rows[i].what, (int)result.end);
+      CU_ASSERT (result.ended);
+      CU_ASSERT_EQUAL (result.end, HTTP_END_MALFORMED);
+      pool_tear_down ();
+    }
+}
+
+#define COPY_OF(ID, BODY)                                                     \
+  "HTTP/1.1 200 OK\r\nX-Id: " ID "\r\nContent-Length: 3\r\n\r\n" BODY
+
+/// Sends bytes on the target's newest connection, as a late copy of an earlier
+/// response.
+static void
+send_late (const char *bytes)
+{
+  CU_ASSERT_EQUAL (send (target_fd, bytes, strlen (bytes), 0),
+                   (ssize_t)strlen (bytes));
+  run_ms (20);
+}
+
+static void
+test_late_copies (void)
+{
+  static const struct
+  {
+    const char *what;
+    const char *late;  ///< arrives while the connection is idle
+    const char *id;    ///< of the request after it
+    const char *reply; ///< on the connection that the request takes
+  } rows[] = {
+    { "whole copy while idle", COPY_OF ("a", "old"), "b",
+      COPY_OF ("b", "new") },
+    { "half of a copy while idle", "HTTP/1.1 200 OK\r\nX-Id: a\r\nCont", "b",
+      COPY_OF ("b", "new") },
+    { "head of a copy while idle",
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 3\r\n\r\n", "b",
+      COPY_OF ("b", "new") },
+    { "copy together with the response", "", "b",
+      COPY_OF ("a", "old") COPY_OF ("b", "new") },
+    { "copy without an id", "", "b",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold" COPY_OF ("b", "new") },
+    { "caller repeats its id", "", "a", COPY_OF ("a", "new") },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct script responses
+          = { .responses = { COPY_OF ("a", "abc"), rows[i].reply } };
+      uint16_t port = pool_set_up (&responses);
+      struct result first = exchange (port, "a");
+      CU_ASSERT_EQUAL (memcmp (first.body, "abc", 3), 0);
+      if (rows[i].late[0] != '\0')
+        send_late (rows[i].late);
+      struct result second = exchange (port, rows[i].id);
+      bool correct = second.ended && second.end == HTTP_END_COMPLETE
+                     && second.size == 3
+                     && memcmp (second.body, "new", 3) == 0;
+      if (!correct)
+        printf ("  %s: end %d, %.*s\n", rows[i].what, (int)second.end,
+                (int)second.size, second.body);
+      CU_ASSERT (correct);
+      /* A copy of the same id cannot be told from the response. */
+      if (strcmp (rows[i].id, "a") == 0)
+        CU_ASSERT_EQUAL (script.connections, 2);
+      pool_tear_down ();
+    }
+}
+
+/// A target that never ends a part of its response. The pool must end the
+/// exchange, with a bounded amount of it in memory.
+static void
+test_heads_without_end (void)
+{
+  static const struct
+  {
+    const char *what;
+    const char *start;
+    const char *part; ///< repeated
+  } rows[] = {
+    { "status line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+    { "field name", "HTTP/1.1 200 OK\r\n", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+    { "field value", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaaaaaaaaaaaaaaaaaaaa" },
+    { "fields", "HTTP/1.1 200 OK\r\n",
+      "A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" },
+    { "chunk extension",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;",
+      "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+    { "trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" },
+    { "informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      static char bytes[200 * 1024];
+      size_t size
+          = (size_t)snprintf (bytes, sizeof bytes, "%s", rows[i].start);
+      size_t part = strlen (rows[i].part);
+      for (; size + part < sizeof bytes; size += part)
+        memcpy (bytes + size, rows[i].part, part);
+      bytes[size] = '\0';
+      struct script responses = { .responses = { bytes } };
+      uint16_t port = pool_set_up (&responses);
+      struct result result = exchange (port, "a");
+      bool ended = result.ended && result.end == HTTP_END_MALFORMED;
+      if (!ended)
+        printf ("  %s: ended %d, end %d\n", rows[i].what, result.ended,
+                (int)result.end);
+      CU_ASSERT (ended);
+      CU_ASSERT_EQUAL (pool.connections, 0);
+      pool_tear_down ();
+    }
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "a request that others may read differently is handled",
+      test_ambiguous_requests },
+    { "a proper request is refused", test_proper_requests },
+    { "a malformed request runs, or costs those before it their answer",
+      test_malformed_request_behind_a_good_one },
+    { "a response that others may read differently is passed on",
+      test_ambiguous_responses },
+    { "a late copy of a response is taken for the next one",
+      test_late_copies },
+    { "a response head without end fills memory or never ends",
+      test_heads_without_end },
+  };
+  return testing_run ("http_strict", cases, sizeof cases / sizeof cases[0]);
+}
