Hold the share of a move while evidence against it grows

Ruled out: more requests a step, which a service with few requests can't give before the deadline; a lower bound of 0.2, with which sound moves are not done in time. Change: the share isn't raised while any test has evidence of 0.5 or more, not even for the deadline. Two rows of rare errors join the table of faults.

--- a/src/coordination/rollout.c
+++ b/src/coordination/rollout.c
@@ -54,6 +54,11 @@
 /// a move of seconds cannot wait for more evidence.
 #define GROWTH_MAX_PER_S 1e9
 
+/// Evidence from which on the share is not raised, not even for the deadline:
+/// a fault that a small share shows only weakly is tested further before the
+/// next step. The evidence against a sound version stays below or falls again.
+#define SUSPICION 0.5
+
 /// Decay of the old version's counts at each evaluation. A rare kind has too
 /// few requests between two evaluations; the memory is still short enough for
 /// a fault that hits both versions to show in these counts soon.
@@ -287,8 +292,9 @@
   return rollout->kind_count > 0;
 }
 
+/// @param evidence  strongest evidence against the new version
 static bool
-may_step (const struct rollout *rollout, uint64_t now_ms)
+may_step (const struct rollout *rollout, double evidence, uint64_t now_ms)
 {
   uint64_t duration = rollout->deadline_ms - rollout->started_ms;
   uint64_t permille = (now_ms - rollout->started_ms) * 1000 / duration;
@@ -296,7 +302,7 @@
                       * (steps[rollout->step + 1].at_permille
                          - steps[rollout->step].at_permille)
                       / 2000;
-  if (permille < steps[rollout->step + 1].at_permille
+  if (evidence >= SUSPICION || permille < steps[rollout->step + 1].at_permille
       || now_ms - rollout->step_ms < dwell_ms)
     return false;
   bool late
@@ -310,11 +316,13 @@
 rollout_decide (struct rollout *rollout, const struct rollout_view *view,
                 uint64_t now_ms)
 {
+  double strongest = 0;
   for (size_t i = 0; i < rollout->kind_count; i++)
     {
       const char *measure;
       struct rollout_kind *kind = &rollout->kinds[i];
       double evidence = update_tests (kind, now_ms, &measure);
+      strongest = fmax (strongest, evidence);
       if (evidence < 1 / FALSE_ALARM)
         continue;
       snprintf (rollout->reason, sizeof rollout->reason,
@@ -342,7 +350,7 @@
       snprintf (rollout->reason, sizeof rollout->reason, "shares of kinds");
       return ROLLOUT_SHARE;
     }
-  if (!may_step (rollout, now_ms))
+  if (!may_step (rollout, strongest, now_ms))
     return ROLLOUT_WAIT;
   rollout->step++;
   rollout->step_ms = now_ms;
--- a/test/unit/rollout_test.c
+++ b/test/unit/rollout_test.c
@@ -169,6 +169,8 @@
     { "under more load", UINT32_MAX, 500, 1, 0, 2400 },
     { "slow under load", UINT32_MAX, 500, 8, 0, 2400 },
     { "few errors under load", UINT32_MAX, 250, 1, 0, 2400 },
+    { "rare errors", UINT32_MAX, 60, 1, 0, 0 },
+    { "rare errors under load", UINT32_MAX, 80, 1, 0, 1000 },
   };
   /* A driver that fails after the order is replaced after a lease time. */
   static const uint64_t late_ms[] = { 0, 6000 };
