--- a/src/node/node_mesh.h
+++ b/src/node/node_mesh.h
@@ -77,8 +77,20 @@
 };
 
 /// This relay's entry point in the store, and reads of the others' entries.
+/// Prefix and longest size of the keys of entry points.
+#define MESH_ENTRY_PREFIX "entry/"
+#define MESH_ENTRY_KEY_MAX                                                    \
+  (sizeof MESH_ENTRY_PREFIX + 2 * (MEMBER_NAME_MAX + 1))
+
+/// Listed entry points that are tried in turn before the list is read again:
+/// those of relays that were killed stay listed until their lease ends.
+#define MESH_ENTRY_TRIES 8
+
 struct mesh_entry
 {
+  char keys[MESH_ENTRY_TRIES][MESH_ENTRY_KEY_MAX]; ///< from the last list
+  size_t key_count;
+  size_t next_key; ///< index of the next one to try
   uint64_t lease;
   bool running;     ///< a store operation on the own entry is in progress
   bool listed;      ///< the own entry exists under the lease
@@ -86,7 +98,7 @@
   uint64_t list_ms; ///< earliest time of the next read of the list
   bool listing;     ///< a read of the list or of an entry is in progress
   bool list_empty;  ///< the list was read and is empty
-  unsigned list_attempts; ///< reads of the list so far, for the backoff
+  unsigned list_attempts; ///< attempts to join so far, for the backoff
   unsigned next_seed;     ///< index of the next seed to try
 };
 
--- a/src/node/node_mesh_entry.c
+++ b/src/node/node_mesh_entry.c
@@ -19,14 +19,12 @@
 #define RETRY_MS 2000
 /// Maximum of the random delay after which a starting node reads the list.
 #define LIST_DELAY_MAX_MS 2000
-#define ENTRY_PREFIX "entry/"
-#define ENTRY_KEY_MAX (sizeof ENTRY_PREFIX + 2 * (MEMBER_NAME_MAX + 1))
 
 static void
-entry_key (const struct node_mesh *mesh, char key[ENTRY_KEY_MAX])
+entry_key (const struct node_mesh *mesh, char key[MESH_ENTRY_KEY_MAX])
 {
   const struct settings *settings = &mesh->node->settings;
-  snprintf (key, ENTRY_KEY_MAX, ENTRY_PREFIX "%s/%s",
+  snprintf (key, MESH_ENTRY_KEY_MAX, MESH_ENTRY_PREFIX "%s/%s",
             settings->availability_zone, settings->slot);
 }
 
@@ -102,7 +100,7 @@
 static void
 put_entry (struct node_mesh *mesh, uint64_t expected)
 {
-  char key[ENTRY_KEY_MAX];
+  char key[MESH_ENTRY_KEY_MAX];
   char value[32];
   entry_key (mesh, key);
   size_t size = entry_value (mesh, value, sizeof value);
@@ -168,6 +166,19 @@
   msgpack_sbuffer_destroy (&body);
 }
 
+static void
+read_next_entry (struct node_mesh *mesh)
+{
+  struct mesh_entry *entry = &mesh->entry;
+  if (entry->next_key == entry->key_count)
+    {
+      entry->listing = false;
+      return;
+    }
+  mesh->node->store_ops->get (
+      mesh->node->store, entry->keys[entry->next_key++], on_entry, mesh->node);
+}
+
 static void
 on_list (void *arg, const struct store_reply *reply)
 {
@@ -175,9 +186,6 @@
   if (mesh == NULL)
     return;
   struct mesh_entry *entry = &mesh->entry;
-  entry->list_attempts++;
-  entry->list_ms = clock_monotonic_ms () + BACKOFF_FIRST_MS
-                   + backoff_delay_ms (&mesh->node->rng, entry->list_attempts);
   if (reply->status == STATUS_OK && reply->key_count == 0)
     entry->list_empty = true;
   if (reply->status != STATUS_OK || reply->key_count == 0)
@@ -185,9 +193,34 @@
       entry->listing = false;
       return;
     }
-  const char *key
-      = reply->keys[rng_below (&mesh->node->rng, reply->key_count)].key;
-  mesh->node->store_ops->get (mesh->node->store, key, on_entry, mesh->node);
+  size_t first = rng_below (&mesh->node->rng, reply->key_count);
+  entry->next_key = entry->key_count = 0;
+  for (size_t i = 0; i < reply->key_count && i < MESH_ENTRY_TRIES; i++)
+    {
+      const char *key = reply->keys[(first + i) % reply->key_count].key;
+      if (strlen (key) < MESH_ENTRY_KEY_MAX)
+        strcpy (entry->keys[entry->key_count++], key);
+    }
+  read_next_entry (mesh);
+}
+
+/// Reads the next listed entry point, or the list when all were tried.
+static void
+try_entry (struct node_mesh *mesh, uint64_t now_ms)
+{
+  struct mesh_entry *entry = &mesh->entry;
+  entry->listing = true;
+  entry->list_attempts++;
+  entry->list_ms = now_ms + BACKOFF_FIRST_MS
+                   + backoff_delay_ms (&mesh->node->rng, entry->list_attempts);
+  if (entry->next_key < entry->key_count)
+    {
+      read_next_entry (mesh);
+      return;
+    }
+  counter_add (&list_reads, 1);
+  mesh->node->store_ops->list (mesh->node->store, MESH_ENTRY_PREFIX, on_list,
+                               mesh->node);
 }
 
 void
@@ -236,11 +269,7 @@
   if (node->store_ops == NULL)
     return;
   if (!mesh->membership.joined && !entry->listing && now_ms >= entry->list_ms)
-    {
-      entry->listing = true;
-      counter_add (&list_reads, 1);
-      node->store_ops->list (node->store, ENTRY_PREFIX, on_list, node);
-    }
+    try_entry (mesh, now_ms);
   if (entry->running || now_ms < entry->next_ms)
     return;
   /* A node that has not joined knows no other member and so considers itself a
