Compare three candidates again when a target is chosen

Change: three candidates, two of them of the own zone if it has so many; a group with fewer is filled up from the other.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -3,13 +3,14 @@
 
 #include <string.h>
 
-/// Numbers of random candidates of the own zone and of the other zones that
-/// are compared. Two are enough to avoid the most loaded node of a group. Three
-/// find a fast target among unequal ones more often, while different callers
-/// still choose different targets.
-#define CANDIDATES_NEAR 3
-#define CANDIDATES_FAR 2
-#define CANDIDATES_COMPARED (CANDIDATES_NEAR + CANDIDATES_FAR)
+/// Number of random candidates that are compared. Two are enough to avoid the
+/// most loaded node. Three find a fast target among unequal ones more often,
+/// while different callers still choose different targets; with more, all
+/// choose the few that were fast when they last reported.
+#define CANDIDATES_COMPARED 3
+
+/// Candidates of the own zone among them if it has so many.
+#define CANDIDATES_NEAR 2
 
 /// Maximum age of a load report that is used.
 #define REPORT_AGE_MS_MAX 1000
@@ -155,8 +156,7 @@
 /// Random sample of the eligible nodes of one group.
 struct sample
 {
-  size_t *handles;
-  size_t limit;
+  size_t handles[CANDIDATES_COMPARED];
   size_t eligible;
 };
 
@@ -165,10 +165,10 @@
 static void
 add_to_sample (struct sample *sample, size_t handle, struct rng *rng)
 {
-  uint64_t position = sample->eligible < sample->limit
+  uint64_t position = sample->eligible < CANDIDATES_COMPARED
                           ? sample->eligible
                           : rng_below (rng, sample->eligible + 1);
-  if (position < sample->limit)
+  if (position < CANDIDATES_COMPARED)
     sample->handles[position] = handle;
   sample->eligible++;
 }
@@ -176,7 +176,41 @@
 static size_t
 sample_count (const struct sample *sample)
 {
-  return sample->eligible < sample->limit ? sample->eligible : sample->limit;
+  return sample->eligible < CANDIDATES_COMPARED ? sample->eligible
+                                                : CANDIDATES_COMPARED;
+}
+
+/// Moves random nodes of a sample to the candidates.
+static void
+take_from_sample (struct sample *sample, size_t count, struct rng *rng,
+                  size_t *candidates)
+{
+  size_t left = sample_count (sample);
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t index = rng_below (rng, left);
+      candidates[i] = sample->handles[index];
+      sample->handles[index] = sample->handles[--left];
+    }
+}
+
+/// @return number of candidates: of the own zone and of the others as
+///         CANDIDATES_NEAR states, filled up from the group that has more
+static size_t
+take_candidates (struct sample *near, struct sample *far, struct rng *rng,
+                 size_t candidates[CANDIDATES_COMPARED])
+{
+  size_t near_count = sample_count (near);
+  size_t far_count = sample_count (far);
+  size_t near_wanted
+      = near_count < CANDIDATES_NEAR ? near_count : CANDIDATES_NEAR;
+  if (far_count > CANDIDATES_COMPARED - near_wanted)
+    far_count = CANDIDATES_COMPARED - near_wanted;
+  if (near_count > CANDIDATES_COMPARED - far_count)
+    near_count = CANDIDATES_COMPARED - far_count;
+  take_from_sample (near, near_count, rng, candidates);
+  take_from_sample (far, far_count, rng, candidates + near_count);
+  return near_count + far_count;
 }
 
 size_t
@@ -191,9 +225,8 @@
       /* The second pass includes nodes that failed recently, since some of
          them may have recovered. */
       size_t chosen[CANDIDATES_COMPARED];
-      size_t far_handles[CANDIDATES_FAR];
-      struct sample near = { chosen, CANDIDATES_NEAR, 0 };
-      struct sample far = { far_handles, CANDIDATES_FAR, 0 };
+      struct sample near = { .eligible = 0 };
+      struct sample far = { .eligible = 0 };
       for (size_t i = 0; i < directory->count; i++)
         {
           const struct directory_record *record = &directory->records[i];
@@ -202,10 +235,7 @@
             continue;
           add_to_sample (is_near (record, request) ? &near : &far, i, rng);
         }
-      size_t count = sample_count (&near);
-      memcpy (chosen + count, far_handles,
-              sample_count (&far) * sizeof far_handles[0]);
-      count += sample_count (&far);
+      size_t count = take_candidates (&near, &far, rng, chosen);
       uint64_t default_us = fastest_us (directory, chosen, count, now_ms);
       /* Starting at a random candidate breaks ties at random. */
       size_t first = count > 0 ? rng_below (rng, count) : 0;
