Answer connections that are waiting when a process stops

Cause: the process closed its listeners with connections in the accept queue, and idle connections whose next request the kernel had received but the loop had not read; their callers got a reset. Ruled out: closing the listeners at the signal: callers still come for two probes. Change: once nothing is in progress the accept queue is emptied and the listeners close; the process ends when those connections were answered, a first request had 250 ms to arrive, and no connection has bytes in the kernel. Measured: the new case fails without the change (no such call); sidecar_test, return_test, trouble_test and the short soak pass.

--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -125,12 +125,19 @@
   uint64_t since_ms = now_ms - sidecar->stopping_ms;
   if (since_ms < SIDECAR_STOP_ACCEPT_CALLERS_MS)
     return;
-  bool idle = sidecar->calls.in_progress == 0
-              && sidecar->peers.in_progress == 0
-              && http_server_unsent (&sidecar->calls) == 0
-              && http_server_unsent (&sidecar->peers) == 0;
   close_idle_connections (sidecar);
-  if (!idle && since_ms + STOP_RESERVE_MS < sidecar->settings.grace_ms)
+  bool idle = !http_server_has_work (&sidecar->calls)
+              && !http_server_has_work (&sidecar->peers);
+  /* Once the listeners are closed, the connections that were still waiting are
+     answered before the process exits. */
+  bool listening = sidecar->calls.listener != NULL;
+  if (idle && listening)
+    {
+      http_server_stop_accepting (&sidecar->calls);
+      http_server_stop_accepting (&sidecar->peers);
+    }
+  if ((!idle || listening)
+      && since_ms + STOP_RESERVE_MS < sidecar->settings.grace_ms)
     return;
   log_event (LOG_LEVEL_INFO, "drained", "after_ms=%" PRIu64 " in_progress=%zu",
              since_ms,
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -28,6 +29,10 @@
 /// connection, and the caller could lose the response.
 #define LINGER_MS 1000
 
+/// A connection without any request yet may be closed after this time; its
+/// first request may still be on its way.
+#define FIRST_REQUEST_MS 250
+
 /// Maximum size of a status line with the framing fields, bytes.
 #define STATUS_LINE_BYTES_MAX 160
 
@@ -49,6 +54,7 @@
                              ///< the last response, or begin of closing
   unsigned rejected; ///< status for malformed bytes behind the requests that
                      ///< are in progress; 0: none
+  bool served;       ///< a request was received on it
   bool closing;      ///< shut down once the output is sent
   bool lingering;    ///< shut down, waits for the caller's close
   struct http_server_connection *next;
@@ -198,6 +204,7 @@
   if (request == NULL || connection->closing)
     return;
   connection->receiving_request = NULL;
+  connection->served = true;
   struct http_request **last = &connection->request;
   while (*last != NULL)
     last = &(*last)->next;
@@ -249,10 +256,8 @@
 };
 
 static void
-on_accept (struct evconnlistener *listener, evutil_socket_t fd,
-           struct sockaddr *from, int size, void *arg)
+add_connection (struct http_server *server, evutil_socket_t fd)
 {
-  struct http_server *server = arg;
   struct bufferevent *bev
       = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
   struct http_server_connection *connection = calloc (1, sizeof *connection);
@@ -283,6 +288,13 @@
   server->connections++;
 }
 
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *from, int size, void *arg)
+{
+  add_connection (arg, fd);
+}
+
 static void
 on_sweep (evutil_socket_t fd, short what, void *arg)
 {
@@ -341,9 +353,11 @@
 void
 http_server_stop (struct http_server *server)
 {
-  if (server->listener == NULL)
+  if (server->base == NULL)
     return;
-  evconnlistener_free (server->listener);
+  server->base = NULL;
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
   server->listener = NULL;
   event_del (&server->sweep);
   struct http_server_connection *next;
@@ -361,20 +375,72 @@
   server->draining = true;
 }
 
+/// @return bytes that the kernel has received and that were not read yet
+static int
+kernel_unread (const struct http_server_connection *connection)
+{
+  int size = 0;
+  evutil_socket_t fd = bufferevent_getfd (connection->stream->bev);
+  return ioctl (fd, FIONREAD, &size) == 0 ? size : 0;
+}
+
+/// @return true while closing the connection could cost a caller its response
+static bool
+has_work (const struct http_server_connection *connection, uint64_t now_ms)
+{
+  struct http_stream *stream = connection->stream;
+  if (connection->request != NULL
+      || evbuffer_get_length (http_stream_output (stream)) > 0)
+    return true;
+  if (connection->closing)
+    return false;
+  return stream->started || http_stream_unread (stream) > 0
+         || kernel_unread (connection) > 0
+         || (!connection->served
+             && now_ms - connection->timeout_start_ms < FIRST_REQUEST_MS);
+}
+
 void
 http_server_close_idle (struct http_server *server)
 {
+  uint64_t now = clock_monotonic_ms ();
   struct http_server_connection *next;
   for (struct http_server_connection *c = server->first; c != NULL; c = next)
     {
       next = c->next;
-      if (c->request == NULL && !c->stream->started
-          && http_stream_unread (c->stream) == 0
-          && evbuffer_get_length (http_stream_output (c->stream)) == 0)
+      if (!has_work (c, now))
         free_connection (c);
     }
 }
 
+void
+http_server_stop_accepting (struct http_server *server)
+{
+  if (server->listener == NULL)
+    return;
+  evutil_socket_t listener = evconnlistener_get_fd (server->listener);
+  evutil_socket_t fd;
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      evutil_make_socket_nonblocking (fd);
+      evutil_make_socket_closeonexec (fd);
+      add_connection (server, fd);
+    }
+  evconnlistener_free (server->listener);
+  server->listener = NULL;
+}
+
+bool
+http_server_has_work (const struct http_server *server)
+{
+  uint64_t now = clock_monotonic_ms ();
+  for (const struct http_server_connection *c = server->first; c != NULL;
+       c = c->next)
+    if (has_work (c, now))
+      return true;
+  return false;
+}
+
 size_t
 http_server_unsent (const struct http_server *server)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -80,9 +80,18 @@
 /// closes that connection.
 void http_server_drain (struct http_server *server);
 
-/// Closes the connections that have neither a request nor unsent bytes.
+/// Closes the connections that have neither a request nor unsent bytes, except
+/// those on which a first request may still arrive.
 void http_server_close_idle (struct http_server *server);
 
+/// Accepts the connections that the kernel has established and closes the
+/// listener. The kernel would reset those that are not accepted, with requests
+/// that their callers may have sent.
+void http_server_stop_accepting (struct http_server *server);
+
+/// @return true while stopping the server could cost a caller its response
+bool http_server_has_work (const struct http_server *server);
+
 /// @return bytes of responses, also complete ones, that the kernel has not
 /// taken yet
 size_t http_server_unsent (const struct http_server *server);
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -285,6 +285,54 @@
     }
 }
 
+/// Connections that the kernel has established while the server stops: with a
+/// whole request, with half of one, and without any byte.
+static void
+test_stop_with_waiting_connections (void)
+{
+  uint16_t port = server_set_up ();
+  int fds[3];
+  static const char *const bytes[]
+      = { "GET / HTTP/1.1\r\n" HOST "\r\n", "GET / HT", "" };
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons (port) };
+  at.sin_addr.s_addr = htonl (LOOPBACK);
+  for (size_t i = 0; i < 3; i++)
+    {
+      fds[i] = socket (AF_INET, SOCK_STREAM, 0);
+      CU_ASSERT_EQUAL (connect (fds[i], (struct sockaddr *)&at, sizeof at), 0);
+      CU_ASSERT_EQUAL (send (fds[i], bytes[i], strlen (bytes[i]), 0),
+                       (ssize_t)strlen (bytes[i]));
+    }
+  http_server_stop_accepting (&server);
+  http_server_close_idle (&server);
+  CU_ASSERT_EQUAL (server.connections, 3);
+  CU_ASSERT (http_server_has_work (&server));
+  run_ms (30);
+  CU_ASSERT_EQUAL (request_count, 1);
+  http_reply (requests[0], 503, NULL, "", 0);
+  CU_ASSERT_EQUAL (send (fds[1], bytes[0] + 8, strlen (bytes[0] + 8), 0),
+                   (ssize_t)strlen (bytes[0] + 8));
+  http_server_close_idle (&server);
+  CU_ASSERT (http_server_has_work (&server));
+  run_ms (30);
+  CU_ASSERT_EQUAL (request_count, 2);
+  http_reply (requests[1], 503, NULL, "", 0);
+  run_ms (300);
+  http_server_close_idle (&server);
+  CU_ASSERT (!http_server_has_work (&server));
+  CU_ASSERT_EQUAL (server.connections, 0);
+  char received[64];
+  for (size_t i = 0; i < 2; i++)
+    {
+      CU_ASSERT (recv (fds[i], received, sizeof received, 0) > 12);
+      CU_ASSERT_EQUAL (memcmp (received, "HTTP/1.1 503", 12), 0);
+    }
+  for (size_t i = 0; i < 3; i++)
+    close (fds[i]);
+  http_server_stop (&server);
+  event_base_free (base);
+}
+
 int
 main (void)
 {
@@ -298,6 +346,8 @@
       test_ambiguous_responses },
     { "a late copy of a response is taken for the next one",
       test_late_copies },
+    { "a stop resets connections that the kernel has established",
+      test_stop_with_waiting_connections },
     { "a response head without end fills memory or never ends",
       test_heads_without_end },
   };
