--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -3,6 +3,10 @@
 
 #include <time.h>
 
+/// Counts the time in which the VM was suspended: a lease, a deadline or a
+/// report that ran out meanwhile is seen as such by the next comparison.
+#define STEADY_CLOCK CLOCK_BOOTTIME
+
 static uint64_t
 read_us (clockid_t id)
 {
@@ -14,13 +18,13 @@
 uint64_t
 clock_monotonic_us (void)
 {
-  return read_us (CLOCK_MONOTONIC);
+  return read_us (STEADY_CLOCK);
 }
 
 uint64_t
 clock_monotonic_ms (void)
 {
-  return read_us (CLOCK_MONOTONIC) / 1000;
+  return read_us (STEADY_CLOCK) / 1000;
 }
 
 uint64_t
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -5,10 +5,10 @@
 
 #include <stdint.h>
 
-/// @return monotonic time in milliseconds
+/// @return monotonic time in milliseconds, that of a suspension included
 uint64_t clock_monotonic_ms (void);
 
-/// @return monotonic time in microseconds
+/// @return monotonic time in microseconds, that of a suspension included
 uint64_t clock_monotonic_us (void);
 
 /// @return wall time in milliseconds since 1970-01-01T00:00:00Z
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -50,7 +50,7 @@
 
 /// Full reads of a starting node that may be seconds old. They cost a tenth; a
 /// relay, once known, brings the view up to date.
-#define EARLY_READS_MAX 4
+#define EARLY_READS_MAX 3
 
 /// Pause between two such reads, varied by up to as much again, in which the
 /// first nodes of a mesh register.
