Let slow samples fade for kinds without their own, and leave out pauses

Cause: a kind of request without a sample was estimated by the mean of all kinds, which never faded: after slow samples of others a kind with a shorter deadline was refused by an idle target for good, since only work that runs brings a sample. A pause of the process counted as service time: after 2.5 s of SIGSTOP the next requests were refused (deadline). Ruled out: a lower bound of a sample; it would hide slow targets. Change: the mean of all kinds fades like that of one kind; a request that was at the target during a pause of a second or more brings no sample. event=resumed tells of it.

--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -14,7 +14,7 @@
 /// later work look too late.
 #define SERVICE_US_MAX 2000000
 
-/// The service time of a kind is halved for each such period without a new
+/// A service time is halved for each such period without a new
 /// sample. Only work that runs shows that the target has become faster, so
 /// without the decay a kind that once took too long would be refused for ever.
 #define SERVICE_HALF_LIFE_US 1000000
@@ -72,19 +72,26 @@
   return NULL;
 }
 
-/// @return expected service time of a kind of work, microseconds
-static uint32_t
-service_us (struct admission_queue *queue, uint32_t kind, uint64_t now_us)
+/// @return a service time after decay since its last sample, microseconds
+static uint64_t
+decayed_us (uint32_t mean_us, uint64_t last_sample_us, uint64_t now_us)
 {
-  const struct admission_queue_kind *known = find_kind (queue, kind);
-  if (known == NULL)
-    return queue->mean_us;
   /* A request is offered with its arrival time, which may be earlier than the
      last sample. */
-  uint64_t age_us
-      = now_us > known->last_sample_us ? now_us - known->last_sample_us : 0;
+  uint64_t age_us = now_us > last_sample_us ? now_us - last_sample_us : 0;
   uint64_t halvings = age_us / SERVICE_HALF_LIFE_US;
-  return halvings < 31 ? known->mean_us >> halvings : 0;
+  return halvings < 31 ? mean_us >> halvings : 0;
+}
+
+/// @return expected service time of a kind of work, microseconds; that of all
+///         kinds for one without a sample
+static uint32_t
+service_us (struct admission_queue *queue, uint32_t kind, uint64_t now_us)
+{
+  const struct admission_queue_kind *known = find_kind (queue, kind);
+  return known == NULL
+             ? decayed_us (queue->mean_us, queue->last_sample_us, now_us)
+             : decayed_us (known->mean_us, known->last_sample_us, now_us);
 }
 
 /// @return time that a response takes on the link, microseconds; 0 when it is
@@ -161,6 +168,7 @@
   kind->samples++;
   kind->last_sample_us = now_us;
   queue->mean_us = smooth (queue->mean_us, sample, queue->mean_us == 0);
+  queue->last_sample_us = now_us;
 }
 
 static void
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -85,6 +85,7 @@
   bool draining;
   uint64_t link_bytes_per_s;        ///< rate of the VM's link; 0: no limit
   uint32_t mean_us;                 ///< smoothed service time over all kinds
+  uint64_t last_sample_us;          ///< time of the last sample of any kind
   struct admission_queue_rate late; ///< for the kinds that the slots limit
   uint64_t last_none_late_us;       ///< last time without a queued late ticket
   struct admission_queue_kind kinds[ADMISSION_QUEUE_KINDS];
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -60,6 +60,9 @@
 /// node.
 #define SIDECAR_STOP_ACCEPT_PEERS_MS 2400
 
+/// A longer gap between two ticks means that the process was paused.
+#define SIDECAR_PAUSE_MS_MIN 1000
+
 struct sidecar_outbound;
 TAILQ_HEAD (sidecar_outbound_list, sidecar_outbound);
 
@@ -124,6 +127,8 @@
   struct sidecar_crashes *crashes;
   struct event tick;
   struct event log_timer;
+  uint64_t last_tick_ms; ///< last periodic work; 0: none yet
+  uint64_t resumed_us;   ///< end of the last pause of the process
   bool stopping;
   uint64_t stopping_ms; ///< when the stop signal arrived
 };
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -127,16 +127,29 @@
   free (inbound);
 }
 
+/// @return true when the process was paused while the target had the request,
+///         so that the elapsed time is not the target's. The responses of that
+///         time may be read before the first tick.
+static bool
+was_paused (const struct sidecar_inbound *inbound, uint64_t now_ms)
+{
+  const struct sidecar *sidecar = inbound->sidecar;
+  return inbound->sent_us < sidecar->resumed_us
+         || now_ms > sidecar->last_tick_ms + SIDECAR_PAUSE_MS_MIN;
+}
+
 /// Frees a request and gives its slot to the next one in the queue.
+/// @param served  true when the target sent a complete response
 static void
 end_request (struct sidecar_inbound *inbound, bool served)
 {
   struct sidecar *sidecar = inbound->sidecar;
+  bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
   struct admission_queue_ticket ticket = inbound->ticket;
   transfer_end (&sidecar->transfers, &inbound->transfer,
                 clock_monotonic_ms ());
   free (inbound);
-  admission_queue_finish (&sidecar->admission, &ticket, served,
+  admission_queue_finish (&sidecar->admission, &ticket, timed,
                           clock_monotonic_us ());
 }
 
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -228,10 +228,24 @@
   reload (sidecar);
 }
 
+/// Notices the end of a pause, at the latest with the first tick after it.
+static void
+note_pause (struct sidecar *sidecar, uint64_t now_ms)
+{
+  uint64_t gap_ms
+      = sidecar->last_tick_ms == 0 ? 0 : now_ms - sidecar->last_tick_ms;
+  sidecar->last_tick_ms = now_ms;
+  if (gap_ms < SIDECAR_PAUSE_MS_MIN)
+    return;
+  sidecar->resumed_us = now_ms * 1000;
+  log_event (LOG_LEVEL_WARNING, "resumed", "paused_ms=%" PRIu64, gap_ms);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
   struct sidecar *sidecar = arg;
+  note_pause (sidecar, clock_monotonic_ms ());
   sidecar_target_tick (sidecar);
   sidecar_inbound_tick (sidecar);
   sidecar_store_tick (sidecar);
--- a/test/unit/admission_queue_test.c
+++ b/test/unit/admission_queue_test.c
@@ -351,6 +351,28 @@
     }
 }
 
+/// The first samples of a target are slow, and those of one kind only. A kind
+/// with a shorter deadline has no sample of its own and gets none while it is
+/// refused.
+static void
+test_slow_samples_of_other_kinds_decay (void)
+{
+  static const uint64_t slow_ms[] = { 300, 2000 };
+  for (size_t i = 0; i < sizeof slow_ms / sizeof slow_ms[0]; i++)
+    {
+      set_up (4);
+      record_service (slow_ms[i]);
+      uint64_t now_ms = slow_ms[i] + 6000;
+      struct admission_queue_work work = { .kind = 2,
+                                           .objective_ms = now_ms + 60,
+                                           .deadline_ms = now_ms + 200 };
+      enum admit_refusal why;
+      CU_ASSERT_EQUAL (admission_queue_offer (&queue, &tickets[0], &work,
+                                              now_ms * 1000, &why),
+                       STATUS_OK);
+    }
+}
+
 int
 main (void)
 {
@@ -368,6 +390,8 @@
       test_unservable_are_refused_early },
     { "a kind of work that was slow once is refused for good",
       test_old_service_times_decay },
+    { "a kind without samples is refused for good after slow ones of others",
+      test_slow_samples_of_other_kinds_decay },
     { "large responses share a link that cannot carry them",
       test_link_limits_large_responses },
     { "an overloaded queue serves too few requests in time",
