Keep a paused driver of a move from taking steps back

Cause: a driver that was paused while another node drove the move wrote its own next step, 10% after the other's 22%, conditional on the newest revision. Ruled out: a conflict of revisions, which doesn't arise once the driver has read them. Change: a driver takes over the share of the record before it decides. A list of pages that may be old starts its watch at the oldest page. Measured: pause_test.sh failed (shares 300 1000 2200 1000 2200 4000 10000) and passes three times; sidecar_test passes.

--- a/src/sidecar/sidecar_move_driver.c
+++ b/src/sidecar/sidecar_move_driver.c
@@ -383,6 +383,9 @@
   struct rollout_view view = collect_evidence (move, now_ms);
   if (move->writing)
     return;
+  /* Another driver was ahead while this node was paused or on standby. */
+  if (move->record.share_bp > rollout_share (move->rollout))
+    rollout_resume (move->rollout, move->record.share_bp, now_ms);
   switch (rollout_decide (move->rollout, &view, now_ms))
     {
     case ROLLOUT_ROLL_BACK:
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -129,6 +129,9 @@
       mirror_clear (&store->mirror, reply->as_of);
       directory_begin_list (&store->sidecar->directory);
     }
+  /* A page that may be old may also be older than the one before it. */
+  if (reply->as_of < store->list_as_of)
+    store->list_as_of = reply->as_of;
   sidecar_store_apply_keys (store, reply);
   if (reply->more && reply->key_count > 0)
     {
@@ -140,8 +143,8 @@
   directory_end_list (&store->sidecar->directory, store->list_as_of,
                       clock_monotonic_ms ());
   store->relist = false;
-  /* The pages are not a consistent snapshot. The watch starts at the revision
-     of the first page and delivers the changes since then. */
+  /* The pages are not a consistent snapshot. The watch starts at the oldest of
+     their revisions and delivers the changes since then. */
   store->as_of = store->list_as_of;
   if (!store->list_stale)
     store->caught_up = true;
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -27,7 +27,7 @@
   unsigned probe_failures;   ///< probes in a row that failed
   uint64_t revision;         ///< last known revision of this node's entry
   uint64_t as_of; ///< store revision that the view describes; 0: no view yet
-  uint64_t list_as_of; ///< revision of the first page of a full read
+  uint64_t list_as_of; ///< oldest revision of the pages of a full read
   char list_after[STORE_KEY_MAX]; ///< last key of the page before; empty: none
   uint64_t next_watch_ms;
   uint64_t next_write_ms;
