--- a/test/unit/store_api_test.c
+++ b/test/unit/store_api_test.c
@@ -12,21 +12,22 @@
     struct store_request request;
     const char *path; ///< NULL: rejected
   } rows[] = {
-    { { STORE_CALL_GET, "cfg/head", NULL, 0, 0, 0 }, "/kv/cfg/head" },
-    { { STORE_CALL_WATCH, "a", NULL, 7, 0, 100 },
+    { { .call = STORE_CALL_GET, .key = "cfg/head" }, "/kv/cfg/head" },
+    { { .call = STORE_CALL_WATCH, .key = "a", .revision = 7, .ms = 100 },
       "/kv/a?after=7&wait_ms=100" },
-    { { STORE_CALL_PUT, "a", NULL, 0, 0, 0 }, "/kv/a?prev=0" },
-    { { STORE_CALL_PUT, "a", NULL, 3, 9, 0 }, "/kv/a?prev=3&lease=9" },
-    { { STORE_CALL_REMOVE, "a", NULL, 3, 0, 0 }, "/kv/a?prev=3" },
-    { { STORE_CALL_LIST, "", NULL, 0, 0, 0 }, "/list?prefix=" },
-    { { STORE_CALL_LEASE_GRANT, NULL, NULL, 0, 0, 15000 },
-      "/lease?ttl_ms=15000" },
-    { { STORE_CALL_LEASE_KEEPALIVE, NULL, NULL, 0, 4, 0 },
+    { { .call = STORE_CALL_PUT, .key = "a" }, "/kv/a?prev=0" },
+    { { .call = STORE_CALL_PUT, .key = "a", .revision = 3, .lease = 9 },
+      "/kv/a?prev=3&lease=9" },
+    { { .call = STORE_CALL_REMOVE, .key = "a", .revision = 3 },
+      "/kv/a?prev=3" },
+    { { .call = STORE_CALL_LIST, .key = "" }, "/list?prefix=" },
+    { { .call = STORE_CALL_LEASE_GRANT, .ms = 15000 }, "/lease?ttl_ms=15000" },
+    { { .call = STORE_CALL_LEASE_KEEPALIVE, .lease = 4 },
       "/lease/4/keepalive" },
-    { { STORE_CALL_GET, "", NULL, 0, 0, 0 }, NULL },
-    { { STORE_CALL_GET, "a b", NULL, 0, 0, 0 }, NULL },
-    { { STORE_CALL_GET, "a?prev=1", NULL, 0, 0, 0 }, NULL },
-    { { STORE_CALL_PUT, "a\r\nX: y", NULL, 0, 0, 0 }, NULL },
+    { { .call = STORE_CALL_GET, .key = "" }, NULL },
+    { { .call = STORE_CALL_GET, .key = "a b" }, NULL },
+    { { .call = STORE_CALL_GET, .key = "a?prev=1" }, NULL },
+    { { .call = STORE_CALL_PUT, .key = "a\r\nX: y" }, NULL },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
