--- a/review/common/mesh.c
+++ b/review/common/mesh.c
@@ -223,7 +223,8 @@
       perror (argv[2]);
       _exit (VERDICT_NOT_RUN);
     }
-  record ("case %s, %s the disruption", strrchr (argv[0], '/') + 1, trouble ? "with" : "without");
+  record ("case %s, %s the disruption", strrchr (argv[0], '/') + 1,
+          trouble ? "with" : "without");
   signal (SIGALRM, end_on_signal);
   signal (SIGTERM, end_on_signal);
   signal (SIGINT, end_on_signal);
@@ -343,10 +344,10 @@
     const char *name;
     const char *value;
   } values[] = {
-    { "Provider.TtlMin", "1000ms" },   { "Provider.ReadsPerS", "2000" },
-    { "Heartbeat", "1500ms" },         { "Bounds.Drain", "2000ms" },
+    { "Provider.TtlMin", "1000ms" },    { "Provider.ReadsPerS", "2000" },
+    { "Heartbeat", "1500ms" },          { "Bounds.Drain", "2000ms" },
     { "Bounds.ConfigApply", "2000ms" }, { "Bounds.Grace", "6s" },
-    { "Bounds.BudgetRatio", "0.2" },   { "Bounds.BudgetSlack", "64" },
+    { "Bounds.BudgetRatio", "0.2" },    { "Bounds.BudgetSlack", "64" },
     { "Limits.LinkMbps", "1000.0" },
   };
   static const char *const ports[]
@@ -484,8 +485,7 @@
 bool
 upstream_work (struct upstream_request *request, long ms)
 {
-  struct pollfd poll_socket
-      = { .fd = request->socket, .events = POLLRDHUP };
+  struct pollfd poll_socket = { .fd = request->socket, .events = POLLRDHUP };
   if (poll (&poll_socket, 1, (int)ms) == 0)
     return true;
   record ("%s: upstream %s: %s is cut by its caller at work",
@@ -538,8 +538,8 @@
 serve_upstream (void *arg)
 {
   struct upstream_connection *connection = arg;
-  struct upstream_request request = { .machine = connection->machine,
-                                      .socket = connection->socket };
+  struct upstream_request request
+      = { .machine = connection->machine, .socket = connection->socket };
   static __thread char bytes[65536];
   size_t size = 0;
   while (!request.close)
@@ -549,8 +549,8 @@
       bytes[size] = '\0';
       while ((end = strstr (bytes, "\r\n\r\n")) == NULL)
         {
-          ssize_t n
-              = recv (request.socket, bytes + size, sizeof bytes - 1 - size, 0);
+          ssize_t n = recv (request.socket, bytes + size,
+                            sizeof bytes - 1 - size, 0);
           if (n <= 0)
             goto closed;
           size += (size_t)n;
@@ -576,9 +576,8 @@
       while (unread > 0)
         {
           char rest[16384];
-          ssize_t n
-              = recv (request.socket, rest,
-                      unread < sizeof rest ? unread : sizeof rest, 0);
+          ssize_t n = recv (request.socket, rest,
+                            unread < sizeof rest ? unread : sizeof rest, 0);
           if (n <= 0)
             goto closed;
           unread -= (size_t)n;
@@ -742,8 +741,7 @@
 }
 
 void
-read_response (struct reader *reader, struct response *response,
-               long until_ms)
+read_response (struct reader *reader, struct response *response, long until_ms)
 {
   char line[1024];
   long length = -1;
@@ -776,9 +774,9 @@
     }
   if (!chunked)
     {
-      response->complete = length >= 0
-                           && read_body (reader, response, (size_t)length,
-                                         until_ms);
+      response->complete
+          = length >= 0
+            && read_body (reader, response, (size_t)length, until_ms);
       return;
     }
   for (;;)
--- a/review/common/mesh.h
+++ b/review/common/mesh.h
@@ -51,7 +51,7 @@
   upstream_handler *handler;
   pid_t sidecar; ///< 0: not running
   int listener;
-  bool beats;    ///< heartbeats are sent
+  bool beats; ///< heartbeats are sent
   const char *state;
   long sequence;
 };
@@ -91,7 +91,7 @@
 
 /// Ends all processes, records the verdict and exits.
 void mesh_end (enum verdict verdict, const char *reason)
-  __attribute__ ((noreturn));
+    __attribute__ ((noreturn));
 
 /// Port of a machine: 0 Inbound, 1 Outbound, 2 Ready, 3 Control, 4 AppAddr.
 int mesh_port (int kind);
@@ -100,7 +100,7 @@
 /// @return the socket, or -1
 int mesh_connect (const struct machine *machine, int kind);
 void send_text (int socket, const char *format, ...)
-  __attribute__ ((format (printf, 2, 3)));
+    __attribute__ ((format (printf, 2, 3)));
 
 /// Sends a heartbeat or another call of an upstream to its node.
 /// @return status, 0 when there was none within a second
--- a/review/common/pipeline.h
+++ b/review/common/pipeline.h
@@ -11,14 +11,14 @@
 struct sent_request
 {
   int client;
-  int connection;  ///< number of the client's connection
-  int position;    ///< on the connection, from 0
+  int connection; ///< number of the client's connection
+  int position;   ///< on the connection, from 0
   long sent_ms;
   const struct machine *ran_at; ///< NULL: no upstream has run it
   long run_ms;
-  long done_ms;      ///< 0: its upstream has not ended its work
-  bool broken_off;   ///< its upstream broke its answer off
-  long answered_ms;  ///< 0: no complete answer
+  long done_ms;     ///< 0: its upstream has not ended its work
+  bool broken_off;  ///< its upstream broke its answer off
+  long answered_ms; ///< 0: no complete answer
   int status;
   long ended_ms;     ///< end of the connection without an answer; 0: none
   bool began;        ///< a part of the answer arrived
