--- a/review/common/mesh.c
+++ b/review/common/mesh.c
@@ -310,22 +310,65 @@
   record ("store: %s", path);
 }
 
+/// Decodes base64 up to the first other character.
+static void
+decode_base64 (const char *text, char *value, size_t size)
+{
+  static const char digits[]
+      = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  unsigned bits = 0;
+  int count = 0;
+  size_t used = 0;
+  for (; *text != '\0' && used + 1 < size; text++)
+    {
+      const char *digit = strchr (digits, *text);
+      if (digit == NULL)
+        break;
+      bits = bits << 6 | (unsigned)(digit - digits);
+      count += 6;
+      if (count >= 8)
+        {
+          count -= 8;
+          value[used++] = (char)(bits >> count & 0xff);
+        }
+    }
+  value[used] = '\0';
+}
+
+bool
+store_read (const char *key, char *value, size_t size)
+{
+  static const char field[] = "\"Value\":\"";
+  int s = connect_to ("127.0.0.1", store_port);
+  if (s < 0)
+    return false;
+  send_text (s,
+             "GET /api/kv-range?Prefix=%s HTTP/1.1\r\nHost: x.example\r\n"
+             "\r\n",
+             key);
+  struct reader *reader = calloc (1, sizeof *reader);
+  struct response response;
+  reader->socket = s;
+  read_response (reader, &response, now_ms () + 2000);
+  free (reader);
+  close (s);
+  char *text = strstr (response.body, field);
+  if (response.status != 200 || !response.complete || text == NULL)
+    return false;
+  decode_base64 (text + strlen (field), value, size);
+  return true;
+}
+
 struct machine *
 mesh_add (const char *zone, const char *service, upstream_handler *handler)
 {
-  static const char *const instances[]
-      = { "i-0a", "i-1b", "i-2c", "i-3d", "i-4e", "i-5f", "i-6a", "i-7b" };
   struct machine *machine = &machines[machine_count];
-  struct timespec t;
-  clock_gettime (CLOCK_REALTIME, &t);
   *machine = (struct machine){ .index = machine_count,
                                .zone = zone,
                                .service = service,
-                               .instance = instances[machine_count],
                                .handler = handler,
-                               .beats = true,
-                               .state = "ready",
-                               .born = t.tv_sec * 1000LL };
+                               .listener = -1,
+                               .state = "ready" };
   snprintf (machine->ip, sizeof machine->ip, "127.77.%d.%d", network,
             machine_count + 1);
   snprintf (machine->name, sizeof machine->name, "sidecar-%s-%d", zone,
@@ -449,10 +492,10 @@
             machine->instance);
   snprintf (body, sizeof body,
             "{\"Address\":\"%s:%d\",\"Info\":{\"Service\":\"%s\",\"Version\":"
-            "\"v1\",\"Zone\":\"%s\",\"Capacity\":12},\"Status\":{\"State\":"
+            "\"%s\",\"Zone\":\"%s\",\"Capacity\":12},\"Status\":{\"State\":"
             "\"%s\",\"SeqNo\":%ld,\"ColdLeft\":\"0ms\"},\"born\":%lld}",
-            machine->ip, mesh_port (4), machine->service, machine->zone, state,
-            sequence, machine->born);
+            machine->ip, mesh_port (4), machine->service, machine->version,
+            machine->zone, state, sequence, machine->born);
   return call (machine->ip, mesh_port (3), "POST", path, body, 1000);
 }
 
@@ -508,12 +551,18 @@
           request->machine->instance, request->id, status);
 }
 
+#define SOCKETS_MAX 1024
+
 struct upstream_connection
 {
-  struct machine *machine;
+  struct machine *machine; ///< NULL: unused
   int socket;
 };
 
+/// Open connections of all upstreams.
+static struct upstream_connection sockets[SOCKETS_MAX];
+static pthread_mutex_t sockets_lock = PTHREAD_MUTEX_INITIALIZER;
+
 /// @return value of a field of a head, copied, or "" when it is missing
 static const char *
 find_field (const char *head, const char *name, char *value, size_t size)
@@ -534,10 +583,27 @@
   return value;
 }
 
+/// Adds or removes an open connection of an upstream.
+static void
+note_socket (struct machine *machine, int s, bool is_open)
+{
+  pthread_mutex_lock (&sockets_lock);
+  for (int i = 0; i < SOCKETS_MAX; i++)
+    if (is_open ? sockets[i].machine == NULL
+                : sockets[i].machine == machine && sockets[i].socket == s)
+      {
+        sockets[i]
+            = (struct upstream_connection){ is_open ? machine : NULL, s };
+        break;
+      }
+  pthread_mutex_unlock (&sockets_lock);
+}
+
 static void *
 serve_upstream (void *arg)
 {
   struct upstream_connection *connection = arg;
+  note_socket (connection->machine, connection->socket, true);
   struct upstream_request request
       = { .machine = connection->machine, .socket = connection->socket };
   static __thread char bytes[65536];
@@ -597,6 +663,7 @@
       request.machine->handler (&request);
     }
 closed:
+  note_socket (connection->machine, connection->socket, false);
   close (request.socket);
   free (connection);
   return NULL;
@@ -618,17 +685,55 @@
 accept_upstream (void *arg)
 {
   struct machine *machine = arg;
+  int listener = machine->listener;
   for (;;)
     {
-      int s = accept4 (machine->listener, NULL, NULL, SOCK_CLOEXEC);
+      int s = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
       if (s < 0)
-        return NULL;
+        break;
       int one = 1;
       setsockopt (s, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
       struct upstream_connection *connection = calloc (1, sizeof *connection);
       *connection = (struct upstream_connection){ machine, s };
       start_thread (serve_upstream, connection);
     }
+  close (listener);
+  return NULL;
+}
+
+void
+upstream_start (struct machine *machine, const char *version)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_REALTIME, &t);
+  machine->born = t.tv_sec * 1000LL + t.tv_nsec / 1000000;
+  snprintf (machine->instance, sizeof machine->instance, "i-%d%08llx",
+            machine->index, machine->born & 0xffffffff);
+  snprintf (machine->version, sizeof machine->version, "%s", version);
+  machine->sequence = 0;
+  machine->state = "ready";
+  machine->listener = listen_on (machine->ip, mesh_port (4));
+  if (machine->listener < 0)
+    mesh_end (VERDICT_NOT_RUN, "an upstream cannot listen");
+  start_thread (accept_upstream, machine);
+  record ("%s: upstream %s of %s %s is started", machine->name,
+          machine->instance, machine->service, version);
+  machine->beats = true;
+}
+
+void
+upstream_stop (struct machine *machine)
+{
+  record ("%s: upstream %s is stopped", machine->name, machine->instance);
+  machine->beats = false;
+  if (machine->listener >= 0)
+    shutdown (machine->listener, SHUT_RDWR);
+  machine->listener = -1;
+  pthread_mutex_lock (&sockets_lock);
+  for (int i = 0; i < SOCKETS_MAX; i++)
+    if (sockets[i].machine == machine)
+      shutdown (sockets[i].socket, SHUT_RDWR);
+  pthread_mutex_unlock (&sockets_lock);
 }
 
 static bool
@@ -643,17 +748,18 @@
 {
   for (int i = 0; i < machine_count; i++)
     {
-      machines[i].listener = listen_on (machines[i].ip, mesh_port (4));
-      if (machines[i].listener < 0)
-        mesh_end (VERDICT_NOT_RUN, "an upstream cannot listen");
-      start_thread (accept_upstream, &machines[i]);
-      sidecar_start (&machines[i]);
+      if (machines[i].handler != NULL)
+        {
+          upstream_start (&machines[i], "v1");
+          sidecar_start (&machines[i]);
+        }
     }
   store_control ("put?op/config", config);
   for (int i = 0; i < machine_count; i++)
     start_thread (send_heartbeats, &machines[i]);
   for (int i = 0; i < machine_count; i++)
-    for (int attempt = 0; !is_ready (&machines[i]); attempt++)
+    for (int attempt = 0;
+         machines[i].handler != NULL && !is_ready (&machines[i]); attempt++)
       {
         if (attempt == 100)
           mesh_end (VERDICT_NOT_RUN, "a sidecar does not become ready");
--- a/review/common/mesh.h
+++ b/review/common/mesh.h
@@ -46,12 +46,13 @@
   char name[32];
   const char *zone;
   const char *service;
-  const char *instance;
+  char instance[32];
+  char version[16];
   long long born; ///< start of the upstream, Unix ms
   upstream_handler *handler;
   pid_t sidecar; ///< 0: not running
-  int listener;
-  bool beats; ///< heartbeats are sent
+  int listener;  ///< of the upstream, -1: it does not run
+  bool beats;    ///< heartbeats are sent
   const char *state;
   long sequence;
 };
@@ -71,7 +72,8 @@
 /// be started.
 void mesh_begin (int argc, char **argv);
 
-/// Adds a machine; its processes are started by mesh_start.
+/// Adds a machine. mesh_start starts its sidecar and upstream.
+/// @param handler  NULL: the case starts them itself, and sets the handler
 struct machine *mesh_add (const char *zone, const char *service,
                           upstream_handler *handler);
 
@@ -79,6 +81,13 @@
 /// until all are ready and each service has answered.
 void mesh_start (const char *config);
 
+/// Starts an upstream beside a sidecar, as a new incarnation with an id of its
+/// own.
+void upstream_start (struct machine *machine, const char *version);
+
+/// Ends an upstream: it says nothing and its connections are closed.
+void upstream_stop (struct machine *machine);
+
 void sidecar_start (struct machine *machine);
 void sidecar_signal (struct machine *machine, int number);
 
@@ -89,6 +98,10 @@
 /// Sends a control request or a value to the store, such as "away?1".
 void store_control (const char *path, const char *body);
 
+/// Reads a value from the store, as the operator does.
+/// @return false when there is none
+bool store_read (const char *key, char *value, size_t size);
+
 /// Ends all processes, records the verdict and exits.
 void mesh_end (enum verdict verdict, const char *reason)
     __attribute__ ((noreturn));
