--- a/review/common/mesh.h
+++ b/review/common/mesh.h
@@ -11,7 +11,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define MACHINES_MAX 8
+#define MACHINES_MAX 12
 
 /// Exit codes of a case.
 enum verdict
