Compare request ids of any length with those of responses

Cause: http_pool kept ids in 64 bytes and compared nothing for a longer one, so the first response on a reused connection passed for its own. The same held for a request without an id.

The connection now owns the whole id of its last request, so there is no length at which the comparison stops, and a response that names an id is not taken for a request without one. Connections of such requests can be reused like all others.

--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -12,10 +12,6 @@
 
 #define SWEEP_MS 500
 
-/// Longest id that is compared; a request with a longer one gets a connection
-/// of its own.
-#define HTTP_ID_MAX 63
-
 /// Responses with another id that may precede the expected one; at this number
 /// the exchange fails.
 #define SKIPPED_RESPONSES_MAX 3
@@ -36,9 +32,9 @@
   struct http_stream *stream;
   struct http_exchange *exchange; ///< NULL while idle
   uint64_t idle_since_ms;
-  uint64_t idle_limit_ms;        ///< timeout in the server's Keep-Alive field
-  char last_id[HTTP_ID_MAX + 1]; ///< of the last exchange
-  bool echoes_id;                ///< a response named the id of its request
+  uint64_t idle_limit_ms; ///< timeout in the server's Keep-Alive field
+  char *id;               ///< of the current or last request; "" for none
+  bool echoes_id;         ///< a response named the id of its request
   bool established;
   struct http_connection *next; ///< list of the endpoint's connections
 };
@@ -57,11 +53,9 @@
   const struct http_exchange_ops *ops;
   void *arg;
   struct event timer; ///< connect timeout, then deferred call of `end`
-  char id[HTTP_ID_MAX + 1];
   enum http_end end;
   bool skipping_response; ///< the current response has another id
   bool head_delivered;    ///< the head callback was called
-  bool long_id;           ///< the id cannot be compared
   bool ended;             ///< `end` is set, its callback is still to be called
   unsigned skipped_responses;
 };
@@ -95,6 +89,7 @@
   *link = connection->next;
   connection->pool->connections--;
   http_stream_free (connection->stream);
+  free (connection->id);
   free (connection);
 }
 
@@ -151,12 +146,13 @@
       return;
     }
   const char *header = connection->pool->options.id_header;
-  bool compares_id = header != NULL && exchange->id[0] != '\0';
-  const char *id = compares_id ? http_head_find (head, header) : NULL;
+  const char *id = header == NULL ? NULL : http_head_find (head, header);
+  /* A request without an id does not get a response that names one. */
   if (id != NULL)
-    exchange->skipping_response = strcmp (id, exchange->id) != 0;
+    exchange->skipping_response = strcmp (id, connection->id) != 0;
   else
-    exchange->skipping_response = compares_id && connection->echoes_id;
+    exchange->skipping_response
+        = connection->id[0] != '\0' && connection->echoes_id;
   connection->echoes_id |= id != NULL;
   if (exchange->skipping_response)
     {
@@ -197,7 +193,7 @@
 {
   struct http_stream *stream = connection->stream;
   return stream->head->keep_alive && exchange->skipped_responses == 0
-         && !exchange->long_id && http_stream_unread (stream) == 0
+         && http_stream_unread (stream) == 0
          && evbuffer_get_length (http_stream_output (stream)) == 0;
 }
 
@@ -311,9 +307,9 @@
                               sizeof server_address);
 }
 
-/// @param id  of the request, or NULL. A connection whose last request had the
-///            same one is not taken: a late copy of that response would pass
-///            for the next.
+/// @param id  of the request, "" for none. A connection whose last request had
+///            the same one is not taken: a late copy of that response would
+///            pass for the next.
 /// @return the most recently used idle connection, or NULL
 static struct http_connection *
 take_idle (struct http_pool *pool, struct http_endpoint *endpoint,
@@ -327,7 +323,7 @@
       if (c->exchange != NULL || !c->established || idle_ms > max_idle_ms
           || idle_ms + 500 > c->idle_limit_ms || http_stream_unread (c->stream)
           || c->stream->ended || c->stream->started
-          || (id != NULL && id[0] != '\0' && strcmp (c->last_id, id) == 0))
+          || (id[0] != '\0' && strcmp (c->id, id) == 0))
         continue;
       if (newest == NULL || c->idle_since_ms > newest->idle_since_ms)
         newest = c;
@@ -342,28 +338,29 @@
   struct http_endpoint *endpoint
       = find_endpoint (pool, send->address, send->port, true);
   struct http_exchange *exchange = calloc (1, sizeof *exchange);
-  if (endpoint == NULL || exchange == NULL)
+  char *id = strdup (send->id == NULL ? "" : send->id);
+  if (endpoint == NULL || exchange == NULL || id == NULL)
     {
+      free (id);
       free (exchange);
       return NULL;
     }
   struct http_connection *connection
-      = take_idle (pool, endpoint, send->max_idle_ms, send->id);
+      = take_idle (pool, endpoint, send->max_idle_ms, id);
   bool reused = connection != NULL;
   if (connection == NULL)
     connection = open_connection (pool, endpoint);
   if (connection == NULL)
     {
+      free (id);
       free (exchange);
       return NULL;
     }
   exchange->connection = connection;
   exchange->ops = ops;
   exchange->arg = arg;
-  exchange->long_id = send->id != NULL && strlen (send->id) > HTTP_ID_MAX;
-  if (send->id != NULL && !exchange->long_id)
-    strcpy (exchange->id, send->id);
-  strcpy (connection->last_id, exchange->id);
+  free (connection->id);
+  connection->id = id;
   evtimer_assign (&exchange->timer, pool->base, on_timer, exchange);
   connection->exchange = exchange;
   connection->stream->no_body = send->no_body;
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -32,8 +32,8 @@
   uint32_t idle_ms;      ///< connections idle for longer are closed
   uint32_t connect_ms;   ///< timeout of a connect
   const char *id_header; ///< name of the id field: a response whose value
-                         ///< differs from the request's id is dropped; NULL:
-                         ///< not compared
+                         ///< differs from the request's id is dropped, also
+                         ///< if the request has none; NULL: not compared
 };
 
 struct http_endpoint;
@@ -52,8 +52,8 @@
   uint32_t address; ///< IPv4, host byte order
   uint16_t port;
   struct evbuffer *request; ///< complete request; the buffer is emptied
-  const char *id;           ///< expected value of the id field, or NULL; not
-                            ///< compared if 64 bytes or longer
+  const char *id;           ///< expected value of the id field, of any
+                            ///< length; NULL or "": the request has none
   uint32_t max_idle_ms;     ///< connections idle for longer are not reused
   bool no_body;             ///< the response has no body (HEAD)
 };
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -240,6 +240,65 @@
     }
 }
 
+/// Ids of any length are compared, in full: the second request is answered
+/// with a late copy of the first response and then with its own.
+static void
+test_late_copies_for_long_ids (void)
+{
+  static const size_t sizes[] = { 1, 63, 64, 72, 1500 };
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    for (int repeats_id = 0; repeats_id < 2; repeats_id++)
+      {
+        char first[1600], second[1600], own[1800], both[3600];
+        memset (first, 'x', sizes[i]);
+        first[sizes[i]] = '\0';
+        strcpy (second, first);
+        if (!repeats_id)
+          second[sizes[i] - 1] = 'y';
+        snprintf (own, sizeof own, COPY_OF ("%s", "old"), first);
+        snprintf (both, sizeof both, "%s" COPY_OF ("%s", "new"),
+                  repeats_id ? "" : own, second);
+        struct script responses = { .responses = { own, both } };
+        uint16_t port = pool_set_up (&responses);
+        struct result result = exchange (port, first);
+        CU_ASSERT_EQUAL (memcmp (result.body, "old", 3), 0);
+        result = exchange (port, second);
+        bool correct = result.ended && result.end == HTTP_END_COMPLETE
+                       && result.size == 3
+                       && memcmp (result.body, "new", 3) == 0;
+        if (!correct)
+          printf ("  id of %zu bytes: end %d, %.*s\n", sizes[i],
+                  (int)result.end, (int)result.size, result.body);
+        CU_ASSERT (correct);
+        /* Requests with distinct ids share a connection, repeats do not. */
+        CU_ASSERT_EQUAL (script.connections, repeats_id ? 2 : 1);
+        pool_tear_down ();
+      }
+}
+
+/// A request without an id must not get a response that names one.
+static void
+test_late_copy_for_a_request_without_id (void)
+{
+  static const char *const ids[] = { NULL, "" };
+  for (size_t i = 0; i < sizeof ids / sizeof ids[0]; i++)
+    {
+      struct script responses
+          = { .responses
+              = { COPY_OF ("a", "abc"),
+                  COPY_OF ("a", "old") "HTTP/1.1 400 Bad Request\r\n"
+                                       "Content-Length: 3\r\n\r\nnew" } };
+      uint16_t port = pool_set_up (&responses);
+      CU_ASSERT_EQUAL (exchange (port, "a").end, HTTP_END_COMPLETE);
+      struct result result = exchange (port, ids[i]);
+      CU_ASSERT_EQUAL (result.end, HTTP_END_COMPLETE);
+      CU_ASSERT_EQUAL (result.status, 400);
+      CU_ASSERT_EQUAL (result.size, 3);
+      CU_ASSERT_EQUAL (memcmp (result.body, "new", 3), 0);
+      pool_tear_down ();
+    }
+}
+
 /// A target that never ends a part of its response. The pool must end the
 /// exchange, with a bounded amount of it in memory.
 static void
@@ -346,6 +405,10 @@
       test_ambiguous_responses },
     { "a late copy of a response is taken for the next one",
       test_late_copies },
+    { "a late copy is taken for the response to a request with a long id",
+      test_late_copies_for_long_ids },
+    { "a late copy is taken for the response to a request without an id",
+      test_late_copy_for_a_request_without_id },
     { "a stop resets connections that the kernel has established",
       test_stop_with_waiting_connections },
     { "a response head without end fills memory or never ends",
