Decide that a response closes its connection when it is sent

Clients that pipeline requests lost some of them at a planned stop (LOST): their node had read and passed them on, and closed the connection.

Cause: http_server wrote "Connection: close" into the head of a response when the handler started it. While an earlier response is unfinished, that head waits in a buffer, and requests that arrive meanwhile are started. When the held response was sent, drop_requests cancelled them at their targets. A second path had the same effect without a held response: requests that arrived while the body of a closing response was streamed.

Ruled out: http_server_close_idle and the end of the grace time; both keep connections with requests, and the losses came within 2 s of the signal.

The status line is now written when the response is next in order, where it is known whether a request follows. After a response that announces the close, no request of the connection is started, so that none can be dropped; callers count them as not read and send them again.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -52,11 +52,13 @@
   struct http_request *receiving_request; ///< request that is being received
   uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
                              ///< the last response, or begin of closing
-  unsigned rejected; ///< status for malformed bytes behind the requests that
-                     ///< are in progress; 0: none
-  bool served;       ///< a request was received on it
-  bool closing;      ///< shut down once the output is sent
-  bool lingering;    ///< shut down, waits for the caller's close
+  unsigned rejected;  ///< status for malformed bytes behind the requests that
+                      ///< are in progress; 0: none
+  bool served;        ///< a request was received on it
+  bool last_response; ///< the head of a response that closes the connection
+                      ///< was sent; later requests are not started
+  bool closing;       ///< shut down once the output is sent
+  bool lingering;     ///< shut down, waits for the caller's close
   struct http_server_connection *next;
   struct http_server_connection *previous;
 };
@@ -151,7 +153,8 @@
 on_head (struct http_stream *stream, struct http_head *head)
 {
   struct http_server_connection *connection = stream->owner;
-  if (connection->closing || connection->receiving_request != NULL)
+  if (connection->closing || connection->last_response
+      || connection->receiving_request != NULL)
     return;
   void *arena = talloc_new (NULL);
   struct http_request *request = talloc_zero (arena, struct http_request);
@@ -184,7 +187,7 @@
 {
   struct http_server_connection *connection = stream->owner;
   struct http_request *request = connection->receiving_request;
-  if (request == NULL || connection->closing)
+  if (request == NULL || connection->closing || connection->last_response)
     return;
   if (evbuffer_get_length (request->body) + size
       > connection->server->limits.body_bytes)
@@ -201,7 +204,7 @@
 {
   struct http_server_connection *connection = stream->owner;
   struct http_request *request = connection->receiving_request;
-  if (request == NULL || connection->closing)
+  if (request == NULL || connection->closing || connection->last_response)
     return;
   connection->receiving_request = NULL;
   connection->served = true;
@@ -451,15 +454,6 @@
   return size;
 }
 
-/// @return true if the response closes the connection. A draining server
-/// closes it after the last request that was received, so that none is lost.
-static bool
-closes_connection (const struct http_request *request)
-{
-  return !request->head->keep_alive
-         || (request->server->draining && request->next == NULL);
-}
-
 /// @return the buffer that takes the bytes of a response
 static struct evbuffer *
 response_output (struct http_request *request)
@@ -469,14 +463,30 @@
              : http_stream_output (request->connection->stream);
 }
 
+/// Sends the status line of the response that is next in order. Only then is
+/// it known whether the response closes the connection: a draining server
+/// closes it after the last request that was received, so that none is lost.
 static void
-write_status (struct http_request *request, unsigned status,
-              const char *framing)
+send_status_line (struct http_request *request)
 {
-  write_status_line (response_output (request), status,
-                     closes_connection (request), framing);
-  if (closes_connection (request))
+  struct http_server_connection *connection = request->connection;
+  if (request->server->draining && request->next == NULL)
     request->head->keep_alive = false;
+  connection->last_response = !request->head->keep_alive;
+  write_status_line (http_stream_output (connection->stream), request->status,
+                     connection->last_response, request->framing);
+}
+
+/// Starts a response. Its status line is sent when earlier responses have
+/// ended.
+static void
+start_response (struct http_request *request, unsigned status,
+                const char *framing)
+{
+  request->status = status;
+  snprintf (request->framing, sizeof request->framing, "%s", framing);
+  if (request->output == NULL)
+    send_status_line (request);
 }
 
 /// Moves the responses that are next in order to the connection's output and
@@ -490,6 +500,8 @@
       struct http_request *request = connection->request;
       if (request->output != NULL)
         {
+          if (request->status != 0)
+            send_status_line (request);
           evbuffer_add_buffer (output, request->output);
           evbuffer_free (request->output);
           request->output = NULL;
@@ -531,9 +543,9 @@
             const void *body, size_t size)
 {
   struct evbuffer *output = response_output (request);
-  char framing[64];
+  char framing[HTTP_FRAMING_SIZE_MAX];
   snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", size);
-  write_status (request, status, framing);
+  start_response (request, status, framing);
   if (fields != NULL)
     evbuffer_add (output, fields, strlen (fields));
   evbuffer_add (output, "\r\n", 2);
@@ -547,7 +559,7 @@
                   struct evbuffer *fields, int64_t length)
 {
   struct evbuffer *output = response_output (request);
-  char framing[64] = "Transfer-Encoding: chunked\r\n";
+  char framing[HTTP_FRAMING_SIZE_MAX] = "Transfer-Encoding: chunked\r\n";
   bool no_body = status == 204 || status == 304;
   if (no_body)
     framing[0] = '\0';
@@ -557,7 +569,7 @@
   request->response_started = true;
   request->response_chunked
       = length < 0 && !no_body && request->head->method != HTTP_HEAD;
-  write_status (request, status, framing);
+  start_response (request, status, framing);
   evbuffer_add_buffer (output, fields);
   evbuffer_add (output, "\r\n", 2);
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -10,6 +10,10 @@
 #include <event2/event.h>
 #include <event2/event_struct.h>
 
+/// Bytes of the field that frames a response, with its CRLF and the
+/// terminating zero.
+#define HTTP_FRAMING_SIZE_MAX 64
+
 struct http_server;
 struct http_server_connection;
 
@@ -22,6 +26,8 @@
   struct evbuffer *body;
   uint64_t received_us; ///< when the request was complete, monotonic
   void *context;        ///< pointer of the handler
+  unsigned status;      ///< of the response; 0: not started
+  char framing[HTTP_FRAMING_SIZE_MAX]; ///< its framing field, or ""
   bool response_started;
   bool response_chunked;
   bool response_complete;    ///< the complete response was written
@@ -77,7 +83,8 @@
 void http_server_stop (struct http_server *server);
 
 /// From now on, the response to the last request received on a connection
-/// closes that connection.
+/// closes that connection. Requests behind it are not started; their callers
+/// send them again.
 void http_server_drain (struct http_server *server);
 
 /// Closes the connections that have neither a request nor unsent bytes, except
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -110,6 +110,90 @@
   server_tear_down (&raw_client);
 }
 
+/// Counts the occurrences of a text in what a client received.
+static size_t
+count_received (const struct raw_client *raw_client, const char *text)
+{
+  size_t count = 0;
+  const char *at = raw_client->received;
+  for (; (at = strstr (at, text)) != NULL; at += strlen (text))
+    count++;
+  return count;
+}
+
+/// A draining server holds a finished response back, because an earlier one is
+/// not finished. Requests that arrive meanwhile are answered, too.
+static void
+test_draining_server_responds_behind_a_held_response (void)
+{
+  struct raw_client raw_client;
+  client_connect (&raw_client, server_set_up ());
+  client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  http_server_drain (&server);
+  http_reply (requests[1], 200, NULL, "two", 3);
+  client_send (&raw_client, "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  CU_ASSERT_EQUAL_FATAL (request_count, 3);
+  http_reply (requests[0], 200, NULL, "one", 3);
+  run_ms (50);
+  CU_ASSERT_EQUAL (disconnect_count, 0);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "HTTP/1.1 200"), 2);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "Connection: close"), 0);
+  if (disconnect_count == 0)
+    http_reply (requests[2], 200, NULL, "three", 5);
+  run_ms (50);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "three"), 1);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "Connection: close"), 1);
+  CU_ASSERT (raw_client.closed);
+  server_tear_down (&raw_client);
+}
+
+/// The head of a response says that it closes the connection, and its body is
+/// still being sent. Requests that arrive meanwhile must not be started: their
+/// caller sends them again.
+static void
+test_no_request_starts_behind_a_closing_response (void)
+{
+  static const char *const first_parts[] = { "", "GET /2 HTTP/1.1\r\nHo",
+                                             "POST /2 HTTP/1.1\r\nHost: h\r\n"
+                                             "Content-Length: 4\r\n\r\nab" };
+  static const char *const last_parts[]
+      = { "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n", "st: h\r\n\r\n", "cd" };
+  for (size_t i = 0; i < 3; i++)
+    for (int by_caller = 0; by_caller < 2; by_caller++)
+      {
+        struct raw_client raw_client;
+        struct evbuffer *fields = evbuffer_new ();
+        client_connect (&raw_client, server_set_up ());
+        client_send (&raw_client, by_caller
+                                      ? "GET /1 HTTP/1.1\r\nHost: h\r\n"
+                                        "Connection: close\r\n\r\n"
+                                      : "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        client_send (&raw_client, first_parts[i]);
+        run_ms (50);
+        if (!by_caller)
+          http_server_drain (&server);
+        http_reply_start (requests[0], 200, fields, 8);
+        http_reply_write (requests[0], "half", 4);
+        client_send (&raw_client, last_parts[i]);
+        run_ms (50);
+        CU_ASSERT_EQUAL (request_count, 1);
+        http_reply_write (requests[0], "rest", 4);
+        http_reply_finish (requests[0]);
+        run_ms (50);
+        CU_ASSERT_EQUAL (request_count, 1);
+        CU_ASSERT_EQUAL (disconnect_count, 0);
+        CU_ASSERT_EQUAL (count_received (&raw_client, "halfrest"), 1);
+        CU_ASSERT_EQUAL (count_received (&raw_client, "HTTP/1.1"), 1);
+        CU_ASSERT_EQUAL (count_received (&raw_client, "Connection: close"), 1);
+        CU_ASSERT (raw_client.closed);
+        evbuffer_free (fields);
+        server_tear_down (&raw_client);
+      }
+}
+
 static void
 test_truncated_response_is_detectable (void)
 {
@@ -272,6 +356,10 @@
       test_refused_requests },
     { "a draining server drops requests that it has read",
       test_draining_server_responds_to_all },
+    { "a draining server drops requests behind a response that it holds back",
+      test_draining_server_responds_behind_a_held_response },
+    { "a request is started behind a response that closes the connection",
+      test_no_request_starts_behind_a_closing_response },
     { "a draining server truncates a response that is not read yet",
       test_draining_server_sends_finished_response },
     { "a truncated response looks complete to the caller",
