Record a leave outside the process before acknowledging it

A target that had announced its end got requests again, up to 6.7 s after its node had acknowledged the leave, and some were lost when it ended (DRAIN). The store was unreachable, and the node was killed and restarted in between.

Cause: acknowledge_leave did not wait for an unreachable store, so only the process knew of the leave. The next process found the entry from before it and took a delayed report for current. Related paths with the same cause: a store that is slow to answer, and a leave of a target that the process has had no report of.

Ruled out: the order of reports, and the view from other nodes, which was complete; nobody had told them.

A leave that the store cannot record is now acknowledged once one of three other nodes holds its notice. They are chosen by a hash of the names, so that the next process asks the same ones before its view counts. The holders write the notice to the store when it is back, unless the node's entry shows the leave by then. If neither the store nor a node takes it, the leave is refused. Also, target_history no longer lets a leave bar a later start under the same name.

--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -36,6 +36,10 @@
 #define CALL_PATH_CHANGES "/_hawthornseam/changes?after="
 #define CALL_PATH_EVIDENCE "/_hawthornseam/evidence"
 
+/// Leaves the notice of a leaving target with another node, and asks for it.
+#define CALL_PATH_LEAVE "/_hawthornseam/leave"
+#define CALL_PATH_LEAVE_ASK "/_hawthornseam/leave/ask"
+
 /// Longest deadline that a caller may request, ms.
 #define CALL_DEADLINE_MAX_MS (10u * 60 * 1000)
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -68,16 +68,18 @@
 
 struct sidecar_store;
 struct sidecar_moves;
+struct sidecar_leaves;
 struct sidecar_crashes;
 
 /// Acknowledgements of a target's leave that may wait for the store at once.
 #define SIDECAR_LEAVE_ACKS_MAX 4
 
-/// Acknowledgement that is held back until the leave is in the store.
+/// Acknowledgement that is held back until the leave is recorded: in the
+/// store, or with another node.
 struct sidecar_leave_ack
 {
   struct http_request *request; ///< NULL: unused
-  uint64_t due_ms;              ///< sent at the latest then
+  uint64_t received_ms;
 };
 
 /// State of the target beside this node.
@@ -123,6 +125,7 @@
   struct http_pool target_pool;
   struct store_client store_client;
   struct sidecar_store *store;
+  struct sidecar_leaves *leaves; ///< notices at this node, and calls to others
   struct sidecar_moves *moves;
   struct sidecar_crashes *crashes;
   struct event tick;
@@ -161,12 +164,12 @@
 /// target as gone.
 void sidecar_target_refused (struct sidecar *sidecar);
 
-/// Marks the target as gone when its reports have stopped, and sends the
-/// acknowledgements that are due.
+/// Marks the target as gone when its reports have stopped. Turns to other
+/// nodes, and in the end refuses, where a leave is not recorded in time.
 void sidecar_target_tick (struct sidecar *sidecar);
 
-/// Sends the acknowledgements of a leave: the store has it now, so a restart
-/// of this node does not lose it.
+/// Sends the acknowledgements of a leave: the store or another node has it
+/// now, so a restart of this node does not lose it.
 void sidecar_target_recorded (struct sidecar *sidecar);
 
 /// Takes over what an earlier process of this node has announced about the
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -8,6 +8,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "protocol/call_headers.h"
+#include "sidecar/sidecar_leave.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -394,6 +395,12 @@
       sidecar_moves_serve_evidence (sidecar, request);
       return;
     }
+  if (strcmp (request->head->target, CALL_PATH_LEAVE) == 0
+      || strcmp (request->head->target, CALL_PATH_LEAVE_ASK) == 0)
+    {
+      sidecar_leave_serve (sidecar, request);
+      return;
+    }
   if (hop_parse (http_head_find (request->head, CALL_HEADER_HOP), &hop)
       != STATUS_OK)
     {
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -1,6 +1,7 @@
 /// Applies keys that were read from the store, or received from another node,
 /// to the configuration, the directory, the moves and the crash suspects.
 /// Owns no state.
+#include "sidecar/sidecar_leave.h"
 #include "sidecar/sidecar_store.h"
 
 #include "base/clock.h"
@@ -124,6 +125,8 @@
       = own_key == NULL ? NULL : strip_prefix (own_key, NODE_KEY_PREFIX);
   const char *move
       = own_key == NULL ? NULL : strip_prefix (own_key, MOVE_KEY_PREFIX);
+  const char *leave
+      = own_key == NULL ? NULL : strip_prefix (own_key, LEAVE_KEY_PREFIX);
   const char *crash
       = own_key == NULL ? NULL : strip_prefix (own_key, CRASH_KEY_PREFIX);
   if (node != NULL)
@@ -136,6 +139,8 @@
     sidecar_moves_on_order (sidecar, key, order);
   else if (move != NULL)
     sidecar_moves_on_record (sidecar, key, move);
+  else if (leave != NULL)
+    sidecar_leave_on_record (sidecar, key);
   else if (crash != NULL)
     sidecar_crash_on_record (sidecar, key);
 }
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -5,7 +5,7 @@
 #include "base/findings.h"
 #include "base/log.h"
 #include "platform/platform.h"
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_leave.h"
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -249,6 +249,7 @@
   sidecar_target_tick (sidecar);
   sidecar_inbound_tick (sidecar);
   sidecar_store_tick (sidecar);
+  sidecar_leave_tick (sidecar);
   sidecar_moves_tick (sidecar);
   check_settings (sidecar, clock_monotonic_ms ());
   if (sidecar->stopping)
@@ -292,6 +293,8 @@
   http_pool_init (&sidecar->peer_pool, sidecar->base, &peer);
   http_pool_init (&sidecar->target_pool, sidecar->base, &target);
   enum status status = sidecar_store_start (sidecar);
+  if (status == STATUS_OK)
+    status = sidecar_leave_start (sidecar);
   if (status == STATUS_OK)
     status = sidecar_moves_start (sidecar);
   if (status == STATUS_OK)
@@ -323,6 +326,7 @@
   http_server_stop (&sidecar->reports);
   http_server_stop (&sidecar->metrics);
   sidecar_moves_stop (sidecar);
+  sidecar_leave_stop (sidecar);
   sidecar_store_stop (sidecar);
   sidecar_crash_stop (sidecar);
   http_pool_finish (&sidecar->peer_pool);
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -1,7 +1,7 @@
 /// Owns the state of the local target as seen by this node: its reports,
 /// draining, and whether it is gone. Every change updates the admission queue
 /// and the node's directory entry in the store.
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_leave.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -18,9 +18,13 @@
 /// single refusal may come from a connection limit.
 #define CONNECT_REFUSALS_MAX 3
 
-/// Longest time for which the acknowledgement of a leave waits for the store.
-/// Targets wait a second for it.
-#define LEAVE_ACK_WAIT_MS 400
+/// Longest time for which the acknowledgement of a leave waits for the store
+/// alone; then other nodes are asked to hold its notice.
+#define LEAVE_STORE_WAIT_MS 400
+
+/// A leave that is not recorded anywhere by then is not acknowledged. Targets
+/// wait a second.
+#define LEAVE_ACK_WAIT_MS 900
 
 static struct counter reports
     = COUNTER ("target_reports", "reports of the own target");
@@ -31,6 +35,9 @@
 static struct counter overruled
     = COUNTER ("target_reports_overruled",
                "reports of a target whose leave was acknowledged earlier");
+static struct counter unrecorded = COUNTER (
+    "target_leaves_unrecorded",
+    "leaves not acknowledged: neither the store nor a node could record them");
 
 static const char *
 state_name (const struct sidecar_target *target)
@@ -159,24 +166,69 @@
     }
 }
 
-/// Acknowledges a leave once the store has it, so that the next process of
-/// this node knows of it too. An unreachable store is not waited for.
+/// @return true when the store can record the leave soon: the entry names the
+///         target, and the store answers
+static bool
+can_record_leave (const struct sidecar *sidecar)
+{
+  return sidecar->target.known && !sidecar_store_is_unreachable (sidecar);
+}
+
+/// Acknowledges a leave once the store or another node has it, so that the
+/// next process of this node knows of it too.
 static void
 acknowledge_leave (struct sidecar *sidecar, struct http_request *request)
 {
-  if (sidecar->target.known && !sidecar_store_is_announced (sidecar)
-      && !sidecar_store_is_unreachable (sidecar))
-    for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
-      {
-        struct sidecar_leave_ack *ack = &sidecar->target.leave_acks[i];
-        if (ack->request != NULL)
-          continue;
-        *ack = (struct sidecar_leave_ack){ .request = request,
-                                           .due_ms = clock_monotonic_ms ()
-                                                     + LEAVE_ACK_WAIT_MS };
-        return;
-      }
-  send_reply (request, 200, "{}");
+  bool is_recorded = sidecar->target.known
+                     && sidecar_store_is_announced (sidecar)
+                     && !sidecar_store_is_unreachable (sidecar);
+  if (is_recorded
+      || (!can_record_leave (sidecar) && sidecar_leave_replicate (sidecar)))
+    {
+      send_reply (request, 200, "{}");
+      return;
+    }
+  for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
+    {
+      struct sidecar_leave_ack *ack = &sidecar->target.leave_acks[i];
+      if (ack->request != NULL)
+        continue;
+      *ack
+          = (struct sidecar_leave_ack){ .request = request,
+                                        .received_ms = clock_monotonic_ms () };
+      return;
+    }
+  send_reply (request, 503, "{\"error\":\"too many reports wait\"}");
+}
+
+/// Looks for another place to record a leave that the store has not recorded,
+/// and refuses its acknowledgement when there is none.
+static void
+tick_leave_acks (struct sidecar *sidecar, uint64_t now_ms)
+{
+  for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
+    {
+      struct sidecar_leave_ack *ack = &sidecar->target.leave_acks[i];
+      struct http_request *request = ack->request;
+      if (request == NULL)
+        continue;
+      uint64_t waited_ms = now_ms - ack->received_ms;
+      if (waited_ms >= LEAVE_ACK_WAIT_MS)
+        {
+          counter_add (&unrecorded, 1);
+          log_event (LOG_LEVEL_WARNING, "leave_not_recorded",
+                     "instance=%s waited_ms=%" PRIu64 " store_away=%d",
+                     sidecar->target.report.instance, waited_ms,
+                     sidecar_store_is_unreachable (sidecar));
+          ack->request = NULL;
+          send_reply (request, 503, "{\"error\":\"leave not recorded\"}");
+        }
+      else if (waited_ms >= LEAVE_STORE_WAIT_MS || !can_record_leave (sidecar))
+        {
+          if (sidecar_leave_replicate (sidecar))
+            sidecar_target_recorded (sidecar);
+        }
+    }
 }
 
 static void
@@ -308,13 +360,7 @@
   if (target->known && !target->gone
       && now - target->last_report_ms > report_age_max_ms)
     mark_gone (sidecar);
-  for (size_t i = 0; i < SIDECAR_LEAVE_ACKS_MAX; i++)
-    if (target->leave_acks[i].request != NULL
-        && now >= target->leave_acks[i].due_ms)
-      {
-        sidecar_target_recorded (sidecar);
-        return;
-      }
+  tick_leave_acks (sidecar, now);
 }
 
 void
--- a/src/sidecar/sidecar_view.c
+++ b/src/sidecar/sidecar_view.c
@@ -1,5 +1,6 @@
 /// Serves the node's view of the store to nodes that start while the store is
 /// unreachable, and requests one from another node. Owns no state.
+#include "sidecar/sidecar_leave.h"
 #include "sidecar/sidecar_store.h"
 
 #include "base/clock.h"
@@ -70,7 +71,9 @@
                                         .size = view.items[i].size });
       if (store->as_of == 0 && !store->listing)
         store->as_of = as_of;
-      store->caught_up = true;
+      /* The view may lack a leave that an earlier process acknowledged while
+         the store was unreachable. */
+      sidecar_leave_ask (store->sidecar);
     }
   mirror_finish (&view);
 }
--- a/src/state/target_history.c
+++ b/src/state/target_history.c
@@ -9,12 +9,18 @@
 {
   bool same
       = history->known && strcmp (history->instance, entry->instance) == 0;
+  bool both_known = history->started_ms != 0 && entry->started_ms != 0;
   if (entry->instance[0] == '\0'
-      || (history->known && !same && entry->started_ms <= history->started_ms))
+      || (history->known && !same && entry->started_ms <= history->started_ms)
+      || (same && both_known && entry->started_ms < history->started_ms))
     return;
-  bool leaving = entry->leaving || (same && history->leaving);
+  bool restarted = both_known && entry->started_ms > history->started_ms;
+  bool leaving = entry->leaving || (same && !restarted && history->leaving);
+  uint64_t started_ms = entry->started_ms;
+  if (same && started_ms == 0)
+    started_ms = history->started_ms;
   *history = (struct target_history){ .known = true,
-                                      .started_ms = entry->started_ms,
+                                      .started_ms = started_ms,
                                       .leaving = leaving };
   strcpy (history->instance, entry->instance);
 }
--- a/test/functional/return_test.sh
+++ b/test/functional/return_test.sh
@@ -3,7 +3,8 @@
 # against these failures: a target that announced its end is in use again
 # because a delayed report reaches the new process, with the store reachable or
 # not; a delayed report of a replaced target is taken for the current one; a
-# leave is acknowledged before the store has it, and lost with the process.
+# leave is acknowledged before the store or another node has it, and lost with
+# the process.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin return
 sidecars_begin
@@ -24,6 +25,8 @@
     "http://127.0.0.1:$(port "$1" 1)/read/x"
 }
 
+hops() { [ "$(hop "$1")" = "$2" ]; }
+
 restart() {
   stop "s$1" KILL
   sidecar_run "$1"
@@ -92,4 +95,61 @@
 report_of 0 i-a 1000 900 draining >"$RUN/code"
 expect "leave without an answer of the store" "$(cat "$RUN/code")" 200
 curl -s -X POST "$STORE/control/silent?0"
+
+# A leave that is acknowledged while the store is away, and a node that is killed
+# right after that: the next process learns of the leave from the nodes that hold
+# its notice, and keeps to it when the store is back.
+sleep 2.5
+expect "current target" "$(report_of 1 i-b 5000 1 ready)" 200
+wait_for "it is used" 5 hops 1 200 || fail "the new target of node 1 is not used"
+sleep 1
+curl -s -X POST "$STORE/control/away?1"
+sleep 0.5
+expect "leave acknowledged without the store" \
+  "$(curl -s -m 1 -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(port 1 3)/api/instances/i-b/deregister" -d '{}')" 200
+stop s1 KILL
+sidecar_run 1
+wait_for "node 1 listens" 5 curl -s -o /dev/null "http://127.0.0.1:$(port 1 3)/"
+expect "delayed report without the store" "$(report_of 1 i-b 5000 2 ready)" 200
+for attempt in 1 2 3 4 5; do
+  expect "target that left without the store, $attempt" "$(hop 1 2130706433 "$(port 0 1)")" 503
+  sleep 0.3
+done
+grep -q "event=view_from_peer" "$RUN/s1.out" || fail "no view from another node"
+curl -s -X POST "$STORE/control/away?0"
+for attempt in 1 2 3 4 5 6; do
+  expect "the same with the store, $attempt" "$(hop 1)" 503
+  sleep 0.4
+done
+expect "its next incarnation" "$(report_of 1 i-b 6000 1 ready)" 200
+wait_for "it is used" 5 hops 1 200 || fail "the next incarnation is not used"
+
+# The same for a target of which the process has had no report, with the store
+# reachable: the entry is the one of the process before.
+sleep 1
+stop s1 KILL
+sidecar_run 1
+wait_for "node 1 has the configuration" 5 ready 1 || fail "node 1 is not ready"
+sleep 0.5
+expect "leave before a report" \
+  "$(curl -s -m 1 -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(port 1 3)/api/instances/i-b/deregister" -d '{}')" 200
+stop s1 KILL
+sidecar_run 1
+wait_for "node 1 has the configuration" 5 ready 1 || fail "node 1 is not ready"
+sleep 0.3
+expect "delayed report" "$(report_of 1 i-b 6000 2 ready)" 200
+sleep 0.5
+expect "target that left before a report" "$(hop 1)" 503
+
+# Neither the store nor another node can record a leave: no acknowledgement.
+expect "current target" "$(report_of 1 i-b 7000 1 ready)" 200
+wait_for "it is used" 5 hops 1 200 || fail "the new target of node 1 is not used"
+curl -s -X POST "$STORE/control/away?1"
+stop s0 KILL
+stop s2 KILL
+sleep 0.5
+expect "leave that nobody records" \
+  "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(port 1 3)/api/instances/i-b/deregister" -d '{}')" 503
+sleep 0.6
+expect "it gets nothing all the same" "$(hop 1)" 503
 echo "passed"
--- a/test/unit/target_history_test.c
+++ b/test/unit/target_history_test.c
@@ -99,6 +99,60 @@
   CU_ASSERT_EQUAL (target_history_judge (&history, "b", 200), TARGET_LEAVING);
 }
 
+/// The notice of a leave may be applied again after the target's name has
+/// started once more, and may lack the time of the start.
+static void
+test_leave_of_an_earlier_start (void)
+{
+  static const struct
+  {
+    const char *what;
+    struct
+    {
+      uint64_t started_ms;
+      bool leaving;
+    } entries[2];
+    uint64_t started_ms; ///< of the report
+    enum target_verdict verdict;
+  } rows[] = {
+    { "leave, then a later start",
+      { { 100, true }, { 200, false } },
+      200,
+      TARGET_CURRENT },
+    { "later start, then the leave again",
+      { { 200, false }, { 100, true } },
+      200,
+      TARGET_CURRENT },
+    { "start known, then a leave without it",
+      { { 100, false }, { 0, true } },
+      100,
+      TARGET_LEAVING },
+    { "the same, and a later start reports",
+      { { 100, false }, { 0, true } },
+      200,
+      TARGET_CURRENT },
+    { "leave, then the entry from before it",
+      { { 100, true }, { 100, false } },
+      100,
+      TARGET_LEAVING },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct target_history history = { 0 };
+      for (size_t k = 0; k < 2; k++)
+        {
+          struct directory_entry entry = make_entry (
+              "a", rows[i].entries[k].started_ms, rows[i].entries[k].leaving);
+          target_history_restore (&history, &entry);
+        }
+      enum target_verdict verdict
+          = target_history_judge (&history, "a", rows[i].started_ms);
+      if (verdict != rows[i].verdict)
+        printf ("  %s: %d\n", rows[i].what, (int)verdict);
+      CU_ASSERT_EQUAL (verdict, rows[i].verdict);
+    }
+}
+
 static void
 test_leave_before_any_report (void)
 {
@@ -113,6 +167,8 @@
     test_reports_after_a_restart },
   { "an empty entry makes a target leave", test_nothing_known },
   { "an older entry revokes a leave", test_older_entries_change_nothing },
+  { "a leave bars the next start of the target, or loses its own",
+    test_leave_of_an_earlier_start },
   { "a leave that precedes the first report is forgotten",
     test_leave_before_any_report },
 };
