Refuse numbers of 2^32 and more in entries, records and reports

Report of other operators: an odd entry among those of the targets, nested deeply, with a number too large, or with a port out of range.

Cause: json_unpack casts the JSON integer to int for the format "i", and the range was checked after the cast. These fields are now read as 64-bit integers and checked before they are narrowed.

The stand-in of the store now ends a page of a range after 500 items or 1 MB, as the platform does; without that a response exceeded the client's limit.

--- a/src/node/node_call_target.c
+++ b/src/node/node_call_target.c
@@ -151,9 +151,9 @@
   const char *service;
   const char *version;
   const char *boot_id;
-  int port;
-  int slots;
-  int connections;
+  json_int_t port;
+  json_int_t slots;
+  json_int_t connections;
 };
 
 /// Reads and validates an announcement.
@@ -162,7 +162,7 @@
 read_announcement (json_t *object, struct announcement *announced)
 {
   memset (announced, 0, sizeof *announced);
-  if (json_unpack (object, "{s:s,s:s,s:s,s:i,s:i,s?i}", "service",
+  if (json_unpack (object, "{s:s,s:s,s:s,s:I,s:I,s?I}", "service",
                    &announced->service, "version", &announced->version,
                    "boot_id", &announced->boot_id, "port", &announced->port,
                    "slots", &announced->slots, "connections",
--- a/src/protocol/entry_record.c
+++ b/src/protocol/entry_record.c
@@ -44,15 +44,15 @@
   const char *instance;
   json_int_t address;
   json_int_t epoch;
-  int port;
-  int slots;
-  int state;
-  int cold_ms;
+  json_int_t port;
+  json_int_t slots;
+  json_int_t state;
+  json_int_t cold_ms;
   /* Absent in the records of older versions. */
   json_int_t started_ms = 0;
   int leaving = 0;
   if (json_unpack (object,
-                   "{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I, "
+                   "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, "
                    "s?I, s?b}",
                    "node", &node, "availability_zone", &zone, "service",
                    &service, "version", &version, "instance", &instance,
@@ -64,7 +64,7 @@
         object, "directory entry: a field is missing or of the wrong type");
   if (address <= 0 || address > UINT32_MAX || port < 1 || port > 65535
       || slots < 0 || slots > UINT16_MAX || state < DIRECTORY_ABSENT
-      || state > DIRECTORY_LEAVING || cold_ms < 0 || epoch < 0
+      || state > DIRECTORY_LEAVING || cold_ms < 0 || cold_ms > INT32_MAX || epoch < 0
       || started_ms < 0 || node[0] == '\0'
       || !json_text_copy_name (entry->node, node)
       || !json_text_copy_name (entry->availability_zone, zone)
--- a/src/protocol/move_record.c
+++ b/src/protocol/move_record.c
@@ -47,11 +47,11 @@
   const char *service;
   const char *to;
   json_int_t order;
-  int phase;
-  int share;
+  json_int_t phase;
+  json_int_t share;
   json_t *kinds;
   bool valid
-      = json_unpack (object, "{s:s, s:s, s:I, s:i, s:i, s:o}", "service",
+      = json_unpack (object, "{s:s, s:s, s:I, s:I, s:I, s:o}", "service",
                      &service, "to", &to, "order", &order, "phase", &phase,
                      "share_bp", &share, "kinds", &kinds)
             == 0
@@ -63,8 +63,8 @@
   for (size_t i = 0; valid && i < json_array_size (kinds); i++)
     {
       json_int_t kind;
-      int kind_share;
-      valid = json_unpack (json_array_get (kinds, i), "[I, i]", &kind,
+      json_int_t kind_share;
+      valid = json_unpack (json_array_get (kinds, i), "[I, I]", &kind,
                            &kind_share)
                   == 0
               && kind >= 0 && kind <= UINT32_MAX && kind_share >= 0
@@ -123,8 +123,13 @@
   counts->calls = (uint32_t)calls;
   counts->failures = (uint32_t)failures;
   for (size_t i = 0; i < ROLLOUT_BUCKETS; i++)
-    counts->latency[i]
-        = (uint32_t)json_integer_value (json_array_get (latency, i));
+    {
+      const json_t *bucket = json_array_get (latency, i);
+      json_int_t count = json_integer_value (bucket);
+      if (!json_is_integer (bucket) || count < 0 || count > UINT32_MAX)
+        return false;
+      counts->latency[i] = (uint32_t)count;
+    }
   return true;
 }
 
@@ -136,13 +141,14 @@
   json_t *object = json_loadb (data, size, 0, NULL);
   const char *instance;
   const char *version;
-  int occupied;
+  json_int_t occupied;
   json_t *kinds;
-  bool valid = json_unpack (object, "{s:s, s:s, s:i, s:o}", "instance",
+  bool valid = json_unpack (object, "{s:s, s:s, s:I, s:o}", "instance",
                             &instance, "version", &version, "occupied",
                             &occupied, "kinds", &kinds)
                    == 0
-               && occupied >= 0 && json_array_size (kinds) <= ROLLOUT_KINDS
+               && occupied >= 0 && occupied <= UINT32_MAX
+               && json_array_size (kinds) <= ROLLOUT_KINDS
                && copy_name (evidence->instance, instance)
                && copy_name (evidence->version, version);
   for (size_t i = 0; valid && i < json_array_size (kinds); i++)
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -20,6 +20,10 @@
 #define ITEMS_MAX 4096
 #define WATCHES_MAX 1024
 
+/// Limits of a page of a range.
+#define RANGE_ITEMS_MAX 500
+#define RANGE_BYTES_MAX (1024u * 1024)
+
 struct item
 {
   char *key;
@@ -222,19 +226,42 @@
   http_reply (request, 429, NULL, "", 0);
 }
 
+static int
+compare_items (const void *a, const void *b)
+{
+  return strcmp ((*(struct item *const *)a)->key,
+                 (*(struct item *const *)b)->key);
+}
+
+/// Responds with a page of keys in order. A page ends after RANGE_ITEMS_MAX
+/// items or RANGE_BYTES_MAX bytes of values; it has one item at least.
 static void
 answer_range (struct http_request *request)
 {
-  json_t *found = json_array ();
-  const char *prefix
-      = query_value (request->arena, request->head->target, "Prefix");
+  static struct item *matching[ITEMS_MAX];
+  size_t count = 0;
+  const char *target = request->head->target;
+  const char *prefix = query_value (request->arena, target, "Prefix");
+  const char *after = query_value (request->arena, target, "after");
   for (size_t i = 0; i < item_count; i++)
     if (items[i].value != NULL
-        && strncmp (items[i].key, prefix, strlen (prefix)) == 0)
-      json_array_append_new (found, item_json (&items[i]));
+        && strncmp (items[i].key, prefix, strlen (prefix)) == 0
+        && strcmp (items[i].key, after) > 0)
+      matching[count++] = &items[i];
+  qsort (matching, count, sizeof matching[0], compare_items);
+  json_t *found = json_array ();
+  size_t bytes = 0;
+  size_t listed = 0;
+  for (; listed < count && listed < RANGE_ITEMS_MAX; listed++)
+    {
+      bytes += strlen (matching[listed]->value);
+      if (listed > 0 && bytes > RANGE_BYTES_MAX)
+        break;
+      json_array_append_new (found, item_json (matching[listed]));
+    }
   reply_json (request, 200,
-              json_pack ("{s:o, s:b, s:I}", "items", found, "HasMore", 0,
-                         "AsOf", (json_int_t)revision));
+              json_pack ("{s:o, s:b, s:I}", "items", found, "HasMore",
+                         listed < count, "AsOf", (json_int_t)revision));
 }
 
 static bool
--- a/test/unit/call_route_test.c
+++ b/test/unit/call_route_test.c
@@ -100,6 +100,11 @@
     "\"slots\":0}",
     "{\"service\":\"sssssssssssssssssssssssssssssssss\",\"version\":\"v\","
     "\"boot_id\":\"b\",\"port\":1,\"slots\":1}",
+    /* 2^32 more than a valid value */
+    "{\"service\":\"s\",\"version\":\"v\",\"boot_id\":\"b\",\"port\":"
+    "4294967297,\"slots\":1}",
+    "{\"service\":\"s\",\"version\":\"v\",\"boot_id\":\"b\",\"port\":1,"
+    "\"slots\":4294967297}",
   };
   char valid[256];
   set_up ();
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -76,6 +76,19 @@
     "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
     "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":7,"
     "\"slots\":1,\"state\":9,\"cold_ms\":0,\"epoch\":1}",
+    /* 2^32 more than a valid value */
+    "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":4294967303,"
+    "\"slots\":1,\"state\":1,\"cold_ms\":0,\"epoch\":1}",
+    "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":7,"
+    "\"slots\":4294967297,\"state\":1,\"cold_ms\":0,\"epoch\":1}",
+    "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":7,"
+    "\"slots\":1,\"state\":4294967297,\"cold_ms\":0,\"epoch\":1}",
+    "{\"node\":\"a\",\"availability_zone\":\"z\",\"service\":\"s\","
+    "\"version\":\"v\",\"instance\":\"i\",\"address\":1,\"port\":7,"
+    "\"slots\":1,\"state\":1,\"cold_ms\":4294967296,\"epoch\":1}",
   };
   struct directory_entry entry = { .node = "node-1",
                                    .availability_zone = "z1",
@@ -115,7 +128,14 @@
           "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":0,"
           "\"share_bp\":10001,\"kinds\":[]}",
           "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":0,"
-          "\"share_bp\":1,\"kinds\":[[1]]}" };
+          "\"share_bp\":1,\"kinds\":[[1]]}",
+          /* 2^32 more than a valid value */
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":"
+          "4294967296,\"share_bp\":1,\"kinds\":[]}",
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":0,"
+          "\"share_bp\":4294967297,\"kinds\":[]}",
+          "{\"service\":\"s\",\"to\":\"v\",\"order\":4,\"phase\":0,"
+          "\"share_bp\":1,\"kinds\":[[1,4294967297]]}" };
   struct move_record record = { .service = "orders",
                                 .to_version = "v2",
                                 .order = 77,
