Keep views readable whatever another writer puts under a key

A value with a zero byte made the changes of a relay unreadable: its followers logged changes_refused, gave up both relays and read all keys from the store, as often as such a key changed; a node that was restarted while the store was away got no view at all. A value that is not UTF-8 was missing from views, and five values of the size that the store takes made a view longer than its reader accepts.

Cause: view_write escapes zero bytes, but jansson refuses them when reading unless JSON_ALLOW_NUL is given, and one such string spoils the whole document. Values under the project's own keys had no limit besides the store's.

Evidence: the new case of codec_test failed for 5 of 8 values, and odd_entries_test.sh stops at "node 2 cannot read the changes of its relay".

Views now carry zero bytes, and values that are not UTF-8 as empty ones, so that a follower sees that the key changed. Values under the project's own keys that are longer than any record are taken as empty (value_too_long in the log). The last key of a page is kept in full: one of 200 bytes was cut.

--- a/src/protocol/view.c
+++ b/src/protocol/view.c
@@ -16,9 +16,9 @@
   if (item->removed)
     return json_pack ("[s, I]", item->key, (json_int_t)item->revision);
   json_t *value = json_stringn ((const char *)item->data, item->size);
-  return value == NULL ? NULL
-                       : json_pack ("[s, I, o]", item->key,
-                                    (json_int_t)item->revision, value);
+  if (value == NULL)
+    value = json_string (""); /* not UTF-8 */
+  return json_pack ("[s, I, o]", item->key, (json_int_t)item->revision, value);
 }
 
 /// Compresses a text when that makes it smaller.
@@ -90,7 +90,8 @@
 read_text (const char *text, size_t size, struct mirror *mirror,
            uint64_t *as_of, bool *whole)
 {
-  json_t *root = json_loadb (text, size, 0, NULL);
+  /* Another writer may have put any bytes under a key. */
+  json_t *root = json_loadb (text, size, JSON_ALLOW_NUL, NULL);
   json_int_t revision;
   json_t *items;
   int is_whole;
--- a/src/protocol/view.h
+++ b/src/protocol/view.h
@@ -18,7 +18,7 @@
 ///               since then.
 /// @param as_of  store revision that the view describes
 /// @return bytes to be freed by the caller, or NULL when there is no memory.
-///         Values that are not UTF-8 are left out; neither nodes nor operators
+///         Values that are not UTF-8 become empty; neither nodes nor operators
 ///         write such values.
 char *view_write (const struct mirror *mirror, uint64_t after, uint64_t as_of,
                   size_t *size);
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -12,6 +12,10 @@
 #include <string.h>
 #include <talloc.h>
 
+/// Longest value under a key of the project's own, bytes; records are shorter.
+/// Longer ones of another writer would fill the views that nodes exchange.
+#define OWN_VALUE_BYTES_MAX (16u * 1024)
+
 static struct counter malformed_values = COUNTER (
     "store_entries_malformed", "entries and records that cannot be read");
 
@@ -106,12 +110,30 @@
   return strncmp (key, prefix, size) == 0 ? key + size : NULL;
 }
 
+/// Empties the value of one of the project's own keys when it is too long for
+/// any record.
+static struct store_key
+limit_value (const struct sidecar *sidecar, const struct store_key *key)
+{
+  struct store_key limited = *key;
+  if (key->size <= OWN_VALUE_BYTES_MAX
+      || strip_prefix (key->key, sidecar->adapter->own_prefix) == NULL)
+    return limited;
+  log_event (LOG_LEVEL_WARNING, "value_too_long",
+             "key=%.96s revision=%" PRIu64 " size=%zu", key->key,
+             key->revision, key->size);
+  limited.size = 0;
+  return limited;
+}
+
 void
 sidecar_store_apply_key (struct sidecar_store *store,
-                         const struct store_key *key)
+                         const struct store_key *stored)
 {
   struct sidecar *sidecar = store->sidecar;
   const struct adapter_ops *adapter = sidecar->adapter;
+  struct store_key limited = limit_value (sidecar, stored);
+  const struct store_key *key = &limited;
   enum status status
       = key->removed ? mirror_remove (&store->mirror, key->key, key->revision)
                      : mirror_put (&store->mirror, key->key, key->revision,
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -12,7 +12,7 @@
 #include "state/mirror.h"
 
 /// Size of a key, bytes, including the terminating zero.
-#define STORE_KEY_MAX 200
+#define STORE_KEY_MAX 201
 
 struct sidecar_relay;
 
@@ -57,7 +57,7 @@
 
 /// Applies one key as it is in the store, or its removal.
 void sidecar_store_apply_key (struct sidecar_store *store,
-                              const struct store_key *key);
+                              const struct store_key *stored);
 
 /// Applies the keys of a response of the store.
 void sidecar_store_apply_keys (struct sidecar_store *store,
--- a/test/functional/odd_entries_test.sh
+++ b/test/functional/odd_entries_test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Tests entries of another writer among the keys that sidecars read. Guards
 # against these failures: one odd entry ends the processes that read it, or keeps
-# them from newer keys; an entry with a number out of range names a target.
+# them, or the nodes that follow them, from newer keys; an entry with a number out
+# of range names a target; a restarted node gets no view while the store is away.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin odd
 sidecars_begin
@@ -68,6 +69,8 @@
 entry n-odd instance '"a\\u0000b"' >zero_escaped
 printf 'a\0b' >zero
 printf '\377\376' >no_text
+# As large as the store takes: more of them than fit in a view.
+for key in a b c d e; do put own/node/large-$key nested_far; done
 : >empty
 echo -n null >null
 entry other >name
@@ -84,4 +87,21 @@
   done
 done
 
+# One that is refused by its relay has to read all keys from the store itself.
+for i in 0 1 2; do
+  ! grep -q "event=changes_refused" "$RUN/s$i.out" || fail "node $i cannot read the changes of its relay"
+done
+
+# The odd entries are part of a view; a node that starts without the store needs it.
+put own/node/n-odd "$RUN/odd/zero"
+follows "before the store is away"
+curl -s -X POST "$STORE/control/away?1"
+stop s2 KILL
+sidecar_run 2
+has_view() {
+  curl -s -m 3 -o /dev/null -H "Hawthornseam-Hop: orders v1 0 1 2 3 0 2130706433 $(port 0 1)" \
+    -H "Hawthornseam-Request-Id: h$RANDOM$RANDOM" "http://127.0.0.1:$(port 2 1)/read/x"
+  grep -q "event=view_from_peer" "$RUN/s2.out"
+}
+wait_for "node 2 has a view" 4 has_view || fail "node 2 gets no view"
 echo "passed"
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -238,6 +238,57 @@
   mirror_finish (&read);
 }
 
+/// A value of any bytes leaves the other keys of the view readable; one that
+/// JSON cannot hold is passed on without its bytes.
+static void
+test_view_with_odd_values (void)
+{
+  static const struct
+  {
+    const char *what;
+    const char *value;
+    size_t size;
+    size_t size_read;
+  } rows[] = {
+    { "zero byte", "a\0b", 3, 3 },
+    { "zero bytes only", "\0\0", 2, 2 },
+    { "no UTF-8", "\377\376", 2, 0 },
+    { "cut UTF-8", "a\303", 2, 0 },
+    { "surrogate", "\355\240\200", 3, 0 },
+    { "nested", "[[[[[[[[[[[[[[[[[[[[", 20, 20 },
+    { "quotes", "\"}]\\", 4, 4 },
+    { "empty", "", 0, 0 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct mirror mirror, read;
+      uint64_t as_of = 0;
+      size_t size;
+      bool whole;
+      mirror_init (&mirror);
+      mirror_init (&read);
+      mirror_put (&mirror, "a", 5, (const uint8_t *)"one", 3);
+      mirror_put (&mirror, "odd", 6, (const uint8_t *)rows[i].value,
+                  rows[i].size);
+      mirror_put (&mirror, "z", 7, (const uint8_t *)"two", 3);
+      char *text = view_write (&mirror, 0, 9, &size);
+      CU_ASSERT_FATAL (text != NULL);
+      bool correct
+          = view_read (text, size, &read, &as_of, &whole) == STATUS_OK
+            && read.count == 3 && read.items[1].revision == 6
+            && read.items[1].size == rows[i].size_read
+            && memcmp (read.items[1].data, rows[i].value, rows[i].size_read)
+                   == 0
+            && memcmp (read.items[2].data, "two", 3) == 0;
+      if (!correct)
+        printf ("  %s: %zu keys\n", rows[i].what, read.count);
+      CU_ASSERT (correct);
+      free (text);
+      mirror_finish (&mirror);
+      mirror_finish (&read);
+    }
+}
+
 static void
 check_changes (const struct mirror *mirror, uint64_t after, bool want_whole,
                size_t want_items, size_t want_removed)
@@ -377,6 +428,8 @@
       test_move_evidence },
     { "the record of a crash is misread", test_crash_record },
     { "a view loses keys or restores removed ones", test_view },
+    { "an odd value hides the other keys of a view",
+      test_view_with_odd_values },
     { "changes lack a removal, or are read as a whole view", test_changes },
     { "a compressed view differs after decoding or is accepted when truncated",
       test_large_view },
