Write the own entry again when another writer replaced it

A node whose entry in the store was overwritten by another writer was lost to the others: with their next full read its entry counted as missing, and its target got no requests until its state changed.

Cause: apply_entry noted the revision of the foreign value, but left the entry marked as announced. Moves do not have this fault: their driver takes the revision from the conflict of its next write.

The node now compares the value with the one it announced and writes its entry again, conditional on the foreign revision. An entry of a later process of the same node stays, so that two processes do not alternate.

Evidence: odd_entries_test.sh with five overwritten entries stops at "nested: the entry of node 2 stays lost" on the code before.

--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -59,6 +59,25 @@
   };
 }
 
+/// Announces the entry of this node again when another writer has replaced it.
+/// The entry of a later process of this node stays.
+/// @param entry  NULL: the key holds no entry
+static void
+restore_own_entry (struct sidecar_store *store, const struct store_key *key,
+                   const struct directory_entry *entry)
+{
+  bool is_announced
+      = key->size == strlen (store->pending_entry)
+        && memcmp (key->data, store->pending_entry, key->size) == 0;
+  if (is_announced || store->sidecar->stopping
+      || (entry != NULL && entry->epoch > store->sidecar->epoch))
+    return;
+  store->announced = false;
+  log_event (LOG_LEVEL_INFO, "own_entry_replaced",
+             "revision=%" PRIu64 " epoch=%" PRIu64, key->revision,
+             entry == NULL ? 0 : entry->epoch);
+}
+
 static void
 apply_entry (struct sidecar_store *store, const struct store_key *key,
              const char *node)
@@ -66,7 +85,8 @@
   struct sidecar *sidecar = store->sidecar;
   uint64_t now = clock_monotonic_ms ();
   bool is_own = strcmp (key->key, store->key) == 0;
-  if (is_own && key->revision > store->revision)
+  bool is_own_news = is_own && key->revision > store->revision;
+  if (is_own_news)
     store->revision = key->removed ? 0 : key->revision;
   if (key->removed)
     {
@@ -89,8 +109,12 @@
       log_event (LOG_LEVEL_WARNING, "entry_malformed",
                  "node=%s revision=%" PRIu64 " reason=\"%s\"", node,
                  key->revision, status_message ());
+      if (is_own_news)
+        restore_own_entry (store, key, NULL);
       return;
     }
+  if (is_own_news)
+    restore_own_entry (store, key, &entry);
   if (is_own && entry.epoch != sidecar->epoch)
     sidecar_target_restore (sidecar, &entry);
   directory_put (&sidecar->directory, &entry, key->revision, now);
--- a/test/functional/odd_entries_test.sh
+++ b/test/functional/odd_entries_test.sh
@@ -2,7 +2,8 @@
 # Tests entries of another writer among the keys that sidecars read. Guards
 # against these failures: one odd entry ends the processes that read it, or keeps
 # them, or the nodes that follow them, from newer keys; an entry with a number out
-# of range names a target; a restarted node gets no view while the store is away.
+# of range names a target; a node whose own entry was overwritten is lost to the
+# others; a restarted node gets no view while the store is away.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin odd
 sidecars_begin
@@ -92,6 +93,15 @@
   ! grep -q "event=changes_refused" "$RUN/s$i.out" || fail "node $i cannot read the changes of its relay"
 done
 
+# An overwritten entry of a node that is in use.
+for odd in nested port number_large zero no_text; do
+  seen=$(grep -c "event=entry node=node-2 .* instance=i-c state=1" "$RUN/s0.out")
+  put own/node/node-2 "$RUN/odd/$odd"
+  back() { [ "$(grep -c "event=entry node=node-2 .* instance=i-c state=1" "$RUN/s0.out")" -gt "$seen" ]; }
+  wait_for "$odd: the entry of node 2 is back" 3 back || fail "$odd: the entry of node 2 stays lost"
+  follows "overwritten with $odd"
+done
+
 # The odd entries are part of a view; a node that starts without the store needs it.
 put own/node/n-odd "$RUN/odd/zero"
 follows "before the store is away"
