Keep no connection on which a refusal could pass for the next one

Report of other operators: a faulty target wrote an earlier refusal once more on a kept connection; callers were told that a request had not run which had (REFUSED), or it ran at a second target (TWICE).

It can happen here. Sidecar: a response without an id was accepted on a connection on which no response had named one, so a refusal without an id passed for that of the next request. hawthornseam-node: its responses have no ids, so any refusal did, and the request was offered again.

Ruled out: copies that name their id (skipped), copies on an idle connection (it is closed), the hop between nodes.

The sidecar now reuses a connection to its target only after a response that named the request's id; hawthornseam-node closes it after a refusal.

--- a/src/node/node_call_inbound.c
+++ b/src/node/node_call_inbound.c
@@ -101,7 +101,12 @@
   const char *stated = evhttp_find_header (headers, CALL_HEADER_OUTCOME);
   if (status == 503 && call_outcome_parse (stated, &outcome) == STATUS_OK
       && outcome == CALL_NOT_RUN)
-    call->not_run = true;
+    {
+      call->not_run = true;
+      /* The target could write the refusal once more, and it would pass for
+         that of the next request. */
+      call_exchange_close_after (exchange);
+    }
   if (call->request == NULL)
     return;
   struct evkeyvalq *response_headers
--- a/src/transport/call_client.c
+++ b/src/transport/call_client.c
@@ -34,6 +34,7 @@
   bool headers_received; ///< the headers callback was called
   bool paused;
   bool new_connection; ///< the connection was opened for this exchange
+  bool closes;         ///< the connection is not kept after it
   uint64_t headers_deadline_ms;
   uint64_t progress_ms; ///< time of the last body byte or resume
 };
@@ -70,7 +71,7 @@
   connection->exchange = NULL;
   bool keep
       = exchange->ops != NULL && exchange->end == CALL_EXCHANGE_COMPLETE
-        && bufferevent_getfd (connection->bev) != -1
+        && !exchange->closes && bufferevent_getfd (connection->bev) != -1
         && evbuffer_get_length (bufferevent_get_input (connection->bev)) == 0;
   if (keep)
     {
@@ -285,6 +286,12 @@
   return exchange;
 }
 
+void
+call_exchange_close_after (struct call_exchange *exchange)
+{
+  exchange->closes = true;
+}
+
 void
 call_exchange_pause (struct call_exchange *exchange)
 {
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -103,6 +103,9 @@
 void call_client_close_idle (struct call_client *client, uint32_t address,
                              uint16_t port);
 
+/// The connection is closed after the exchange instead of kept.
+void call_exchange_close_after (struct call_exchange *exchange);
+
 /// Stops reading the response until call_exchange_resume.
 void call_exchange_pause (struct call_exchange *exchange);
 void call_exchange_resume (struct call_exchange *exchange);
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -147,7 +147,8 @@
     }
   const char *header = connection->pool->options.id_header;
   const char *id = header == NULL ? NULL : http_head_find (head, header);
-  /* A request without an id does not get a response that names one. */
+  /* A request without an id does not get a response that names one. A reused
+     connection has named the ids of all its responses. */
   if (id != NULL)
     exchange->skipping_response = strcmp (id, connection->id) != 0;
   else
@@ -186,13 +187,17 @@
 }
 
 /// @return true if the connection can carry another exchange: the server keeps
-/// it open, no response was skipped and no bytes are left in either direction
+/// it open, no response was skipped and no bytes are left in either direction.
+/// A response without an id could be written once more, and nothing would tell
+/// it from that to the next request.
 static bool
 can_reuse (const struct http_connection *connection,
            const struct http_exchange *exchange)
 {
   struct http_stream *stream = connection->stream;
-  return stream->head->keep_alive && exchange->skipped_responses == 0
+  bool compares_id = connection->pool->options.id_header != NULL;
+  return (connection->echoes_id || !compares_id) && stream->head->keep_alive
+         && exchange->skipped_responses == 0
          && http_stream_unread (stream) == 0
          && evbuffer_get_length (http_stream_output (stream)) == 0;
 }
--- a/test/unit/call_path_test.c
+++ b/test/unit/call_path_test.c
@@ -52,6 +52,10 @@
   { "/s/cut-length", 200, "200 OK", "ran", true, 1 },
   { "/s/cut-chunks", 200, "200 OK", "ran", true, 1 },
   { "/s/unframed", 200, "502 ", "unknown", false, 1 },
+  { "/s/cut-head", 200, "502 ", "unknown", false, 2 },
+  { "/s/cut-field", 200, "502 ", "unknown", false, 2 },
+  { "/s/cut-status", 200, "502 ", "unknown", false, 2 },
+  { "/s/cut-blank", 200, "502 ", "unknown", false, 2 },
   { "/s/reset", 200, "502 ", "unknown", false, 2 },
   { "/s/shed", 200, "503 ", "not-run", false, 2 },
   { "/none", 60, "404 ", "not-run", false, 0 },
@@ -116,6 +120,25 @@
   tear_down ();
 }
 
+/// A target that writes an earlier refusal once more on a kept connection must
+/// not make the next request pass for one that did not run.
+static void
+test_refusal_written_once_more (void)
+{
+  set_up ();
+  struct caller first, second;
+  get (&first, "/s/shed", 200);
+  CU_ASSERT (caller_has (&first, "503 "));
+  unsigned before = target.requests;
+  get (&second, "/s/ok-2", 200);
+  CU_ASSERT (caller_has (&second, "200 OK"));
+  CU_ASSERT (caller_has (&second, "/s/ok-2"));
+  CU_ASSERT_EQUAL (target.requests, before + 1);
+  caller_finish (&first);
+  caller_finish (&second);
+  tear_down ();
+}
+
 /// The nodes must not buffer a whole download for a caller that does not read.
 static void
 test_download_back_pressure (void)
@@ -421,6 +444,8 @@
     test_responses },
   { "a late or duplicate response reaches another caller",
     test_late_and_duplicate_responses },
+  { "an earlier refusal passes for that of the next request",
+    test_refusal_written_once_more },
   { "a slow reader makes the nodes buffer a whole download",
     test_download_back_pressure },
   { "a refused connection is not reported as not-run or announced",
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -299,6 +299,101 @@
     }
 }
 
+/// A target that stops after each byte of its response and closes. No part of
+/// it may pass for the whole one.
+static void
+test_response_cut_at_each_byte (void)
+{
+  static const char *const responses[] = {
+    COPY_OF ("a", "abc"),
+    "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n0\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\nX-Id: a\r\nX-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\n" COPY_OF ("a", "abc"),
+    "HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n",
+  };
+  for (size_t i = 0; i < sizeof responses / sizeof responses[0]; i++)
+    for (size_t size = 1; size < strlen (responses[i]); size++)
+      {
+        char bytes[256] = "";
+        memcpy (bytes, responses[i], size);
+        struct script cut
+            = { .responses = { bytes }, .close_after = { true } };
+        uint16_t port = pool_set_up (&cut);
+        struct result result = exchange (port, "a");
+        if (!result.ended || result.end == HTTP_END_COMPLETE)
+          printf ("  response %zu cut after %zu bytes: end %d\n", i, size,
+                  (int)result.end);
+        CU_ASSERT (result.ended);
+        CU_ASSERT_NOT_EQUAL (result.end, HTTP_END_COMPLETE);
+        pool_tear_down ();
+      }
+}
+
+/// A response without a length ends with its connection, but only once its
+/// head has ended.
+static void
+test_unframed_response_cut_in_its_head (void)
+{
+  static const char response[] = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nabc";
+  size_t head_size = sizeof response - 1 - 3;
+  for (size_t size = 1; size < sizeof response; size++)
+    {
+      char bytes[sizeof response] = "";
+      memcpy (bytes, response, size);
+      struct script cut = { .responses = { bytes }, .close_after = { true } };
+      uint16_t port = pool_set_up (&cut);
+      struct result result = exchange (port, "a");
+      bool whole = result.ended && result.end == HTTP_END_COMPLETE;
+      if (whole != (size >= head_size))
+        printf ("  cut after %zu bytes: end %d\n", size, (int)result.end);
+      CU_ASSERT_EQUAL (whole, size >= head_size);
+      pool_tear_down ();
+    }
+}
+
+/// A refusal that a target writes once more on a kept connection, with the id
+/// of its request or without any, after the next request has arrived there.
+static void
+test_refusal_written_once_more (void)
+{
+#define REFUSAL(FIELDS)                                                       \
+  "HTTP/1.1 503 Busy\r\n" FIELDS "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+  static const struct
+  {
+    const char *what;
+    const char *responses[2]; ///< to the first and to the second request
+  } rows[] = {
+    { "with its id",
+      { REFUSAL ("X-Id: a\r\n"),
+        REFUSAL ("X-Id: a\r\n") COPY_OF ("b", "new") } },
+    { "without an id, answer with one",
+      { REFUSAL (""), REFUSAL ("") COPY_OF ("b", "new") } },
+    { "without an id, then the request runs on",
+      { REFUSAL (""), REFUSAL ("") } },
+    { "with an empty id",
+      { REFUSAL ("X-Id:\r\n"), REFUSAL ("X-Id:\r\n") COPY_OF ("b", "new") } },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct script responses
+          = { .responses = { rows[i].responses[0], rows[i].responses[1] } };
+      uint16_t port = pool_set_up (&responses);
+      exchange (port, "a");
+      size_t before = script.connections;
+      struct result second = exchange (port, "b");
+      /* On a new connection nothing can be written once more. */
+      bool correct
+          = script.connections > before
+            || (second.end == HTTP_END_COMPLETE && second.status == 200);
+      if (!correct)
+        printf ("  %s: status %u\n", rows[i].what, second.status);
+      CU_ASSERT (correct);
+      pool_tear_down ();
+    }
+}
+
 /// A target that never ends a part of its response. The pool must end the
 /// exchange, with a bounded amount of it in memory.
 static void
@@ -409,6 +504,12 @@
       test_late_copies_for_long_ids },
     { "a late copy is taken for the response to a request without an id",
       test_late_copy_for_a_request_without_id },
+    { "a response that is cut off passes for a whole one",
+      test_response_cut_at_each_byte },
+    { "a head that is cut off passes for a response without a length",
+      test_unframed_response_cut_in_its_head },
+    { "an earlier refusal passes for that of the next request",
+      test_refusal_written_once_more },
     { "a stop resets connections that the kernel has established",
       test_stop_with_waiting_connections },
     { "a response head without end fills memory or never ends",
