Take back a broken response of which nothing was sent

Next to a target that breaks off responses, pipelined requests at sound targets ended without an answer (LOST), some of them sent before the one that was broken off.

Cause: http_reply_abort drops all requests of the caller's connection, also when the broken response waits behind an unfinished one. Responses without a length were forwarded from the first byte on.

A response of which nothing was sent is now taken back; its request is offered again if it may be, else answered with 502. The target's node holds a response without a length back until its end, up to 16 KiB. When a part was sent, closing remains the only way to tell the caller.

--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -28,6 +28,10 @@
 /// target may be about to close one that was idle for longer.
 #define TARGET_IDLE_MS_MAX 4000
 
+/// A response without a length ends with its connection. Up to this size it is
+/// held back until then, so that one that breaks off can be reported as such.
+#define HELD_BYTES_MAX (16u * 1024)
+
 /// Deadline of a request that states none or a malformed one.
 #define DEADLINE_MS_DEFAULT 30000
 
@@ -149,6 +153,11 @@
   struct admission_queue_ticket ticket = inbound->ticket;
   transfer_end (&sidecar->transfers, &inbound->transfer,
                 clock_monotonic_ms ());
+  if (inbound->held_fields != NULL)
+    {
+      evbuffer_free (inbound->held_fields);
+      evbuffer_free (inbound->held_body);
+    }
   free (inbound);
   admission_queue_finish (&sidecar->admission, &ticket, timed,
                           clock_monotonic_us ());
@@ -169,6 +178,31 @@
          || http_head_find (head, sidecar->adapter->headers.not_run) != NULL;
 }
 
+/// @return true when only the close of the connection ends the response's body
+static bool
+ends_with_connection (const struct sidecar_inbound *inbound,
+                      const struct http_head *head)
+{
+  return !head->has_length && !head->chunked && head->status != 204
+         && head->status != 304 && inbound->request->head->method != HTTP_HEAD;
+}
+
+/// Starts a response that was held back.
+/// @param whole  true: its body has ended
+static void
+start_held_response (struct sidecar_inbound *inbound, bool whole)
+{
+  size_t size = evbuffer_get_length (inbound->held_body);
+  http_reply_start (inbound->request, inbound->held_status,
+                    inbound->held_fields, whole ? (int64_t)size : -1);
+  http_reply_write (inbound->request, evbuffer_pullup (inbound->held_body, -1),
+                    size);
+  evbuffer_free (inbound->held_fields);
+  evbuffer_free (inbound->held_body);
+  inbound->held_fields = NULL;
+  inbound->held_body = NULL;
+}
+
 static void
 on_response_head (void *arg, struct http_head *head)
 {
@@ -195,6 +229,13 @@
   add_node_fields (sidecar, fields, not_run ? CALL_NOT_RUN : CALL_RAN,
                    not_run ? CALL_REASON_SHED : NULL);
   bool has_length = head->has_length && !head->chunked;
+  if (ends_with_connection (inbound, head))
+    {
+      inbound->held_fields = fields;
+      inbound->held_body = evbuffer_new ();
+      inbound->held_status = head->status;
+      return;
+    }
   http_reply_start (inbound->request, head->status, fields,
                     has_length ? (int64_t)head->length : -1);
   evbuffer_free (fields);
@@ -224,6 +265,13 @@
 {
   struct sidecar_inbound *inbound = arg;
   admission_queue_note_bytes (&inbound->ticket, size);
+  if (inbound->held_fields != NULL)
+    {
+      evbuffer_add (inbound->held_body, data, size);
+      if (evbuffer_get_length (inbound->held_body) > HELD_BYTES_MAX)
+        start_held_response (inbound, false);
+      return;
+    }
   http_reply_write (inbound->request, data, size);
   if (http_request_backlog (inbound->request) > SIDECAR_BACKLOG_BYTES_MAX)
     http_exchange_pause (inbound->exchange);
@@ -239,6 +287,8 @@
   if (end == HTTP_END_COMPLETE)
     {
       histogram_add (&target_times, clock_monotonic_us () - inbound->sent_us);
+      if (inbound->held_fields != NULL)
+        start_held_response (inbound, true);
       http_reply_finish (request);
       end_request (inbound, true);
       return;
--- a/src/sidecar/sidecar_inbound.h
+++ b/src/sidecar/sidecar_inbound.h
@@ -13,8 +13,12 @@
   struct http_exchange *exchange; ///< NULL unless sent to the target
   struct hop hop;
   struct admission_queue_ticket ticket;
-  struct transfer transfer; ///< of a response that is large for the link
-  const char *id;           ///< in the request's arena
+  struct transfer transfer;     ///< of a response that is large for the link
+  struct evbuffer *held_fields; ///< header fields of a response that is held
+                                ///< back, or NULL
+  struct evbuffer *held_body;   ///< what has arrived of its body
+  unsigned held_status;
+  const char *id; ///< in the request's arena
   uint64_t arrived_ms;
   uint64_t deadline_ms;
   uint64_t sent_us;     ///< when it was sent to the target
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -141,6 +141,16 @@
   release (outbound);
 }
 
+bool
+sidecar_outbound_take_back (struct sidecar_outbound *outbound)
+{
+  if (!http_reply_retract (outbound->request))
+    return false;
+  outbound->forwarding = false;
+  timer_start_at (&outbound->timer, outbound->respond_by_ms);
+  return true;
+}
+
 void
 sidecar_outbound_end_failed (struct sidecar_outbound *outbound,
                              unsigned status, const char *reason)
@@ -148,7 +158,7 @@
   counter_add (&failures, 1);
   log_end (outbound, &ended_log_limit, LOG_LEVEL_WARNING, "request_failed",
            status, reason);
-  if (outbound->forwarding)
+  if (outbound->forwarding && !sidecar_outbound_take_back (outbound))
     http_reply_abort (outbound->request);
   else
     send_local_reply (outbound->request, status,
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -64,6 +64,10 @@
 void sidecar_outbound_report_result (struct sidecar_outbound *outbound,
                                      enum placement_result result);
 
+/// Takes back a forwarded response of which the caller has received nothing.
+/// @return false if a part was sent
+bool sidecar_outbound_take_back (struct sidecar_outbound *outbound);
+
 /// Forwards the response head and the buffered body; later pieces are
 /// forwarded as they arrive.
 void sidecar_outbound_start_forwarding (struct sidecar_outbound *outbound);
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -190,7 +190,8 @@
       sidecar_outbound_retry_or_end (outbound, RESEND_NOT_SENT,
                                      CALL_REASON_NOT_CONNECTED);
     }
-  else if (end != HTTP_END_COMPLETE && outbound->forwarding)
+  else if (end != HTTP_END_COMPLETE && outbound->forwarding
+           && !sidecar_outbound_take_back (outbound))
     {
       sidecar_outbound_report_result (outbound, PLACEMENT_LOST);
       sidecar_outbound_end_failed (outbound, 502, CALL_REASON_CONNECTION_LOST);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -595,6 +595,19 @@
   finish_response (request);
 }
 
+bool
+http_reply_retract (struct http_request *request)
+{
+  if (request->response_complete
+      || (request->output == NULL && request->status != 0))
+    return false;
+  if (request->output != NULL)
+    evbuffer_drain (request->output, evbuffer_get_length (request->output));
+  request->status = 0;
+  request->response_started = false;
+  return true;
+}
+
 void
 http_reply_abort (struct http_request *request)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -121,8 +121,13 @@
 /// Ends a streamed response.
 void http_reply_finish (struct http_request *request);
 
+/// Takes back a response of which nothing was sent, because earlier ones are
+/// unfinished. Another response may be started then.
+/// @return false if a part was sent, or the response is complete
+bool http_reply_retract (struct http_request *request);
+
 /// Closes the connection before the end of the response, so that the caller
-/// can tell that it is truncated.
+/// can tell that it is truncated. All requests on the connection are lost.
 void http_reply_abort (struct http_request *request);
 
 /// @return bytes of responses that are buffered for the caller: the request's
--- a/test/functional/trouble_test.sh
+++ b/test/functional/trouble_test.sh
@@ -4,7 +4,8 @@
 # holds its caller beyond the route's timeout; a request that the target did not
 # run is not reported as such because the target's refusal has no end; a target
 # or a caller forges the headers between nodes; a caller reaches the nodes'
-# interface.
+# interface; a response that breaks off takes the other requests of its connection
+# with it.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin trouble
 sidecars_begin
@@ -54,6 +55,18 @@
 # A target that claims in its node's name that it did not run a request.
 expect "forged outcome" "$(ask 0 /seal/forge)" "200 i-*"
 
+# A response that breaks off behind an unfinished one: the other requests of the
+# connection keep theirs, and nothing of it reaches the caller.
+exec {PIPE}<>"/dev/tcp/127.0.0.1/$(port 0 0)"
+for path in slow/1 break/2 ok/3; do
+  printf 'GET /read/%s HTTP/1.1\r\nHost: a.example\r\nHawthornseam-Request-Id: p%s-%s\r\nHawthornseam-Deadline-Ms: 1200\r\n\r\n' \
+    $path $RANDOM$RANDOM ${path%/*} >&$PIPE
+done
+timeout 2 cat <&$PIPE >"$RUN/pipeline" 2>/dev/null
+exec {PIPE}>&-
+expect "pipelined requests beside one that breaks off" \
+  "$(grep -oE 'HTTP/1.1 [0-9]+' "$RUN/pipeline" | tr -d '\n')" "HTTP/1.1 200HTTP/1.1 502HTTP/1.1 200"
+
 # A caller that speaks like a node gets nothing of the nodes' interface, and its
 # request starts at its own node.
 for path in view changes/1 evidence; do
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -22,6 +22,7 @@
 #define TARGETS_MAX 8
 #define LOOPBACK 0x7f000001u
 #define SLOW_REQUEST_MS 400
+#define BREAK_OFF_MS 30
 
 /// Bodies without end: bytes of one part, pause between two of them, and
 /// unsent bytes above which the target waits.
@@ -194,6 +195,33 @@
   free_run (run);
 }
 
+static void
+on_break_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct run *run = arg;
+  struct http_request *request = run->request;
+  free_run (run);
+  http_reply_abort (request);
+}
+
+/// Sends a part of a response, and closes the connection a little later.
+static void
+break_off (struct run *run)
+{
+  struct http_request *request = run->request;
+  const char *id = http_head_find (request->head, "Hawthornseam-Request-Id");
+  struct evbuffer *fields = evbuffer_new ();
+  evbuffer_add_printf (fields,
+                       "Hawthornseam-Request-Id: %s\r\n"
+                       "Hawthornseam-Response-Seal: x\r\n",
+                       id == NULL ? "" : id);
+  http_reply_start (request, 200, fields, -1);
+  evbuffer_free (fields);
+  http_reply_write (request, "part", 4);
+  evtimer_assign (&run->timer, base, on_break_timer, run);
+  timer_start (&run->timer, BREAK_OFF_MS);
+}
+
 static void
 on_run_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -246,6 +274,8 @@
   evtimer_assign (&run->timer, base, on_run_timer, run);
   if (strstr (request->head->target, "endless") != NULL)
     start_endless (run);
+  else if (strstr (request->head->target, "break") != NULL)
+    break_off (run);
   else if (strstr (request->head->target, "slow") != NULL)
     timer_start (&run->timer, SLOW_REQUEST_MS);
   else
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -194,6 +194,41 @@
       }
 }
 
+/// A response that is held back and breaks off: it is taken back, and the
+/// other requests of the connection keep theirs.
+static void
+test_taken_back_response (void)
+{
+  struct raw_client raw_client;
+  struct evbuffer *fields = evbuffer_new ();
+  client_connect (&raw_client, server_set_up ());
+  client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  CU_ASSERT_EQUAL_FATAL (request_count, 3);
+  CU_ASSERT (http_reply_retract (requests[1]));
+  http_reply_start (requests[1], 200, fields, -1);
+  http_reply_write (requests[1], "part", 4);
+  CU_ASSERT (http_reply_retract (requests[1]));
+  http_reply (requests[1], 502, NULL, "two", 3);
+  http_reply (requests[2], 200, NULL, "three", 5);
+  CU_ASSERT_FALSE (http_reply_retract (requests[2])); /* complete */
+  http_reply_start (requests[0], 200, fields, 3);
+  CU_ASSERT_FALSE (http_reply_retract (requests[0])); /* its head was sent */
+  http_reply_write (requests[0], "one", 3);
+  http_reply_finish (requests[0]);
+  run_ms (50);
+  CU_ASSERT_EQUAL (disconnect_count, 0);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "part"), 0);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "HTTP/1.1 "), 3);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "HTTP/1.1 502"), 1);
+  CU_ASSERT_EQUAL (count_received (&raw_client, "three"), 1);
+  CU_ASSERT (!raw_client.closed);
+  evbuffer_free (fields);
+  server_tear_down (&raw_client);
+}
+
 static void
 test_truncated_response_is_detectable (void)
 {
@@ -364,6 +399,8 @@
       test_no_request_starts_behind_a_closing_response },
     { "a draining server truncates a response that is not read yet",
       test_draining_server_sends_finished_response },
+    { "a response that breaks off takes those of its connection with it",
+      test_taken_back_response },
     { "a truncated response looks complete to the caller",
       test_truncated_response_is_detectable },
     { "a truncated or mismatched response is taken for complete",
