Write the status of a move that another node has ended

After some rollbacks the operator's status stayed "running" until the next order: the move had ended, and nobody said so.

Cause: the standby driver, or the node of a target that tripped, had written the rollback. The driver writes the status only while status_known is false, and reset that only for records of its own. A conflict, and a record whose answer was lost, had the same effect.

Records are now taken over in sidecar_move_set_record, which resets status_known when the phase or the order differs. Steps within a phase no longer write the status again.

Ruled out: two drivers at once; one rollback was written for each order.

Evidence: move_status_test.sh ends three moves as another writer; on the code before, the first stays "running".

--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -61,6 +61,18 @@
          && move->record.order == move->order_revision;
 }
 
+void
+sidecar_move_set_record (struct service_move *move,
+                         const struct move_record *record, uint64_t revision)
+{
+  if (!move->has_record || move->record.phase != record->phase
+      || move->record.order != record->order)
+    move->status_known = false;
+  move->record = *record;
+  move->has_record = true;
+  move->record_revision = revision;
+}
+
 void
 sidecar_moves_on_order (struct sidecar *sidecar, const struct store_key *key,
                         const char *service)
@@ -108,9 +120,7 @@
   struct service_move *move = add_move (sidecar, service);
   if (move == NULL || key->revision <= move->record_revision)
     return;
-  move->record = record;
-  move->has_record = true;
-  move->record_revision = key->revision;
+  sidecar_move_set_record (move, &record, key->revision);
   log_event (LOG_LEVEL_INFO, "move_step",
              "service=%s to=%s phase=%d share_bp=%u revision=%" PRIu64
              " order=%" PRIu64,
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -76,6 +76,12 @@
   uint64_t next_drive_ms;
 };
 
+/// Takes over a record from the store. The operator's status has to be written
+/// again when the phase differs, whoever wrote the record.
+void sidecar_move_set_record (struct service_move *move,
+                              const struct move_record *record,
+                              uint64_t revision);
+
 /// @return true when the record belongs to the current order
 bool sidecar_move_is_current (const struct service_move *move);
 
--- a/src/sidecar/sidecar_move_driver.c
+++ b/src/sidecar/sidecar_move_driver.c
@@ -252,10 +252,7 @@
   move->writing = false;
   if (reply->status == STATUS_OK && reply->revision > move->record_revision)
     {
-      move->record = move->writing_record;
-      move->has_record = true;
-      move->record_revision = reply->revision;
-      move->status_known = false;
+      sidecar_move_set_record (move, &move->writing_record, reply->revision);
       return;
     }
   move->next_write_ms = clock_monotonic_ms () + RETRY_DELAY_MS;
@@ -268,10 +265,7 @@
       struct move_record record;
       if (reply->data != NULL
           && move_record_read (reply->data, reply->size, &record) == STATUS_OK)
-        {
-          move->record = record;
-          move->has_record = true;
-        }
+        sidecar_move_set_record (move, &record, reply->revision);
       move->record_revision = reply->revision;
     }
 }
