Let a rejection wait for the responses before it

A caller that pipelines a request with too large a body behind another one got the 413 as the answer to the first (MIXED), and no answer to that.

Cause: reject wrote to the connection at once; only malformed bytes waited for the requests in progress, through connection->rejected. All rejections go that way now, and input behind one is ignored.

Evidence: the new case of http_strict_test; on the code before the connection is closed before the first response and the test ends with SIGPIPE (exit code 141).

Measured: http_strict_test and http_test pass, lint, sidecar_test, trouble_test and odd_entries_test too.

--- a/src/protocol/entry_record.c
+++ b/src/protocol/entry_record.c
@@ -64,8 +64,8 @@
         object, "directory entry: a field is missing or of the wrong type");
   if (address <= 0 || address > UINT32_MAX || port < 1 || port > 65535
       || slots < 0 || slots > UINT16_MAX || state < DIRECTORY_ABSENT
-      || state > DIRECTORY_LEAVING || cold_ms < 0 || cold_ms > INT32_MAX || epoch < 0
-      || started_ms < 0 || node[0] == '\0'
+      || state > DIRECTORY_LEAVING || cold_ms < 0 || cold_ms > INT32_MAX
+      || epoch < 0 || started_ms < 0 || node[0] == '\0'
       || !json_text_copy_name (entry->node, node)
       || !json_text_copy_name (entry->availability_zone, zone)
       || !json_text_copy_name (entry->service, service)
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -52,8 +52,8 @@
   struct http_request *receiving_request; ///< request that is being received
   uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
                              ///< the last response, or begin of closing
-  unsigned rejected;  ///< status for malformed bytes behind the requests that
-                      ///< are in progress; 0: none
+  unsigned rejected;  ///< status for what follows the requests that are in
+                      ///< progress and is rejected; 0: nothing
   bool served;        ///< a request was received on it
   bool last_response; ///< the head of a response that closes the connection
                       ///< was sent; later requests are not started
@@ -139,22 +139,32 @@
 }
 
 /// Rejects a request that has not arrived completely, and closes the
-/// connection.
+/// connection, once the requests before it have their responses.
 static void
 reject (struct http_server_connection *connection, unsigned status)
 {
+  connection->rejected = status;
+  if (connection->request != NULL)
+    return;
   struct evbuffer *output = http_stream_output (connection->stream);
   write_status_line (output, status, true, "Content-Length: 0\r\n");
   evbuffer_add (output, "\r\n", 2);
   close_when_sent (connection);
 }
 
+/// @return true when no further request of the connection is started
+static bool
+ignores_input (const struct http_server_connection *connection)
+{
+  return connection->closing || connection->last_response
+         || connection->rejected != 0;
+}
+
 static void
 on_head (struct http_stream *stream, struct http_head *head)
 {
   struct http_server_connection *connection = stream->owner;
-  if (connection->closing || connection->last_response
-      || connection->receiving_request != NULL)
+  if (ignores_input (connection) || connection->receiving_request != NULL)
     return;
   void *arena = talloc_new (NULL);
   struct http_request *request = talloc_zero (arena, struct http_request);
@@ -187,7 +197,7 @@
 {
   struct http_server_connection *connection = stream->owner;
   struct http_request *request = connection->receiving_request;
-  if (request == NULL || connection->closing || connection->last_response)
+  if (request == NULL || ignores_input (connection))
     return;
   if (evbuffer_get_length (request->body) + size
       > connection->server->limits.body_bytes)
@@ -204,7 +214,7 @@
 {
   struct http_server_connection *connection = stream->owner;
   struct http_request *request = connection->receiving_request;
-  if (request == NULL || connection->closing || connection->last_response)
+  if (request == NULL || ignores_input (connection))
     return;
   connection->receiving_request = NULL;
   connection->served = true;
@@ -233,9 +243,7 @@
       return;
     }
   counter_add (stream->head_too_large ? &too_large : &malformed, 1);
-  connection->rejected = stream->head_too_large ? 431 : 400;
-  if (connection->request == NULL)
-    reject (connection, connection->rejected);
+  reject (connection, stream->head_too_large ? 431 : 400);
 }
 
 static void
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -143,6 +143,37 @@
   server_tear_down (&raw_client);
 }
 
+/// A request that is too large arrives behind one without a response yet: its
+/// rejection must not pass for the response to the first.
+static void
+test_large_request_behind_a_good_one (void)
+{
+  static const char *const large[] = {
+    "POST /b HTTP/1.1\r\n" HOST "Content-Length: 101\r\n\r\n",
+    "POST /b HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
+    "65\r\n"
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+    "a"
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n0\r\n\r\n",
+  };
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /a HTTP/1.1\r\n" HOST "\r\n");
+      client_send (&raw_client, large[i]);
+      run_ms (30);
+      CU_ASSERT_EQUAL (request_count, 1);
+      CU_ASSERT_EQUAL (raw_client.size, 0);
+      http_reply (requests[0], 200, NULL, "x", 1);
+      run_ms (30);
+      CU_ASSERT_EQUAL (strncmp (raw_client.received, "HTTP/1.1 200", 12), 0);
+      CU_ASSERT_PTR_NOT_NULL (strstr (raw_client.received, "HTTP/1.1 413"));
+      CU_ASSERT (raw_client.closed);
+      server_tear_down (&raw_client);
+    }
+}
+
 static void
 test_ambiguous_responses (void)
 {
@@ -496,6 +527,8 @@
     { "a proper request is refused", test_proper_requests },
     { "a malformed request runs, or costs those before it their answer",
       test_malformed_request_behind_a_good_one },
+    { "the rejection of a large request passes for an earlier response",
+      test_large_request_behind_a_good_one },
     { "a response that others may read differently is passed on",
       test_ambiguous_responses },
     { "a late copy of a response is taken for the next one",
