Tie the answer of a holder to the target whose leave it took

A holder's answer to the notice of one target would have acknowledged the leave of its successor, if that began within the half second of the call; and a target that started again under its name within three seconds counted as held. The notice's instance and start are compared now, before an acknowledgement is sent.

--- a/src/sidecar/sidecar_leave.c
+++ b/src/sidecar/sidecar_leave.c
@@ -59,7 +59,9 @@
   struct leave_table table;
   struct leave_call calls[2 * LEAVE_HOLDERS_MAX];
   uint64_t held_ms; ///< when a holder last took the own notice; 0: never
-  char held_instance[DIRECTORY_NAME_MAX + 1]; ///< target of that notice
+  char held_instance[DIRECTORY_NAME_MAX + 1]; ///< target of that notice, or of
+                                              ///< the one that is being left
+  uint64_t held_started_ms;                   ///< start of that target
   uint64_t reachable_since_ms; ///< start of contact with the store; 0: none
   bool asked;                  ///< the holders were asked once
   bool blocks_view; ///< the view is caught up when the holders have answered
@@ -104,6 +106,29 @@
   sidecar->store->caught_up = true;
 }
 
+/// @param entry  set to the entry of the own target with its leave
+static void
+read_leaving_target (const struct sidecar *sidecar,
+                     struct directory_entry *entry)
+{
+  sidecar_target_entry (sidecar, entry);
+  entry->leaving = true;
+  if (sidecar->target.known)
+    return;
+  /* Only the name is known, and the start if an entry told it. */
+  strcpy (entry->instance, sidecar->target.history.instance);
+  entry->started_ms = sidecar->target.history.started_ms;
+}
+
+/// @return true when the own notice at the holders is that of this target
+static bool
+is_held_target (const struct sidecar_leaves *leaves,
+                const struct directory_entry *entry)
+{
+  return strcmp (leaves->held_instance, entry->instance) == 0
+         && leaves->held_started_ms == entry->started_ms;
+}
+
 /* Calls to holders */
 
 static void
@@ -164,8 +189,11 @@
     }
   else if (answered)
     {
+      struct directory_entry entry;
+      read_leaving_target (sidecar, &entry);
       sidecar->leaves->held_ms = clock_monotonic_ms ();
-      sidecar_target_recorded (sidecar);
+      if (is_held_target (sidecar->leaves, &entry))
+        sidecar_target_recorded (sidecar);
     }
 }
 
@@ -218,23 +246,16 @@
 {
   struct sidecar_leaves *leaves = sidecar->leaves;
   struct directory_entry entry;
-  sidecar_target_entry (sidecar, &entry);
-  entry.leaving = true;
-  if (!sidecar->target.known)
-    {
-      /* Only the name is known, and the start if an entry told it. */
-      const struct target_history *history = &sidecar->target.history;
-      strcpy (entry.instance, history->instance);
-      entry.started_ms = history->started_ms;
-    }
+  read_leaving_target (sidecar, &entry);
   if (leaves->held_ms != 0
       && clock_monotonic_ms () - leaves->held_ms < HELD_MS_MAX
-      && strcmp (leaves->held_instance, entry.instance) == 0)
+      && is_held_target (leaves, &entry))
     return true;
   if (has_call (leaves, false))
     return false;
   leaves->held_ms = 0;
   strcpy (leaves->held_instance, entry.instance);
+  leaves->held_started_ms = entry.started_ms;
   call_holders (sidecar, false, &entry);
   return false;
 }
--- a/test/unit/http_peers.h
+++ b/test/unit/http_peers.h
@@ -273,10 +273,13 @@
                             .id = id,
                             .max_idle_ms = 4000 };
   memset (&result, 0, sizeof result);
-  http_pool_send (&pool, &send, &result_ops, &result);
+  struct http_exchange *pending
+      = http_pool_send (&pool, &send, &result_ops, &result);
   evbuffer_free (bytes);
   for (int i = 0; i < 20 && !result.ended; i++)
     run_ms (20);
+  if (!result.ended)
+    http_exchange_cancel (pending);
   return result;
 }
 
