Rank candidates of rendezvous hashing in one place

leave_holders.c had a copy of the ranking loop of relay.c, and rendezvous.c a third one for two candidates. rendezvous_rank keeps up to RENDEZVOUS_MAX candidates; the three choices call it with their own scores, so that each chooses as before.

Checked: a scratch program compared the three choices with the code before over 20,000 random directories: 60,000 comparisons, none differs. The unit tests of relays, leaves, membership and broadcasts pass.

--- a/bench/mesh_bench.c
+++ b/bench/mesh_bench.c
@@ -386,7 +386,7 @@
                 uint64_t role, uint64_t chosen[2])
 {
   struct rendezvous choice;
-  rendezvous_init (&choice, role);
+  rendezvous_init (&choice, role, 2);
   uint64_t best[2] = { UINT64_MAX, UINT64_MAX };
   chosen[0] = chosen[1] = 0;
   for (unsigned i = 0; i < ZONE_MEMBERS; i++)
@@ -410,7 +410,7 @@
         }
     }
   if (method == RENDEZVOUS)
-    memcpy (chosen, choice.slots, sizeof choice.slots);
+    memcpy (chosen, choice.slots, 2 * sizeof choice.slots[0]);
 }
 
 /// Counts how often a zone's relays change in 300 days with the zone's share
--- a/src/coordination/leave_holders.c
+++ b/src/coordination/leave_holders.c
@@ -2,6 +2,7 @@
 #include "coordination/leave_holders.h"
 
 #include "base/hash.h"
+#include "coordination/rendezvous.h"
 
 #include <string.h>
 
@@ -9,9 +10,9 @@
 leave_holders_choose (const struct directory *directory, const char *own_node,
                       size_t handles[LEAVE_HOLDERS_MAX])
 {
-  uint64_t scores[LEAVE_HOLDERS_MAX] = { 0 };
+  struct rendezvous choice;
   uint64_t own_hash = hash_placement_string (own_node);
-  size_t count = 0;
+  rendezvous_init (&choice, own_hash, LEAVE_HOLDERS_MAX);
   for (size_t i = 0; i < directory->count; i++)
     {
       const struct directory_record *record = &directory->records[i];
@@ -19,22 +20,10 @@
          the two choices. */
       if (!record->used || strcmp (record->entry.node, own_node) == 0)
         continue;
-      uint64_t score = hash_placement_pair (
-          hash_placement_string (record->entry.node), own_hash);
-      size_t rank = count;
-      while (rank > 0 && score > scores[rank - 1])
-        rank--;
-      if (rank >= LEAVE_HOLDERS_MAX)
-        continue;
-      if (count < LEAVE_HOLDERS_MAX)
-        count++;
-      for (size_t k = count - 1; k > rank; k--)
-        {
-          scores[k] = scores[k - 1];
-          handles[k] = handles[k - 1];
-        }
-      scores[rank] = score;
-      handles[rank] = i;
+      uint64_t node_hash = hash_placement_string (record->entry.node);
+      rendezvous_rank (&choice, hash_placement_pair (node_hash, own_hash), i);
     }
-  return count;
+  for (size_t i = 0; i < choice.count; i++)
+    handles[i] = choice.slots[i];
+  return choice.count;
 }
--- a/src/coordination/relay.c
+++ b/src/coordination/relay.c
@@ -2,6 +2,7 @@
 #include "coordination/relay.h"
 
 #include "base/hash.h"
+#include "coordination/rendezvous.h"
 
 #include <string.h>
 
@@ -31,7 +32,8 @@
 relay_choose (const struct directory *directory, const char *own_node,
               const char *zone, struct relay_group *group)
 {
-  uint64_t scores[RELAY_COUNT] = { 0 };
+  struct rendezvous choice;
+  rendezvous_init (&choice, RELAY_ROLE, RELAY_COUNT);
   if (count_candidates (directory, zone) < RELAY_ZONE_NODES_MIN)
     zone = NULL;
   *group = (struct relay_group){ 0 };
@@ -40,27 +42,18 @@
       const struct directory_record *record = &directory->records[i];
       if (!is_candidate (record, zone))
         continue;
-      uint64_t score = hash_placement_pair (
-          hash_placement_string (record->entry.node), RELAY_ROLE);
-      size_t rank = group->count;
-      while (rank > 0 && score > scores[rank - 1])
-        rank--;
-      if (rank >= RELAY_COUNT)
-        continue;
-      if (group->count < RELAY_COUNT)
-        group->count++;
-      for (size_t k = group->count - 1; k > rank; k--)
-        {
-          scores[k] = scores[k - 1];
-          group->handles[k] = group->handles[k - 1];
-        }
-      scores[rank] = score;
-      group->handles[rank] = i;
+      uint64_t node_hash = hash_placement_string (record->entry.node);
+      rendezvous_rank (&choice, hash_placement_pair (node_hash, RELAY_ROLE),
+                       i);
     }
+  group->count = choice.count;
   for (size_t i = 0; i < group->count; i++)
-    group->member
-        |= strcmp (directory->records[group->handles[i]].entry.node, own_node)
-           == 0;
+    {
+      group->handles[i] = choice.slots[i];
+      group->member
+          |= strcmp (directory->records[choice.slots[i]].entry.node, own_node)
+             == 0;
+    }
 }
 
 static bool
--- a/src/coordination/ring.c
+++ b/src/coordination/ring.c
@@ -67,7 +67,7 @@
   ring->zones[i] = (struct ring_zone){ .id = id };
   memcpy (ring->zones[i].name, member->availability_zone,
           sizeof ring->zones[i].name);
-  rendezvous_init (&choices[i], id);
+  rendezvous_init (&choices[i], id, 2);
   return (int)i;
 }
 
