Derive whether a response has started from its status

http_request had response_started beside the status that was added for the held status line; both said the same for the one handler that reads it.

Checked: http_test and http_strict_test pass.

--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -299,9 +299,8 @@
       end == HTTP_END_NOT_CONNECTED ? "not_connected"
       : end == HTTP_END_MALFORMED   ? "malformed"
                                     : "lost",
-      request->response_started,
-      (clock_monotonic_us () - inbound->sent_us) / 1000);
-  if (request->response_started)
+      request->status != 0, (clock_monotonic_us () - inbound->sent_us) / 1000);
+  if (request->status != 0)
     http_reply_abort (request);
   else if (end == HTTP_END_NOT_CONNECTED)
     {
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -574,7 +574,6 @@
   else if (length >= 0)
     snprintf (framing, sizeof framing, "Content-Length: %lld\r\n",
               (long long)length);
-  request->response_started = true;
   request->response_chunked
       = length < 0 && !no_body && request->head->method != HTTP_HEAD;
   start_response (request, status, framing);
@@ -612,7 +611,6 @@
   if (request->output != NULL)
     evbuffer_drain (request->output, evbuffer_get_length (request->output));
   request->status = 0;
-  request->response_started = false;
   return true;
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -28,7 +28,6 @@
   void *context;        ///< pointer of the handler
   unsigned status;      ///< of the response; 0: not started
   char framing[HTTP_FRAMING_SIZE_MAX]; ///< its framing field, or ""
-  bool response_started;
   bool response_chunked;
   bool response_complete;    ///< the complete response was written
   struct evbuffer *output;   ///< buffers the response until earlier ones end
