Send no part of a response while later requests are in progress

Cause: the first response of a caller's connection was sent as it arrived while the requests behind it had been passed on. Once a part is sent, only the close tells the caller that the response is not whole, and the close ends the others.

The HTTP server now hands a later request over only while nothing of an earlier response of its connection is on its way to the caller, and holds a response until it is complete while a later request is in the handler's hands. What breaks off can then always be taken back, at any size. Requests wait behind downloads and behind routes with responses of 1 MiB and more.

--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -323,6 +323,7 @@
   if (outbound->buffered != NULL)
     evbuffer_drain (outbound->buffered,
                     evbuffer_get_length (outbound->buffered));
+  outbound->forwarded = 0;
   outbound->not_run = false;
   outbound->unusable = false;
   outbound->target_failed = false;
@@ -446,6 +447,8 @@
   outbound->config_version = sidecar->config->version;
   outbound->retry.retry_class = route->retry_class;
   outbound->retry.attempts_max = route->attempts_max;
+  if (route->retry_class == MESH_DOWNLOAD || route->large_responses)
+    http_request_block_next (outbound->request);
   outbound->rank = route->priority;
   outbound->kind = (uint32_t)hash_placement_string (route->name);
   if (deadline_ms > route->deadline_seen_ms)
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -17,6 +17,14 @@
 /// closed: they may come without end.
 #define OUTBOUND_DISCARD_BYTES_MAX (64u * 1024)
 
+/// From this size on, the responses of a route are no longer held back: the
+/// requests behind them on their connection wait instead.
+#define OUTBOUND_LARGE_RESPONSE_BYTES (1024u * 1024)
+
+/// This fraction (1 / 8) of the process's memory may be used for responses
+/// that are held back.
+#define OUTBOUND_HELD_DIVISOR 8
+
 struct sidecar_outbound
 {
   struct sidecar *sidecar;
@@ -50,6 +58,7 @@
   struct http_head *response; ///< response head, child of the request's arena
   struct evbuffer *buffered;  ///< buffered body, NULL until needed
   size_t discarded;           ///< bytes of a body that is not passed on
+  size_t forwarded;           ///< bytes of a body that is passed on
 };
 
 /* sidecar_outbound.c */
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -17,6 +17,10 @@
 /// Longest Retry-After of a node that is believed, seconds.
 #define RETRY_AFTER_S_MAX 60.0
 
+static struct counter too_large
+    = COUNTER ("entry_answers_too_large",
+               "answers ended because they could not be held back");
+
 /// @return the reason that a node sent as static text, "unstated" when unknown
 static const char *
 known_reason (const char *text)
@@ -69,6 +73,54 @@
   on_response_end (outbound, HTTP_END_COMPLETE);
 }
 
+/// Lets later requests of a route wait behind responses of this size, instead
+/// of holding the responses back.
+static void
+note_size (struct sidecar_outbound *outbound, uint64_t size)
+{
+  const struct sidecar *sidecar = outbound->sidecar;
+  const struct http_head *head = outbound->request->head;
+  const char *host = http_head_find (head, "Host");
+  if (size < OUTBOUND_LARGE_RESPONSE_BYTES || outbound->request->blocks_next
+      || host == NULL)
+    return;
+  http_request_block_next (outbound->request);
+  struct mesh_route *route
+      = mesh_config_find (sidecar->config, host, head->target);
+  if (route != NULL)
+    route->large_responses = true;
+}
+
+/// @param size  bytes of the response that have not arrived yet, as far as
+/// known
+/// @return true when the response is held back until it is complete and there
+/// is
+///         no memory for it. Sending a part of it would put the responses
+///         behind it at risk.
+static bool
+is_too_large_to_hold (const struct sidecar_outbound *outbound, uint64_t size)
+{
+  const struct sidecar *sidecar = outbound->sidecar;
+  uint64_t most
+      = sidecar->settings.memory_mb * 1024ull * 1024 / OUTBOUND_HELD_DIVISOR;
+  return http_request_is_held (outbound->request)
+         && size + http_server_held (&sidecar->calls) > most;
+}
+
+/// Ends a request whose response cannot be held back; the others of its
+/// connection keep theirs.
+static void
+end_too_large (struct sidecar_outbound *outbound)
+{
+  counter_add (&too_large, 1);
+  http_exchange_cancel (outbound->exchange);
+  outbound->exchange = NULL;
+  sidecar_outbound_report_result (outbound, outbound->target_failed
+                                                ? PLACEMENT_FAILED
+                                                : PLACEMENT_ANSWERED);
+  sidecar_outbound_end_failed (outbound, 502, "response-too-large");
+}
+
 static void
 on_response_head (void *arg, struct http_head *head)
 {
@@ -102,6 +154,13 @@
   if (outbound->not_run || outbound->target_failed)
     return;
   sidecar_outbound_report_result (outbound, PLACEMENT_ANSWERED);
+  note_size (outbound, head->length);
+  if (head->length > SIDECAR_BACKLOG_BYTES_MAX
+      && is_too_large_to_hold (outbound, head->length))
+    {
+      end_too_large (outbound);
+      return;
+    }
   bool small = head->has_length && head->length <= OUTBOUND_BUFFER_BYTES_MAX;
   if (!small)
     sidecar_outbound_start_forwarding (outbound);
@@ -134,6 +193,18 @@
       sidecar_outbound_start_forwarding (outbound);
     }
   http_reply_write (outbound->request, data, size);
+  outbound->forwarded += size;
+  note_size (outbound, outbound->forwarded);
+  if (http_request_backlog (outbound->request) <= SIDECAR_BACKLOG_BYTES_MAX)
+    return;
+  if (is_too_large_to_hold (outbound, 0))
+    {
+      end_too_large (outbound);
+      return;
+    }
+  if (http_request_is_held (outbound->request))
+    return;
+  http_reply_release (outbound->request);
   if (http_request_backlog (outbound->request) > SIDECAR_BACKLOG_BYTES_MAX)
     http_exchange_pause (outbound->exchange);
 }
--- a/src/state/mesh_config.h
+++ b/src/state/mesh_config.h
@@ -44,6 +44,7 @@
   /// shorter one is taken as the time that the caller has already waited: a
   /// caller that retries gives the rest of its deadline.
   uint32_t deadline_seen_ms;
+  bool large_responses; ///< a response was too large to hold several of them
 };
 
 struct mesh_service
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -54,6 +54,8 @@
                              ///< the last response, or begin of closing
   unsigned rejected;  ///< status for what follows the requests that are in
                       ///< progress and is rejected; 0: nothing
+  bool handing_over;  ///< requests are being handed over
+  bool freed;         ///< freed while requests are handed over
   bool served;        ///< a request was received on it
   bool last_response; ///< the head of a response that closes the connection
                       ///< was sent; later requests are not started
@@ -85,7 +87,7 @@
       connection->request = request->next;
       connection->pending--;
       server->in_progress--;
-      if (notify && !request->response_complete)
+      if (notify && request->handed_over && !request->response_complete)
         server->ops->disconnected (server->arg, request);
       free_request (request);
     }
@@ -105,7 +107,9 @@
     free_request (connection->receiving_request);
   server->connections--;
   http_stream_free (connection->stream);
-  free (connection);
+  connection->freed = true;
+  if (!connection->handing_over)
+    free (connection);
 }
 
 static void
@@ -209,6 +213,63 @@
   evbuffer_add (request->body, data, size);
 }
 
+/// @return true when later requests of the connection must wait: their
+///         responses would be lost if this one, which is sent in part, broke
+///         off
+static bool
+blocks_later_requests (const struct http_request *request)
+{
+  bool is_sent_in_part = request->output == NULL && request->status != 0;
+  return !request->response_complete
+         && (request->blocks_next || is_sent_in_part);
+}
+
+/// @return the next request to hand over, or NULL
+static struct http_request *
+next_to_hand_over (const struct http_server_connection *connection)
+{
+  struct http_request *request = connection->request;
+  while (request != NULL && request->handed_over)
+    request = blocks_later_requests (request) ? NULL : request->next;
+  return request;
+}
+
+/// Hands the requests that need not wait to the handler, which may end them or
+/// the connection at once.
+static void
+hand_over_requests (struct http_server_connection *connection)
+{
+  struct http_server *server = connection->server;
+  struct http_request *request;
+  if (connection->handing_over)
+    return; /* called by the handler; the loop below continues */
+  connection->handing_over = true;
+  while (!connection->freed
+         && (request = next_to_hand_over (connection)) != NULL)
+    {
+      request->handed_over = true;
+      server->ops->request (server->arg, request);
+    }
+  connection->handing_over = false;
+  if (connection->freed)
+    free (connection);
+}
+
+/// Holds back the response to a request that arrived behind others, and the
+/// oldest one if nothing of it was sent.
+/// @return false without memory
+static bool
+hold_responses (struct http_server_connection *connection,
+                struct http_request *later)
+{
+  struct http_request *oldest = connection->request;
+  later->output = evbuffer_new ();
+  if (oldest->output == NULL && oldest->status == 0)
+    oldest->output = evbuffer_new ();
+  return later->output != NULL
+         && (oldest->output != NULL || oldest->status != 0);
+}
+
 static void
 on_complete (struct http_stream *stream)
 {
@@ -221,15 +282,19 @@
   struct http_request **last = &connection->request;
   while (*last != NULL)
     last = &(*last)->next;
+  if (last != &connection->request && !hold_responses (connection, request))
+    {
+      free_request (request);
+      reject (connection, 503);
+      return;
+    }
   *last = request;
-  if (connection->request != request)
-    request->output = evbuffer_new ();
   connection->pending++;
   connection->server->in_progress++;
   request->received_us = clock_monotonic_us ();
   if (request->head->keep_alive && connection->pending < PIPELINE_MAX)
     http_stream_next (stream);
-  connection->server->ops->request (connection->server->arg, request);
+  hand_over_requests (connection);
 }
 
 static void
@@ -497,25 +562,37 @@
     send_status_line (request);
 }
 
-/// Moves the responses that are next in order to the connection's output and
-/// frees their requests.
+/// Sends what was held back of the oldest response.
+static void
+send_held_response (struct http_request *request)
+{
+  if (request->status != 0)
+    send_status_line (request);
+  evbuffer_add_buffer (http_stream_output (request->connection->stream),
+                       request->output);
+  evbuffer_free (request->output);
+  request->output = NULL;
+}
+
+/// Sends the responses that are next in order and frees their requests.
 static void
 send_finished_responses (struct http_server_connection *connection)
 {
-  struct evbuffer *output = http_stream_output (connection->stream);
   while (connection->request != NULL)
     {
       struct http_request *request = connection->request;
-      if (request->output != NULL)
+      if (request->output != NULL
+          && (request->response_complete || request->next == NULL))
+        send_held_response (request);
+      if (!request->response_complete)
         {
-          if (request->status != 0)
-            send_status_line (request);
-          evbuffer_add_buffer (output, request->output);
-          evbuffer_free (request->output);
-          request->output = NULL;
+          if (request->output != NULL
+              && connection->server->ops->writable != NULL)
+            connection->server->ops->writable (connection->server->arg,
+                                               request);
+          hand_over_requests (connection);
+          return;
         }
-      if (!request->response_complete)
-        return;
       bool close = !request->head->keep_alive;
       connection->request = request->next;
       connection->pending--;
@@ -544,6 +621,8 @@
   request->response_complete = true;
   if (connection->request == request)
     send_finished_responses (connection);
+  else
+    hand_over_requests (connection);
 }
 
 void
@@ -614,6 +693,28 @@
   return true;
 }
 
+void
+http_reply_release (struct http_request *request)
+{
+  if (request->output != NULL && request == request->connection->request
+      && !http_request_is_held (request))
+    send_held_response (request);
+}
+
+void
+http_request_block_next (struct http_request *request)
+{
+  request->blocks_next = true;
+}
+
+bool
+http_request_is_held (const struct http_request *request)
+{
+  const struct http_request *next = request->next;
+  return request == request->connection->request && !request->response_complete
+         && next != NULL && next->handed_over;
+}
+
 void
 http_reply_abort (struct http_request *request)
 {
@@ -631,3 +732,15 @@
           ? request->output
           : http_stream_output (request->connection->stream));
 }
+
+size_t
+http_server_held (const struct http_server *server)
+{
+  size_t size = 0;
+  for (const struct http_server_connection *c = server->first; c != NULL;
+       c = c->next)
+    for (const struct http_request *r = c->request; r != NULL; r = r->next)
+      if (r->output != NULL)
+        size += evbuffer_get_length (r->output);
+  return size;
+}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,6 +1,13 @@
 /// HTTP/1.1 server: a listener, its connections and their requests. Request
 /// bodies are buffered completely; responses are streamed. Pipelined requests
 /// are handled concurrently; their responses are sent in order.
+///
+/// Only the close of a connection shows that a response is truncated, and it
+/// ends the requests behind it. So a response is sent in parts only while no
+/// later request of its connection has been handed to the handler: it is held
+/// until it is complete if there is one, and none is handed over while a part
+/// is sent. It is also held while a later request waits; the handler may
+/// release it then.
 #ifndef HAWTHORNSEAM_TRANSPORT_HTTP_SERVER_H
 #define HAWTHORNSEAM_TRANSPORT_HTTP_SERVER_H
 
@@ -28,9 +35,12 @@
   void *context;        ///< pointer of the handler
   unsigned status;      ///< of the response; 0: not started
   char framing[HTTP_FRAMING_SIZE_MAX]; ///< its framing field, or ""
+  bool handed_over;                    ///< the handler has received it
+  bool blocks_next;                    ///< see http_request_block_next
   bool response_chunked;
   bool response_complete;    ///< the complete response was written
-  struct evbuffer *output;   ///< buffers the response until earlier ones end
+  struct evbuffer *output;   ///< holds the response back; NULL: it is sent as
+                             ///< it is written
   struct http_request *next; ///< next request on the same connection
 };
 
@@ -41,7 +51,8 @@
   /// The caller closed the connection before the end of the response. The
   /// request is freed when this returns.
   void (*disconnected) (void *arg, struct http_request *request);
-  /// All bytes written so far were handed to the kernel; may be NULL.
+  /// More of the response may be written: all bytes so far were handed to the
+  /// kernel, or the earlier responses have ended; may be NULL.
   void (*writable) (void *arg, struct http_request *request);
 };
 
@@ -120,17 +131,34 @@
 /// Ends a streamed response.
 void http_reply_finish (struct http_request *request);
 
-/// Takes back a response of which nothing was sent, because earlier ones are
-/// unfinished. Another response may be started then.
+/// Takes back a response of which nothing was sent. Another response may be
+/// started then.
 /// @return false if a part was sent, or the response is complete
 bool http_reply_retract (struct http_request *request);
 
+/// Sends what is held back of the oldest response of a connection, unless a
+/// later request was handed over; what follows is sent as it is written.
+void http_reply_release (struct http_request *request);
+
 /// Closes the connection before the end of the response, so that the caller
-/// can tell that it is truncated. All requests on the connection are lost.
+/// can tell that it is truncated. Requests behind it were not handed over if a
+/// part of it was sent; otherwise all of the connection are lost, see
+/// http_reply_retract.
 void http_reply_abort (struct http_request *request);
 
+/// Hands no later request of the connection over before the response is
+/// complete. Called by the handler for a response that is too large to hold.
+void http_request_block_next (struct http_request *request);
+
+/// @return true when the earlier responses have ended, but none of this one is
+///         sent before it is complete, because of the requests behind it
+bool http_request_is_held (const struct http_request *request);
+
 /// @return bytes of responses that are buffered for the caller: the request's
-/// own if earlier responses are unfinished, else all of the connection
+/// own if it is held back, else all of the connection
 size_t http_request_backlog (const struct http_request *request);
 
+/// @return bytes of all responses that are held back
+size_t http_server_held (const struct http_server *server);
+
 #endif
--- a/test/functional/sidecars.sh
+++ b/test/functional/sidecars.sh
@@ -12,6 +12,7 @@
 # target 4, metrics 5.
 port() { echo $((BASE + 100 + 10 * $1 + $2)); }
 
+# sidecar_run NODE: starts a node; SETTINGS_EXTRA: further lines of its settings.
 sidecar_run() {
   local i=$1
   cat >"$RUN/s$i.yaml" <<YAML
@@ -27,6 +28,7 @@
 store: 127.0.0.1:$STORE_PORT
 metrics: 127.0.0.1:$(port "$i" 5)
 heartbeat: 1500ms
+${SETTINGS_EXTRA:-}
 YAML
   start "s$i" "$BIN/hawthornseam-sidecar" --settings "$RUN/s$i.yaml"
 }
