Derive the times of a planned stop from the grace period

With a grace below 2.9 s the process never ended by itself and was killed with what it had accepted.

Cause: a stopping node gives up what has not started when a seventh of the grace is left, but a response that is held back or waits for its turn counted as started, and kept the finished ones behind it until the exit. The times of acceptance were constants, and the exit was considered only after 2.9 s.

Ruled out: requests that come later than the time of acceptance; they got 503 and did not run at each length of the grace.

stop_plan derives all times from the grace when the signal arrives; for 6 and 10 s they are the former ones. A response counts as started when a part of it was sent, so a held one is answered with 504 in time and those behind it are delivered. The exit has a timer of its own.

--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -16,6 +16,7 @@
 #include "coordination/admission_queue.h"
 #include "coordination/placement.h"
 #include "coordination/retry_quota.h"
+#include "coordination/stop_plan.h"
 #include "coordination/transfer.h"
 #include "protocol/adapter.h"
 #include "sidecar/sidecar_settings.h"
@@ -43,23 +44,6 @@
 /// connection is paused.
 #define SIDECAR_BACKLOG_BYTES_MAX (64u * 1024)
 
-/// Time after SIGTERM in which new requests of callers are still accepted.
-/// Callers stop sending after two failed readiness probes, which come one
-/// second apart. Later requests are refused because they could not finish
-/// within the grace period.
-#define SIDECAR_STOP_ACCEPT_CALLERS_MS 2900
-
-/// A stopping node ends requests whose response has not started when this
-/// fraction (1 / 7) of the grace period is left. Requests that its target is
-/// still processing in the last sixth are not counted against the node by the
-/// platform.
-#define SIDECAR_STOP_ANSWER_DIVISOR 7
-
-/// Time after SIGTERM in which requests of other nodes are still passed to the
-/// local target: the target keeps running and can only be reached through this
-/// node.
-#define SIDECAR_STOP_ACCEPT_PEERS_MS 2400
-
 /// A longer gap between two ticks means that the process was paused.
 #define SIDECAR_PAUSE_MS_MIN 1000
 
@@ -133,7 +117,9 @@
   uint64_t last_tick_ms; ///< last periodic work; 0: none yet
   uint64_t resumed_us;   ///< end of the last pause of the process
   bool stopping;
-  uint64_t stopping_ms; ///< when the stop signal arrived
+  uint64_t stopping_ms;       ///< when the stop signal arrived
+  struct stop_plan stop_plan; ///< times after `stopping_ms`
+  struct event exit_timer;    ///< latest end of a stopping process
 };
 
 /* sidecar_outbound.c */
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -550,10 +550,10 @@
 {
   uint64_t now_us = clock_monotonic_us ();
   uint64_t now_ms = now_us / 1000;
-  bool draining
-      = stopped_accepting (sidecar, now_ms)
-        || (sidecar->stopping
-            && now_ms >= sidecar->stopping_ms + SIDECAR_STOP_ACCEPT_PEERS_MS);
+  bool draining = stopped_accepting (sidecar, now_ms)
+                  || (sidecar->stopping
+                      && now_ms >= sidecar->stopping_ms
+                                       + sidecar->stop_plan.accept_peers_ms);
   if (draining != sidecar->admission.draining)
     admission_queue_set_draining (&sidecar->admission, draining);
   if (sidecar->admission.queued > 0)
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "platform/platform.h"
 #include "sidecar/sidecar_leave.h"
+#include "transport/timer.h"
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -48,10 +49,6 @@
 #define SERVER_IDLE_MS 60000
 #define SERVER_RECEIVE_MS 10000
 
-/// Time before the end of the grace period at which the process exits with
-/// requests still in progress.
-#define STOP_RESERVE_MS 250
-
 enum exit_code
 {
   EXIT_CODE_OK = 0,
@@ -117,13 +114,28 @@
   http_server_close_idle (&sidecar->peers);
 }
 
+static void
+end_process (struct sidecar *sidecar)
+{
+  log_event (LOG_LEVEL_INFO, "drained", "after_ms=%" PRIu64 " in_progress=%zu",
+             clock_monotonic_ms () - sidecar->stopping_ms,
+             sidecar->calls.in_progress + sidecar->peers.in_progress);
+  event_base_loopbreak (sidecar->base);
+}
+
+/// The grace period is about to end.
+static void
+on_exit_timer (evutil_socket_t fd, short what, void *arg)
+{
+  end_process (arg);
+}
+
 /// Ends the event loop once callers had time to leave and all responses were
-/// sent, or STOP_RESERVE_MS before the grace period ends.
+/// sent.
 static void
 continue_stop (struct sidecar *sidecar, uint64_t now_ms)
 {
-  uint64_t since_ms = now_ms - sidecar->stopping_ms;
-  if (since_ms < SIDECAR_STOP_ACCEPT_CALLERS_MS)
+  if (now_ms < sidecar->stopping_ms + sidecar->stop_plan.accept_callers_ms)
     return;
   close_idle_connections (sidecar);
   bool idle = !http_server_has_work (&sidecar->calls)
@@ -136,13 +148,8 @@
       http_server_stop_accepting (&sidecar->calls);
       http_server_stop_accepting (&sidecar->peers);
     }
-  if ((!idle || listening)
-      && since_ms + STOP_RESERVE_MS < sidecar->settings.grace_ms)
-    return;
-  log_event (LOG_LEVEL_INFO, "drained", "after_ms=%" PRIu64 " in_progress=%zu",
-             since_ms,
-             sidecar->calls.in_progress + sidecar->peers.in_progress);
-  event_base_loopbreak (sidecar->base);
+  if (idle && !listening)
+    end_process (sidecar);
 }
 
 static void
@@ -159,10 +166,13 @@
     return;
   sidecar->stopping = true;
   sidecar->stopping_ms = clock_monotonic_ms ();
+  sidecar->stop_plan = stop_plan_make (sidecar->settings.grace_ms);
+  timer_start (&sidecar->exit_timer, sidecar->stop_plan.exit_by_ms);
   log_event (LOG_LEVEL_INFO, "stopping",
-             "signal=%d callers=%zu in_progress=%zu", (int)number,
-             sidecar->calls.connections,
-             sidecar->calls.in_progress + sidecar->peers.in_progress);
+             "signal=%d callers=%zu in_progress=%zu grace_ms=%" PRIu32,
+             (int)number, sidecar->calls.connections,
+             sidecar->calls.in_progress + sidecar->peers.in_progress,
+             sidecar->settings.grace_ms);
   http_server_drain (&sidecar->calls);
   sidecar_outbound_stopping (sidecar);
   if (sidecar_moves_is_driving (sidecar))
@@ -348,6 +358,7 @@
   event_assign (&sidecar->tick, sidecar->base, -1, EV_PERSIST, on_tick,
                 sidecar);
   event_add (&sidecar->tick, &(struct timeval){ 0, TICK_MS * 1000 });
+  evtimer_assign (&sidecar->exit_timer, sidecar->base, on_exit_timer, sidecar);
   event_assign (&sidecar->log_timer, sidecar->base, -1, EV_PERSIST,
                 on_log_timer, sidecar);
   event_add (&sidecar->log_timer, &(struct timeval){ 0, LOG_FLUSH_MS * 1000 });
@@ -366,6 +377,7 @@
                status_message ());
   event_del (&sidecar->tick);
   event_del (&sidecar->log_timer);
+  event_del (&sidecar->exit_timer);
   stop (sidecar);
   for (size_t i = 0; i < 3; i++)
     event_free (signals[i]);
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -413,14 +413,12 @@
     sidecar_outbound_end_failed (outbound, 504, CALL_REASON_TIMEOUT);
 }
 
-/// @return time at which a stopping node ends requests whose response has not
-///         started
+/// @return time at which a stopping node ends requests of whose response
+///         nothing was sent
 static uint64_t
 stop_answer_ms (const struct sidecar *sidecar)
 {
-  uint32_t grace_ms = sidecar->settings.grace_ms;
-  return sidecar->stopping_ms + grace_ms
-         - grace_ms / SIDECAR_STOP_ANSWER_DIVISOR;
+  return sidecar->stopping_ms + sidecar->stop_plan.answer_by_ms;
 }
 
 void
@@ -430,7 +428,10 @@
   for (struct sidecar_outbound *outbound = TAILQ_FIRST (&sidecar->outbound);
        outbound != NULL; outbound = TAILQ_NEXT (outbound, link))
     {
-      if (outbound->forwarding || outbound->respond_by_ms <= by_ms)
+      /* A response that is held back would keep those behind it from their
+         callers until the process ends. */
+      if (http_reply_is_begun (outbound->request)
+          || outbound->respond_by_ms <= by_ms)
         continue;
       outbound->respond_by_ms = by_ms;
       timer_start_at (&outbound->timer, by_ms);
@@ -481,7 +482,7 @@
   bool refusing
       = sidecar->stopping
         && clock_monotonic_ms ()
-               >= sidecar->stopping_ms + SIDECAR_STOP_ACCEPT_CALLERS_MS;
+               >= sidecar->stopping_ms + sidecar->stop_plan.accept_callers_ms;
   if (sidecar->config == NULL || refusing)
     {
       log_rate_limited (&ended_log_limit, LOG_LEVEL_INFO, "request_not_run",
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -164,7 +164,10 @@
   bool small = head->has_length && head->length <= OUTBOUND_BUFFER_BYTES_MAX;
   if (!small)
     sidecar_outbound_start_forwarding (outbound);
-  if (outbound->forwarding && outbound->respond_by_ms < outbound->deadline_ms)
+  bool may_overrun = !outbound->sidecar->stopping
+                     || http_reply_is_begun (outbound->request);
+  if (outbound->forwarding && may_overrun
+      && outbound->respond_by_ms < outbound->deadline_ms)
     timer_start_at (&outbound->timer,
                     outbound->respond_by_ms + FORWARD_OVERTIME_MS);
 }
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -219,9 +219,8 @@
 static bool
 blocks_later_requests (const struct http_request *request)
 {
-  bool is_sent_in_part = request->output == NULL && request->status != 0;
   return !request->response_complete
-         && (request->blocks_next || is_sent_in_part);
+         && (request->blocks_next || http_reply_is_begun (request));
 }
 
 /// @return the next request to hand over, or NULL
@@ -684,8 +683,7 @@
 bool
 http_reply_retract (struct http_request *request)
 {
-  if (request->response_complete
-      || (request->output == NULL && request->status != 0))
+  if (request->response_complete || http_reply_is_begun (request))
     return false;
   if (request->output != NULL)
     evbuffer_drain (request->output, evbuffer_get_length (request->output));
@@ -693,6 +691,12 @@
   return true;
 }
 
+bool
+http_reply_is_begun (const struct http_request *request)
+{
+  return request->output == NULL && request->status != 0;
+}
+
 void
 http_reply_release (struct http_request *request)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -136,6 +136,9 @@
 /// @return false if a part was sent, or the response is complete
 bool http_reply_retract (struct http_request *request);
 
+/// @return true when a part of the response may have been sent
+bool http_reply_is_begun (const struct http_request *request);
+
 /// Sends what is held back of the oldest response of a connection, unless a
 /// later request was handed over; what follows is sent as it is written.
 void http_reply_release (struct http_request *request);
--- a/test/functional/sidecars.sh
+++ b/test/functional/sidecars.sh
@@ -39,7 +39,7 @@
   SEQUENCE=$((SEQUENCE + 1))
   curl -s -m 2 -o /dev/null -w '%{http_code}' -X POST \
     "http://127.0.0.1:$(port "$i" 3)/api/instances/${INSTANCES[$i]}/heartbeat" \
-    -d "{\"Address\":\"127.0.0.1:$(port "$i" 4)\",\"Info\":{\"Service\":\"${SERVICES[$i]}\",\"Version\":\"${VERSIONS[$i]}\",\"Zone\":\"z\",\"Capacity\":4},\"Status\":{\"State\":\"$2\",\"SeqNo\":$SEQUENCE,\"ColdLeft\":\"0ms\"},\"born\":$((1000 + i))}"
+    -d "{\"Address\":\"127.0.0.1:$(port "$i" 4)\",\"Info\":{\"Service\":\"${SERVICES[$i]}\",\"Version\":\"${VERSIONS[$i]}\",\"Zone\":\"z\",\"Capacity\":${CAPACITY:-4}},\"Status\":{\"State\":\"$2\",\"SeqNo\":$SEQUENCE,\"ColdLeft\":\"0ms\"},\"born\":$((1000 + i))}"
 }
 
 # report_all [NODE...]: sends a ready heartbeat for each node (default: all).
@@ -51,9 +51,9 @@
 }
 
 # put_config VERSION SERVICE: writes a configuration that routes /read/ to
-# SERVICE.
+# SERVICE. TIMEOUT: of the routes.
 put_config() {
-  curl -s -X POST "$STORE/control/put?op/config" -d "{\"Version\":\"$1\",\"Routes\":[{\"Name\":\"reads\",\"Host\":\"a.example\",\"Prefix\":\"/read/\",\"RouteType\":\"safe\",\"Timeout\":\"1500ms\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"$2\",\"MaxAttempts\":2},{\"Name\":\"seals\",\"Host\":\"a.example\",\"Prefix\":\"/seal/\",\"RouteType\":\"unsafe\",\"Timeout\":\"1500ms\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"orders\",\"MaxAttempts\":2}],\"Services\":[{\"Name\":\"menu\"},{\"Name\":\"orders\"}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}"
+  curl -s -X POST "$STORE/control/put?op/config" -d "{\"Version\":\"$1\",\"Routes\":[{\"Name\":\"reads\",\"Host\":\"a.example\",\"Prefix\":\"/read/\",\"RouteType\":\"safe\",\"Timeout\":\"${TIMEOUT:-1500ms}\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"$2\",\"MaxAttempts\":2},{\"Name\":\"seals\",\"Host\":\"a.example\",\"Prefix\":\"/seal/\",\"RouteType\":\"unsafe\",\"Timeout\":\"${TIMEOUT:-1500ms}\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"orders\",\"MaxAttempts\":2}],\"Services\":[{\"Name\":\"menu\"},{\"Name\":\"orders\"}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}"
 }
 
 # ask NODE PATH [OPTION...]: sends a request to a node; prints "status body".
