Expect no body of a response to HEAD when its size is judged

A response to HEAD states the length of a body that does not come; judged by it, it could have been refused for lack of memory behind which nothing is held. Found by reading the change before; broken_pipeline_test.sh passes.

--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -91,12 +91,10 @@
     route->large_responses = true;
 }
 
-/// @param size  bytes of the response that have not arrived yet, as far as
-/// known
-/// @return true when the response is held back until it is complete and there
-/// is
-///         no memory for it. Sending a part of it would put the responses
-///         behind it at risk.
+/// Tells whether a response has to be held back until it is complete and there
+/// is no memory for it. Sending a part of it would put the responses behind it
+/// at risk.
+/// @param size  bytes that have not arrived yet, as far as known
 static bool
 is_too_large_to_hold (const struct sidecar_outbound *outbound, uint64_t size)
 {
@@ -154,9 +152,11 @@
   if (outbound->not_run || outbound->target_failed)
     return;
   sidecar_outbound_report_result (outbound, PLACEMENT_ANSWERED);
-  note_size (outbound, head->length);
-  if (head->length > SIDECAR_BACKLOG_BYTES_MAX
-      && is_too_large_to_hold (outbound, head->length))
+  uint64_t length
+      = outbound->request->head->method == HTTP_HEAD ? 0 : head->length;
+  note_size (outbound, length);
+  if (length > SIDECAR_BACKLOG_BYTES_MAX
+      && is_too_large_to_hold (outbound, length))
     {
       end_too_large (outbound);
       return;
