Vary the length of the grace in the soak

All nodes of a soak had 6 s; each process now draws 1.5, 3, 6 or 10 s from the seed, without changing the sequence of the seed's other random numbers. A stop whose times do not follow from the grace is killed at its end.

--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -22,7 +22,6 @@
 #define SOAK_STABLE_MS 3000
 #define SOAK_CONFIG_APPLY_MS 2000
 #define SOAK_DRAIN_MS 2000
-#define SOAK_GRACE_MS 6000
 #define SOAK_RECOVERY_MS 15000
 #define SOAK_TIMEOUT_MS 1500
 #define SOAK_TIMEOUT_SLACK_MS 500
@@ -86,6 +85,7 @@
   unsigned starts;
   uint64_t started_ms;
   uint64_t restart_ms; ///< time of the restart; 0: none is planned
+  uint32_t grace_ms;   ///< of the running process
   uint64_t kill_ms;    ///< end of the grace period; 0: not terminating
   bool exit_expected;
   uint64_t faulty_until_ms; ///< end of the last unplanned fault on it
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -60,7 +60,7 @@
   if (node->process <= 0 || node->kill_ms != 0)
     return;
   node->exit_expected = true;
-  node->kill_ms = clock_monotonic_ms () + SOAK_GRACE_MS;
+  node->kill_ms = clock_monotonic_ms () + node->grace_ms;
   soak_process_signal (node, SIGTERM);
 }
 
--- a/test/soak/soak_process.c
+++ b/test/soak/soak_process.c
@@ -3,6 +3,7 @@
 #include "soak.h"
 
 #include "base/clock.h"
+#include "base/hash.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -43,10 +44,21 @@
     fprintf (file, "%s: 127.0.0.1:%u\n", ports[i].name,
              soak_port (node, ports[i].use));
   fprintf (file, "heartbeat: 1500ms\ndrain: %dms\ngrace: %dms\n",
-           SOAK_DRAIN_MS, SOAK_GRACE_MS);
+           SOAK_DRAIN_MS, (int)node->grace_ms);
   fclose (file);
 }
 
+/// @return the grace period of the next process of a node; the choice leaves
+///         the sequence of the seed's random numbers as it is
+static uint32_t
+choose_grace_ms (const struct soak_node *node)
+{
+  static const uint32_t graces_ms[] = { 1500, 3000, 6000, 10000 };
+  uint64_t mixed = hash_placement_pair (node->soak->options.seed,
+                                        node->index * 1000 + node->starts);
+  return graces_ms[mixed % (sizeof graces_ms / sizeof graces_ms[0])];
+}
+
 void
 soak_process_start (struct soak_node *node)
 {
@@ -56,6 +68,7 @@
   snprintf (settings, sizeof settings, "%s/%s.yaml", options->directory,
             node->name);
   snprintf (log, sizeof log, "%s/%s.log", options->directory, node->name);
+  node->grace_ms = choose_grace_ms (node);
   write_settings (node, settings);
   pid_t process = fork ();
   if (process < 0)
