--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -29,9 +29,10 @@
 /// connection, and the caller could lose the response.
 #define LINGER_MS 1000
 
-/// A connection without any request yet may be closed after this time; its
-/// first request may still be on its way.
-#define FIRST_REQUEST_MS 250
+/// A stopping server gives a connection this time: without any request yet,
+/// since its first one may still be on its way; shut down for writing, since
+/// its caller may still read the last response and send more.
+#define STOP_WAIT_MS 250
 
 /// Maximum size of a status line with the framing fields, bytes.
 #define STATUS_LINE_BYTES_MAX 160
@@ -467,12 +468,11 @@
   if (connection->request != NULL
       || evbuffer_get_length (http_stream_output (stream)) > 0)
     return true;
+  bool waits = now_ms - connection->timeout_start_ms < STOP_WAIT_MS;
   if (connection->closing)
-    return false;
+    return waits;
   return stream->started || http_stream_unread (stream) > 0
-         || kernel_unread (connection) > 0
-         || (!connection->served
-             && now_ms - connection->timeout_start_ms < FIRST_REQUEST_MS);
+         || kernel_unread (connection) > 0 || (!connection->served && waits);
 }
 
 void
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -194,6 +194,40 @@
       }
 }
 
+/// A stopping server has closed its side after the last response. Closing the
+/// socket before the caller has closed its own would reset the connection when
+/// more requests are on their way, and the caller could lose the responses.
+static void
+test_stopping_server_waits_for_callers_to_close (void)
+{
+  for (int caller_closes = 0; caller_closes < 2; caller_closes++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run_ms (50);
+      http_server_drain (&server);
+      http_reply (requests[0], 200, NULL, "one", 3);
+      http_reply (requests[1], 200, NULL, "two", 3);
+      run_ms (20);
+      CU_ASSERT (raw_client.closed);
+      http_server_close_idle (&server);
+      CU_ASSERT_EQUAL (server.connections, 1);
+      CU_ASSERT (http_server_has_work (&server));
+      client_send (&raw_client, "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run_ms (20);
+      CU_ASSERT_EQUAL (server.connections, 1);
+      if (caller_closes)
+        shutdown (bufferevent_getfd (raw_client.bev), SHUT_WR);
+      run_ms (caller_closes ? 50 : 1600);
+      CU_ASSERT_EQUAL (server.connections, 0);
+      CU_ASSERT (!http_server_has_work (&server));
+      CU_ASSERT_EQUAL (request_count, 2);
+      server_tear_down (&raw_client);
+    }
+}
+
 /// A response that is held back and breaks off: it is taken back, and the
 /// other requests of the connection keep theirs.
 static void
@@ -540,6 +574,8 @@
       test_no_request_starts_behind_a_closing_response },
     { "a draining server truncates a response that is not read yet",
       test_draining_server_sends_finished_response },
+    { "a stopping server resets connections on which responses are read",
+      test_stopping_server_waits_for_callers_to_close },
     { "a large response that breaks off takes those behind it with it",
       test_response_with_requests_behind_breaks_off },
     { "requests behind a response sent in part are lost when it breaks off",
