Add client accounts with API keys

With Tenants in the configuration, a request needs the key of a client account in Api-Key, except on routes with NoAuth. Before, keys were passed on to targets, requests without a valid key ran, and targets did not learn the account.

The node that a caller sends the request to decides. It looks the key up by its hash, removes the key and any account name that the caller stated, and sends the account's name to the target, and a hash of it to the target's node. An unknown key gets 401 if the node's view was compared with the store within config_apply, otherwise 503: a key may have been added since. A key that was removed while its request was in progress stops further attempts. An account's priority takes precedence over the route's. Without Tenants nothing changes for callers, except that Hawthornseam-Tenant of a caller is removed.

Tests: platform_test and codec_test (decoding, malformed accounts, a key of two accounts, nodes without the new hop field), accounts_test.sh with real processes (names in odd case, twice, in a trailer; keys added and removed; a node out of contact; no key in a log).

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
   src/ctl/*.c src/lib/*.c src/sidecar/*.c platform/*.c))
 # The sidecar links only what it uses: its memory is billed.
 SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
-  platform/*.c) $(addprefix src/state/,directory.c leave_table.c mesh_config.c mirror.c \
+  platform/*.c) $(addprefix src/state/,client_account.c directory.c leave_table.c mesh_config.c mirror.c \
   suspect.c target_history.c) \
   $(addprefix src/coordination/,admission_queue.c leave_holders.c placement.c retry_quota.c relay.c rendezvous.c resend.c \
   retry.c rollout.c seqtest.c stop_plan.c store_pace.c transfer.c) \
--- a/src/protocol/adapter.h
+++ b/src/protocol/adapter.h
@@ -18,6 +18,8 @@
       *expected_instance;     ///< the only instance that may run the request
   const char *not_run;        ///< set by a target that did not run the request
   const char *caller_service; ///< service of the VM where a request starts
+  const char *api_key;        ///< key of the caller's client account
+  const char *account;        ///< name of that account, for the target
 };
 
 /// One report of the target on the same VM.
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -49,6 +49,7 @@
 
 /// Values of CALL_HEADER_REASON. Callers may print them; nodes compare them.
 #define CALL_REASON_NO_ROUTE "no-route"
+#define CALL_REASON_KEY_UNKNOWN "api-key-unknown"
 #define CALL_REASON_NO_TARGET "no-target"
 #define CALL_REASON_NOT_READY "not-ready"
 #define CALL_REASON_DRAINING "draining"
--- a/src/protocol/hop.c
+++ b/src/protocol/hop.c
@@ -4,16 +4,18 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HOP_FIELDS 9
+/// Fields of older nodes, which do not send the account.
+#define HOP_FIELDS_MIN 9
+#define HOP_FIELDS 10
 #define LOAD_FIELDS 4
 
 void
 hop_write (const struct hop *hop, char text[HOP_SIZE_MAX])
 {
-  snprintf (text, HOP_SIZE_MAX, "%s %s %u %u %u %u %u %u %u", hop->service,
+  snprintf (text, HOP_SIZE_MAX, "%s %s %u %u %u %u %u %u %u %u", hop->service,
             hop->version, (unsigned)hop->retry_class, hop->rank, hop->kind,
             hop->objective_ms, (unsigned)hop->is_retry, hop->address,
-            (unsigned)hop->port);
+            (unsigned)hop->port, hop->account);
 }
 
 enum status
@@ -22,11 +24,14 @@
   unsigned retry_class = 0;
   unsigned is_retry = 0;
   unsigned port = 0;
-  if (text == NULL
-      || sscanf (text, "%63s %63s %u %u %u %u %u %u %u", hop->service,
-                 hop->version, &retry_class, &hop->rank, &hop->kind,
-                 &hop->objective_ms, &is_retry, &hop->address, &port)
-             != HOP_FIELDS
+  hop->account = 0;
+  int fields = text == NULL
+                   ? 0
+                   : sscanf (text, "%63s %63s %u %u %u %u %u %u %u %u",
+                             hop->service, hop->version, &retry_class,
+                             &hop->rank, &hop->kind, &hop->objective_ms,
+                             &is_retry, &hop->address, &port, &hop->account);
+  if (fields < HOP_FIELDS_MIN || fields > HOP_FIELDS
       || retry_class > MESH_NON_IDEMPOTENT || is_retry > 1
       || port > UINT16_MAX)
     return status_set (STATUS_INVALID, "malformed routing header");
--- a/src/protocol/hop.h
+++ b/src/protocol/hop.h
@@ -10,7 +10,7 @@
 
 /// Bytes of the value that hop_write gives to CALL_HEADER_HOP, including the
 /// terminating zero.
-#define HOP_SIZE_MAX 224
+#define HOP_SIZE_MAX 240
 
 /// Bytes of the value that hop_load_write gives to CALL_HEADER_LOAD, including
 /// the terminating zero.
@@ -29,6 +29,7 @@
   uint32_t address;      ///< where the sender accepts requests of other
                          ///< nodes; IPv4, host byte order
   uint16_t port;
+  uint32_t account; ///< hash of the client account's name; 0: none
 };
 
 /// Load of a target.
--- /dev/null
+++ b/src/sidecar/sidecar_account.c
@@ -0,0 +1,50 @@
+/// Owns no state; the accounts belong to the configuration.
+#include "sidecar/sidecar_account.h"
+
+#include "base/hash.h"
+
+#include <strings.h>
+
+/// @return value of the only field with a name, or NULL when there is none or
+///         more than one
+static const char *
+find_only (const struct http_head *head, const char *name)
+{
+  const char *value = NULL;
+  for (size_t i = 0; i < head->field_count; i++)
+    {
+      if (strcasecmp (head->fields[i].name, name) != 0)
+        continue;
+      if (value != NULL)
+        return NULL;
+      value = head->fields[i].value;
+    }
+  return value;
+}
+
+enum account_decision
+sidecar_account_check (const struct sidecar *sidecar,
+                       const struct http_head *head,
+                       const struct client_account **account)
+{
+  const struct client_account_table *table = &sidecar->config->accounts;
+  const char *key = find_only (head, sidecar->adapter->headers.api_key);
+  *account = NULL;
+  if (!table->required)
+    return ACCOUNT_ACCEPTED;
+  if (key != NULL)
+    *account = client_account_find (table, key);
+  if (*account != NULL)
+    return ACCOUNT_ACCEPTED;
+  /* No newer configuration makes a request without a key acceptable. */
+  return key == NULL || sidecar_store_is_current (sidecar)
+             ? ACCOUNT_KEY_UNKNOWN
+             : ACCOUNT_UNDECIDED;
+}
+
+uint32_t
+sidecar_account_hash (const char *name)
+{
+  uint32_t hash = name == NULL ? 0 : (uint32_t)hash_placement_string (name);
+  return name != NULL && hash == 0 ? 1 : hash;
+}
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -37,6 +37,8 @@
     = COUNTER ("entry_repeats", "offers after the first one of a request");
 static struct counter abandoned
     = COUNTER ("entry_abandoned", "requests whose caller left");
+static struct counter unauthorized = COUNTER (
+    "entry_unauthorized", "requests refused because of their API key");
 static struct counter unrouted
     = COUNTER ("entry_unrouted", "requests without a route");
 
@@ -275,14 +277,17 @@
   struct sidecar *sidecar = outbound->sidecar;
   const struct adapter_headers *names = &sidecar->adapter->headers;
   const struct http_head *head = outbound->request->head;
-  const char *skip[] = { CALL_HEADER_HOP,
-                         CALL_HEADER_OUTCOME,
-                         CALL_HEADER_REASON,
-                         names->deadline_ms,
-                         names->caller_service,
-                         names->expected_instance,
-                         "Expect",
-                         NULL };
+  const char *skip[]
+      = { CALL_HEADER_HOP,
+          CALL_HEADER_OUTCOME,
+          CALL_HEADER_REASON,
+          names->deadline_ms,
+          names->caller_service,
+          names->expected_instance,
+          "Expect",
+          names->account,
+          sidecar->config->accounts.required ? names->api_key : NULL,
+          NULL };
   struct hop hop = {
     .retry_class = outbound->retry.retry_class,
     .rank = outbound->rank,
@@ -293,6 +298,7 @@
     .is_retry = outbound->retry.runs > 0,
     .address = sidecar->settings.announced.address,
     .port = sidecar->settings.announced.port,
+    .account = sidecar_account_hash (outbound->account),
   };
   strcpy (hop.service, outbound->service);
   strcpy (hop.version, record->entry.version);
@@ -306,6 +312,9 @@
                        CALL_HEADER_HOP, hop_text, names->deadline_ms,
                        outbound->respond_by_ms - now_ms, names->caller_service,
                        sidecar->settings.service);
+  if (outbound->account != NULL)
+    evbuffer_add_printf (bytes, "%s: %s\r\n", names->account,
+                         outbound->account);
   size_t size = evbuffer_get_length (outbound->request->body);
   if (size > 0 || head->has_length || head->chunked)
     evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
@@ -351,6 +360,55 @@
                            now_ms);
 }
 
+/// Refuses a request whose API key is not accepted and that has not run.
+static void
+refuse_key (struct http_request *request, const char *id, const char *route,
+            enum account_decision decision)
+{
+  bool unknown = decision == ACCOUNT_KEY_UNKNOWN;
+  unsigned status = unknown ? 401 : 503;
+  const char *reason
+      = unknown ? CALL_REASON_KEY_UNKNOWN : CALL_REASON_NOT_READY;
+  counter_add (unknown ? &unauthorized : &refusals, 1);
+  log_rate_limited (&ended_log_limit, LOG_LEVEL_INFO, "request_not_run",
+                    "id=%s route=%s status=%u reason=%s", id, route, status,
+                    reason);
+  send_local_reply (request, status, call_outcome_name (CALL_NOT_RUN), reason,
+                    unknown ? 0 : RETRY_AFTER_MS_DEFAULT);
+}
+
+/// @return true while the request's API key is accepted by the configuration
+///         in force, which may be newer than the one that chose the route
+static bool
+has_valid_key (struct sidecar_outbound *outbound)
+{
+  const struct client_account *account;
+  if (!outbound->needs_key
+      || outbound->config_version == outbound->sidecar->config->version)
+    return true;
+  return sidecar_account_check (outbound->sidecar, outbound->request->head,
+                                &account)
+             == ACCOUNT_ACCEPTED
+         && (account == NULL
+             || strcmp (account->name, outbound->account) == 0);
+}
+
+/// Ends a request whose key was removed while it was in progress.
+static void
+end_key_removed (struct sidecar_outbound *outbound)
+{
+  if (outbound->target_failed)
+    sidecar_outbound_end_answered (outbound);
+  else if (resend_give_up (&outbound->retry) != RESEND_RESPOND_NOT_RUN)
+    sidecar_outbound_end_failed (outbound, 502, CALL_REASON_KEY_UNKNOWN);
+  else
+    {
+      refuse_key (outbound->request, outbound->id, outbound->route,
+                  ACCOUNT_KEY_UNKNOWN);
+      release (outbound);
+    }
+}
+
 /// Sends the request to the best node that has not been tried yet, or ends it
 /// when there is none.
 static void
@@ -358,6 +416,11 @@
 {
   struct sidecar *sidecar = outbound->sidecar;
   uint64_t now = clock_monotonic_ms ();
+  if (!has_valid_key (outbound))
+    {
+      end_key_removed (outbound);
+      return;
+    }
   size_t node
       = now < outbound->respond_by_ms ? choose_node (outbound, now) : SIZE_MAX;
   if (node == SIZE_MAX)
@@ -440,7 +503,7 @@
 
 static void
 start_request (struct sidecar_outbound *outbound, struct mesh_route *route,
-               uint32_t deadline_ms)
+               const struct client_account *account, uint32_t deadline_ms)
 {
   struct sidecar *sidecar = outbound->sidecar;
   strncpy (outbound->route, route->name, sizeof outbound->route - 1);
@@ -450,7 +513,8 @@
   outbound->retry.attempts_max = route->attempts_max;
   if (route->retry_class == MESH_DOWNLOAD || route->large_responses)
     http_request_block_next (outbound->request);
-  outbound->rank = route->priority;
+  outbound->rank = account != NULL && account->has_priority ? account->priority
+                                                            : route->priority;
   outbound->kind = (uint32_t)hash_placement_string (route->name);
   if (deadline_ms > route->deadline_seen_ms)
     route->deadline_seen_ms = deadline_ms;
@@ -520,6 +584,16 @@
                         CALL_REASON_SUSPECT, RETRY_AFTER_MS_DEFAULT);
       return;
     }
+  const struct client_account *account = NULL;
+  bool needs_key = sidecar->config->accounts.required && !route->no_key;
+  enum account_decision decision
+      = needs_key ? sidecar_account_check (sidecar, request->head, &account)
+                  : ACCOUNT_ACCEPTED;
+  if (decision != ACCOUNT_ACCEPTED)
+    {
+      refuse_key (request, id == NULL ? "-" : id, route->name, decision);
+      return;
+    }
   uint32_t deadline_ms;
   struct sidecar_outbound *outbound = calloc (1, sizeof *outbound);
   if (outbound == NULL
@@ -536,11 +610,14 @@
   outbound->sidecar = sidecar;
   outbound->request = request;
   outbound->id = id == NULL ? "-" : id;
+  outbound->needs_key = needs_key;
+  outbound->account
+      = account == NULL ? NULL : talloc_strdup (request->arena, account->name);
   outbound->arrived_ms = request->received_us / 1000;
   request->context = outbound;
   evtimer_assign (&outbound->timer, sidecar->base, on_timeout, outbound);
   TAILQ_INSERT_TAIL (&sidecar->outbound, outbound, link);
-  start_request (outbound, route, deadline_ms);
+  start_request (outbound, route, account, deadline_ms);
 }
 
 static void
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -6,6 +6,7 @@
 #include "coordination/resend.h"
 #include "protocol/hop.h"
 #include "sidecar/sidecar.h"
+#include "sidecar/sidecar_account.h"
 
 /// Largest response, bytes, that is buffered until it is complete, so that the
 /// request can be retried when the response is cut short. Larger ones and
@@ -35,9 +36,13 @@
   const char *id; ///< in the request's arena
   char route[64];
   char service[DIRECTORY_NAME_MAX + 1];
+  /// Name of the client account, in the request's arena; NULL: none.
+  const char *account;
+  bool needs_key;          ///< the key is checked again before each attempt
   uint64_t config_version; ///< of the configuration that chose the route
   struct resend retry;     ///< attempts so far
-  uint32_t rank;           ///< route's priority, 0 is the most urgent
+  uint32_t rank;           ///< priority of the account or route, 0 is the most
+                           ///< urgent
   uint32_t kind;           ///< hash of the route's name
   uint64_t arrived_ms;
   uint64_t objective_ms;  ///< when the route's latency objective is exceeded
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -284,6 +284,7 @@
   if (served)
     {
       store->caught_up = true;
+      store->view_checked_ms = now;
       if (returned)
         sidecar_store_probe_now (sidecar);
       return;
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -147,7 +147,10 @@
      their revisions and delivers the changes since then. */
   store->as_of = store->list_as_of;
   if (!store->list_stale)
-    store->caught_up = true;
+    {
+      store->caught_up = true;
+      store->view_checked_ms = clock_monotonic_ms ();
+    }
   if (sidecar_relay_is_available (store->sidecar))
     store->next_watch_ms = 0;
 }
@@ -218,6 +221,7 @@
     case STATUS_OK:
       mark_reachable (store);
       store->caught_up = true;
+      store->view_checked_ms = clock_monotonic_ms ();
       sidecar_store_apply_keys (store, reply);
       if (reply->as_of > store->as_of)
         store->as_of = reply->as_of;
@@ -231,6 +235,7 @@
       break;
     case STATUS_TIMEOUT:
       store->caught_up = true;
+      store->view_checked_ms = clock_monotonic_ms ();
       break;
     default:
       if (!responded)
@@ -449,6 +454,15 @@
   return sidecar->store->caught_up;
 }
 
+bool
+sidecar_store_is_current (const struct sidecar *sidecar)
+{
+  const struct sidecar_store *store = sidecar->store;
+  return store->caught_up
+         && clock_monotonic_ms () - store->view_checked_ms
+                <= sidecar->settings.config_apply_ms;
+}
+
 bool
 sidecar_store_is_announced (const struct sidecar *sidecar)
 {
--- a/src/state/mesh_config.h
+++ b/src/state/mesh_config.h
@@ -6,6 +6,7 @@
 #define HAWTHORNSEAM_STATE_MESH_CONFIG_H
 
 #include "base/status.h"
+#include "state/client_account.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -44,6 +45,7 @@
   /// shorter one is taken as the time that the caller has already waited: a
   /// caller that retries gives the rest of its deadline.
   uint32_t deadline_seen_ms;
+  bool no_key; ///< requests need no API key, and have no client account
   bool large_responses; ///< a response was too large to hold several of them
 };
 
@@ -70,6 +72,7 @@
   struct mesh_service *services;
   size_t service_count;
   struct mesh_limits limits;
+  struct client_account_table accounts;
 };
 
 /// Creates an empty configuration with default limits. Free it with
@@ -77,9 +80,11 @@
 /// @return NULL without memory
 struct mesh_config *mesh_config_new (void);
 
-/// Sorts and checks the routes. Called once, after all routes were added.
-/// @return STATUS_INVALID when two routes have the same host and prefix, or a
-///         route has no service with a weight above 0
+/// Sorts and checks the routes and the keys of the client accounts. Called
+/// once, after all of them were added.
+/// @return STATUS_INVALID when two routes have the same host and prefix, a
+///         route has no service with a weight above 0, or two accounts have
+///         the same key
 enum status mesh_config_prepare (struct mesh_config *config);
 
 /// Finds the route of a request.
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -177,16 +177,20 @@
 answer_run (struct run *run)
 {
   struct http_request *request = run->request;
-  char fields[512];
+  char fields[768];
   const char *id = http_head_find (request->head, "Hawthornseam-Request-Id");
   const char *caller
       = http_head_find (request->head, "Hawthornseam-Caller-Service");
+  const char *account = http_head_find (request->head, "Hawthornseam-Tenant");
+  const char *key = http_head_find (request->head, "Api-Key");
   bool fails = strstr (request->head->target, "fail") != NULL;
   snprintf (fields, sizeof fields,
             "Hawthornseam-Request-Id: %s\r\nHawthornseam-Response-Seal: x\r\n"
-            "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n%s",
+            "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n"
+            "X-Account: %s\r\nX-Key: %s\r\n%s",
             id == NULL ? "" : id, run->target->instance,
-            caller == NULL ? "" : caller,
+            caller == NULL ? "" : caller, account == NULL ? "-" : account,
+            key == NULL ? "-" : key,
             strstr (request->head->target, "forge") == NULL
                 ? ""
                 : "Hawthornseam-Outcome: not-run\r\n");
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -345,6 +345,98 @@
     }
 }
 
+/// @return a configuration with one route and these Tenants
+static const char *
+config_with_accounts (const char *accounts)
+{
+  static char text[2048];
+  snprintf (text, sizeof text,
+            "{\"Version\":\"1\",\"Routes\":[{\"Name\":\"r\",\"Host\":\"a\","
+            "\"Prefix\":\"/x/\",\"RouteType\":\"safe\",\"Timeout\":\"1s\","
+            "\"Service\":\"s\",\"NoAuth\":true}],\"Services\":[]%s%s}",
+            accounts == NULL ? "" : ",\"Tenants\":",
+            accounts == NULL ? "" : accounts);
+  return text;
+}
+
+static void
+test_accounts (void)
+{
+  static const struct
+  {
+    const char *accounts; ///< NULL: the field is missing
+    bool valid;
+    bool required;
+    const char *owner_of_k1; ///< NULL: nobody
+  } rows[] = {
+    { NULL, true, false, NULL },
+    { "null", true, false, NULL },
+    { "[]", true, true, NULL },
+    { "[{\"Name\":\"a\",\"ApiKeys\":[\"k0\",\"k1\"],\"Priority\":1,"
+      "\"RatePerS\":556,\"Burst\":2.5}]",
+      true, true, "a" },
+    { "[{\"Name\":\"a\",\"ApiKeys\":[]},{\"Name\":\"b\",\"ApiKeys\":["
+      "\"k1\",\"k1\"]}]",
+      true, true, "b" },
+    { "[{\"Name\":\"a\"}]", true, true, NULL },
+    /* one key of two accounts, wrong types, empty key, a name that would
+       break out of its header field */
+    { "[{\"Name\":\"a\",\"ApiKeys\":[\"k1\"]},{\"Name\":\"b\","
+      "\"ApiKeys\":[\"k1\"]}]",
+      false, false, NULL },
+    { "{}", false, false, NULL },
+    { "[7]", false, false, NULL },
+    { "[{\"ApiKeys\":[\"k1\"]}]", false, false, NULL },
+    { "[{\"Name\":\"a\",\"ApiKeys\":\"k1\"}]", false, false, NULL },
+    { "[{\"Name\":\"a\",\"ApiKeys\":[7]}]", false, false, NULL },
+    { "[{\"Name\":\"a\",\"ApiKeys\":[\"\"]}]", false, false, NULL },
+    { "[{\"Name\":\"a\",\"RatePerS\":-1}]", false, false, NULL },
+    { "[{\"Name\":\"a\",\"Burst\":\"9\"}]", false, false, NULL },
+    { "[{\"Name\":\"a\\r\\nX: y\"}]", false, false, NULL },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct mesh_config *config;
+      const char *text = config_with_accounts (rows[i].accounts);
+      enum status status = platform_read_config ((const uint8_t *)text,
+                                                 strlen (text), &config);
+      CU_ASSERT_EQUAL (status == STATUS_OK, rows[i].valid);
+      if (status != STATUS_OK)
+        continue;
+      const struct client_account_table *table = &config->accounts;
+      const struct client_account *owner = client_account_find (table, "k1");
+      CU_ASSERT_EQUAL (table->required, rows[i].required);
+      CU_ASSERT (config->routes[0].no_key);
+      CU_ASSERT_PTR_NULL (client_account_find (table, "K1"));
+      CU_ASSERT_PTR_NULL (client_account_find (table, ""));
+      CU_ASSERT_EQUAL (owner == NULL, rows[i].owner_of_k1 == NULL);
+      if (owner != NULL)
+        CU_ASSERT_STRING_EQUAL (owner->name, rows[i].owner_of_k1);
+      talloc_free (config);
+    }
+}
+
+static void
+test_account_quota (void)
+{
+  struct mesh_config *config;
+  const char *text = config_with_accounts (
+      "[{\"Name\":\"a\",\"ApiKeys\":[\"k1\"],\"Priority\":0,\"RatePerS\":556,"
+      "\"Burst\":2.5},{\"Name\":\"b\",\"ApiKeys\":[\"k2\"]}]");
+  CU_ASSERT_EQUAL_FATAL (
+      platform_read_config ((const uint8_t *)text, strlen (text), &config),
+      STATUS_OK);
+  const struct client_account *a
+      = client_account_by_name (&config->accounts, "a");
+  const struct client_account *b
+      = client_account_find (&config->accounts, "k2");
+  CU_ASSERT (a->has_priority && a->priority == 0);
+  CU_ASSERT (a->rate_per_s == 556 && a->burst == 2.5);
+  CU_ASSERT (!b->has_priority && b->rate_per_s == 0 && b->burst == 0);
+  CU_ASSERT_PTR_NULL (client_account_by_name (&config->accounts, "c"));
+  talloc_free (config);
+}
+
 int
 main (void)
 {
@@ -354,6 +446,10 @@
     { "a request takes a route other than the longest matching prefix",
       test_config_routes },
     { "a malformed configuration is accepted in part", test_config_refused },
+    { "a key is accepted that no account or more than one account has, or a "
+      "malformed account",
+      test_accounts },
+    { "an account loses its quota or priority", test_account_quota },
     { "a move order or its status is decoded or encoded wrongly",
       test_orders },
     { "a call to the node is classified wrongly", test_calls },
