Evacuate availability zones and limit the rate of cold targets

Operators can order with op/evacuate/ZONE that a zone's targets get no requests; nothing read those keys. Targets that are cold tolerate ColdPerS requests per second; a zone that came back got all the load that placement found best.

Placement leaves evacuated zones out, and the node beside a target refuses with 503 while its zone is evacuated, since entry nodes may not know yet. That node also holds the token bucket of a cold target: it sees all requests to it. Without orders and without ColdPerS nothing changes.

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -57,6 +57,9 @@
   if (!record->used || entry->state != DIRECTORY_READY
       || strcmp (entry->service, request->service) != 0)
     return false;
+  if (request->evacuations != NULL && request->evacuations->count > 0
+      && evacuation_contains (request->evacuations, entry->availability_zone))
+    return false;
   if (request->version.name == NULL)
     return true;
   bool same = strcmp (entry->version, request->version.name) == 0;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -7,6 +7,7 @@
 
 #include "base/rng.h"
 #include "state/directory.h"
+#include "state/evacuation.h"
 
 /// Maximum number of tried nodes that are recorded for one request.
 #define PLACEMENT_TRIED_MAX 8
@@ -23,8 +24,10 @@
   const char *service;
   struct placement_version version;
   const char *availability_zone; ///< of this node
-  bool large_response;           ///< avoid sending the response across zones
-  uint32_t objective_ms;         ///< time left until the latency objective
+  const struct evacuation_set
+      *evacuations;      ///< zones that get nothing, or NULL
+  bool large_response;   ///< avoid sending the response across zones
+  uint32_t objective_ms; ///< time left until the latency objective
   size_t tried[PLACEMENT_TRIED_MAX]; ///< handles that must not be chosen again
   size_t tried_count;
 };
--- a/src/protocol/adapter.h
+++ b/src/protocol/adapter.h
@@ -74,6 +74,7 @@
   const char *config_key;    ///< key of the newest configuration
   const char *order_prefix;  ///< prefix of the move orders, one per service
   const char *status_prefix; ///< prefix of the outcomes of orders
+  const char *evacuation_prefix; ///< prefix of the evacuated zones
 
   /// Tells which call a request is.
   /// @param path  path without query
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -53,6 +53,8 @@
 #define CALL_REASON_NO_TARGET "no-target"
 #define CALL_REASON_NOT_READY "not-ready"
 #define CALL_REASON_DRAINING "draining"
+#define CALL_REASON_EVACUATED "zone-evacuated"
+#define CALL_REASON_COLD "cold-target"
 #define CALL_REASON_QUEUE_FULL "queue-full"
 #define CALL_REASON_DEADLINE "deadline"
 #define CALL_REASON_BUSY "too-many-calls"
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -14,6 +14,7 @@
 #include "base/counter.h"
 #include "base/rng.h"
 #include "coordination/admission_queue.h"
+#include "coordination/cold_limit.h"
 #include "coordination/placement.h"
 #include "coordination/retry_quota.h"
 #include "coordination/stop_plan.h"
@@ -21,6 +22,7 @@
 #include "protocol/adapter.h"
 #include "sidecar/sidecar_settings.h"
 #include "state/directory.h"
+#include "state/evacuation.h"
 #include "state/mesh_config.h"
 #include "state/target_history.h"
 #include "transport/http_pool.h"
@@ -79,6 +81,7 @@
   uint64_t draining_ms;        ///< when the leave was acknowledged; 0: unknown
   uint32_t cold_ms;            ///< warm-up time stated in the first report
   unsigned refusals;           ///< connections refused in a row
+  struct cold_limit cold;      ///< rate of requests while it is cold
 };
 
 struct sidecar
@@ -94,6 +97,7 @@
   struct mesh_config *config; ///< NULL until a configuration was read
   uint64_t config_ms;         ///< when `config` came into force
   struct directory directory;
+  struct evacuation_set evacuations;
   struct retry_quota_table retry_quotas;
   struct sidecar_target target;
   struct admission_queue admission;
@@ -146,6 +150,17 @@
 /// in the store. Called after the state has changed.
 void sidecar_target_update (struct sidecar *sidecar);
 
+/// Applies the limits that the configuration in force has for cold targets.
+void sidecar_target_limit_cold (struct sidecar *sidecar);
+
+/// Closes or opens the admission queue after a change of the evacuations.
+/// @param was_evacuated  before the change
+void sidecar_target_note_evacuation (struct sidecar *sidecar,
+                                     bool was_evacuated);
+
+/// @return true while the zone of the local target is evacuated
+bool sidecar_target_is_evacuated (const struct sidecar *sidecar);
+
 /// Counts a connection that the target refused; several in a row mark the
 /// target as gone.
 void sidecar_target_refused (struct sidecar *sidecar);
@@ -207,7 +222,8 @@
 ///         this process started, or as another node knows them
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
-/// @return true when the view was compared with the store, or with a relay that
+/// @return true when the view was compared with the store, or with a relay
+/// that
 ///         is in touch with it, within `config_apply`: a configuration that
 ///         should be in force is known
 bool sidecar_store_is_current (const struct sidecar *sidecar);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -357,6 +357,13 @@
                                    - offsetof (struct sidecar_inbound,
                                                ticket));
   uint64_t now = clock_monotonic_ms ();
+  if (!cold_limit_take (&sidecar->target.cold, now))
+    {
+      refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
+              CALL_REASON_COLD);
+      end_request (inbound, false);
+      return;
+    }
   uint64_t left_ms
       = inbound->deadline_ms > now ? inbound->deadline_ms - now : 1;
   struct evbuffer *bytes = build_request (inbound, left_ms);
@@ -408,8 +415,13 @@
     return CALL_REASON_NO_TARGET;
   if (sidecar_moves_blocks_target (sidecar))
     return CALL_REASON_NO_TARGET;
+  if (sidecar_target_is_evacuated (sidecar))
+    return CALL_REASON_EVACUATED;
   if (stopped_accepting (sidecar, now_ms))
     return CALL_REASON_DRAINING;
+  if (cold_limit_is_cold (&target->cold, now_ms)
+      && cold_limit_wait_ms (&target->cold, now_ms) > 0)
+    return CALL_REASON_COLD;
   return NULL;
 }
 
@@ -551,6 +563,7 @@
   uint64_t now_us = clock_monotonic_us ();
   uint64_t now_ms = now_us / 1000;
   bool draining = stopped_accepting (sidecar, now_ms)
+                  || sidecar_target_is_evacuated (sidecar)
                   || (sidecar->stopping
                       && now_ms >= sidecar->stopping_ms
                                        + sidecar->stop_plan.accept_peers_ms);
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -49,6 +49,7 @@
   talloc_free (sidecar->config);
   sidecar->config = config;
   sidecar->config_ms = clock_monotonic_ms ();
+  sidecar_target_limit_cold (sidecar);
   uint64_t body_bytes = config->limits.body_bytes;
   sidecar->calls.limits = (struct http_server_limits){
     .head_bytes = config->limits.head_bytes,
@@ -134,6 +135,27 @@
   return strncmp (key, prefix, size) == 0 ? key + size : NULL;
 }
 
+/// Applies an operator's order to evacuate a zone, or its end.
+static void
+apply_evacuation (struct sidecar *sidecar, const struct store_key *key,
+                  const char *zone)
+{
+  bool was_evacuated = sidecar_target_is_evacuated (sidecar);
+  bool known = evacuation_contains (&sidecar->evacuations, zone);
+  if (key->removed)
+    evacuation_remove (&sidecar->evacuations, zone, key->revision);
+  else if (evacuation_add (&sidecar->evacuations, zone, key->revision)
+           != STATUS_OK)
+    log_event (LOG_LEVEL_ERROR, "evacuation_refused",
+               "revision=%" PRIu64 " reason=\"%s\"", key->revision,
+               status_message ());
+  bool evacuated = evacuation_contains (&sidecar->evacuations, zone);
+  if (evacuated != known)
+    log_event (LOG_LEVEL_INFO, evacuated ? "zone_evacuated" : "zone_restored",
+               "zone=%s revision=%" PRIu64, zone, key->revision);
+  sidecar_target_note_evacuation (sidecar, was_evacuated);
+}
+
 /// Empties the value of one of the project's own keys when it is too long for
 /// any record.
 static struct store_key
@@ -175,8 +197,11 @@
       = own_key == NULL ? NULL : strip_prefix (own_key, LEAVE_KEY_PREFIX);
   const char *crash
       = own_key == NULL ? NULL : strip_prefix (own_key, CRASH_KEY_PREFIX);
+  const char *evacuated = strip_prefix (key->key, adapter->evacuation_prefix);
   if (node != NULL)
     apply_entry (store, key, node);
+  else if (evacuated != NULL)
+    apply_evacuation (sidecar, key, evacuated);
   else if (key->removed)
     return;
   else if (strcmp (key->key, adapter->config_key) == 0)
@@ -206,6 +231,23 @@
                          store->sidecar->settings.retry_slack, nodes);
 }
 
+void
+sidecar_store_begin_list (struct sidecar_store *store)
+{
+  directory_begin_list (&store->sidecar->directory);
+  evacuation_begin_list (&store->sidecar->evacuations);
+}
+
+void
+sidecar_store_end_list (struct sidecar_store *store, uint64_t as_of)
+{
+  struct sidecar *sidecar = store->sidecar;
+  bool was_evacuated = sidecar_target_is_evacuated (sidecar);
+  directory_end_list (&sidecar->directory, as_of, clock_monotonic_ms ());
+  evacuation_end_list (&sidecar->evacuations, as_of);
+  sidecar_target_note_evacuation (sidecar, was_evacuated);
+}
+
 void
 sidecar_store_apply_changes (struct sidecar_store *store,
                              const struct mirror *view, uint64_t as_of,
@@ -228,12 +270,11 @@
   if (full)
     {
       mirror_clear (&store->mirror, as_of);
-      directory_begin_list (&store->sidecar->directory);
+      sidecar_store_begin_list (store);
     }
   sidecar_store_apply_keys (store, &reply);
   if (full)
-    directory_end_list (&store->sidecar->directory, as_of,
-                        clock_monotonic_ms ());
+    sidecar_store_end_list (store, as_of);
   store->as_of = as_of;
   talloc_free (keys);
 }
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -347,6 +347,7 @@
   struct placement_request request = {
     .service = outbound->service,
     .availability_zone = sidecar->settings.availability_zone,
+    .evacuations = &sidecar->evacuations,
     .large_response = outbound->retry.retry_class == MESH_DOWNLOAD,
     .objective_ms = outbound->objective_ms > now_ms
                         ? (uint32_t)(outbound->objective_ms - now_ms)
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -29,7 +29,8 @@
       = { CALL_REASON_NO_TARGET,     CALL_REASON_DRAINING,
           CALL_REASON_QUEUE_FULL,    CALL_REASON_DEADLINE,
           CALL_REASON_NOT_CONNECTED, CALL_REASON_SHED,
-          CALL_REASON_BUSY,          CALL_REASON_CONNECTION_LOST };
+          CALL_REASON_BUSY,          CALL_REASON_CONNECTION_LOST,
+          CALL_REASON_EVACUATED,     CALL_REASON_COLD };
   for (size_t i = 0; text != NULL && i < sizeof reasons / sizeof reasons[0];
        i++)
     if (strcmp (text, reasons[i]) == 0)
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -56,6 +56,7 @@
   { "retry_ratio", FIELD_RATIO, OFFSET (retry_ratio_permille), 200 },
   { "retry_slack", FIELD_COUNT, OFFSET (retry_slack), 50 },
   { "link_mbit_per_s", FIELD_RATIO, OFFSET (link_kbit_per_s), 0 },
+  { "cold_slack", FIELD_COUNT, OFFSET (cold_slack), 0 },
   { "memory_mb", FIELD_COUNT, OFFSET (memory_mb), 128 },
   { "announced", FIELD_ENDPOINT_OPTIONAL, OFFSET (announced), 0 },
 };
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -28,7 +28,9 @@
   uint32_t retry_ratio_permille; ///< retries of all nodes per 1000 requests
   uint32_t retry_slack;          ///< retries of all nodes beyond the ratio
   uint32_t link_kbit_per_s;      ///< rate of the VM's link; 0: no limit
-  uint32_t memory_mb;            ///< limit of this process, MiB
+  uint32_t cold_slack; ///< requests beyond the rate that a cold target
+                       ///< tolerates in one second
+  uint32_t memory_mb;  ///< limit of this process, MiB
   /// Address at which other nodes reach `peers`, for VMs behind a port
   /// mapping; the same as `peers` unless set.
   struct settings_endpoint announced;
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -127,7 +127,7 @@
     {
       store->list_as_of = reply->as_of;
       mirror_clear (&store->mirror, reply->as_of);
-      directory_begin_list (&store->sidecar->directory);
+      sidecar_store_begin_list (store);
     }
   /* A page that may be old may also be older than the one before it. */
   if (reply->as_of < store->list_as_of)
@@ -140,8 +140,7 @@
       list_next (store);
       return;
     }
-  directory_end_list (&store->sidecar->directory, store->list_as_of,
-                      clock_monotonic_ms ());
+  sidecar_store_end_list (store, store->list_as_of);
   store->relist = false;
   /* The pages are not a consistent snapshot. The watch starts at the oldest of
      their revisions and delivers the changes since then. */
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -65,6 +65,12 @@
 void sidecar_store_apply_keys (struct sidecar_store *store,
                                const struct store_reply *reply);
 
+/// Start and end of a full read of the watched keys: nodes and evacuations
+/// that are not in it are removed at its end.
+/// @param as_of  store revision of the read
+void sidecar_store_begin_list (struct sidecar_store *store);
+void sidecar_store_end_list (struct sidecar_store *store, uint64_t as_of);
+
 /// Applies the view, or the changes, that a relay sent.
 /// @param as_of  store revision that the view describes
 /// @param full   true for a full view: nodes that are not in it are removed;
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -110,6 +110,37 @@
   return report->sequence > target->report.sequence;
 }
 
+void
+sidecar_target_limit_cold (struct sidecar *sidecar)
+{
+  const struct mesh_service *service
+      = sidecar->config == NULL
+            ? NULL
+            : mesh_config_service (sidecar->config, sidecar->settings.service);
+  cold_limit_set (&sidecar->target.cold,
+                  service == NULL ? 0 : service->cold_per_s,
+                  sidecar->settings.cold_slack);
+}
+
+bool
+sidecar_target_is_evacuated (const struct sidecar *sidecar)
+{
+  return evacuation_contains (&sidecar->evacuations,
+                              sidecar->settings.availability_zone);
+}
+
+void
+sidecar_target_note_evacuation (struct sidecar *sidecar, bool was_evacuated)
+{
+  bool is_evacuated = sidecar_target_is_evacuated (sidecar);
+  if (is_evacuated == was_evacuated)
+    return;
+  /* Without requests a target may have become cold. */
+  if (!is_evacuated)
+    cold_limit_suspect (&sidecar->target.cold, clock_monotonic_ms ());
+  sidecar_inbound_tick (sidecar);
+}
+
 static void
 apply_report (struct sidecar *sidecar, const struct target_report *report)
 {
@@ -142,6 +173,7 @@
   target->gone = false;
   target->refusals = 0;
   target->last_report_ms = now;
+  cold_limit_report (&target->cold, report->cold_ms, now);
   if (changed)
     sidecar_target_update (sidecar);
 }
@@ -342,6 +374,8 @@
 sidecar_target_refused (struct sidecar *sidecar)
 {
   struct sidecar_target *target = &sidecar->target;
+  /* It may have been restarted, and then is cold. */
+  cold_limit_suspect (&target->cold, clock_monotonic_ms ());
   if (++target->refusals < CONNECT_REFUSALS_MAX || !target->known
       || target->gone)
     return;
--- a/src/state/mesh_config.c
+++ b/src/state/mesh_config.c
@@ -105,6 +105,15 @@
   return NULL;
 }
 
+const struct mesh_service *
+mesh_config_service (const struct mesh_config *config, const char *name)
+{
+  for (size_t i = 0; i < config->service_count; i++)
+    if (strcmp (config->services[i].name, name) == 0)
+      return &config->services[i];
+  return NULL;
+}
+
 const char *
 mesh_route_choose (struct mesh_route *route)
 {
--- a/src/state/mesh_config.h
+++ b/src/state/mesh_config.h
@@ -53,6 +53,8 @@
 {
   const char *name;
   uint32_t connections_max; ///< to each target, from all callers together
+  double cold_per_s; ///< requests per second that a cold target tolerates; 0:
+                     ///< no limit
 };
 
 /// Limits for the connections and requests of callers.
@@ -94,6 +96,10 @@
 struct mesh_route *mesh_config_find (const struct mesh_config *config,
                                      const char *host, const char *path);
 
+/// @return the service with a name, or NULL
+const struct mesh_service *
+mesh_config_service (const struct mesh_config *config, const char *name);
+
 /// Chooses a service of the route's traffic split by smooth weighted
 /// round-robin, which keeps the shares exact over short spans.
 /// @return name of the service
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -9,6 +9,7 @@
 ///   POST /control/compact   discards the history: open watches are aborted,
 ///                           and watches from an older revision get 410
 ///   POST /control/put?KEY   sets a key to the request body, as an operator
+///   POST /control/remove?KEY removes a key, as an operator
 ///   GET /control/watches    number of open watches
 ///   GET /control/runs       "RUNS TWICE CRASHES": requests that ran, those
 ///                           below /seal/ that ran again, and crashes caused
@@ -84,6 +85,11 @@
       put_text (target + 13, evbuffer_pullup (request->body, -1), size);
       http_reply (request, 200, NULL, "", 0);
     }
+  else if (strncmp (target, "/control/remove?", 16) == 0)
+    {
+      set_item (target + 16, NULL, 0);
+      http_reply (request, 200, NULL, "", 0);
+    }
   else if (strcmp (target, "/control/watches") == 0)
     {
       size_t waiting = 0;
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -52,6 +52,28 @@
     }
 }
 
+static void
+test_evacuated_zone (void)
+{
+  struct evacuation_set set = { .count = 0 };
+  struct placement_request request = request_from ("a");
+  size_t counts[4];
+  set_up ();
+  add ("n0", "a", "v1", DIRECTORY_READY);
+  add ("n1", "a", "v1", DIRECTORY_READY);
+  add ("n2", "b", "v1", DIRECTORY_READY);
+  request.evacuations = &set;
+  evacuation_add (&set, "a", 5);
+  count_choices (&request, 0, counts);
+  CU_ASSERT_EQUAL (counts[0] + counts[1], 0);
+  CU_ASSERT_EQUAL (counts[2], 200);
+  evacuation_add (&set, "b", 6);
+  CU_ASSERT_EQUAL (placement_choose (&directory, &request, &rng, 0), SIZE_MAX);
+  evacuation_remove (&set, "a", 7);
+  count_choices (&request, 0, counts);
+  CU_ASSERT_EQUAL (counts[0] + counts[1], 200);
+}
+
 static void
 test_only_allowed_nodes (void)
 {
@@ -239,6 +261,7 @@
 main (void)
 {
   static const struct test_case cases[] = {
+    { "a target in an evacuated zone is chosen", test_evacuated_zone },
     { "a node of another service, version or state gets a request",
       test_only_allowed_nodes },
     { "a request is offered to the same node twice",
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -90,7 +90,8 @@
       "\"Service\":\"s2\",\"MaxAttempts\":2},"
       "{\"Name\":\"r3\",\"Host\":\"b.example\",\"Prefix\":\"/\","
       "\"RouteType\":\"download\",\"Timeout\":\"2s\",\"Service\":\"s1\"}],"
-      "\"Services\":[{\"Name\":\"s1\",\"MaxConns\":130},{\"Name\":\"s2\"}],"
+      "\"Services\":[{\"Name\":\"s1\",\"MaxConns\":130,\"ColdPerS\":8.9},{"
+      "\"Name\":\"s2\"}],"
       "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,"
       "\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}";
 
@@ -115,6 +116,9 @@
                          STATUS_OK);
   CU_ASSERT_EQUAL (config->version, 12);
   CU_ASSERT_EQUAL (config->limits.idle_ms, 15000);
+  CU_ASSERT (mesh_config_service (config, "s1")->cold_per_s == 8.9);
+  CU_ASSERT (mesh_config_service (config, "s2")->cold_per_s == 0);
+  CU_ASSERT_PTR_NULL (mesh_config_service (config, "s3"));
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
       struct mesh_route *route
