Answer 503 in place of 404 when the configuration may be too old to tell

A node that has not compared its view with the store, or with a relay in touch with it, within config_apply cannot know that a route does not exist. It answers 503 with Retry-After now, as it does for an unknown API key. A relay serves its view for up to 1.1 s after the store's last response, so that time counts as the age of what it sends.

--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -561,6 +561,19 @@
       = host == NULL
             ? NULL
             : mesh_config_find (sidecar->config, host, request->head->target);
+  if (route == NULL && !sidecar_store_is_current (sidecar))
+    {
+      /* The route may have been added since the view was read. */
+      counter_add (&refusals, 1);
+      log_rate_limited (&ended_log_limit, LOG_LEVEL_INFO, "request_not_run",
+                        "id=%s host=%.64s config=%" PRIx64
+                        " status=503 reason=old-view",
+                        id == NULL ? "-" : id, host == NULL ? "-" : host,
+                        sidecar->config->version);
+      send_local_reply (request, 503, call_outcome_name (CALL_NOT_RUN),
+                        CALL_REASON_NOT_READY, RETRY_AFTER_MS_DEFAULT);
+      return;
+    }
   if (route == NULL)
     {
       counter_add (&unrouted, 1);
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -284,7 +284,8 @@
   if (served)
     {
       store->caught_up = true;
-      store->view_checked_ms = now;
+      /* The relay may not have heard from the store for so long. */
+      store->view_checked_ms = now - STORE_RESPONSE_AGE_MS_MAX;
       if (returned)
         sidecar_store_probe_now (sidecar);
       return;
--- a/test/functional/accounts_test.sh
+++ b/test/functional/accounts_test.sh
@@ -2,7 +2,8 @@
 # Tests client accounts. Guards against these failures: a request without a valid
 # API key reaches a target; a key reaches a target or a log; a caller names its own
 # account; a key that was added or removed is handled as before for longer than
-# config_apply; a node that may have an old configuration rejects a key for good.
+# config_apply; a node that may have an old configuration rejects a key or
+# a route for good.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin accounts
 sidecars_begin
@@ -76,10 +77,12 @@
 wait_for "no final rejection by an old view" 8 seen_is "503  " /read/13 -H 'Api-Key: key-later' \
   || fail "a node without contact rejects a key for good: $(seen /read/13 -H 'Api-Key: key-later')"
 expect "no key and an old view" "$(seen /read/14)" "401  "
+expect "no route and an old view" "$(seen /none/1)" "503  "
 curl -s -X POST "$STORE/control/silent?0"
 for i in 1 2; do send_signal "s$i" CONT; done
 wait_for "rejection after the return" 15 seen_is "401  " /read/15 -H 'Api-Key: key-later' \
   || fail "a node in touch does not reject an unknown key"
+expect "no route after the return" "$(seen /none/2)" "404  "
 
 if grep -lE 'key-(league|club|new|later)' "$RUN"/s?.out "$RUN"/s?.log; then
   fail "a key was logged"
