Log what is unsent when a stopping node ends, and count timed-out connections

`drained` counts requests only. A response whose bytes wait in the node's buffer or in the kernel was not to be seen, and a connection that the kernel timed out was reported as closed by the caller. The line connection_cut states the unsent and unread bytes of each connection at the end of the process (20 for each server); http_connections_timed_out counts the others.

--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -49,6 +49,9 @@
 #define SERVER_IDLE_MS 60000
 #define SERVER_RECEIVE_MS 10000
 
+/// Connections with unsent bytes that are logged when the process ends.
+#define CUT_LINES_MAX 20
+
 enum exit_code
 {
   EXIT_CODE_OK = 0,
@@ -120,6 +123,8 @@
   log_event (LOG_LEVEL_INFO, "drained", "after_ms=%" PRIu64 " in_progress=%zu",
              clock_monotonic_ms () - sidecar->stopping_ms,
              sidecar->calls.in_progress + sidecar->peers.in_progress);
+  http_server_log_unsent (&sidecar->calls, "calls", CUT_LINES_MAX);
+  http_server_log_unsent (&sidecar->peers, "peers", CUT_LINES_MAX);
   event_base_loopbreak (sidecar->base);
 }
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "transport/http_socket.h"
 
 #include <arpa/inet.h>
 #include <event2/listener.h>
@@ -12,7 +13,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -451,13 +451,10 @@
   server->draining = true;
 }
 
-/// @return bytes that the kernel has received and that were not read yet
-static int
-kernel_unread (const struct http_server_connection *connection)
+static evutil_socket_t
+socket_of (const struct http_server_connection *connection)
 {
-  int size = 0;
-  evutil_socket_t fd = bufferevent_getfd (connection->stream->bev);
-  return ioctl (fd, FIONREAD, &size) == 0 ? size : 0;
+  return bufferevent_getfd (connection->stream->bev);
 }
 
 /// @return true while closing the connection could cost a caller its response
@@ -472,7 +469,8 @@
   if (connection->closing)
     return waits;
   return stream->started || http_stream_unread (stream) > 0
-         || kernel_unread (connection) > 0 || (!connection->served && waits);
+         || http_socket_unread (socket_of (connection)) > 0
+         || (!connection->served && waits);
 }
 
 void
@@ -526,6 +524,28 @@
   return size;
 }
 
+void
+http_server_log_unsent (const struct http_server *server, const char *name,
+                        size_t lines_max)
+{
+  for (const struct http_server_connection *c = server->first;
+       c != NULL && lines_max > 0; c = c->next)
+    {
+      size_t unsent = evbuffer_get_length (http_stream_output (c->stream));
+      size_t kernel_unsent = http_socket_unsent (socket_of (c));
+      if (unsent + kernel_unsent == 0 && c->request == NULL)
+        continue;
+      lines_max--;
+      log_event (LOG_LEVEL_WARNING, "connection_cut",
+                 "server=%s requests=%zu started=%d finished=%d unsent=%zu "
+                 "kernel_unsent=%zu kernel_unread=%zu",
+                 name, c->pending,
+                 c->request != NULL && http_reply_is_begun (c->request),
+                 c->request == NULL, unsent, kernel_unsent,
+                 http_socket_unread (socket_of (c)));
+    }
+}
+
 /// @return the buffer that takes the bytes of a response
 static struct evbuffer *
 response_output (struct http_request *request)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -113,6 +113,13 @@
 /// taken yet
 size_t http_server_unsent (const struct http_server *server);
 
+/// Logs the connections that have requests in progress or unsent bytes, when
+/// the process ends.
+/// @param name       of the server, for the log
+/// @param lines_max  further connections are not logged
+void http_server_log_unsent (const struct http_server *server,
+                             const char *name, size_t lines_max);
+
 /// Sends a complete response.
 /// @param fields  header lines, each ending in CRLF, or NULL
 void http_reply (struct http_request *request, unsigned status,
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -1,6 +1,9 @@
 /// Holds the parser callbacks; http_parser does the parsing.
 #include "transport/http_stream.h"
 
+#include "base/counter.h"
+
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -21,6 +24,10 @@
 #define KEEPALIVE_PROBES 2
 #define UNACKNOWLEDGED_TIMEOUT_MS 3000
 
+static struct counter timed_out = COUNTER (
+    "http_connections_timed_out",
+    "connections closed: the peer acknowledges nothing, or reads nothing");
+
 static struct http_stream *
 stream_of (http_parser *parser)
 {
@@ -291,6 +298,8 @@
       parse_end (stream);
       return;
     }
+  if (EVUTIL_SOCKET_ERROR () == ETIMEDOUT)
+    counter_add (&timed_out, 1);
   stream->parsing = true;
   report_close (stream, HTTP_CLOSE_RESET);
   stream->parsing = false;
