Tell a peer that does not read from one that has vanished

TCP_USER_TIMEOUT of 3 s also ends connections whose peer acknowledges all probes of its closed window. A caller that did not read for 3 s, or that read so slowly that its kernel opened the window less often, was reset, with the response that its node had.

A stopping node limited responses that began after SIGTERM to the time at which it gives up what has not begun, plus 350 ms. They keep their route's limit. A connection is no longer without work, and lingers, while the kernel holds bytes that its peer has not acknowledged.

--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -466,6 +466,14 @@
 on_timeout (evutil_socket_t fd, short what, void *arg)
 {
   struct sidecar_outbound *outbound = arg;
+  /* A stopping node gives up what has not begun. A response that was held back
+     may have begun since the timer was set. */
+  if (http_reply_is_begun (outbound->request)
+      && clock_monotonic_ms () < outbound->body_by_ms)
+    {
+      timer_start_at (&outbound->timer, outbound->body_by_ms);
+      return;
+    }
   if (outbound->exchange != NULL)
     http_exchange_cancel (outbound->exchange);
   outbound->exchange = NULL;
@@ -525,8 +533,12 @@
                                             : 0);
   outbound->deadline_ms = outbound->arrived_ms + deadline_ms;
   outbound->respond_by_ms = outbound->deadline_ms;
+  outbound->body_by_ms = outbound->deadline_ms;
   if (route->timeout_ms < deadline_ms)
-    outbound->respond_by_ms = outbound->arrived_ms + route->timeout_ms;
+    {
+      outbound->respond_by_ms = outbound->arrived_ms + route->timeout_ms;
+      outbound->body_by_ms = outbound->respond_by_ms + OUTBOUND_OVERTIME_MS;
+    }
   if (sidecar->stopping && outbound->respond_by_ms > stop_answer_ms (sidecar))
     outbound->respond_by_ms = stop_answer_ms (sidecar);
   timer_start_at (&outbound->timer, outbound->respond_by_ms);
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -47,6 +47,8 @@
   uint64_t arrived_ms;
   uint64_t objective_ms;  ///< when the route's latency objective is exceeded
   uint64_t respond_by_ms; ///< when the request times out at this node
+  uint64_t body_by_ms;    ///< limit of a response that is being sent, also at
+                          ///< a stopping node
   uint64_t deadline_ms;   ///< when the caller gives up
   size_t tried[PLACEMENT_TRIED_MAX]; ///< handles of the nodes tried so far
   size_t tried_count;
@@ -66,6 +68,10 @@
   size_t forwarded;           ///< bytes of a body that is passed on
 };
 
+/// Once the head of a response was forwarded, its body may take this much
+/// longer than the route's timeout. The platform tolerates 500 ms.
+#define OUTBOUND_OVERTIME_MS 350
+
 /* sidecar_outbound.c */
 
 /// @return the directory record of the current attempt's node, or NULL when it
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -10,10 +10,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/// Once the head of a response was forwarded, its body may take this much
-/// longer than the route's timeout. The platform tolerates 500 ms.
-#define FORWARD_OVERTIME_MS 350
-
 /// Longest Retry-After of a node that is believed, seconds.
 #define RETRY_AFTER_S_MAX 60.0
 
@@ -166,10 +162,8 @@
     sidecar_outbound_start_forwarding (outbound);
   bool may_overrun = !outbound->sidecar->stopping
                      || http_reply_is_begun (outbound->request);
-  if (outbound->forwarding && may_overrun
-      && outbound->respond_by_ms < outbound->deadline_ms)
-    timer_start_at (&outbound->timer,
-                    outbound->respond_by_ms + FORWARD_OVERTIME_MS);
+  if (outbound->forwarding && may_overrun)
+    timer_start_at (&outbound->timer, outbound->body_by_ms);
 }
 
 static void
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -414,6 +414,8 @@
       for (struct http_connection *c = endpoint->first; c != NULL; c = next)
         {
           next = c->next;
+          if (c->exchange != NULL && c->established)
+            http_stream_check_peer (c->stream, now);
           if (c->exchange == NULL
               && now - c->idle_since_ms > pool->options.idle_ms)
             close_connection (c);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -25,8 +25,9 @@
 #define PIPELINE_MAX 8
 
 /// Time for which a connection that is shut down for writing waits for the
-/// caller's close. Closing the socket with unread bytes would reset the
-/// connection, and the caller could lose the response.
+/// caller's close once it has acknowledged the last byte. Closing the socket
+/// with unread bytes would reset the connection, and the caller could lose the
+/// response.
 #define LINGER_MS 1000
 
 /// A stopping server gives a connection this time: without any request yet,
@@ -53,6 +54,7 @@
   struct http_request *receiving_request; ///< request that is being received
   uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
                              ///< the last response, or begin of closing
+  uint64_t shut_down_ms;     ///< begin of lingering
   unsigned rejected;  ///< status for what follows the requests that are in
                       ///< progress and is rejected; 0: nothing
   bool handing_over;  ///< requests are being handed over
@@ -66,6 +68,12 @@
   struct http_server_connection *previous;
 };
 
+static evutil_socket_t
+socket_of (const struct http_server_connection *connection)
+{
+  return bufferevent_getfd (connection->stream->bev);
+}
+
 static void
 free_request (struct http_request *request)
 {
@@ -117,7 +125,8 @@
 shut_down_output (struct http_server_connection *connection)
 {
   connection->lingering = true;
-  connection->timeout_start_ms = clock_monotonic_ms ();
+  connection->shut_down_ms = clock_monotonic_ms ();
+  connection->timeout_start_ms = connection->shut_down_ms;
   shutdown (bufferevent_getfd (connection->stream->bev), SHUT_WR);
 }
 
@@ -380,8 +389,16 @@
   for (struct http_server_connection *c = server->first; c != NULL; c = next)
     {
       next = c->next;
+      if (c->request != NULL
+          || evbuffer_get_length (http_stream_output (c->stream)) > 0
+          || c->lingering)
+        http_stream_check_peer (c->stream, now);
       if (c->request != NULL)
         continue;
+      /* A reader may need the kernel's bytes for longer than it lingers. */
+      if (c->lingering && http_socket_unsent (socket_of (c)) > 0
+          && now - c->shut_down_ms <= server->limits.idle_ms)
+        c->timeout_start_ms = now;
       bool receiving = c->stream->started && !c->closing;
       uint32_t limit
           = receiving ? server->limits.receive_ms : server->limits.idle_ms;
@@ -451,19 +468,14 @@
   server->draining = true;
 }
 
-static evutil_socket_t
-socket_of (const struct http_server_connection *connection)
-{
-  return bufferevent_getfd (connection->stream->bev);
-}
-
 /// @return true while closing the connection could cost a caller its response
 static bool
 has_work (const struct http_server_connection *connection, uint64_t now_ms)
 {
   struct http_stream *stream = connection->stream;
   if (connection->request != NULL
-      || evbuffer_get_length (http_stream_output (stream)) > 0)
+      || evbuffer_get_length (http_stream_output (stream)) > 0
+      || http_socket_unsent (socket_of (connection)) > 0)
     return true;
   bool waits = now_ms - connection->timeout_start_ms < STOP_WAIT_MS;
   if (connection->closing)
--- a/src/transport/http_socket.h
+++ b/src/transport/http_socket.h
@@ -14,4 +14,20 @@
 /// @return bytes that the kernel has received and that were not read yet
 size_t http_socket_unread (evutil_socket_t fd);
 
+/// Tells a peer that has vanished from one that does not read. Both leave
+/// bytes unsent, but only the latter acknowledges what is sent, and the probes
+/// of its closed window. TCP_USER_TIMEOUT ends the connections of both.
+struct http_peer_watch
+{
+  uint64_t checked_ms;      ///< last check, monotonic; 0: none
+  uint64_t acknowledged_ms; ///< nothing was outstanding at this time, or the
+                            ///< peer has acknowledged something
+};
+
+/// To be called several times a second while the connection is in use.
+/// @return true when the peer has acknowledged nothing for 3 s although bytes
+///         or a probe are outstanding
+bool http_peer_watch_is_lost (struct http_peer_watch *watch,
+                              evutil_socket_t fd, uint64_t now_ms);
+
 #endif
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -18,15 +18,16 @@
 
 /// A vanished peer is detected after idle time + probes x interval = 3 s, the
 /// shortest time after which the platform reports a machine as reachable
-/// again.
+/// again. TCP probes idle connections only; see http_stream_check_peer for the
+/// others.
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
-#define UNACKNOWLEDGED_TIMEOUT_MS 3000
+#define USER_TIMEOUT_MS 3000
 
-static struct counter timed_out = COUNTER (
-    "http_connections_timed_out",
-    "connections closed: the peer acknowledges nothing, or reads nothing");
+static struct counter timed_out
+    = COUNTER ("http_connections_timed_out",
+               "connections closed: the peer acknowledges nothing");
 
 static struct http_stream *
 stream_of (http_parser *parser)
@@ -373,6 +374,18 @@
   bufferevent_trigger (stream->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
+void
+http_stream_check_peer (struct http_stream *stream, uint64_t now_ms)
+{
+  if (stream->ended
+      || !http_peer_watch_is_lost (&stream->peer_watch,
+                                   bufferevent_getfd (stream->bev), now_ms))
+    return;
+  EVUTIL_SET_SOCKET_ERROR (ETIMEDOUT);
+  bufferevent_trigger_event (stream->bev, BEV_EVENT_ERROR | BEV_EVENT_READING,
+                             BEV_OPT_DEFER_CALLBACKS);
+}
+
 struct evbuffer *
 http_stream_output (struct http_stream *stream)
 {
@@ -464,5 +477,10 @@
   set_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
   set_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
   set_option (fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-  set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS);
+}
+
+void
+http_set_user_timeout (evutil_socket_t fd)
+{
+  set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
 }
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -5,6 +5,7 @@
 #define HAWTHORNSEAM_TRANSPORT_HTTP_STREAM_H
 
 #include "transport/http_head_check.h"
+#include "transport/http_socket.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -86,6 +87,7 @@
   bool paused;           ///< parsing is stopped until http_stream_resume
   bool no_body;          ///< the next response has no body (HEAD)
   bool parsing;
+  struct http_peer_watch peer_watch;
   bool ended;        ///< `closed` was called
   bool free_pending; ///< http_stream_free was called while parsing
 };
@@ -109,6 +111,10 @@
 void http_stream_pause (struct http_stream *stream);
 void http_stream_resume (struct http_stream *stream);
 
+/// Ends the connection as reset, from the event loop, when its peer has
+/// vanished. To be called several times a second while it is in use.
+void http_stream_check_peer (struct http_stream *stream, uint64_t now_ms);
+
 /// @return the buffer for bytes to send
 struct evbuffer *http_stream_output (struct http_stream *stream);
 
@@ -130,7 +136,12 @@
                         const char *const *skip);
 
 /// Sets the socket options of a connection: no delay of small writes, and
-/// keep-alive probes and timeouts that detect a vanished peer.
+/// keep-alive probes that detect a vanished peer of an idle connection.
 void http_set_socket_options (evutil_socket_t fd);
 
+/// Lets the kernel end a connection whose peer acknowledges nothing or reads
+/// nothing for 3 s. For short requests of which no more than that is
+/// outstanding unless the peer has vanished.
+void http_set_user_timeout (evutil_socket_t fd);
+
 #endif
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -237,7 +237,10 @@
             evhttp_connection_get_bufferevent (connection->http))
                                           : -1;
   if (fd != -1)
-    http_set_socket_options (fd);
+    {
+      http_set_socket_options (fd);
+      http_set_user_timeout (fd);
+    }
   return true;
 }
 
