Send what was written before an aborted response and before a server stops

The connection now closes when its output is sent; the aborted response has no end and does not look complete. http_server_stop dropped what was written in the last turn of the loop, and reset connections with unread input; the kernel now gets what it takes, and input is discarded before the close.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -35,6 +35,11 @@
 /// its caller may still read the last response and send more.
 #define STOP_WAIT_MS 250
 
+/// Unread input that a stopping server discards from a connection: pieces of
+/// this size, and their number. A caller that sends more is reset.
+#define DISCARD_BYTES (64u * 1024)
+#define DISCARD_READS_MAX 64
+
 /// Maximum size of a status line with the framing fields, bytes.
 #define STATUS_LINE_BYTES_MAX 160
 
@@ -443,6 +448,22 @@
   return STATUS_OK;
 }
 
+/// Hands unsent bytes to the kernel as far as it takes them, which sends them
+/// after the close. Unread input would make the close a reset that drops them.
+static void
+hand_output_to_kernel (struct http_server_connection *connection)
+{
+  static char input[DISCARD_BYTES];
+  struct evbuffer *output = http_stream_output (connection->stream);
+  evutil_socket_t fd = socket_of (connection);
+  evbuffer_unfreeze (output, 1);
+  while (evbuffer_get_length (output) > 0 && evbuffer_write (output, fd) > 0)
+    continue;
+  for (int i = 0; i < DISCARD_READS_MAX; i++)
+    if (recv (fd, input, sizeof input, MSG_DONTWAIT) <= 0)
+      break;
+}
+
 void
 http_server_stop (struct http_server *server)
 {
@@ -458,6 +479,7 @@
     {
       next = c->next;
       drop_requests (c, false);
+      hand_output_to_kernel (c);
       free_connection (c);
     }
 }
@@ -757,7 +779,7 @@
   struct http_server_connection *connection = request->connection;
   request->response_complete = true; /* its handler is not notified */
   drop_requests (connection, true);
-  free_connection (connection);
+  close_when_sent (connection);
 }
 
 size_t
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -88,8 +88,9 @@
                                const struct http_server_limits *limits,
                                const struct http_server_ops *ops, void *arg);
 
-/// Closes the listener and all connections at once. Handlers of requests in
-/// progress are not notified.
+/// Closes the listener and all connections at once. The kernel goes on sending
+/// what it takes of their unsent bytes. Handlers of requests in progress are
+/// not notified.
 void http_server_stop (struct http_server *server);
 
 /// From now on, the response to the last request received on a connection
@@ -151,7 +152,8 @@
 void http_reply_release (struct http_request *request);
 
 /// Closes the connection before the end of the response, so that the caller
-/// can tell that it is truncated. Requests behind it were not handed over if a
+/// can tell that it is truncated, once what was written before is sent.
+/// Requests behind it were not handed over if a
 /// part of it was sent; otherwise all of the connection are lost, see
 /// http_reply_retract.
 void http_reply_abort (struct http_request *request);
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -424,6 +424,98 @@
   server_tear_down (&raw_client);
 }
 
+/// A finished response and a part of the next one are not sent yet when the
+/// latter is aborted. Only the aborted one is lost, and does not look
+/// complete.
+static void
+test_abort_keeps_earlier_responses (void)
+{
+  static const int64_t lengths[] = { -1, 100 };
+  for (size_t i = 0; i < sizeof lengths / sizeof lengths[0]; i++)
+    {
+      struct raw_client raw_client;
+      struct evbuffer *fields = evbuffer_new ();
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run_ms (50);
+      CU_ASSERT_EQUAL_FATAL (request_count, 3);
+      http_reply (requests[0], 200, NULL, "one", 3);
+      http_reply (requests[1], 200, NULL, "two", 3);
+      http_reply_start (requests[2], 200, fields, lengths[i]);
+      http_reply_write (requests[2], "part", 4);
+      CU_ASSERT (http_reply_is_begun (requests[2]));
+      http_reply_abort (requests[2]);
+      CU_ASSERT_EQUAL (server.in_progress, 0);
+      run_ms (50);
+      CU_ASSERT (strstr (raw_client.received, "one") != NULL);
+      CU_ASSERT (strstr (raw_client.received, "two") != NULL);
+      const char *part = strstr (raw_client.received, "part");
+      CU_ASSERT (part == NULL || strlen (part) <= strlen ("part\r\n"));
+      CU_ASSERT (raw_client.closed);
+      CU_ASSERT_EQUAL (disconnect_count, 0);
+      evbuffer_free (fields);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// The process ends right after a response was written, or while its caller
+/// still sends more than is read.
+static void
+test_stop_sends_what_the_kernel_takes (void)
+{
+  static char more[300 * 1024];
+  memset (more, 'x', sizeof more - 1);
+  for (int sends_more = 0; sends_more < 2; sends_more++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n"
+                                "Connection: close\r\n\r\n");
+      run_ms (50);
+      CU_ASSERT_EQUAL_FATAL (request_count, 1);
+      if (sends_more)
+        {
+          client_send (&raw_client, more);
+          run_ms (50);
+        }
+      http_reply (requests[0], 200, NULL, "one", 3);
+      http_server_stop (&server);
+      run_ms (50);
+      CU_ASSERT (strstr (raw_client.received, "one") != NULL);
+      CU_ASSERT (raw_client.closed);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// The caller's kernel acknowledges the probes of its closed window.
+static void
+test_reader_that_stalls_is_not_lost (void)
+{
+  static char body[16 * 1024 * 1024];
+  struct raw_client raw_client;
+  client_connect (&raw_client, server_set_up ());
+  client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  bufferevent_disable (raw_client.bev, EV_READ);
+  CU_ASSERT_EQUAL_FATAL (request_count, 1);
+  struct evbuffer *fields = evbuffer_new ();
+  http_reply_start (requests[0], 200, fields, sizeof body);
+  http_reply_write (requests[0], body, sizeof body);
+  run_ms (4500);
+  CU_ASSERT_EQUAL (disconnect_count, 0);
+  CU_ASSERT_EQUAL_FATAL (server.in_progress, 1);
+  http_reply_finish (requests[0]);
+  bufferevent_setcb (raw_client.bev, client_count, NULL, client_event,
+                     &raw_client);
+  bufferevent_enable (raw_client.bev, EV_READ);
+  run_ms (500);
+  CU_ASSERT (raw_client.size > sizeof body);
+  evbuffer_free (fields);
+  server_tear_down (&raw_client);
+}
+
 static void
 test_ends_of_responses (void)
 {
@@ -586,6 +678,13 @@
       test_taken_back_response },
     { "a truncated response looks complete to the caller",
       test_truncated_response_is_detectable },
+    { "an aborted response takes finished ones with it that are not sent yet",
+      test_abort_keeps_earlier_responses },
+    { "a response is dropped at the end of the process although the kernel "
+      "would take it",
+      test_stop_sends_what_the_kernel_takes },
+    { "a caller that does not read for some seconds is taken for vanished",
+      test_reader_that_stalls_is_not_lost },
     { "a truncated or mismatched response is taken for complete",
       test_ends_of_responses },
     { "unsolicited bytes are taken for the next response",
