--- a/test/standin/slow_readers.c
+++ b/test/standin/slow_readers.c
@@ -6,7 +6,9 @@
 /// SIGTERM to the process PID and, GRACE_MS later, SIGKILL if it still runs.
 /// The process may be the entry node or the node of a target. Prints each
 /// request that ended without a complete response:
-///   cut       its reader was fast enough to have it by the end of the grace
+///   cut       its reader was fast enough to have it by the end of the grace,
+///   or
+///             its target wrote the end shortly before
 ///   unread    its reader was too slow for that; not forbidden
 ///   working   the target was at work in the last sixth of the grace, and the
 ///             request was sent no later than 3 s after SIGTERM; not forbidden
@@ -49,6 +51,12 @@
 #define LOSS_SLACK_MS 200
 #define LATE_SENT_MS 3000
 
+/// A late response begins after SIGTERM, and its target writes the second half
+/// this long before the end of the grace. The process ends 250 ms before it
+/// (214 ms with a grace of 3 s).
+#define LATE_MS 400
+#define LATE_BYTES_MAX 700000 ///< more takes these processes too long
+
 /// Time that a response may take besides the target's work and its reader, ms,
 /// and its part of both, percent.
 #define SLACK_MS 400
@@ -66,6 +74,7 @@
   uint32_t work_ms; ///< over which the target writes
   uint32_t read_ms; ///< for the whole response; 0: as fast as it comes
   bool stalls;
+  bool late;      ///< see LATE_MS
   bool pipelines; ///< sends a second request at once
   bool aborted;   ///< the target's connection ended early
   bool complete;
@@ -111,6 +120,10 @@
   uint64_t due = elapsed_ms >= reader->work_ms
                      ? reader->size
                      : elapsed_ms * reader->size / reader->work_ms;
+  if (reader->late)
+    due = clock_monotonic_ms () + LATE_MS >= term_ms + grace_ms
+              ? reader->size
+              : reader->size / 2;
   while (run->written < due
          && http_request_backlog (run->request) < 2 * PIECE_BYTES)
     {
@@ -215,6 +228,14 @@
   reader->read_ms = reads[count % 7];
   reader->stalls = count % 11 == 5;
   reader->pipelines = count % 6 == 3;
+  reader->late = term_ms != 0 && count % 9 == 2;
+  if (reader->late)
+    {
+      if (reader->size > LATE_BYTES_MAX)
+        reader->size = LATE_BYTES_MAX;
+      reader->read_ms = 0;
+      reader->stalls = false;
+    }
   reader->sent_ms = clock_monotonic_ms ();
   reader->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   int size = READER_BUFFER_BYTES;
@@ -375,6 +396,8 @@
     return NULL;
   if (reader->runs == 0 && exit_ms < reader->sent_ms + LOSS_SLACK_MS)
     return NULL; /* it may never have been read */
+  if (reader->late)
+    return "cut";
   if (due_ms (reader) <= term_ms + grace_ms)
     return done_ms >= last_sixth_ms
                    && reader->sent_ms <= term_ms + LATE_SENT_MS
@@ -400,12 +423,13 @@
         continue;
       cut += strcmp (end, "cut") == 0;
       unread += strcmp (end, "cut") != 0;
-      printf ("%s: q%zu, %u bytes in %u ms%s%s, %u ms of work, sent at %lld "
+      printf ("%s: q%zu, %u bytes in %u ms%s%s%s, %u ms of work, sent at %lld "
               "ms, written at %lld, due at %lld, ended at %lld (%s), %llu "
               "bytes missing\n",
               end, i, reader->size, reader->read_ms,
               reader->stalls ? ", stalls" : "",
-              reader->pipelines ? ", pipelines" : "", reader->work_ms,
+              reader->pipelines ? ", pipelines" : "",
+              reader->late ? ", late" : "", reader->work_ms,
               since_term (reader->sent_ms), since_term (reader->done_ms),
               since_term (due_ms (reader)), since_term (reader->end_ms),
               reader->end_ms == 0 ? "open" : strerror (reader->error),
