--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -1,5 +1,7 @@
 #include "http_peers.h"
 
+#include <linux/filter.h>
+
 static void
 test_pipelined_answers_in_order (void)
 {
@@ -516,6 +518,105 @@
   server_tear_down (&raw_client);
 }
 
+/// Lets the kernel drop all that arrives for a socket, as if its machine had
+/// vanished.
+static void
+drop_input (evutil_socket_t fd)
+{
+  struct sock_filter drop = { .code = BPF_RET | BPF_K, .k = 0 };
+  struct sock_fprog program = { .len = 1, .filter = &drop };
+  CU_ASSERT_EQUAL_FATAL (
+      setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program),
+      0);
+}
+
+/// With an open window nothing of the response is acknowledged, with a closed
+/// one no probe of it.
+static void
+test_vanished_reader_is_noticed (void)
+{
+  static char body[16 * 1024 * 1024];
+  for (int window_closed = 0; window_closed < 2; window_closed++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run_ms (50);
+      CU_ASSERT_EQUAL_FATAL (request_count, 1);
+      bufferevent_disable (raw_client.bev, EV_READ);
+      evutil_socket_t fd = bufferevent_getfd (raw_client.bev);
+      if (!window_closed)
+        drop_input (fd);
+      struct evbuffer *fields = evbuffer_new ();
+      http_reply_start (requests[0], 200, fields, sizeof body);
+      http_reply_write (requests[0], body, sizeof body);
+      run_ms (500);
+      if (window_closed)
+        drop_input (fd);
+      run_ms (2000);
+      CU_ASSERT_EQUAL (disconnect_count, 0);
+      run_ms (window_closed ? 4000 : 1500);
+      CU_ASSERT_EQUAL (disconnect_count, 1);
+      CU_ASSERT_EQUAL (server.connections, 0);
+      evbuffer_free (fields);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// A target that does not read a large request for some seconds, and one that
+/// has vanished.
+static void
+test_slow_target_is_not_lost (void)
+{
+  static char body[16 * 1024 * 1024];
+  for (int vanishes = 0; vanishes < 2; vanishes++)
+    {
+      const struct script script_rows
+          = { .responses = { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                             "X-Id: a\r\n\r\n" } };
+      uint16_t port = pool_set_up (&script_rows);
+      struct evbuffer *bytes = evbuffer_new ();
+      evbuffer_add_printf (bytes,
+                           "POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: %zu\r\n\r\n",
+                           sizeof body);
+      evbuffer_add (bytes, body, sizeof body);
+      struct http_send send = { .address = LOOPBACK,
+                                .port = port,
+                                .request = bytes,
+                                .id = "a",
+                                .max_idle_ms = 4000 };
+      struct result result = { .ended = false };
+      evconnlistener_disable (target);
+      struct http_exchange *pending
+          = http_pool_send (&pool, &send, &result_ops, &result);
+      evbuffer_free (bytes);
+      run_ms (100);
+      if (vanishes)
+        {
+          struct sockaddr_in at;
+          socklen_t size = sizeof at;
+          evutil_socket_t fd = accept (evconnlistener_get_fd (target),
+                                       (struct sockaddr *)&at, &size);
+          drop_input (fd);
+          run_ms (6500);
+          CU_ASSERT (result.ended && result.end == HTTP_END_LOST);
+          close (fd);
+        }
+      else
+        {
+          run_ms (4500);
+          CU_ASSERT (!result.ended);
+          evconnlistener_enable (target);
+          run_ms (500);
+          CU_ASSERT (result.ended && result.end == HTTP_END_COMPLETE);
+        }
+      if (!result.ended)
+        http_exchange_cancel (pending);
+      pool_tear_down ();
+    }
+}
+
 static void
 test_ends_of_responses (void)
 {
@@ -685,6 +786,11 @@
       test_stop_sends_what_the_kernel_takes },
     { "a caller that does not read for some seconds is taken for vanished",
       test_reader_that_stalls_is_not_lost },
+    { "a caller that has vanished is not noticed",
+      test_vanished_reader_is_noticed },
+    { "a target that does not read for some seconds is taken for vanished, or "
+      "a vanished one is not noticed",
+      test_slow_target_is_not_lost },
     { "a truncated or mismatched response is taken for complete",
       test_ends_of_responses },
     { "unsolicited bytes are taken for the next response",
