Check the peers of all connections of a server

Also of one on which a response was written and no request followed: the kernel alone would go on sending it to a vanished caller until the connection's idle time.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -394,10 +394,7 @@
   for (struct http_server_connection *c = server->first; c != NULL; c = next)
     {
       next = c->next;
-      if (c->request != NULL
-          || evbuffer_get_length (http_stream_output (c->stream)) > 0
-          || c->lingering)
-        http_stream_check_peer (c->stream, now);
+      http_stream_check_peer (c->stream, now);
       if (c->request != NULL)
         continue;
       /* A reader may need the kernel's bytes for longer than it lingers. */
