--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "transport/http_socket.h"
 
 #include <arpa/inet.h>
 #include <event2/listener.h>
@@ -12,7 +13,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -25,8 +25,9 @@
 #define PIPELINE_MAX 8
 
 /// Time for which a connection that is shut down for writing waits for the
-/// caller's close. Closing the socket with unread bytes would reset the
-/// connection, and the caller could lose the response.
+/// caller's close once it has acknowledged the last byte. Closing the socket
+/// with unread bytes would reset the connection, and the caller could lose the
+/// response.
 #define LINGER_MS 1000
 
 /// A stopping server gives a connection this time: without any request yet,
@@ -34,6 +35,11 @@
 /// its caller may still read the last response and send more.
 #define STOP_WAIT_MS 250
 
+/// Unread input that a stopping server discards from a connection: pieces of
+/// this size, and their number. A caller that sends more is reset.
+#define DISCARD_BYTES (64u * 1024)
+#define DISCARD_READS_MAX 64
+
 /// Maximum size of a status line with the framing fields, bytes.
 #define STATUS_LINE_BYTES_MAX 160
 
@@ -53,6 +59,7 @@
   struct http_request *receiving_request; ///< request that is being received
   uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
                              ///< the last response, or begin of closing
+  uint64_t shut_down_ms;     ///< begin of lingering
   unsigned rejected;  ///< status for what follows the requests that are in
                       ///< progress and is rejected; 0: nothing
   bool handing_over;  ///< requests are being handed over
@@ -66,6 +73,12 @@
   struct http_server_connection *previous;
 };
 
+static evutil_socket_t
+socket_of (const struct http_server_connection *connection)
+{
+  return bufferevent_getfd (connection->stream->bev);
+}
+
 static void
 free_request (struct http_request *request)
 {
@@ -117,7 +130,8 @@
 shut_down_output (struct http_server_connection *connection)
 {
   connection->lingering = true;
-  connection->timeout_start_ms = clock_monotonic_ms ();
+  connection->shut_down_ms = clock_monotonic_ms ();
+  connection->timeout_start_ms = connection->shut_down_ms;
   shutdown (bufferevent_getfd (connection->stream->bev), SHUT_WR);
 }
 
@@ -380,8 +394,13 @@
   for (struct http_server_connection *c = server->first; c != NULL; c = next)
     {
       next = c->next;
+      http_stream_check_peer (c->stream, now);
       if (c->request != NULL)
         continue;
+      /* A reader may need the kernel's bytes for longer than it lingers. */
+      if (c->lingering && http_socket_unsent (socket_of (c)) > 0
+          && now - c->shut_down_ms <= server->limits.idle_ms)
+        c->timeout_start_ms = now;
       bool receiving = c->stream->started && !c->closing;
       uint32_t limit
           = receiving ? server->limits.receive_ms : server->limits.idle_ms;
@@ -426,6 +445,22 @@
   return STATUS_OK;
 }
 
+/// Hands unsent bytes to the kernel as far as it takes them, which sends them
+/// after the close. Unread input would make the close a reset that drops them.
+static void
+hand_output_to_kernel (struct http_server_connection *connection)
+{
+  static char input[DISCARD_BYTES];
+  struct evbuffer *output = http_stream_output (connection->stream);
+  evutil_socket_t fd = socket_of (connection);
+  evbuffer_unfreeze (output, 1);
+  while (evbuffer_get_length (output) > 0 && evbuffer_write (output, fd) > 0)
+    continue;
+  for (int i = 0; i < DISCARD_READS_MAX; i++)
+    if (recv (fd, input, sizeof input, MSG_DONTWAIT) <= 0)
+      break;
+}
+
 void
 http_server_stop (struct http_server *server)
 {
@@ -441,6 +476,7 @@
     {
       next = c->next;
       drop_requests (c, false);
+      hand_output_to_kernel (c);
       free_connection (c);
     }
 }
@@ -451,28 +487,21 @@
   server->draining = true;
 }
 
-/// @return bytes that the kernel has received and that were not read yet
-static int
-kernel_unread (const struct http_server_connection *connection)
-{
-  int size = 0;
-  evutil_socket_t fd = bufferevent_getfd (connection->stream->bev);
-  return ioctl (fd, FIONREAD, &size) == 0 ? size : 0;
-}
-
 /// @return true while closing the connection could cost a caller its response
 static bool
 has_work (const struct http_server_connection *connection, uint64_t now_ms)
 {
   struct http_stream *stream = connection->stream;
   if (connection->request != NULL
-      || evbuffer_get_length (http_stream_output (stream)) > 0)
+      || evbuffer_get_length (http_stream_output (stream)) > 0
+      || http_socket_unsent (socket_of (connection)) > 0)
     return true;
   bool waits = now_ms - connection->timeout_start_ms < STOP_WAIT_MS;
   if (connection->closing)
     return waits;
   return stream->started || http_stream_unread (stream) > 0
-         || kernel_unread (connection) > 0 || (!connection->served && waits);
+         || http_socket_unread (socket_of (connection)) > 0
+         || (!connection->served && waits);
 }
 
 void
@@ -526,6 +555,28 @@
   return size;
 }
 
+void
+http_server_log_unsent (const struct http_server *server, const char *name,
+                        size_t lines_max)
+{
+  for (const struct http_server_connection *c = server->first;
+       c != NULL && lines_max > 0; c = c->next)
+    {
+      size_t unsent = evbuffer_get_length (http_stream_output (c->stream));
+      size_t kernel_unsent = http_socket_unsent (socket_of (c));
+      if (unsent + kernel_unsent == 0 && c->request == NULL)
+        continue;
+      lines_max--;
+      log_event (LOG_LEVEL_WARNING, "connection_cut",
+                 "server=%s requests=%zu started=%d finished=%d unsent=%zu "
+                 "kernel_unsent=%zu kernel_unread=%zu",
+                 name, c->pending,
+                 c->request != NULL && http_reply_is_begun (c->request),
+                 c->request == NULL, unsent, kernel_unsent,
+                 http_socket_unread (socket_of (c)));
+    }
+}
+
 /// @return the buffer that takes the bytes of a response
 static struct evbuffer *
 response_output (struct http_request *request)
@@ -725,7 +776,7 @@
   struct http_server_connection *connection = request->connection;
   request->response_complete = true; /* its handler is not notified */
   drop_requests (connection, true);
-  free_connection (connection);
+  close_when_sent (connection);
 }
 
 size_t
