Fix the placement of targets without a speed figure by a test

Placement is about to use a figure that some targets report. Where it is missing, each choice and each random draw has to stay as it is: the test compares the hash of 5,000 choices, and the generator's next draw, with those of the present code.

--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -235,10 +235,55 @@
   CU_ASSERT (counts[2] > 0);
 }
 
+/// Without the speed figure of a target, each choice and each random draw must
+/// stay as it was before placement knew the figure: the expected value is the
+/// hash of the choices of that code.
+static void
+test_choices_without_figure_are_unchanged (void)
+{
+  static const char *const zones[] = { "z1", "z2", "z3" };
+  uint64_t hash = 14695981039346656037u;
+  set_up ();
+  for (int i = 0; i < 40; i++)
+    {
+      char node[8];
+      snprintf (node, sizeof node, "n%u", (unsigned)i % 100);
+      add (node, zones[i % 3], i % 5 == 0 ? "v2" : "v1",
+           i % 11 == 0 ? DIRECTORY_DRAINING : DIRECTORY_READY);
+    }
+  for (uint64_t i = 0; i < 5000; i++)
+    {
+      struct placement_request request = request_from (zones[i % 3]);
+      request.large_response = i % 7 == 0;
+      request.tried_count = i % 4;
+      for (size_t k = 0; k < request.tried_count; k++)
+        request.tried[k] = (i + k) % 40;
+      size_t handle
+          = placement_choose (&directory, &request, &rng, 1000 + 20 * i);
+      hash = (hash ^ handle) * 1099511628211u;
+      struct directory_record *record = &directory.records[handle];
+      placement_begin (record);
+      if (i % 3 != 0)
+        placement_end (record,
+                       i % 13 == 0   ? PLACEMENT_FAILED
+                       : i % 17 == 0 ? PLACEMENT_LOST
+                                     : PLACEMENT_ANSWERED,
+                       1000 + 20 * i);
+      if (i % 2 == 0)
+        placement_report (record, (uint32_t)(i % 6), (uint32_t)(i % 4),
+                          (uint32_t)(20000 + 997 * (handle % 9)),
+                          1000 + 20 * i);
+    }
+  CU_ASSERT_EQUAL (hash, 6634761657672865803u);
+  CU_ASSERT_EQUAL (rng_below (&rng, 1000000), 938601);
+}
+
 int
 main (void)
 {
   static const struct test_case cases[] = {
+    { "placement of targets without a speed figure changes",
+      test_choices_without_figure_are_unchanged },
     { "a node of another service, version or state gets a request",
       test_only_allowed_nodes },
     { "a request is offered to the same node twice",
