Report the speed of a target to entry nodes

A target may state with its responses how long work takes on its machine at the moment (fourth value of its load header). The node beside it keeps the newest figure and sends it as an optional fifth number of its load header; headers without it are still accepted, and older nodes ignore it. With the figure, the fourth number is the service time at 100 percent: each elapsed time is divided by the mean figure while the request ran, so that a disturbance does not look like a slow machine. Nothing uses the figure yet.

--- a/src/protocol/adapter.h
+++ b/src/protocol/adapter.h
@@ -20,6 +20,7 @@
   const char *caller_service; ///< service of the VM where a request starts
   const char *api_key;        ///< key of the caller's client account
   const char *account;        ///< name of that account, for the target
+  const char *target_load;    ///< load that a target states, see target_load.h
 };
 
 /// One report of the target on the same VM.
--- a/src/protocol/hop.c
+++ b/src/protocol/hop.c
@@ -1,13 +1,16 @@
 /// Formats and parses the headers between two nodes.
 #include "protocol/hop.h"
 
+#include "protocol/target_load.h"
+
 #include <stdio.h>
 #include <string.h>
 
 /// Fields of older nodes, which do not send the account.
 #define HOP_FIELDS_MIN 9
 #define HOP_FIELDS 10
-#define LOAD_FIELDS 4
+#define LOAD_FIELDS_MIN 4
+#define LOAD_FIELDS 5
 
 void
 hop_write (const struct hop *hop, char text[HOP_SIZE_MAX])
@@ -44,17 +47,25 @@
 void
 hop_load_write (const struct hop_load *load, char text[HOP_LOAD_SIZE_MAX])
 {
-  snprintf (text, HOP_LOAD_SIZE_MAX, "%u,%u,%u,%u", load->running,
-            load->waiting, load->slots, load->service_us);
+  int length = snprintf (text, HOP_LOAD_SIZE_MAX, "%u,%u,%u,%u", load->running,
+                         load->waiting, load->slots, load->service_us);
+  if (load->speed_percent > 0)
+    snprintf (text + length, HOP_LOAD_SIZE_MAX - (size_t)length, ",%u",
+              load->speed_percent);
 }
 
 enum status
 hop_load_parse (const char *text, struct hop_load *load)
 {
-  if (text == NULL
-      || sscanf (text, "%u,%u,%u,%u", &load->running, &load->waiting,
-                 &load->slots, &load->service_us)
-             != LOAD_FIELDS)
+  load->speed_percent = 0;
+  int fields = text == NULL ? 0
+                            : sscanf (text, "%u,%u,%u,%u,%u", &load->running,
+                                      &load->waiting, &load->slots,
+                                      &load->service_us, &load->speed_percent);
+  if (fields < LOAD_FIELDS_MIN
+      || (fields == LOAD_FIELDS
+          && (load->speed_percent < TARGET_SPEED_PERCENT_MIN
+              || load->speed_percent > TARGET_SPEED_PERCENT_MAX)))
     return status_set (STATUS_INVALID, "malformed load header");
   return STATUS_OK;
 }
--- a/src/protocol/hop.h
+++ b/src/protocol/hop.h
@@ -38,7 +38,10 @@
   uint32_t running; ///< requests in the target
   uint32_t waiting; ///< requests in the queue of its node
   uint32_t slots;
-  uint32_t service_us; ///< mean time of a request in the target
+  uint32_t service_us;    ///< mean time of a request in the target; at 100
+                          ///< percent if `speed_percent` is known
+  uint32_t speed_percent; ///< how long work takes in the target now; 100: as
+                          ///< usual, 0: unknown and not written
 };
 
 void hop_write (const struct hop *hop, char text[HOP_SIZE_MAX]);
@@ -49,7 +52,9 @@
 void hop_load_write (const struct hop_load *load,
                      char text[HOP_LOAD_SIZE_MAX]);
 
-/// @return STATUS_INVALID when a field is missing
+/// Nodes whose target does not report its speed, and older nodes, send only
+/// the first four numbers.
+/// @return STATUS_INVALID when a field is missing or the speed is out of range
 enum status hop_load_parse (const char *text, struct hop_load *load);
 
 #endif
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -17,6 +17,7 @@
 #include "coordination/placement.h"
 #include "coordination/retry_quota.h"
 #include "coordination/stop_plan.h"
+#include "coordination/target_speed.h"
 #include "coordination/transfer.h"
 #include "protocol/adapter.h"
 #include "sidecar/sidecar_settings.h"
@@ -79,6 +80,10 @@
   uint64_t draining_ms;        ///< when the leave was acknowledged; 0: unknown
   uint32_t cold_ms;            ///< warm-up time stated in the first report
   unsigned refusals;           ///< connections refused in a row
+  uint32_t speed_percent;      ///< newest speed figure of the target; 100: as
+                               ///< usual, 0: not reported
+  uint64_t speed_ms;           ///< time of the newest speed figure
+  struct target_speed speed;   ///< service time at the usual speed
 };
 
 struct sidecar
@@ -207,7 +212,8 @@
 ///         this process started, or as another node knows them
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
-/// @return true when the view was compared with the store, or with a relay that
+/// @return true when the view was compared with the store, or with a relay
+/// that
 ///         is in touch with it, within `config_apply`: a configuration that
 ///         should be in force is known
 bool sidecar_store_is_current (const struct sidecar *sidecar);
--- a/src/sidecar/sidecar_inbound.h
+++ b/src/sidecar/sidecar_inbound.h
@@ -21,8 +21,9 @@
   const char *id; ///< in the request's arena
   uint64_t arrived_ms;
   uint64_t deadline_ms;
-  uint64_t sent_us;     ///< when it was sent to the target
-  uint64_t fingerprint; ///< identifies the request in crash records
+  uint64_t sent_us;        ///< when it was sent to the target
+  uint64_t speed_integral; ///< target_speed_integral at that time
+  uint64_t fingerprint;    ///< identifies the request in crash records
 };
 
 #endif
--- a/test/fuzz/platform_fuzz.c
+++ b/test/fuzz/platform_fuzz.c
@@ -1,11 +1,13 @@
 /// Decodes arbitrary bytes as messages of the platform and as records of other
 /// nodes. Invariants: an entry record stays the same when it is written and
 /// read again; a view that was read can be written; an accepted configuration
-/// serves every lookup; evidence has no more failures than calls.
+/// serves every lookup; evidence has no more failures than calls; accepted
+/// load headers are within their ranges.
 #include "platform/platform.h"
 #include "protocol/entry_record.h"
 #include "protocol/hop.h"
 #include "protocol/move_record.h"
+#include "protocol/target_load.h"
 #include "protocol/view.h"
 
 #include <assert.h>
@@ -82,7 +84,19 @@
   text[size] = '\0';
   if (hop_parse (text, &hop) == STATUS_OK)
     assert (strlen (hop.service) <= DIRECTORY_NAME_MAX);
-  hop_load_parse (text, &load);
+  if (hop_load_parse (text, &load) == STATUS_OK && load.speed_percent != 0)
+    assert (load.speed_percent >= TARGET_SPEED_PERCENT_MIN
+            && load.speed_percent <= TARGET_SPEED_PERCENT_MAX);
+  struct target_load target_load;
+  if (target_load_parse (text, &target_load) == STATUS_OK)
+    {
+      assert (target_load.running <= TARGET_LOAD_COUNT_MAX
+              && target_load.waiting <= TARGET_LOAD_COUNT_MAX
+              && target_load.slots <= TARGET_LOAD_COUNT_MAX);
+      assert (target_load.speed_percent == 0
+              || (target_load.speed_percent >= TARGET_SPEED_PERCENT_MIN
+                  && target_load.speed_percent <= TARGET_SPEED_PERCENT_MAX));
+    }
   char id[DIRECTORY_NAME_MAX + 1];
   platform_adapter.classify ("POST", text, id);
 }
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -2,6 +2,7 @@
 #include "protocol/entry_record.h"
 #include "protocol/hop.h"
 #include "protocol/move_record.h"
+#include "protocol/target_load.h"
 #include "protocol/view.h"
 #include "sidecar/sidecar_settings.h"
 #include "testing.h"
@@ -55,13 +56,77 @@
 static void
 test_load (void)
 {
-  struct hop_load load = { 3, 4, 12, 81000 };
+  static const char *const malformed[] = { "",
+                                           "3,4",
+                                           "3,4,12,",
+                                           "3,4,12,81000,0",
+                                           "3,4,12,81000,9",
+                                           "3,4,12,81000,10001",
+                                           "3,4,12,81000,-1" };
+  struct hop_load load = { 3, 4, 12, 81000, 0 };
   struct hop_load read;
   char text[HOP_LOAD_SIZE_MAX];
   hop_load_write (&load, text);
   CU_ASSERT_EQUAL (hop_load_parse (text, &read), STATUS_OK);
   CU_ASSERT_EQUAL (memcmp (&load, &read, sizeof load), 0);
-  CU_ASSERT_EQUAL (hop_load_parse ("3,4", &read), STATUS_INVALID);
+  /* The format of nodes whose target does not report its speed. */
+  CU_ASSERT_STRING_EQUAL (text, "3,4,12,81000");
+  load.speed_percent = 250;
+  hop_load_write (&load, text);
+  CU_ASSERT_STRING_EQUAL (text, "3,4,12,81000,250");
+  CU_ASSERT_EQUAL (hop_load_parse (text, &read), STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&load, &read, sizeof load), 0);
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (hop_load_parse (malformed[i], &read), STATUS_INVALID);
+  CU_ASSERT_EQUAL (hop_load_parse (NULL, &read), STATUS_INVALID);
+}
+
+static void
+test_target_load (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool valid;
+    struct target_load load;
+  } rows[] = {
+    { "3,4,13", true, { 3, 4, 13, 0 } },
+    { "3,4,13,250", true, { 3, 4, 13, 250 } },
+    { " 3 ,\t4, 13 , 100 ", true, { 3, 4, 13, 100 } },
+    { "0,0,0,10", true, { 0, 0, 0, 10 } },
+    { "1000000,0,1,10000", true, { 1000000, 0, 1, 10000 } },
+    { "3,4,13,104.75", true, { 3, 4, 13, 104 } },
+    { NULL, false, { 0 } },
+    { "", false, { 0 } },
+    { "3,4", false, { 0 } },
+    { "3,4,", false, { 0 } },
+    { "3,4,13,", false, { 0 } },
+    { "3,4,13,100,", false, { 0 } },
+    { "3,4,13,100,5", false, { 0 } },
+    { "3,,13", false, { 0 } },
+    { "3 4 13", false, { 0 } },
+    { "3,4,13;100", false, { 0 } },
+    { "-3,4,13", false, { 0 } },
+    { "+3,4,13", false, { 0 } },
+    { "0x3,4,13", false, { 0 } },
+    { "3.5,4,13", false, { 0 } },
+    { "3,4,13,100.", false, { 0 } },
+    { "3,4,13,1e2", false, { 0 } },
+    { "3,4,13,nan", false, { 0 } },
+    { "3,4,13,0", false, { 0 } },
+    { "3,4,13,9", false, { 0 } },
+    { "3,4,13,10001", false, { 0 } },
+    { "1000001,4,13", false, { 0 } },
+    { "3,4,4294967299", false, { 0 } },
+    { "3,4,13,18446744073709551716", false, { 0 } },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct target_load load = { 0 };
+      enum status expected = rows[i].valid ? STATUS_OK : STATUS_INVALID;
+      CU_ASSERT_EQUAL (target_load_parse (rows[i].text, &load), expected);
+      CU_ASSERT_EQUAL (memcmp (&load, &rows[i].load, sizeof load), 0);
+    }
 }
 
 static void
@@ -433,6 +498,7 @@
   static const struct test_case cases[] = {
     { "the hop header is misread", test_hop },
     { "the load header is misread", test_load },
+    { "a malformed load of a target is accepted", test_target_load },
     { "an entry in the store is misread", test_entry },
     { "the record of a move is misread", test_move_record },
     { "evidence with the most kinds of requests does not fit",
