Place requests by the speed that targets report

Where a target reports how long work takes on its machine, its response time is estimated from its service time at the usual speed, the expected figure while the request runs, and the expected load. Five candidates are compared, four of them of the own zone. A request to another zone costs a third of the typical service time, and more with the size of its body, so that requests leave a zone when its targets queue or are disturbed. Targets without the figure are placed as before (hash of choices in placement_test).

--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -1,6 +1,8 @@
 /// Stateless; the observations are kept in the records of the directory.
 #include "coordination/placement.h"
 
+#include "coordination/placement_speed.h"
+
 #include <string.h>
 
 /// Number of random candidates that are compared. Two are enough to avoid the
@@ -12,6 +14,12 @@
 /// Candidates of the own zone among them if it has so many.
 #define CANDIDATES_NEAR 2
 
+/// Numbers for targets that report their speed. The estimates are better, and
+/// tend to the usual load as the reports age, so that more candidates find
+/// undisturbed targets in the own zone without all nodes choosing the same.
+#define CANDIDATES_COMPARED_SPEED 5
+#define CANDIDATES_NEAR_SPEED 4
+
 /// Maximum age of a load report that is used.
 #define REPORT_AGE_MS_MAX 1000
 
@@ -120,12 +128,12 @@
   return cost_us > CROSS_ZONE_SMALL_US_MIN ? cost_us : CROSS_ZONE_SMALL_US_MIN;
 }
 
-/// @param default_us  service time of a target without a recent report
-/// @return expected time until the response of a node, microseconds
+/// @return expected time until the response of a node, before failures,
+///         microseconds
 static uint64_t
-cost_us (const struct directory_record *record,
-         const struct placement_request *request, uint64_t default_us,
-         uint64_t now_ms)
+response_us (const struct directory_record *record,
+             const struct placement_request *request, uint64_t default_us,
+             uint64_t now_ms)
 {
   const struct directory_load *load = &record->load;
   uint64_t service_us
@@ -147,16 +155,25 @@
     cost += (occupied - slots + 1) * service_us / slots;
   if (!is_near (record, request))
     cost += cross_zone_us (request, service_us);
-  uint64_t failures = current_error_permille (load, now_ms);
-  cost += (cost + (uint64_t)request->objective_ms * 1000) * failures
-          / (1001 - (failures < 1000 ? failures : 1000));
   return cost;
 }
 
+/// Adds the cost of the failures that are to be expected.
+static uint64_t
+add_failure_cost (uint64_t cost, const struct directory_record *record,
+                  const struct placement_request *request, uint64_t now_ms)
+{
+  uint64_t failures = current_error_permille (&record->load, now_ms);
+  return cost
+         + (cost + (uint64_t)request->objective_ms * 1000) * failures
+               / (1001 - (failures < 1000 ? failures : 1000));
+}
+
 /// Random sample of the eligible nodes of one group.
 struct sample
 {
-  size_t handles[CANDIDATES_COMPARED];
+  size_t handles[CANDIDATES_COMPARED_SPEED];
+  size_t limit; ///< largest number of nodes in the sample
   size_t eligible;
 };
 
@@ -165,10 +182,10 @@
 static void
 add_to_sample (struct sample *sample, size_t handle, struct rng *rng)
 {
-  uint64_t position = sample->eligible < CANDIDATES_COMPARED
+  uint64_t position = sample->eligible < sample->limit
                           ? sample->eligible
                           : rng_below (rng, sample->eligible + 1);
-  if (position < CANDIDATES_COMPARED)
+  if (position < sample->limit)
     sample->handles[position] = handle;
   sample->eligible++;
 }
@@ -176,8 +193,7 @@
 static size_t
 sample_count (const struct sample *sample)
 {
-  return sample->eligible < CANDIDATES_COMPARED ? sample->eligible
-                                                : CANDIDATES_COMPARED;
+  return sample->eligible < sample->limit ? sample->eligible : sample->limit;
 }
 
 /// Moves random nodes of a sample to the candidates.
@@ -194,23 +210,119 @@
     }
 }
 
-/// @return number of candidates: of the own zone and of the others as
-///         CANDIDATES_NEAR states, filled up from the group that has more
-static size_t
+/// Nodes that are compared for one request.
+struct candidates
+{
+  size_t handles[CANDIDATES_COMPARED_SPEED];
+  size_t count;
+  bool with_speed; ///< one of the eligible targets reports its speed
+};
+
+/// Chooses candidates of the own zone and of the others as CANDIDATES_NEAR
+/// states, filled up from the group that has more.
+static void
 take_candidates (struct sample *near, struct sample *far, struct rng *rng,
-                 size_t candidates[CANDIDATES_COMPARED])
+                 struct candidates *candidates)
 {
+  size_t limit = near->limit;
+  size_t near_limit
+      = candidates->with_speed ? CANDIDATES_NEAR_SPEED : CANDIDATES_NEAR;
   size_t near_count = sample_count (near);
   size_t far_count = sample_count (far);
-  size_t near_wanted
-      = near_count < CANDIDATES_NEAR ? near_count : CANDIDATES_NEAR;
-  if (far_count > CANDIDATES_COMPARED - near_wanted)
-    far_count = CANDIDATES_COMPARED - near_wanted;
-  if (near_count > CANDIDATES_COMPARED - far_count)
-    near_count = CANDIDATES_COMPARED - far_count;
-  take_from_sample (near, near_count, rng, candidates);
-  take_from_sample (far, far_count, rng, candidates + near_count);
-  return near_count + far_count;
+  size_t near_wanted = near_count < near_limit ? near_count : near_limit;
+  if (far_count > limit - near_wanted)
+    far_count = limit - near_wanted;
+  if (near_count > limit - far_count)
+    near_count = limit - far_count;
+  take_from_sample (near, near_count, rng, candidates->handles);
+  take_from_sample (far, far_count, rng, candidates->handles + near_count);
+  candidates->count = near_count + far_count;
+}
+
+/// Draws candidates among the eligible nodes.
+/// @param with_failed  include nodes that failed recently
+/// @param with_speed   assume that the targets report their speed
+/// @return false when they were assumed not to, and one does
+static bool
+draw_candidates (const struct directory *directory,
+                 const struct placement_request *request, bool with_failed,
+                 bool with_speed, struct rng *rng, uint64_t now_ms,
+                 struct candidates *candidates)
+{
+  size_t limit = with_speed ? CANDIDATES_COMPARED_SPEED : CANDIDATES_COMPARED;
+  struct sample near = { .limit = limit };
+  struct sample far = { .limit = limit };
+  for (size_t i = 0; i < directory->count; i++)
+    {
+      const struct directory_record *record = &directory->records[i];
+      if (!is_allowed (record, request) || was_tried (request, i)
+          || (!with_failed && now_ms < record->load.down_until_ms))
+        continue;
+      if (!with_speed && record->load.speed_percent > 0)
+        return false;
+      add_to_sample (is_near (record, request) ? &near : &far, i, rng);
+    }
+  candidates->with_speed = with_speed;
+  take_candidates (&near, &far, rng, candidates);
+  return true;
+}
+
+/// Computes the expected times until the candidates' responses, microseconds.
+static void
+estimate_costs (const struct directory *directory,
+                const struct placement_request *request,
+                const struct candidates *candidates, uint64_t now_ms,
+                uint64_t costs[CANDIDATES_COMPARED_SPEED])
+{
+  const size_t *handles = candidates->handles;
+  size_t count = candidates->count;
+  if (!candidates->with_speed)
+    {
+      uint64_t default_us = fastest_us (directory, handles, count, now_ms);
+      for (size_t i = 0; i < count; i++)
+        costs[i] = response_us (&directory->records[handles[i]], request,
+                                default_us, now_ms);
+      return;
+    }
+  struct placement_speed_typical typical
+      = placement_speed_typical (directory, handles, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct directory_record *record = &directory->records[handles[i]];
+      costs[i] = placement_speed_response_us (record, &typical, now_ms);
+      if (!is_near (record, request))
+        costs[i]
+            += placement_speed_cross_zone_us (request, typical.service_us);
+    }
+}
+
+/// @return handle of the best candidate, or SIZE_MAX when there is none
+static size_t
+choose_best (const struct directory *directory,
+             const struct placement_request *request,
+             const struct candidates *candidates, struct rng *rng,
+             uint64_t now_ms)
+{
+  size_t best = SIZE_MAX;
+  uint64_t best_cost = UINT64_MAX;
+  uint64_t costs[CANDIDATES_COMPARED_SPEED];
+  size_t count = candidates->count;
+  estimate_costs (directory, request, candidates, now_ms, costs);
+  /* Starting at a random candidate breaks ties at random. */
+  size_t first = count > 0 ? rng_below (rng, count) : 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t index = (first + i) % count;
+      size_t handle = candidates->handles[index];
+      uint64_t cost = add_failure_cost (
+          costs[index], &directory->records[handle], request, now_ms);
+      if (cost < best_cost)
+        {
+          best_cost = cost;
+          best = handle;
+        }
+    }
+  return best;
 }
 
 size_t
@@ -219,37 +331,16 @@
                   uint64_t now_ms)
 {
   size_t best = SIZE_MAX;
-  uint64_t best_cost = UINT64_MAX;
   for (int pass = 0; pass < 2 && best == SIZE_MAX; pass++)
     {
       /* The second pass includes nodes that failed recently, since some of
          them may have recovered. */
-      size_t chosen[CANDIDATES_COMPARED];
-      struct sample near = { .eligible = 0 };
-      struct sample far = { .eligible = 0 };
-      for (size_t i = 0; i < directory->count; i++)
-        {
-          const struct directory_record *record = &directory->records[i];
-          if (!is_allowed (record, request) || was_tried (request, i)
-              || (pass == 0 && now_ms < record->load.down_until_ms))
-            continue;
-          add_to_sample (is_near (record, request) ? &near : &far, i, rng);
-        }
-      size_t count = take_candidates (&near, &far, rng, chosen);
-      uint64_t default_us = fastest_us (directory, chosen, count, now_ms);
-      /* Starting at a random candidate breaks ties at random. */
-      size_t first = count > 0 ? rng_below (rng, count) : 0;
-      for (size_t i = 0; i < count; i++)
-        {
-          size_t handle = chosen[(first + i) % count];
-          uint64_t cost = cost_us (&directory->records[handle], request,
-                                   default_us, now_ms);
-          if (cost < best_cost)
-            {
-              best_cost = cost;
-              best = handle;
-            }
-        }
+      struct candidates candidates;
+      if (!draw_candidates (directory, request, pass > 0, false, rng, now_ms,
+                            &candidates))
+        draw_candidates (directory, request, pass > 0, true, rng, now_ms,
+                         &candidates);
+      best = choose_best (directory, request, &candidates, rng, now_ms);
     }
   return best;
 }
@@ -323,4 +414,5 @@
   load->service_us = service_us;
   load->reported_ms = now_ms;
   load->sent_since_report = 0;
+  load->speed_percent = 0;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -25,6 +25,8 @@
   const char *availability_zone; ///< of this node
   bool large_response;           ///< avoid sending the response across zones
   uint32_t objective_ms;         ///< time left until the latency objective
+  uint64_t body_bytes; ///< size of the request's body; used only for targets
+                       ///< that report their speed
   size_t tried[PLACEMENT_TRIED_MAX]; ///< handles that must not be chosen again
   size_t tried_count;
 };
@@ -56,4 +58,12 @@
 void placement_report (struct directory_record *record, uint32_t running,
                        uint32_t waiting, uint32_t service_us, uint64_t now_ms);
 
+/// Stores the speed of the target that the same report contained. A report
+/// without this call is one without the figure.
+/// @param speed_percent  how long work takes now, at least 1; 100: as usual.
+///                       The service time of the report is that at 100
+///                       percent.
+void placement_report_speed (struct directory_record *record,
+                             uint32_t speed_percent);
+
 #endif
--- /dev/null
+++ b/src/coordination/placement_speed.h
@@ -0,0 +1,34 @@
+/// Expected response time of a target that reports how long work takes on its
+/// machine at the moment. Load: targets of uneven speed that are disturbed for
+/// some hundred milliseconds, and entry nodes that get a report of each target
+/// only every few hundred milliseconds to seconds.
+#ifndef HAWTHORNSEAM_COORDINATION_PLACEMENT_SPEED_H
+#define HAWTHORNSEAM_COORDINATION_PLACEMENT_SPEED_H
+
+#include "coordination/placement.h"
+
+/// What is assumed of a target without reports.
+struct placement_speed_typical
+{
+  uint64_t service_us; ///< at 100 percent
+  double busy;         ///< running and queued requests per slot
+};
+
+/// @param handles  of candidates
+/// @return means over the candidates that have reported
+struct placement_speed_typical
+placement_speed_typical (const struct directory *directory,
+                         const size_t *handles, size_t count);
+
+/// @return expected time in the queue and in the target, microseconds
+uint64_t
+placement_speed_response_us (const struct directory_record *record,
+                             const struct placement_speed_typical *typical,
+                             uint64_t now_ms);
+
+/// @return what a request to another zone costs, microseconds
+uint64_t
+placement_speed_cross_zone_us (const struct placement_request *request,
+                               uint64_t typical_us);
+
+#endif
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -351,6 +351,7 @@
     .objective_ms = outbound->objective_ms > now_ms
                         ? (uint32_t)(outbound->objective_ms - now_ms)
                         : 1,
+    .body_bytes = evbuffer_get_length (outbound->request->body),
     .tried_count = outbound->tried_count,
   };
   memcpy (request.tried, outbound->tried, sizeof request.tried);
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -43,10 +43,13 @@
   struct hop_load load;
   struct directory_record *record = sidecar_outbound_node (outbound);
   const char *text = http_head_find (head, CALL_HEADER_LOAD);
-  if (record != NULL && text != NULL
-      && hop_load_parse (text, &load) == STATUS_OK)
-    placement_report (record, load.running, load.waiting, load.service_us,
-                      clock_monotonic_ms ());
+  if (record == NULL || text == NULL
+      || hop_load_parse (text, &load) != STATUS_OK)
+    return;
+  placement_report (record, load.running, load.waiting, load.service_us,
+                    clock_monotonic_ms ());
+  if (load.speed_percent > 0)
+    placement_report_speed (record, load.speed_percent);
 }
 
 /// @return false for a response below 300 that lacks the target's proof header
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -235,6 +235,157 @@
   CU_ASSERT (counts[2] > 0);
 }
 
+static void
+report_with_speed (size_t handle, uint32_t running, uint32_t waiting,
+                   uint32_t service_us, uint32_t speed_percent,
+                   uint64_t now_ms)
+{
+  struct directory_record *record = &directory.records[handle];
+  placement_report (record, running, waiting, service_us, now_ms);
+  placement_report_speed (record, speed_percent);
+}
+
+/// Lets a target be known by many reports.
+static void
+settle_with_speed (size_t handle, uint32_t running, uint32_t service_us,
+                   uint64_t now_ms)
+{
+  for (int i = 0; i < 100; i++)
+    report_with_speed (handle, running, 0, service_us, 100, now_ms);
+}
+
+/// One target has a service time of 1.8 times that of the other, which is
+/// disturbed for the moment. The service times are those of the loads.
+static void
+test_slow_and_disturbed_targets_differ (void)
+{
+  static const uint32_t service_us[] = { 5000, 170000 };
+  for (size_t i = 0; i < sizeof service_us / sizeof service_us[0]; i++)
+    {
+      size_t counts[4];
+      set_up ();
+      add ("a", "z1", "v1", DIRECTORY_READY);
+      add ("b", "z1", "v1", DIRECTORY_READY);
+      settle_with_speed (0, 1, service_us[i] * 18 / 10, 1000);
+      settle_with_speed (1, 1, service_us[i], 1000);
+      struct placement_request request = request_from ("z1");
+      count_choices (&request, 1010, counts);
+      CU_ASSERT_EQUAL (counts[1], 200);
+      report_with_speed (1, 1, 0, service_us[i], 300, 2000);
+      count_choices (&request, 2010, counts);
+      CU_ASSERT_EQUAL (counts[0], 200);
+      /* The disturbance is probably over. */
+      count_choices (&request, 3000, counts);
+      CU_ASSERT_EQUAL (counts[1], 200);
+    }
+}
+
+static void
+test_reported_load_tends_to_the_usual_one (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  settle_with_speed (0, 1, 50000, 1000);
+  settle_with_speed (1, 4, 50000, 1000);
+  report_with_speed (1, 0, 0, 50000, 100, 2000);
+  report_with_speed (0, 4, 1, 50000, 100, 2000);
+  struct placement_request request = request_from ("z1");
+  count_choices (&request, 2005, counts);
+  CU_ASSERT_EQUAL (counts[1], 200);
+  count_choices (&request, 3000, counts);
+  CU_ASSERT_EQUAL (counts[0], 200);
+}
+
+/// All entry nodes see a new target at the same time.
+static void
+test_new_targets_are_not_flooded (void)
+{
+  size_t counts[4];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z1", "v1", DIRECTORY_READY);
+  add ("c", "z1", "v1", DIRECTORY_READY);
+  settle_with_speed (0, 2, 50000, 1000);
+  settle_with_speed (1, 2, 50000, 1000);
+  struct placement_request request = request_from ("z1");
+  count_choices (&request, 1010, counts);
+  CU_ASSERT (counts[2] > 20 && counts[2] < 120);
+  placement_begin (&directory.records[2]);
+  count_choices (&request, 1010, counts);
+  CU_ASSERT_EQUAL (counts[2], 0);
+}
+
+/// Targets of the own zone and of another one: how full the near one may be,
+/// and how much more a request with a large body or response bears.
+static void
+test_spill_to_other_zones_and_return (void)
+{
+  static const uint32_t service_us[] = { 5000, 170000 };
+  static const struct
+  {
+    uint32_t near_running;
+    uint32_t near_waiting;
+    uint32_t near_percent;
+    uint64_t body_bytes;
+    bool large_response;
+    size_t expected;
+  } rows[] = {
+    { 1, 0, 100, 0, false, 0 },        /* as busy */
+    { 3, 0, 100, 0, false, 0 },        /* not yet full */
+    { 4, 2, 100, 0, false, 1 },        /* a request would queue */
+    { 2, 0, 250, 0, false, 1 },        /* disturbed */
+    { 1, 0, 100, 0, false, 0 },        /* free again */
+    { 4, 2, 100, 360000, false, 0 },   /* an upload */
+    { 4, 2, 100, 0, true, 0 },         /* a download */
+    { 4, 400, 100, 360000, false, 1 }, /* the upload would miss its time */
+    { 4, 400, 100, 0, true, 1 },       /* so would the download */
+  };
+  for (size_t k = 0; k < sizeof service_us / sizeof service_us[0]; k++)
+    for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+      {
+        size_t counts[4];
+        set_up ();
+        add ("a", "z1", "v1", DIRECTORY_READY);
+        add ("b", "z2", "v1", DIRECTORY_READY);
+        settle_with_speed (0, 1, service_us[k], 1000);
+        settle_with_speed (1, 1, service_us[k], 1000);
+        report_with_speed (0, rows[i].near_running, rows[i].near_waiting,
+                           service_us[k], rows[i].near_percent, 2000);
+        report_with_speed (1, 1, 0, service_us[k], 100, 2000);
+        struct placement_request request = request_from ("z1");
+        request.body_bytes = rows[i].body_bytes;
+        request.large_response = rows[i].large_response;
+        request.objective_ms = 2 * service_us[k] / 1000 + 100;
+        count_choices (&request, 2001, counts);
+        CU_ASSERT_EQUAL (counts[rows[i].expected], 200);
+      }
+}
+
+/// Extreme figures that another node may send.
+static void
+test_extreme_reports (void)
+{
+  static const uint32_t values[] = { 0, 1, 10000, 1u << 20, UINT32_MAX };
+  static const size_t count = sizeof values / sizeof values[0];
+  set_up ();
+  add ("a", "z1", "v1", DIRECTORY_READY);
+  add ("b", "z2", "v1", DIRECTORY_READY);
+  for (size_t i = 0; i < count * count * count; i++)
+    {
+      size_t counts[4];
+      report_with_speed (0, values[i % count], values[i / count % count],
+                         values[i / count / count], 10000, 1000);
+      report_with_speed (1, values[i / count % count], values[i % count],
+                         values[i / count / count], 10, 1000);
+      struct placement_request request = request_from ("z1");
+      request.body_bytes = UINT64_MAX;
+      count_choices (&request, 1000, counts);
+      CU_ASSERT_EQUAL (counts[0] + counts[1], 200);
+    }
+}
+
 /// Without the speed figure of a target, each choice and each random draw must
 /// stay as it was before placement knew the figure: the expected value is the
 /// hash of the choices of that code.
@@ -251,6 +402,10 @@
       add (node, zones[i % 3], i % 5 == 0 ? "v2" : "v1",
            i % 11 == 0 ? DIRECTORY_DRAINING : DIRECTORY_READY);
     }
+  /* The targets of another service report the figure. */
+  add ("other", "z1", "v1", DIRECTORY_READY);
+  strcpy (directory.records[40].entry.service, "stock");
+  report_with_speed (40, 1, 0, 50000, 100, 1000);
   for (uint64_t i = 0; i < 5000; i++)
     {
       struct placement_request request = request_from (zones[i % 3]);
@@ -282,6 +437,15 @@
 main (void)
 {
   static const struct test_case cases[] = {
+    { "a disturbed target looks slow by nature, or the reverse",
+      test_slow_and_disturbed_targets_differ },
+    { "an old report of a free or full target is believed",
+      test_reported_load_tends_to_the_usual_one },
+    { "all entry nodes choose a new target",
+      test_new_targets_are_not_flooded },
+    { "requests queue in their zone, or leave it without need",
+      test_spill_to_other_zones_and_return },
+    { "extreme reports overflow the estimate", test_extreme_reports },
     { "placement of targets without a speed figure changes",
       test_choices_without_figure_are_unchanged },
     { "a node of another service, version or state gets a request",
