Use the speed of a target for expected service times in its queue

The admission queue's smoothed times follow a change of speed only after several responses. Where the target reports its speed, the expected time of new work is corrected by the present figure, which is weighted by the length of the work: of 2 s only the beginning is disturbed. Work that a disturbed target cannot end before its deadline is refused at once, so that its caller can go elsewhere. Figures above 400 percent count as 400, since a target that gets no work sends no newer figure.

--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -89,9 +89,13 @@
 service_us (struct admission_queue *queue, uint32_t kind, uint64_t now_us)
 {
   const struct admission_queue_kind *known = find_kind (queue, kind);
-  return known == NULL
-             ? decayed_us (queue->mean_us, queue->last_sample_us, now_us)
-             : decayed_us (known->mean_us, known->last_sample_us, now_us);
+  uint32_t mean_us
+      = known == NULL
+            ? decayed_us (queue->mean_us, queue->last_sample_us, now_us)
+            : decayed_us (known->mean_us, known->last_sample_us, now_us);
+  return queue->speed == NULL
+             ? mean_us
+             : target_speed_expected_us (queue->speed, mean_us, now_us);
 }
 
 /// @return time that a response takes on the link, microseconds; 0 when it is
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -19,6 +19,7 @@
 #define HAWTHORNSEAM_COORDINATION_ADMISSION_QUEUE_H
 
 #include "coordination/admit.h"
+#include "coordination/target_speed.h"
 
 /// Maximum number of queued tickets; beyond it, requests are refused as full.
 #define ADMISSION_QUEUE_MAX 512
@@ -88,6 +89,7 @@
   uint64_t last_sample_us;          ///< time of the last sample of any kind
   struct admission_queue_rate late; ///< for the kinds that the slots limit
   uint64_t last_none_late_us;       ///< last time without a queued late ticket
+  const struct target_speed *speed; ///< of the target; NULL: not reported
   struct admission_queue_kind kinds[ADMISSION_QUEUE_KINDS];
   struct admission_queue_ticket *waiting[ADMISSION_QUEUE_MAX];
 };
--- a/src/coordination/target_speed.c
+++ b/src/coordination/target_speed.c
@@ -12,6 +12,26 @@
 /// must not make the target look unusable.
 #define SERVICE_US_MAX 2000000
 
+/// Weight of a sample in the mean figure, 1 / 8, as in the admission queue,
+/// whose mean time is corrected by it.
+#define PERCENT_SMOOTHING_DIVISOR 8
+
+/// A deviation from the usual speed is expected to shrink to a half in 350 ms.
+/// Its mean over a request of this length is about a half of it.
+#define DEVIATION_US 1000000
+
+/// Largest figure that the admission queue believes. A larger one would make
+/// it refuse all work, and without work there are no newer figures.
+#define EXPECTED_PERCENT_MAX 400
+
+static uint32_t
+smooth (uint32_t mean, uint64_t value, uint32_t divisor)
+{
+  return (uint32_t)(mean == 0
+                        ? value
+                        : ((uint64_t)mean * (divisor - 1) + value) / divisor);
+}
+
 void
 target_speed_note (struct target_speed *speed, uint32_t percent,
                    uint64_t now_us)
@@ -51,12 +71,9 @@
   uint64_t sample = elapsed_us * TARGET_SPEED_USUAL_PERCENT / mean_percent;
   if (sample > SERVICE_US_MAX)
     sample = SERVICE_US_MAX;
-  speed->service_us
-      = speed->service_us == 0
-            ? (uint32_t)sample
-            : (uint32_t)(((uint64_t)speed->service_us * (SMOOTHING_DIVISOR - 1)
-                          + sample)
-                         / SMOOTHING_DIVISOR);
+  speed->service_us = smooth (speed->service_us, sample, SMOOTHING_DIVISOR);
+  speed->mean_percent
+      = smooth (speed->mean_percent, mean_percent, PERCENT_SMOOTHING_DIVISOR);
 }
 
 bool
@@ -65,3 +82,21 @@
   return speed->percent > 0 && speed->service_us > 0
          && now_us < speed->us + TARGET_SPEED_AGE_MS_MAX * 1000;
 }
+
+uint32_t
+target_speed_expected_us (const struct target_speed *speed, uint32_t mean_us,
+                          uint64_t now_us)
+{
+  if (!target_speed_is_known (speed, now_us) || speed->mean_percent == 0)
+    return mean_us;
+  uint64_t age_us = now_us > speed->us ? now_us - speed->us : 0;
+  int64_t percent = speed->percent < EXPECTED_PERCENT_MAX
+                        ? speed->percent
+                        : EXPECTED_PERCENT_MAX;
+  int64_t deviation = percent - TARGET_SPEED_USUAL_PERCENT;
+  int64_t rest = (int64_t)(DEVIATION_US + 2 * age_us + mean_us);
+  int64_t expected
+      = TARGET_SPEED_USUAL_PERCENT + deviation * DEVIATION_US / rest;
+  uint64_t us = (uint64_t)mean_us * (uint64_t)expected / speed->mean_percent;
+  return us < UINT32_MAX ? (uint32_t)us : UINT32_MAX;
+}
--- a/src/coordination/target_speed.h
+++ b/src/coordination/target_speed.h
@@ -21,11 +21,13 @@
 
 struct target_speed
 {
-  uint32_t percent;    ///< newest figure; 0: none
-  uint64_t since_us;   ///< time of the first figure; 0: none
-  uint64_t us;         ///< time of the newest figure
-  uint64_t integral;   ///< of the figure over time, percent x microseconds
-  uint32_t service_us; ///< smoothed service time at 100 percent; 0: unknown
+  uint32_t percent;      ///< newest figure; 0: none
+  uint64_t since_us;     ///< time of the first figure; 0: none
+  uint64_t us;           ///< time of the newest figure
+  uint64_t integral;     ///< of the figure over time, percent x microseconds
+  uint32_t service_us;   ///< smoothed service time at 100 percent; 0: unknown
+  uint32_t mean_percent; ///< mean figure while requests ran, smoothed as the
+                         ///< admission queue smooths their times
 };
 
 /// Stores a figure.
@@ -45,4 +47,12 @@
 /// @return true when there is a recent figure and a service time
 bool target_speed_is_known (const struct target_speed *speed, uint64_t now_us);
 
+/// Corrects a smoothed time for the present speed.
+/// @param mean_us  smoothed as by the admission queue, at the speeds of that
+///                 time, microseconds
+/// @return expected service time of a request that starts now; `mean_us` when
+///         the speed is unknown
+uint32_t target_speed_expected_us (const struct target_speed *speed,
+                                   uint32_t mean_us, uint64_t now_us);
+
 #endif
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -184,13 +184,18 @@
   const char *account = http_head_find (request->head, "Hawthornseam-Tenant");
   const char *key = http_head_find (request->head, "Api-Key");
   bool fails = strstr (request->head->target, "fail") != NULL;
+  const char *load = "";
+  if (strstr (request->head->target, "load-odd") != NULL)
+    load = "Hawthornseam-Server-Load: 1,0,4,-250\r\n";
+  else if (strstr (request->head->target, "load-250") != NULL)
+    load = "Hawthornseam-Server-Load: 1,0,4,250\r\n";
   snprintf (fields, sizeof fields,
             "Hawthornseam-Request-Id: %s\r\nHawthornseam-Response-Seal: x\r\n"
             "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n"
-            "X-Account: %s\r\nX-Key: %s\r\n%s",
+            "X-Account: %s\r\nX-Key: %s\r\n%s%s",
             id == NULL ? "" : id, run->target->instance,
             caller == NULL ? "" : caller, account == NULL ? "-" : account,
-            key == NULL ? "-" : key,
+            key == NULL ? "-" : key, load,
             strstr (request->head->target, "forge") == NULL
                 ? ""
                 : "Hawthornseam-Outcome: not-run\r\n");
