--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -35,6 +35,8 @@
     = COUNTER ("entry_failures", "requests answered as failed or late");
 static struct counter retries
     = COUNTER ("entry_repeats", "offers after the first one of a request");
+static struct counter cross_zone
+    = COUNTER ("entry_cross_zone", "offers to nodes of other zones");
 static struct counter abandoned
     = COUNTER ("entry_abandoned", "requests whose caller left");
 static struct counter unauthorized = COUNTER (
@@ -453,6 +455,10 @@
     .no_body = outbound->request->head->method == HTTP_HEAD,
   };
   placement_begin (record);
+  if (strcmp (record->entry.availability_zone,
+              sidecar->settings.availability_zone)
+      != 0)
+    counter_add (&cross_zone, 1);
   outbound->exchange = http_pool_send (
       &sidecar->peer_pool, &send, &sidecar_outbound_exchange_ops, outbound);
   evbuffer_free (bytes);
--- a/test/functional/uneven_targets_test.sh
+++ b/test/functional/uneven_targets_test.sh
@@ -41,6 +41,7 @@
 peer_load /read/load-250 >/dev/null
 [[ $(peer_load /read/load-250) =~ $five ]] || fail "load with a figure: '$(peer_load /read/load-250)'"
 [[ $(peer_load /read/3) =~ $five ]] || fail "the newest figure is not kept"
+curl -s "http://127.0.0.1:$(port 1 5)/metrics" | grep -qx 'hawthornseam_target_speed_percent 250' || fail "the figure is not among the metrics"
 expect "header for callers" "$(caller_header /read/load-250 Hawthornseam-Server-Load)" "1,0,4,250"
 expect "node's load for callers" "$(caller_header /read/load-250 Hawthornseam-Load)" ""
 sleep 2.2
