--- a/Makefile
+++ b/Makefile
@@ -30,15 +30,53 @@
   src/ctl/*.c src/lib/*.c src/sidecar/*.c platform/*.c))
 # The sidecar links only what it uses: its memory is billed.
 SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
-  platform/*.c) $(addprefix src/state/,client_account.c directory.c evacuation.c leave_table.c mesh_config.c mirror.c \
-  suspect.c target_history.c) \
-  $(addprefix src/coordination/,admission_queue.c cold_limit.c leave_holders.c placement.c retry_quota.c relay.c rendezvous.c resend.c \
-  retry.c rollout.c seqtest.c stop_plan.c store_pace.c transfer.c) \
-  $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
-  json_text.c move_record.c scalar.c store_api.c view.c) \
-  $(addprefix src/transport/,http_head_check.c http_pool.c http_server.c http_socket.c \
+  platform/*.c) \
+  $(addprefix src/state/, \
+  client_account.c \
+  directory.c \
+  evacuation.c \
+  leave_table.c \
+  mesh_config.c \
+  mirror.c \
+  suspect.c \
+  target_history.c) \
+  $(addprefix src/coordination/, \
+  admission_queue.c \
+  cold_limit.c \
+  leave_holders.c \
+  placement.c \
+  placement_speed.c \
+  relay.c \
+  rendezvous.c \
+  resend.c \
+  retry.c \
+  retry_quota.c \
+  rollout.c \
+  seqtest.c \
+  stop_plan.c \
+  store_pace.c \
+  target_speed.c \
+  transfer.c) \
+  $(addprefix src/protocol/, \
+  call_headers.c \
+  crash_record.c \
+  document.c \
+  entry_record.c \
+  hop.c \
+  json_text.c \
+  move_record.c \
+  scalar.c \
+  store_api.c \
+  target_load.c \
+  view.c) \
+  $(addprefix src/transport/, \
+  http_head_check.c \
+  http_pool.c \
+  http_server.c \
+  http_socket.c \
   http_stream.c \
-  store_client.c timer.c))
+  store_client.c \
+  timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
 SIDECAR_LIBS := -Wl,-Bstatic -levent_extra -levent_core -lhttp_parser -lyaml -ltalloc -lsodium \
   -lzstd -ljansson -lxxhash -largtable2 -Wl,-Bdynamic -lm
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -18,6 +18,7 @@
 #include "coordination/placement.h"
 #include "coordination/retry_quota.h"
 #include "coordination/stop_plan.h"
+#include "coordination/target_speed.h"
 #include "coordination/transfer.h"
 #include "protocol/adapter.h"
 #include "sidecar/sidecar_settings.h"
@@ -82,6 +83,10 @@
   uint32_t cold_ms;            ///< warm-up time stated in the first report
   unsigned refusals;           ///< connections refused in a row
   struct cold_limit cold;      ///< rate of requests while it is cold
+  uint32_t speed_percent;      ///< newest speed figure of the target; 100: as
+                               ///< usual, 0: not reported
+  uint64_t speed_ms;           ///< time of the newest speed figure
+  struct target_speed speed;   ///< service time at the usual speed
 };
 
 struct sidecar
