Shed load by its cost to callers where accounts are configured

When a target lacks slots, the queue beside it served strictly by rank: a less urgent kind carried the whole shortage, short requests of its rank waited for long ones, and one account could take the capacity of all.

The setting "admission" is auto, rank (the order so far) or cost. auto means cost while the configuration has client accounts. By cost, a slot goes to the request with the highest value per slot time, discounted by its slack. Kinds that are served too seldom are raised until they are within the bounds, one slot is kept free while an urgent short kind misses its objective, and requests of an account beyond twice its usual slot time come last. Retry-After follows the drain rate, and each refused request gets a time of its own.

Tests: shed_cost_test simulates three services at 1.7 to 3.4 times their load, with and without slow targets; admission_queue_test and admission_queue_fuzz cover both policies; admission_test.sh checks the setting, its change at run time, and the slots with real processes.

--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -1,5 +1,5 @@
 /// Owns the queued tickets and the smoothed service times.
-#include "coordination/admission_queue.h"
+#include "coordination/admission_queue_internal.h"
 
 #include <assert.h>
 #include <math.h>
@@ -129,15 +129,22 @@
   return link_us == 0 ? SIZE_MAX : 2 + kind->head_mean_us / link_us;
 }
 
-static bool
-is_at_link_limit (struct admission_queue *queue,
-                  const struct admission_queue_ticket *ticket)
+bool
+admission_queue_at_link_limit (struct admission_queue *queue,
+                               const struct admission_queue_ticket *ticket)
 {
   const struct admission_queue_kind *kind
       = find_kind (queue, ticket->work.kind);
   return kind != NULL && kind->running >= kind_limit (queue, kind);
 }
 
+uint64_t
+admission_queue_link_us (struct admission_queue *queue,
+                         const struct admission_queue_ticket *ticket)
+{
+  return kind_transfer_us (queue, find_kind (queue, ticket->work.kind));
+}
+
 static uint32_t
 smooth (uint32_t mean, uint64_t value, bool first)
 {
@@ -182,18 +189,20 @@
   last->queue_index = ticket->queue_index;
 }
 
-static void
-refuse_queued (struct admission_queue *queue,
-               struct admission_queue_ticket *ticket, enum admit_refusal why)
+void
+admission_queue_refuse_queued (struct admission_queue *queue,
+                               struct admission_queue_ticket *ticket,
+                               enum admit_refusal why)
 {
   remove_from_queue (queue, ticket);
+  queue->policy->dropped (queue, ticket);
   ticket->state = ADMIT_OVER;
   queue->ops->refuse (queue->arg, ticket, why);
 }
 
-static bool
-finishes_before (const struct admission_queue_ticket *ticket,
-                 uint64_t limit_ms, uint64_t now_us)
+bool
+admission_queue_finishes_before (const struct admission_queue_ticket *ticket,
+                                 uint64_t limit_ms, uint64_t now_us)
 {
   return now_us + ticket->service_us + RESPONSE_MARGIN_US < limit_ms * 1000;
 }
@@ -225,8 +234,10 @@
 
 static void
 count_late_start (struct admission_queue *queue,
-                  const struct admission_queue_ticket *ticket, uint64_t now_us)
+                  struct admission_queue_ticket *ticket, uint64_t now_us)
 {
+  if (!is_late (ticket, now_us))
+    return;
   struct admission_queue_rate *rate
       = late_rate (queue, find_kind (queue, ticket->work.kind));
   decay_rate (rate, now_us);
@@ -249,15 +260,13 @@
   return a->work.deadline_ms < b->work.deadline_ms;
 }
 
-/// @return the queued ticket to start next, or NULL when all of them are kinds
-///         at the link's limit
 static struct admission_queue_ticket *
 next_to_start (struct admission_queue *queue, uint64_t now_us)
 {
   struct admission_queue_ticket *best = NULL;
   for (size_t i = 0; i < queue->queued; i++)
     if ((best == NULL || precedes (queue->waiting[i], best, now_us))
-        && !is_at_link_limit (queue, queue->waiting[i]))
+        && !admission_queue_at_link_limit (queue, queue->waiting[i]))
       best = queue->waiting[i];
   return best;
 }
@@ -280,16 +289,17 @@
 {
   while (queue->queued > 0 && queue->running < queue->slots)
     {
-      struct admission_queue_ticket *ticket = next_to_start (queue, now_us);
+      struct admission_queue_ticket *ticket
+          = queue->policy->next (queue, now_us);
       if (ticket == NULL)
         return;
-      if (!finishes_before (ticket, ticket->work.deadline_ms, now_us))
+      if (!admission_queue_finishes_before (ticket, ticket->work.deadline_ms,
+                                            now_us))
         {
-          refuse_queued (queue, ticket, ADMIT_REFUSED_LATE);
+          admission_queue_refuse_queued (queue, ticket, ADMIT_REFUSED_LATE);
           continue;
         }
-      if (is_late (ticket, now_us))
-        count_late_start (queue, ticket, now_us);
+      queue->policy->starting (queue, ticket, now_us);
       remove_from_queue (queue, ticket);
       start (queue, ticket, now_us);
       queue->ops->run (queue->arg, ticket);
@@ -300,16 +310,7 @@
 refuse_all (struct admission_queue *queue, enum admit_refusal why)
 {
   while (queue->queued > 0)
-    refuse_queued (queue, queue->waiting[0], why);
-}
-
-void
-admission_queue_init (struct admission_queue *queue,
-                      const struct admission_queue_ops *ops, void *arg)
-{
-  memset (queue, 0, sizeof *queue);
-  queue->ops = ops;
-  queue->arg = arg;
+    admission_queue_refuse_queued (queue, queue->waiting[0], why);
 }
 
 void
@@ -375,14 +376,14 @@
   return link_us > slots_us ? link_us : slots_us;
 }
 
-static size_t
-count_ahead (const struct admission_queue *queue,
-             const struct admission_queue_ticket *ticket, uint64_t now_us)
+static uint64_t
+rank_wait_us (struct admission_queue *queue,
+              struct admission_queue_ticket *ticket, uint64_t now_us)
 {
   size_t ahead = 0;
   for (size_t i = 0; i < queue->queued; i++)
     ahead += precedes (queue->waiting[i], ticket, now_us);
-  return ahead;
+  return slot_wait_us (queue, ahead);
 }
 
 /// @return estimated time until the link can carry the response of a ticket
@@ -396,10 +397,21 @@
   uint64_t ahead = 1;
   for (size_t i = 0; i < queue->queued; i++)
     ahead += queue->waiting[i]->work.kind == ticket->work.kind
-             && precedes (queue->waiting[i], ticket, now_us);
+             && queue->policy->precedes (queue, queue->waiting[i], ticket,
+                                         now_us);
   return ahead * kind_transfer_us (queue, kind);
 }
 
+static enum status
+refuse_offered (struct admission_queue *queue,
+                struct admission_queue_ticket *ticket, enum admit_refusal why,
+                enum admit_refusal *result)
+{
+  queue->policy->dropped (queue, ticket);
+  *result = why;
+  return STATUS_UNAVAILABLE;
+}
+
 enum status
 admission_queue_offer (struct admission_queue *queue,
                        struct admission_queue_ticket *ticket,
@@ -417,31 +429,27 @@
       *why = queue->draining ? ADMIT_REFUSED_DRAINING : ADMIT_REFUSED_ABSENT;
       return STATUS_UNAVAILABLE;
     }
-  bool at_link_limit = is_at_link_limit (queue, ticket);
+  queue->policy->offered (queue, ticket, now_us);
+  bool at_link_limit = admission_queue_at_link_limit (queue, ticket);
   if (queue->running < queue->slots && !at_link_limit
-      && next_to_start (queue, now_us) == NULL)
+      && !queue->policy->is_held_back (queue, ticket)
+      && queue->policy->next (queue, now_us) == NULL)
     {
-      if (!finishes_before (ticket, work->deadline_ms, now_us))
-        {
-          *why = ADMIT_REFUSED_LATE;
-          return STATUS_UNAVAILABLE;
-        }
+      if (!admission_queue_finishes_before (ticket, work->deadline_ms, now_us))
+        return refuse_offered (queue, ticket, ADMIT_REFUSED_LATE, why);
       start (queue, ticket, now_us);
       return STATUS_OK;
     }
-  if (queue->queued >= ADMISSION_QUEUE_MAX)
-    {
-      *why = ADMIT_REFUSED_FULL;
-      return STATUS_UNAVAILABLE;
-    }
-  uint64_t wait = slot_wait_us (queue, count_ahead (queue, ticket, now_us));
-  if (at_link_limit)
-    wait = link_wait_us (queue, ticket, now_us);
-  if (!finishes_before (ticket, work->deadline_ms, now_us + wait))
-    {
-      *why = ADMIT_REFUSED_LATE;
-      return STATUS_UNAVAILABLE;
-    }
+  uint64_t wait = at_link_limit
+                      ? link_wait_us (queue, ticket, now_us)
+                      : queue->policy->wait_us (queue, ticket, now_us);
+  if (queue->queued < ADMISSION_QUEUE_MAX
+      && !admission_queue_finishes_before (ticket, work->deadline_ms,
+                                           now_us + wait))
+    return refuse_offered (queue, ticket, ADMIT_REFUSED_LATE, why);
+  if (queue->queued >= ADMISSION_QUEUE_MAX
+      && !queue->policy->displace (queue, ticket, now_us))
+    return refuse_offered (queue, ticket, ADMIT_REFUSED_FULL, why);
   ticket->state = ADMIT_QUEUED;
   ticket->queue_index = queue->queued;
   queue->waiting[queue->queued++] = ticket;
@@ -460,7 +468,10 @@
   if (kind != NULL && ticket->counted && kind->running > 0)
     kind->running--;
   if (served)
-    record_service_time (queue, ticket, now_us);
+    {
+      record_service_time (queue, ticket, now_us);
+      queue->policy->served (queue, ticket, now_us);
+    }
   start_queued (queue, now_us);
 }
 
@@ -469,6 +480,7 @@
                         struct admission_queue_ticket *ticket)
 {
   remove_from_queue (queue, ticket);
+  queue->policy->dropped (queue, ticket);
   ticket->state = ADMIT_OVER;
 }
 
@@ -532,20 +544,22 @@
       if ((double)needed_us + wait_us < (double)limit_us)
         (*kept)++;
       else
-        refuse_queued (queue, late[i].ticket, ADMIT_REFUSED_LATE);
+        admission_queue_refuse_queued (queue, late[i].ticket,
+                                       ADMIT_REFUSED_LATE);
     }
 }
 
-void
-admission_queue_expire (struct admission_queue *queue, uint64_t now_us)
+static void
+rank_expire (struct admission_queue *queue, uint64_t now_us)
 {
   struct late_ticket late[ADMISSION_QUEUE_MAX];
   size_t count = 0;
   for (size_t i = queue->queued; i-- > 0;)
     {
       struct admission_queue_ticket *ticket = queue->waiting[i];
-      if (!finishes_before (ticket, ticket->work.deadline_ms, now_us))
-        refuse_queued (queue, ticket, ADMIT_REFUSED_LATE);
+      if (!admission_queue_finishes_before (ticket, ticket->work.deadline_ms,
+                                            now_us))
+        admission_queue_refuse_queued (queue, ticket, ADMIT_REFUSED_LATE);
       else if (is_late (ticket, now_us))
         late[count++].ticket = ticket;
     }
@@ -557,3 +571,101 @@
   if (now_us - queue->last_none_late_us > LATE_RATE_SETTLE_US)
     refuse_unservable (queue, late, count, now_us);
 }
+
+static void
+ignore_offered (struct admission_queue *queue,
+                struct admission_queue_ticket *ticket, uint64_t now_us)
+{
+}
+
+static void
+ignore_dropped (struct admission_queue *queue,
+                struct admission_queue_ticket *ticket)
+{
+}
+
+static bool
+rank_precedes (const struct admission_queue *queue,
+               const struct admission_queue_ticket *queued,
+               const struct admission_queue_ticket *offered, uint64_t now_us)
+{
+  return precedes (queued, offered, now_us);
+}
+
+static bool
+never_held_back (const struct admission_queue *queue,
+                 const struct admission_queue_ticket *ticket)
+{
+  return false;
+}
+
+static bool
+never_displace (struct admission_queue *queue,
+                struct admission_queue_ticket *ticket, uint64_t now_us)
+{
+  return false;
+}
+
+static const struct admission_policy rank_policy = {
+  .offered = ignore_offered,
+  .dropped = ignore_dropped,
+  .served = ignore_offered,
+  .next = next_to_start,
+  .is_held_back = never_held_back,
+  .starting = count_late_start,
+  .precedes = rank_precedes,
+  .wait_us = rank_wait_us,
+  .displace = never_displace,
+  .expire = rank_expire,
+};
+
+void
+admission_queue_init (struct admission_queue *queue,
+                      const struct admission_queue_ops *ops, void *arg)
+{
+  memset (queue, 0, sizeof *queue);
+  shed_cost_init (&queue->cost);
+  queue->ops = ops;
+  queue->policy = &rank_policy;
+  queue->arg = arg;
+}
+
+void
+admission_queue_set_mode (struct admission_queue *queue,
+                          enum admission_mode mode, uint64_t now_us)
+{
+  if (mode == admission_queue_mode (queue))
+    return;
+  queue->policy
+      = mode == ADMISSION_COST ? &admission_cost_policy : &rank_policy;
+  for (size_t i = 0; i < queue->queued; i++)
+    queue->policy->offered (queue, queue->waiting[i], now_us);
+  start_queued (queue, now_us);
+}
+
+enum admission_mode
+admission_queue_mode (const struct admission_queue *queue)
+{
+  return queue->policy == &admission_cost_policy ? ADMISSION_COST
+                                                 : ADMISSION_RANK;
+}
+
+void
+admission_queue_expire (struct admission_queue *queue, uint64_t now_us)
+{
+  queue->policy->expire (queue, now_us);
+  start_queued (queue, now_us);
+}
+
+uint64_t
+admission_queue_retry_after_us (struct admission_queue *queue,
+                                struct admission_queue_ticket *ticket,
+                                double unit, uint64_t now_us)
+{
+  uint64_t deadline_us = ticket->work.deadline_ms * 1000;
+  uint64_t left_us = deadline_us > now_us ? deadline_us - now_us : 0;
+  uint64_t drain_us
+      = queue->slots > 0 ? queue->policy->wait_us (queue, ticket, now_us) : 0;
+  return shed_cost_retry_after_us (&queue->cost, &ticket->cost, drain_us,
+                                   left_us, unit, now_us);
+}
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -2,6 +2,10 @@
 /// target passes through it. It handles sustained overload, when there are
 /// more requests than slots for seconds at a time.
 ///
+/// A policy decides the order. With ADMISSION_COST, a free slot goes to the
+/// request that would cost callers most if it were not started now, see
+/// shed_cost.h. The rest of this comment is about ADMISSION_RANK.
+///
 /// A free slot goes to the lowest rank. Within a rank, requests that can still
 /// meet their latency objective go first, earliest objective first; requests
 /// that will miss it (late ones) follow, earliest deadline first. Late
@@ -19,6 +23,7 @@
 #define HAWTHORNSEAM_COORDINATION_ADMISSION_QUEUE_H
 
 #include "coordination/admit.h"
+#include "coordination/shed_cost.h"
 
 /// Maximum number of queued tickets; beyond it, requests are refused as full.
 #define ADMISSION_QUEUE_MAX 512
@@ -26,12 +31,19 @@
 /// Number of kinds of work whose service times are tracked separately.
 #define ADMISSION_QUEUE_KINDS 16
 
+enum admission_mode
+{
+  ADMISSION_RANK,
+  ADMISSION_COST
+};
+
 struct admission_queue_work
 {
   uint32_t kind;         ///< hash of the route's properties
   uint32_t rank;         ///< 0 is served first
   uint64_t objective_ms; ///< end of the latency objective, monotonic time
   uint64_t deadline_ms;  ///< time at which the caller gives up, monotonic time
+  uint32_t account;      ///< hash of the client account; 0: none
 };
 
 struct admission_queue_ticket
@@ -45,6 +57,8 @@
   bool link_limited;  ///< the VM's link, not the slots, limits its kind
   bool counted;       ///< included in the running tickets of its kind
   size_t queue_index; ///< index in the queue
+  bool scored;        ///< `cost` is set and its outcome is counted
+  struct shed_cost_item cost;
 };
 
 struct admission_queue_ops
@@ -75,9 +89,12 @@
   uint64_t samples; ///< the kind with the fewest is replaced first
 };
 
+struct admission_policy;
+
 struct admission_queue
 {
   const struct admission_queue_ops *ops;
+  const struct admission_policy *policy;
   void *arg;
   size_t slots;
   size_t running;
@@ -88,13 +105,21 @@
   uint64_t last_sample_us;          ///< time of the last sample of any kind
   struct admission_queue_rate late; ///< for the kinds that the slots limit
   uint64_t last_none_late_us;       ///< last time without a queued late ticket
+  struct shed_cost cost;            ///< used by ADMISSION_COST
   struct admission_queue_kind kinds[ADMISSION_QUEUE_KINDS];
   struct admission_queue_ticket *waiting[ADMISSION_QUEUE_MAX];
 };
 
+/// Initializes with ADMISSION_RANK.
 void admission_queue_init (struct admission_queue *queue,
                            const struct admission_queue_ops *ops, void *arg);
 
+/// Changes the policy; queued tickets stay queued and running ones run on.
+void admission_queue_set_mode (struct admission_queue *queue,
+                               enum admission_mode mode, uint64_t now_us);
+
+enum admission_mode admission_queue_mode (const struct admission_queue *queue);
+
 /// Sets the number of the target's slots and starts queued tickets.
 /// @param slots  0: there is no target, and queued tickets are refused
 void admission_queue_set_slots (struct admission_queue *queue, size_t slots,
@@ -148,4 +173,12 @@
 uint64_t admission_queue_wait_us (struct admission_queue *queue, uint32_t kind,
                                   uint32_t rank);
 
+/// Schedules the return of a ticket that was refused for load with
+/// ADMISSION_COST.
+/// @param unit  random number in [0, 1)
+/// @return time after which it should return, microseconds
+uint64_t admission_queue_retry_after_us (struct admission_queue *queue,
+                                         struct admission_queue_ticket *ticket,
+                                         double unit, uint64_t now_us);
+
 #endif
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -1,5 +1,5 @@
 /// Owns no state; serves the readiness probe and the metrics.
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_admission.h"
 
 #include "base/counter.h"
 #include "base/histogram.h"
@@ -91,6 +91,7 @@
   add_gauge (text, "gate_running", sidecar->admission.running);
   add_gauge (text, "gate_waiting", sidecar->admission.queued);
   add_gauge (text, "gate_service_us", sidecar->admission.mean_us);
+  sidecar_admission_add_metrics (sidecar, text);
   add_gauge (text, "caller_connections", sidecar->calls.connections);
   add_gauge (text, "peer_connections", sidecar->peer_pool.connections);
   add_gauge (text, "target_connections", sidecar->target_pool.connections);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -8,6 +8,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "protocol/call_headers.h"
+#include "sidecar/sidecar_admission.h"
 #include "sidecar/sidecar_leave.h"
 
 #include <inttypes.h>
@@ -105,7 +106,7 @@
 
 static void
 refuse (struct sidecar *sidecar, struct http_request *request, const char *id,
-        const struct hop *hop, const char *reason)
+        const struct hop *hop, const char *reason, uint64_t after_ms)
 {
   counter_add (&refused, 1);
   log_rate_limited (
@@ -114,22 +115,34 @@
       "slots=%zu",
       id, hop->service, hop->rank, reason, sidecar->admission.running,
       sidecar->admission.queued, sidecar->admission.slots);
-  send_local_reply (sidecar, request, 503, CALL_NOT_RUN, reason,
-                    retry_after_ms (sidecar, hop));
+  send_local_reply (sidecar, request, 503, CALL_NOT_RUN, reason, after_ms);
+}
+
+/// Refuses a request on behalf of the admission queue and frees it.
+static void
+refuse_admission (struct sidecar_inbound *inbound, enum admit_refusal why)
+{
+  struct sidecar *sidecar = inbound->sidecar;
+  bool for_load = why == ADMIT_REFUSED_FULL || why == ADMIT_REFUSED_LATE;
+  bool by_cost = admission_queue_mode (&sidecar->admission) == ADMISSION_COST;
+  sidecar_admission_count_refusal (&inbound->ticket, why);
+  refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
+          call_refusal_reason (why),
+          for_load && by_cost
+              ? sidecar_admission_retry_after_ms (sidecar, inbound)
+              : retry_after_ms (sidecar, &inbound->hop));
+  free (inbound);
 }
 
 static void
 on_admission_refuse (void *arg, struct admission_queue_ticket *ticket,
                      enum admit_refusal why)
 {
-  struct sidecar *sidecar = arg;
   struct sidecar_inbound *inbound
       = (struct sidecar_inbound *)((char *)ticket
                                    - offsetof (struct sidecar_inbound,
                                                ticket));
-  refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
-          call_refusal_reason (why));
-  free (inbound);
+  refuse_admission (inbound, why);
 }
 
 /// @return true when the process was paused while the target had the request,
@@ -377,7 +390,7 @@
   if (inbound->exchange != NULL)
     return;
   refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
-          CALL_REASON_NOT_CONNECTED);
+          CALL_REASON_NOT_CONNECTED, retry_after_ms (sidecar, &inbound->hop));
   end_request (inbound, false);
 }
 
@@ -470,7 +483,8 @@
   if (inbound == NULL)
     {
       refuse (sidecar, request, id, &hop,
-              reason == NULL ? CALL_REASON_BUSY : reason);
+              reason == NULL ? CALL_REASON_BUSY : reason,
+              retry_after_ms (sidecar, &hop));
       return;
     }
   uint32_t left_ms;
@@ -495,14 +509,14 @@
     .rank = hop.rank,
     .objective_ms = inbound->arrived_ms + hop.objective_ms,
     .deadline_ms = inbound->deadline_ms,
+    .account = hop.account,
   };
   enum admit_refusal why;
   if (admission_queue_offer (&sidecar->admission, &inbound->ticket, &work,
                              now_us, &why)
       != STATUS_OK)
     {
-      refuse (sidecar, request, id, &hop, call_refusal_reason (why));
-      free (inbound);
+      refuse_admission (inbound, why);
       return;
     }
   if (inbound->ticket.state == ADMIT_RUNNING)
@@ -554,6 +568,7 @@
                   || (sidecar->stopping
                       && now_ms >= sidecar->stopping_ms
                                        + sidecar->stop_plan.accept_peers_ms);
+  sidecar_admission_tick (sidecar);
   if (draining != sidecar->admission.draining)
     admission_queue_set_draining (&sidecar->admission, draining);
   if (sidecar->admission.queued > 0)
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -210,6 +210,7 @@
       active->config_apply_ms = settings.config_apply_ms;
       active->grace_ms = settings.grace_ms;
       active->retry_slack = settings.retry_slack;
+      active->admission = settings.admission;
       log_event (LOG_LEVEL_INFO, "reloaded", "path=%s",
                  sidecar->settings_path);
     }
--- a/src/sidecar/sidecar_settings.c
+++ b/src/sidecar/sidecar_settings.c
@@ -22,6 +22,7 @@
   FIELD_TIME,
   FIELD_RATIO, ///< a decimal number, stored in thousandths
   FIELD_COUNT,
+  FIELD_ADMISSION,
   FIELD_ENDPOINT_OPTIONAL
 };
 
@@ -57,6 +58,7 @@
   { "retry_slack", FIELD_COUNT, OFFSET (retry_slack), 50 },
   { "link_mbit_per_s", FIELD_RATIO, OFFSET (link_kbit_per_s), 0 },
   { "memory_mb", FIELD_COUNT, OFFSET (memory_mb), 128 },
+  { "admission", FIELD_ADMISSION, OFFSET (admission), SIDECAR_ADMISSION_AUTO },
   { "announced", FIELD_ENDPOINT_OPTIONAL, OFFSET (announced), 0 },
 };
 
@@ -77,6 +79,21 @@
   return true;
 }
 
+static bool
+parse_admission (const char *text, uint32_t *admission)
+{
+  static const char *const names[] = { [SIDECAR_ADMISSION_AUTO] = "auto",
+                                       [SIDECAR_ADMISSION_RANK] = "rank",
+                                       [SIDECAR_ADMISSION_COST] = "cost" };
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcmp (text, names[i]) == 0)
+      {
+        *admission = (uint32_t)i;
+        return true;
+      }
+  return false;
+}
+
 static bool
 parse_name (const char *text, char *name)
 {
@@ -98,6 +115,7 @@
     [FIELD_TIME] = "a time such as 1500ms or 2s",
     [FIELD_RATIO] = "a fraction such as 0.2",
     [FIELD_COUNT] = "a number",
+    [FIELD_ADMISSION] = "auto, rank or cost",
     [FIELD_ENDPOINT_OPTIONAL]
     = "an IPv4 address and port such as 10.0.0.1:7000",
   };
@@ -135,6 +153,9 @@
     case FIELD_COUNT:
       valid = parse_number (text, 1, (uint32_t *)destination);
       break;
+    case FIELD_ADMISSION:
+      valid = parse_admission (text, (uint32_t *)destination);
+      break;
     }
   if (!valid)
     document_problem (findings, node, field->name,
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -7,6 +7,15 @@
 #include "protocol/settings.h"
 #include "state/directory.h"
 
+/// How the admission queue beside the target orders and refuses requests.
+enum sidecar_admission
+{
+  SIDECAR_ADMISSION_AUTO, ///< by cost with client accounts or a target that
+                          ///< reports its speed, otherwise by rank
+  SIDECAR_ADMISSION_RANK,
+  SIDECAR_ADMISSION_COST
+};
+
 struct sidecar_settings
 {
   char node[DIRECTORY_NAME_MAX + 1];
@@ -29,6 +38,7 @@
   uint32_t retry_slack;          ///< retries of all nodes beyond the ratio
   uint32_t link_kbit_per_s;      ///< rate of the VM's link; 0: no limit
   uint32_t memory_mb;            ///< limit of this process, MiB
+  uint32_t admission;            ///< enum sidecar_admission
   /// Address at which other nodes reach `peers`, for VMs behind a port
   /// mapping; the same as `peers` unless set.
   struct settings_endpoint announced;
