Keep the slot of a request whose caller left

When the sending node closes a connection, the target may run the request on for a while. Its slot went to the next request at once, so a target that counts its own requests could get one more than its slots, and targets of some services reset a connection then. By cost, the slot stays taken for the rest of the expected service time, or for a quarter of that if it has passed.

The order by rank moves to a file of its own.

--- a/src/coordination/admission_cost.c
+++ b/src/coordination/admission_cost.c
@@ -162,6 +162,8 @@
   double ahead_us = 0;
   uint64_t link_ahead_us = 0;
   shed_cost_update (&queue->cost, queue->slots, now_us);
+  if (count == 0)
+    return;
   for (size_t i = 0; i < count; i++)
     ranked[i] = (struct ranked_ticket){
       .ticket = queue->waiting[i],
--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -2,8 +2,6 @@
 #include "coordination/admission_queue_internal.h"
 
 #include <assert.h>
-#include <math.h>
-#include <stdlib.h>
 #include <string.h>
 
 /// Weight of a new sample, 1 / 8: the mean follows a target that slows down
@@ -19,26 +17,9 @@
 /// without the decay a kind that once took too long would be refused for ever.
 #define SERVICE_HALF_LIFE_US 1000000
 
-/// Time constant of the smoothed rate of late starts.
-#define LATE_RATE_TIME_CONSTANT_US 1500000.0
-
-/// Work that the link limits counts as late unless over 5 / 4 of its service
-/// time is left before its objective. Its time varies with the other traffic
-/// on the link: with less time left it would mostly miss its objective and
-/// take the slot of work that can still meet its own.
-#define LATE_MARGIN_DIVISOR 4
-
-/// Late tickets are expected to get at least 1 / 20 of the capacity: requests
-/// that can meet their objective come in bursts and leave slots free between.
-#define LATE_SHARE_DIVISOR 20
-
-/// Late tickets must have been queued without a break for this long before
-/// tickets are refused by the rate of late starts: until then too few of them
-/// were started to know that rate.
-#define LATE_RATE_SETTLE_US 500000
-
-/// Time that a response or refusal needs to reach the caller's node.
-#define RESPONSE_MARGIN_US 15000
+/// A request that was abandoned after its expected service time is expected to
+/// need a quarter of it more: that it took longer tells little of its end.
+#define ABANDONED_DIVISOR 4
 
 /// Responses that take less time than this on the link are not limited by it.
 #define TRANSFER_US_MIN 10000
@@ -62,9 +43,8 @@
   return candidate;
 }
 
-/// @return the entry of a kind of work, or NULL if it has no samples
-static struct admission_queue_kind *
-find_kind (struct admission_queue *queue, uint32_t kind)
+struct admission_queue_kind *
+admission_queue_find_kind (struct admission_queue *queue, uint32_t kind)
 {
   for (size_t i = 0; i < ADMISSION_QUEUE_KINDS; i++)
     if (queue->kinds[i].kind == kind && queue->kinds[i].samples > 0)
@@ -88,7 +68,8 @@
 static uint32_t
 service_us (struct admission_queue *queue, uint32_t kind, uint64_t now_us)
 {
-  const struct admission_queue_kind *known = find_kind (queue, kind);
+  const struct admission_queue_kind *known
+      = admission_queue_find_kind (queue, kind);
   return known == NULL
              ? decayed_us (queue->mean_us, queue->last_sample_us, now_us)
              : decayed_us (known->mean_us, known->last_sample_us, now_us);
@@ -111,11 +92,9 @@
   return transfer_us (queue, bytes) > 0;
 }
 
-/// @return time that the mean response of a kind takes on the link,
-///         microseconds; 0 when the link is no limit or the kind is unknown
-static uint64_t
-kind_transfer_us (const struct admission_queue *queue,
-                  const struct admission_queue_kind *kind)
+uint64_t
+admission_queue_kind_link_us (const struct admission_queue *queue,
+                              const struct admission_queue_kind *kind)
 {
   return kind == NULL ? 0 : transfer_us (queue, kind->mean_bytes);
 }
@@ -125,7 +104,7 @@
 kind_limit (const struct admission_queue *queue,
             const struct admission_queue_kind *kind)
 {
-  uint64_t link_us = kind_transfer_us (queue, kind);
+  uint64_t link_us = admission_queue_kind_link_us (queue, kind);
   return link_us == 0 ? SIZE_MAX : 2 + kind->head_mean_us / link_us;
 }
 
@@ -134,7 +113,7 @@
                                const struct admission_queue_ticket *ticket)
 {
   const struct admission_queue_kind *kind
-      = find_kind (queue, ticket->work.kind);
+      = admission_queue_find_kind (queue, ticket->work.kind);
   return kind != NULL && kind->running >= kind_limit (queue, kind);
 }
 
@@ -142,7 +121,8 @@
 admission_queue_link_us (struct admission_queue *queue,
                          const struct admission_queue_ticket *ticket)
 {
-  return kind_transfer_us (queue, find_kind (queue, ticket->work.kind));
+  return admission_queue_kind_link_us (
+      queue, admission_queue_find_kind (queue, ticket->work.kind));
 }
 
 static uint32_t
@@ -204,78 +184,16 @@
 admission_queue_finishes_before (const struct admission_queue_ticket *ticket,
                                  uint64_t limit_ms, uint64_t now_us)
 {
-  return now_us + ticket->service_us + RESPONSE_MARGIN_US < limit_ms * 1000;
-}
-
-static bool
-is_late (const struct admission_queue_ticket *ticket, uint64_t now_us)
-{
-  uint64_t expected_us = ticket->service_us;
-  if (ticket->link_limited)
-    expected_us += ticket->service_us / LATE_MARGIN_DIVISOR;
-  return now_us + expected_us >= ticket->work.objective_ms * 1000;
-}
-
-/// Applies the exponential decay since the last update.
-static void
-decay_rate (struct admission_queue_rate *rate, uint64_t now_us)
-{
-  rate->per_s
-      *= exp (-(double)(now_us - rate->us) / LATE_RATE_TIME_CONSTANT_US);
-  rate->us = now_us;
-}
-
-/// @return the rate of late starts that applies to a kind
-static struct admission_queue_rate *
-late_rate (struct admission_queue *queue, struct admission_queue_kind *kind)
-{
-  return kind_transfer_us (queue, kind) > 0 ? &kind->late : &queue->late;
-}
-
-static void
-count_late_start (struct admission_queue *queue,
-                  struct admission_queue_ticket *ticket, uint64_t now_us)
-{
-  if (!is_late (ticket, now_us))
-    return;
-  struct admission_queue_rate *rate
-      = late_rate (queue, find_kind (queue, ticket->work.kind));
-  decay_rate (rate, now_us);
-  rate->per_s += 1e6 / LATE_RATE_TIME_CONSTANT_US;
-}
-
-/// @return true when `a` has to be started before `b`
-static bool
-precedes (const struct admission_queue_ticket *a,
-          const struct admission_queue_ticket *b, uint64_t now_us)
-{
-  if (a->work.rank != b->work.rank)
-    return a->work.rank < b->work.rank;
-  bool a_late = is_late (a, now_us);
-  bool b_late = is_late (b, now_us);
-  if (a_late != b_late)
-    return b_late;
-  if (!a_late)
-    return a->work.objective_ms < b->work.objective_ms;
-  return a->work.deadline_ms < b->work.deadline_ms;
-}
-
-static struct admission_queue_ticket *
-next_to_start (struct admission_queue *queue, uint64_t now_us)
-{
-  struct admission_queue_ticket *best = NULL;
-  for (size_t i = 0; i < queue->queued; i++)
-    if ((best == NULL || precedes (queue->waiting[i], best, now_us))
-        && !admission_queue_at_link_limit (queue, queue->waiting[i]))
-      best = queue->waiting[i];
-  return best;
+  return now_us + ticket->service_us + ADMISSION_RESPONSE_MARGIN_US
+         < limit_ms * 1000;
 }
 
 static void
 start (struct admission_queue *queue, struct admission_queue_ticket *ticket,
        uint64_t now_us)
 {
-  struct admission_queue_kind *kind = find_kind (queue, ticket->work.kind);
+  struct admission_queue_kind *kind
+      = admission_queue_find_kind (queue, ticket->work.kind);
   queue->running++;
   if (kind != NULL)
     kind->running++;
@@ -319,7 +237,11 @@
 {
   queue->slots = slots < ADMIT_SLOTS_MAX ? slots : ADMIT_SLOTS_MAX;
   if (slots == 0)
-    refuse_all (queue, ADMIT_REFUSED_ABSENT);
+    {
+      queue->running -= queue->abandoned;
+      queue->abandoned = 0;
+      refuse_all (queue, ADMIT_REFUSED_ABSENT);
+    }
   start_queued (queue, now_us);
 }
 
@@ -344,10 +266,9 @@
     refuse_all (queue, ADMIT_REFUSED_DRAINING);
 }
 
-/// @return estimated time until work with `ahead` tickets before it gets a
-///         slot, microseconds
-static uint64_t
-slot_wait_us (const struct admission_queue *queue, size_t ahead)
+uint64_t
+admission_queue_slot_wait_us (const struct admission_queue *queue,
+                              size_t ahead)
 {
   if (queue->running < queue->slots && ahead == 0)
     return 0;
@@ -367,25 +288,17 @@
 admission_queue_wait_us (struct admission_queue *queue, uint32_t kind,
                          uint32_t rank)
 {
-  uint64_t slots_us = slot_wait_us (queue, count_up_to_rank (queue, rank));
+  uint64_t slots_us
+      = admission_queue_slot_wait_us (queue, count_up_to_rank (queue, rank));
   uint64_t waiting = 0;
   for (size_t i = 0; i < queue->queued; i++)
     waiting += queue->waiting[i]->work.kind == kind;
-  uint64_t link_us
-      = waiting * kind_transfer_us (queue, find_kind (queue, kind));
+  uint64_t link_us = waiting
+                     * admission_queue_kind_link_us (
+                         queue, admission_queue_find_kind (queue, kind));
   return link_us > slots_us ? link_us : slots_us;
 }
 
-static uint64_t
-rank_wait_us (struct admission_queue *queue,
-              struct admission_queue_ticket *ticket, uint64_t now_us)
-{
-  size_t ahead = 0;
-  for (size_t i = 0; i < queue->queued; i++)
-    ahead += precedes (queue->waiting[i], ticket, now_us);
-  return slot_wait_us (queue, ahead);
-}
-
 /// @return estimated time until the link can carry the response of a ticket
 ///         whose kind is at the link's limit, microseconds
 static uint64_t
@@ -393,13 +306,26 @@
               const struct admission_queue_ticket *ticket, uint64_t now_us)
 {
   const struct admission_queue_kind *kind
-      = find_kind (queue, ticket->work.kind);
+      = admission_queue_find_kind (queue, ticket->work.kind);
   uint64_t ahead = 1;
   for (size_t i = 0; i < queue->queued; i++)
     ahead += queue->waiting[i]->work.kind == ticket->work.kind
              && queue->policy->precedes (queue, queue->waiting[i], ticket,
                                          now_us);
-  return ahead * kind_transfer_us (queue, kind);
+  return ahead * admission_queue_kind_link_us (queue, kind);
+}
+
+/// Gives back the slots of abandoned requests whose work has ended by now.
+static void
+release_abandoned (struct admission_queue *queue, uint64_t now_us)
+{
+  for (size_t i = queue->abandoned; i-- > 0;)
+    if (now_us >= queue->abandoned_until_us[i])
+      {
+        queue->abandoned_until_us[i]
+            = queue->abandoned_until_us[--queue->abandoned];
+        queue->running--;
+      }
 }
 
 static enum status
@@ -419,10 +345,13 @@
                        uint64_t now_us, enum admit_refusal *why)
 {
   assert (ticket->state == ADMIT_NEW);
+  release_abandoned (queue, now_us);
   ticket->work = *work;
   ticket->service_us = service_us (queue, work->kind, now_us);
   ticket->link_limited
-      = kind_transfer_us (queue, find_kind (queue, work->kind)) > 0;
+      = admission_queue_kind_link_us (
+            queue, admission_queue_find_kind (queue, work->kind))
+        > 0;
   ticket->state = ADMIT_OVER;
   if (queue->draining || queue->slots == 0)
     {
@@ -464,7 +393,8 @@
   assert (ticket->state == ADMIT_RUNNING && queue->running > 0);
   ticket->state = ADMIT_OVER;
   queue->running--;
-  struct admission_queue_kind *kind = find_kind (queue, ticket->work.kind);
+  struct admission_queue_kind *kind
+      = admission_queue_find_kind (queue, ticket->work.kind);
   if (kind != NULL && ticket->counted && kind->running > 0)
     kind->running--;
   if (served)
@@ -472,9 +402,31 @@
       record_service_time (queue, ticket, now_us);
       queue->policy->served (queue, ticket, now_us);
     }
+  release_abandoned (queue, now_us);
   start_queued (queue, now_us);
 }
 
+void
+admission_queue_abandon (struct admission_queue *queue,
+                         struct admission_queue_ticket *ticket,
+                         uint64_t now_us)
+{
+  uint64_t elapsed_us
+      = now_us > ticket->started_us ? now_us - ticket->started_us : 0;
+  uint64_t left_us
+      = ticket->service_us > elapsed_us ? ticket->service_us - elapsed_us : 0;
+  if (left_us < ticket->service_us / ABANDONED_DIVISOR)
+    left_us = ticket->service_us / ABANDONED_DIVISOR;
+  bool holds = admission_queue_mode (queue) == ADMISSION_COST
+               && queue->abandoned < ADMIT_SLOTS_MAX && left_us > 0;
+  if (holds)
+    {
+      queue->abandoned_until_us[queue->abandoned++] = now_us + left_us;
+      queue->running++;
+    }
+  admission_queue_finish (queue, ticket, false, now_us);
+}
+
 void
 admission_queue_cancel (struct admission_queue *queue,
                         struct admission_queue_ticket *ticket)
@@ -484,141 +436,6 @@
   ticket->state = ADMIT_OVER;
 }
 
-struct late_ticket
-{
-  struct admission_queue_ticket *ticket;
-};
-
-static int
-compare_late (const void *a, const void *b)
-{
-  const struct admission_queue_ticket *left
-      = ((const struct late_ticket *)a)->ticket;
-  const struct admission_queue_ticket *right
-      = ((const struct late_ticket *)b)->ticket;
-  if (left->work.rank != right->work.rank)
-    return left->work.rank < right->work.rank ? -1 : 1;
-  if (left->work.deadline_ms != right->work.deadline_ms)
-    return left->work.deadline_ms < right->work.deadline_ms ? -1 : 1;
-  return 0;
-}
-
-/// @return expected rate at which late tickets of a kind start, per second
-static double
-expected_late_rate (struct admission_queue *queue,
-                    struct admission_queue_kind *kind, uint64_t now_us)
-{
-  uint64_t link_us = kind_transfer_us (queue, kind);
-  struct admission_queue_rate *rate = late_rate (queue, kind);
-  double capacity_per_s = 0;
-  if (link_us > 0)
-    capacity_per_s = 1e6 / (double)link_us;
-  else if (queue->mean_us > 0)
-    capacity_per_s = (double)queue->slots * 1e6 / queue->mean_us;
-  decay_rate (rate, now_us);
-  double min_per_s = capacity_per_s / LATE_SHARE_DIVISOR;
-  return rate->per_s > min_per_s ? rate->per_s : min_per_s;
-}
-
-/// Refuses the late tickets that will not finish in time at the expected rate
-/// of late starts.
-static void
-refuse_unservable (struct admission_queue *queue, struct late_ticket *late,
-                   size_t count, uint64_t now_us)
-{
-  size_t kept_by_slots = 0;
-  size_t kept_by_link[ADMISSION_QUEUE_KINDS] = { 0 };
-  qsort (late, count, sizeof late[0], compare_late);
-  for (size_t i = 0; i < count; i++)
-    {
-      struct admission_queue_kind *kind
-          = find_kind (queue, late[i].ticket->work.kind);
-      size_t *kept = kind_transfer_us (queue, kind) > 0
-                         ? &kept_by_link[kind - queue->kinds]
-                         : &kept_by_slots;
-      double per_s = expected_late_rate (queue, kind, now_us);
-      double wait_us = per_s > 0 ? (double)(*kept + 1) / per_s * 1e6 : 1e12;
-      uint64_t limit_us = late[i].ticket->work.deadline_ms * 1000;
-      uint64_t needed_us
-          = now_us + late[i].ticket->service_us + RESPONSE_MARGIN_US;
-      if ((double)needed_us + wait_us < (double)limit_us)
-        (*kept)++;
-      else
-        admission_queue_refuse_queued (queue, late[i].ticket,
-                                       ADMIT_REFUSED_LATE);
-    }
-}
-
-static void
-rank_expire (struct admission_queue *queue, uint64_t now_us)
-{
-  struct late_ticket late[ADMISSION_QUEUE_MAX];
-  size_t count = 0;
-  for (size_t i = queue->queued; i-- > 0;)
-    {
-      struct admission_queue_ticket *ticket = queue->waiting[i];
-      if (!admission_queue_finishes_before (ticket, ticket->work.deadline_ms,
-                                            now_us))
-        admission_queue_refuse_queued (queue, ticket, ADMIT_REFUSED_LATE);
-      else if (is_late (ticket, now_us))
-        late[count++].ticket = ticket;
-    }
-  if (count == 0)
-    {
-      queue->last_none_late_us = now_us;
-      return;
-    }
-  if (now_us - queue->last_none_late_us > LATE_RATE_SETTLE_US)
-    refuse_unservable (queue, late, count, now_us);
-}
-
-static void
-ignore_offered (struct admission_queue *queue,
-                struct admission_queue_ticket *ticket, uint64_t now_us)
-{
-}
-
-static void
-ignore_dropped (struct admission_queue *queue,
-                struct admission_queue_ticket *ticket)
-{
-}
-
-static bool
-rank_precedes (const struct admission_queue *queue,
-               const struct admission_queue_ticket *queued,
-               const struct admission_queue_ticket *offered, uint64_t now_us)
-{
-  return precedes (queued, offered, now_us);
-}
-
-static bool
-never_held_back (const struct admission_queue *queue,
-                 const struct admission_queue_ticket *ticket)
-{
-  return false;
-}
-
-static bool
-never_displace (struct admission_queue *queue,
-                struct admission_queue_ticket *ticket, uint64_t now_us)
-{
-  return false;
-}
-
-static const struct admission_policy rank_policy = {
-  .offered = ignore_offered,
-  .dropped = ignore_dropped,
-  .served = ignore_offered,
-  .next = next_to_start,
-  .is_held_back = never_held_back,
-  .starting = count_late_start,
-  .precedes = rank_precedes,
-  .wait_us = rank_wait_us,
-  .displace = never_displace,
-  .expire = rank_expire,
-};
-
 void
 admission_queue_init (struct admission_queue *queue,
                       const struct admission_queue_ops *ops, void *arg)
@@ -626,7 +443,7 @@
   memset (queue, 0, sizeof *queue);
   shed_cost_init (&queue->cost);
   queue->ops = ops;
-  queue->policy = &rank_policy;
+  queue->policy = &admission_rank_policy;
   queue->arg = arg;
 }
 
@@ -636,8 +453,8 @@
 {
   if (mode == admission_queue_mode (queue))
     return;
-  queue->policy
-      = mode == ADMISSION_COST ? &admission_cost_policy : &rank_policy;
+  queue->policy = mode == ADMISSION_COST ? &admission_cost_policy
+                                         : &admission_rank_policy;
   for (size_t i = 0; i < queue->queued; i++)
     queue->policy->offered (queue, queue->waiting[i], now_us);
   start_queued (queue, now_us);
@@ -653,6 +470,7 @@
 void
 admission_queue_expire (struct admission_queue *queue, uint64_t now_us)
 {
+  release_abandoned (queue, now_us);
   queue->policy->expire (queue, now_us);
   start_queued (queue, now_us);
 }
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -97,7 +97,7 @@
   const struct admission_policy *policy;
   void *arg;
   size_t slots;
-  size_t running;
+  size_t running; ///< including the abandoned ones
   size_t queued;
   bool draining;
   uint64_t link_bytes_per_s;        ///< rate of the VM's link; 0: no limit
@@ -105,7 +105,9 @@
   uint64_t last_sample_us;          ///< time of the last sample of any kind
   struct admission_queue_rate late; ///< for the kinds that the slots limit
   uint64_t last_none_late_us;       ///< last time without a queued late ticket
-  struct shed_cost cost;            ///< used by ADMISSION_COST
+  size_t abandoned; ///< slots of requests that the target may still run
+  uint64_t abandoned_until_us[ADMIT_SLOTS_MAX];
+  struct shed_cost cost; ///< used by ADMISSION_COST
   struct admission_queue_kind kinds[ADMISSION_QUEUE_KINDS];
   struct admission_queue_ticket *waiting[ADMISSION_QUEUE_MAX];
 };
@@ -160,6 +162,13 @@
                              struct admission_queue_ticket *ticket,
                              bool served, uint64_t now_us);
 
+/// Ends a running ticket whose caller went away. With ADMISSION_COST its slot
+/// stays taken for the rest of its expected service time: a target may not
+/// notice the closed connection, and one that is full resets new ones.
+void admission_queue_abandon (struct admission_queue *queue,
+                              struct admission_queue_ticket *ticket,
+                              uint64_t now_us);
+
 /// Removes a queued ticket whose caller went away.
 void admission_queue_cancel (struct admission_queue *queue,
                              struct admission_queue_ticket *ticket);
--- a/src/coordination/admission_queue_internal.h
+++ b/src/coordination/admission_queue_internal.h
@@ -4,6 +4,9 @@
 
 #include "coordination/admission_queue.h"
 
+/// Time that a response or refusal needs to reach the caller's node.
+#define ADMISSION_RESPONSE_MARGIN_US 15000
+
 /// Decides about queued tickets; admission_queue.c keeps the slots, the link's
 /// limits and the service times.
 struct admission_policy
@@ -46,6 +49,24 @@
 /// By the cost to callers, see shed_cost.h.
 extern const struct admission_policy admission_cost_policy;
 
+/// By rank, see admission_queue.h.
+extern const struct admission_policy admission_rank_policy;
+
+/// @return the entry of a kind of work, or NULL if it has no samples
+struct admission_queue_kind *
+admission_queue_find_kind (struct admission_queue *queue, uint32_t kind);
+
+/// @return time that the mean response of a kind takes on the link,
+///         microseconds; 0 when the link is no limit or the kind is unknown
+uint64_t
+admission_queue_kind_link_us (const struct admission_queue *queue,
+                              const struct admission_queue_kind *kind);
+
+/// @return estimated time until work with `ahead` tickets before it gets a
+///         slot, microseconds
+uint64_t admission_queue_slot_wait_us (const struct admission_queue *queue,
+                                       size_t ahead);
+
 bool
 admission_queue_at_link_limit (struct admission_queue *queue,
                                const struct admission_queue_ticket *ticket);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -156,13 +156,12 @@
          || now_ms > sidecar->last_tick_ms + SIDECAR_PAUSE_MS_MIN;
 }
 
-/// Frees a request and gives its slot to the next one in the queue.
-/// @param served  true when the target sent a complete response
-static void
-end_request (struct sidecar_inbound *inbound, bool served)
+/// Frees a request.
+/// @return its ticket
+static struct admission_queue_ticket
+free_request (struct sidecar_inbound *inbound)
 {
   struct sidecar *sidecar = inbound->sidecar;
-  bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
   struct admission_queue_ticket ticket = inbound->ticket;
   transfer_end (&sidecar->transfers, &inbound->transfer,
                 clock_monotonic_ms ());
@@ -172,6 +171,17 @@
       evbuffer_free (inbound->held_body);
     }
   free (inbound);
+  return ticket;
+}
+
+/// Frees a request and gives its slot to the next one in the queue.
+/// @param served  true when the target sent a complete response
+static void
+end_request (struct sidecar_inbound *inbound, bool served)
+{
+  struct sidecar *sidecar = inbound->sidecar;
+  bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
+  struct admission_queue_ticket ticket = free_request (inbound);
   admission_queue_finish (&sidecar->admission, &ticket, timed,
                           clock_monotonic_us ());
 }
@@ -534,7 +544,8 @@
   if (inbound == NULL)
     return;
   struct sidecar *sidecar = inbound->sidecar;
-  if (inbound->exchange != NULL)
+  bool runs = inbound->exchange != NULL;
+  if (runs)
     http_exchange_cancel (inbound->exchange);
   if (inbound->ticket.state == ADMIT_QUEUED)
     {
@@ -542,7 +553,14 @@
       free (inbound);
       return;
     }
-  end_request (inbound, false);
+  if (!runs)
+    {
+      end_request (inbound, false);
+      return;
+    }
+  struct admission_queue_ticket ticket = free_request (inbound);
+  admission_queue_abandon (&sidecar->admission, &ticket,
+                           clock_monotonic_us ());
 }
 
 static void
@@ -571,7 +589,7 @@
   sidecar_admission_tick (sidecar);
   if (draining != sidecar->admission.draining)
     admission_queue_set_draining (&sidecar->admission, draining);
-  if (sidecar->admission.queued > 0)
+  if (sidecar->admission.queued > 0 || sidecar->admission.abandoned > 0)
     admission_queue_expire (&sidecar->admission, now_us);
   transfer_tick (&sidecar->transfers, now_ms);
 }
--- a/test/unit/admission_queue_test.c
+++ b/test/unit/admission_queue_test.c
@@ -439,6 +439,32 @@
   CU_ASSERT_EQUAL (refused, 0);
 }
 
+/// The target may run a request on after its caller left, and then resets the
+/// connection of one more.
+static void
+test_abandoned_work_keeps_its_slot (void)
+{
+  mode = ADMISSION_COST;
+  set_up (1);
+  mode = ADMISSION_RANK;
+  record_service (100);
+  offer (0, 1, 5000, 9000, 100);
+  offer (1, 1, 5000, 9000, 100);
+  admission_queue_abandon (&queue, &tickets[0], 140 * 1000);
+  CU_ASSERT_EQUAL (started, 0);
+  CU_ASSERT_EQUAL (queue.running, 1);
+  admission_queue_expire (&queue, 190 * 1000);
+  CU_ASSERT_EQUAL (started, 0);
+  admission_queue_expire (&queue, 200 * 1000);
+  CU_ASSERT_EQUAL (started, 1);
+  /* Without a queue, the next offer finds the slot free again. */
+  admission_queue_abandon (&queue, &tickets[1], 210 * 1000);
+  CU_ASSERT_EQUAL (offer (2, 1, 5000, 9000, 400), ADMIT_RUNNING);
+  admission_queue_abandon (&queue, &tickets[2], 400 * 1000);
+  admission_queue_set_slots (&queue, 0, 400 * 1000);
+  CU_ASSERT_EQUAL (queue.running, 0);
+}
+
 static void
 test_full_queue_keeps_the_best (void)
 {
@@ -493,6 +519,8 @@
       test_unknown_work_by_rank },
     { "queued work is lost or stuck when the policy changes",
       test_mode_changes_while_queued },
+    { "work whose caller left gives its slot away while the target runs it",
+      test_abandoned_work_keeps_its_slot },
     { "a full queue refuses work that costs more than what is queued",
       test_full_queue_keeps_the_best },
   };
