--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,9 @@
   suspect.c \
   target_history.c) \
   $(addprefix src/coordination/, \
+  admission_cost.c \
   admission_queue.c \
+  admission_rank.c \
   cold_limit.c \
   leave_holders.c \
   placement.c \
@@ -53,6 +55,7 @@
   retry_quota.c \
   rollout.c \
   seqtest.c \
+  shed_cost.c \
   stop_plan.c \
   store_pace.c \
   target_speed.c \
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -1,5 +1,5 @@
 /// Owns no state; serves the readiness probe and the metrics.
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_admission.h"
 
 #include "base/counter.h"
 #include "base/histogram.h"
@@ -94,6 +94,7 @@
   add_gauge (text, "target_speed_percent", sidecar->target.speed_percent);
   add_gauge (text, "target_usual_service_us",
              sidecar->target.speed.service_us);
+  sidecar_admission_add_metrics (sidecar, text);
   add_gauge (text, "caller_connections", sidecar->calls.connections);
   add_gauge (text, "peer_connections", sidecar->peer_pool.connections);
   add_gauge (text, "target_connections", sidecar->target_pool.connections);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "protocol/call_headers.h"
 #include "protocol/target_load.h"
+#include "sidecar/sidecar_admission.h"
 #include "sidecar/sidecar_leave.h"
 
 #include <inttypes.h>
@@ -138,7 +139,7 @@
 
 static void
 refuse (struct sidecar *sidecar, struct http_request *request, const char *id,
-        const struct hop *hop, const char *reason)
+        const struct hop *hop, const char *reason, uint64_t after_ms)
 {
   counter_add (&refused, 1);
   log_rate_limited (
@@ -147,22 +148,34 @@
       "slots=%zu",
       id, hop->service, hop->rank, reason, sidecar->admission.running,
       sidecar->admission.queued, sidecar->admission.slots);
-  send_local_reply (sidecar, request, 503, CALL_NOT_RUN, reason,
-                    retry_after_ms (sidecar, hop));
+  send_local_reply (sidecar, request, 503, CALL_NOT_RUN, reason, after_ms);
+}
+
+/// Refuses a request on behalf of the admission queue and frees it.
+static void
+refuse_admission (struct sidecar_inbound *inbound, enum admit_refusal why)
+{
+  struct sidecar *sidecar = inbound->sidecar;
+  bool for_load = why == ADMIT_REFUSED_FULL || why == ADMIT_REFUSED_LATE;
+  bool by_cost = admission_queue_mode (&sidecar->admission) == ADMISSION_COST;
+  sidecar_admission_count_refusal (&inbound->ticket, why);
+  refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
+          call_refusal_reason (why),
+          for_load && by_cost
+              ? sidecar_admission_retry_after_ms (sidecar, inbound)
+              : retry_after_ms (sidecar, &inbound->hop));
+  free (inbound);
 }
 
 static void
 on_admission_refuse (void *arg, struct admission_queue_ticket *ticket,
                      enum admit_refusal why)
 {
-  struct sidecar *sidecar = arg;
   struct sidecar_inbound *inbound
       = (struct sidecar_inbound *)((char *)ticket
                                    - offsetof (struct sidecar_inbound,
                                                ticket));
-  refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
-          call_refusal_reason (why));
-  free (inbound);
+  refuse_admission (inbound, why);
 }
 
 /// @return true when the process was paused while the target had the request,
@@ -176,16 +189,12 @@
          || now_ms > sidecar->last_tick_ms + SIDECAR_PAUSE_MS_MIN;
 }
 
-/// Frees a request and gives its slot to the next one in the queue.
-/// @param served  true when the target sent a complete response
-static void
-end_request (struct sidecar_inbound *inbound, bool served)
+/// Frees a request.
+/// @return its ticket
+static struct admission_queue_ticket
+free_request (struct sidecar_inbound *inbound)
 {
   struct sidecar *sidecar = inbound->sidecar;
-  bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
-  if (timed)
-    target_speed_sample (&sidecar->target.speed, inbound->sent_us,
-                         inbound->speed_integral, clock_monotonic_us ());
   struct admission_queue_ticket ticket = inbound->ticket;
   transfer_end (&sidecar->transfers, &inbound->transfer,
                 clock_monotonic_ms ());
@@ -195,6 +204,20 @@
       evbuffer_free (inbound->held_body);
     }
   free (inbound);
+  return ticket;
+}
+
+/// Frees a request and gives its slot to the next one in the queue.
+/// @param served  true when the target sent a complete response
+static void
+end_request (struct sidecar_inbound *inbound, bool served)
+{
+  struct sidecar *sidecar = inbound->sidecar;
+  bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
+  if (timed)
+    target_speed_sample (&sidecar->target.speed, inbound->sent_us,
+                         inbound->speed_integral, clock_monotonic_us ());
+  struct admission_queue_ticket ticket = free_request (inbound);
   admission_queue_finish (&sidecar->admission, &ticket, timed,
                           clock_monotonic_us ());
 }
@@ -397,7 +420,8 @@
   if (!cold_limit_take (&sidecar->target.cold, now))
     {
       refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
-              CALL_REASON_COLD);
+              CALL_REASON_COLD,
+              cold_limit_wait_ms (&sidecar->target.cold, now));
       end_request (inbound, false);
       return;
     }
@@ -423,7 +447,7 @@
   if (inbound->exchange != NULL)
     return;
   refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
-          CALL_REASON_NOT_CONNECTED);
+          CALL_REASON_NOT_CONNECTED, retry_after_ms (sidecar, &inbound->hop));
   end_request (inbound, false);
 }
 
@@ -521,7 +545,8 @@
   if (inbound == NULL)
     {
       refuse (sidecar, request, id, &hop,
-              reason == NULL ? CALL_REASON_BUSY : reason);
+              reason == NULL ? CALL_REASON_BUSY : reason,
+              retry_after_ms (sidecar, &hop));
       return;
     }
   uint32_t left_ms;
@@ -546,14 +571,14 @@
     .rank = hop.rank,
     .objective_ms = inbound->arrived_ms + hop.objective_ms,
     .deadline_ms = inbound->deadline_ms,
+    .account = hop.account,
   };
   enum admit_refusal why;
   if (admission_queue_offer (&sidecar->admission, &inbound->ticket, &work,
                              now_us, &why)
       != STATUS_OK)
     {
-      refuse (sidecar, request, id, &hop, call_refusal_reason (why));
-      free (inbound);
+      refuse_admission (inbound, why);
       return;
     }
   if (inbound->ticket.state == ADMIT_RUNNING)
@@ -571,7 +596,8 @@
   if (inbound == NULL)
     return;
   struct sidecar *sidecar = inbound->sidecar;
-  if (inbound->exchange != NULL)
+  bool runs = inbound->exchange != NULL;
+  if (runs)
     http_exchange_cancel (inbound->exchange);
   if (inbound->ticket.state == ADMIT_QUEUED)
     {
@@ -579,7 +605,14 @@
       free (inbound);
       return;
     }
-  end_request (inbound, false);
+  if (!runs)
+    {
+      end_request (inbound, false);
+      return;
+    }
+  struct admission_queue_ticket ticket = free_request (inbound);
+  admission_queue_abandon (&sidecar->admission, &ticket,
+                           clock_monotonic_us ());
 }
 
 static void
@@ -606,9 +639,10 @@
                   || (sidecar->stopping
                       && now_ms >= sidecar->stopping_ms
                                        + sidecar->stop_plan.accept_peers_ms);
+  sidecar_admission_tick (sidecar);
   if (draining != sidecar->admission.draining)
     admission_queue_set_draining (&sidecar->admission, draining);
-  if (sidecar->admission.queued > 0)
+  if (sidecar->admission.queued > 0 || sidecar->admission.abandoned > 0)
     admission_queue_expire (&sidecar->admission, now_us);
   transfer_tick (&sidecar->transfers, now_ms);
 }
