--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,10 @@
 SIDECAR_PARTS := $(filter-out %_main.c,$(wildcard src/base/*.c src/sidecar/*.c \
   platform/*.c) $(addprefix src/state/,client_account.c directory.c leave_table.c mesh_config.c mirror.c \
   suspect.c target_history.c) \
-  $(addprefix src/coordination/,admission_queue.c leave_holders.c placement.c retry_quota.c relay.c rendezvous.c resend.c \
+  $(addprefix src/coordination/,admission_queue.c leave_holders.c placement.c quota_lease.c quota_owner.c quota_rank.c retry_quota.c relay.c rendezvous.c resend.c \
   retry.c rollout.c seqtest.c stop_plan.c store_pace.c transfer.c) \
   $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
-  json_text.c move_record.c scalar.c store_api.c view.c) \
+  json_text.c move_record.c quota_message.c scalar.c store_api.c view.c) \
   $(addprefix src/transport/,http_head_check.c http_pool.c http_server.c http_stream.c \
   store_client.c timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
--- /dev/null
+++ b/src/coordination/quota_lease.c
@@ -0,0 +1,165 @@
+/// Owns the leased tokens of one account at the entry node.
+#include "coordination/quota_lease.h"
+
+#include <math.h>
+#include <string.h>
+
+/// Time constant of the demand estimate.
+#define DEMAND_MS 1000.0
+
+/// Unused tokens go back after this time. The rest of the lease is left for
+/// the message.
+#define GIVE_BACK_MS 250
+
+/// The local share is one request per this part of the rate and nodes.
+#define LOCAL_DIVISOR 2.0
+
+void
+quota_lease_init (struct quota_lease *lease, uint64_t now_ms)
+{
+  memset (lease, 0, sizeof *lease);
+  lease->contact_ms = now_ms;
+}
+
+static void
+decay (struct quota_lease *lease, uint64_t now_ms)
+{
+  double passed = (double)(now_ms - lease->demand_ms);
+  lease->demand_per_s *= exp (-passed / DEMAND_MS);
+  lease->demand_ms = now_ms;
+}
+
+void
+quota_lease_arrive (struct quota_lease *lease, uint64_t now_ms)
+{
+  decay (lease, now_ms);
+  lease->demand_per_s += 1000 / DEMAND_MS;
+}
+
+static bool
+is_valid (const struct quota_batch *batch, uint64_t now_ms)
+{
+  return batch->tokens > 0 && now_ms < batch->sent_ms + QUOTA_LEASE_MS;
+}
+
+bool
+quota_lease_take (struct quota_lease *lease, struct quota_token *token,
+                  uint64_t now_ms)
+{
+  struct quota_batch *oldest = NULL;
+  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+    {
+      struct quota_batch *batch = &lease->batches[i];
+      if (is_valid (batch, now_ms)
+          && (oldest == NULL || batch->sent_ms < oldest->sent_ms))
+        oldest = batch;
+    }
+  if (oldest == NULL)
+    return false;
+  oldest->tokens--;
+  *token = (struct quota_token){ .taken = true,
+                                 .sent_ms = oldest->sent_ms,
+                                 .lender = oldest->lender };
+  return true;
+}
+
+void
+quota_lease_put_back (struct quota_lease *lease, struct quota_token *token,
+                      uint64_t now_ms)
+{
+  if (!token->taken || token->lender == 0)
+    return;
+  token->taken = false;
+  if (now_ms < token->sent_ms + QUOTA_LEASE_MS)
+    {
+      quota_lease_add (lease, 1, token->lender, token->sent_ms, now_ms);
+      return;
+    }
+  if (lease->unused_lender != token->lender)
+    lease->unused = 0;
+  lease->unused_lender = token->lender;
+  lease->unused++;
+}
+
+uint32_t
+quota_lease_expected (struct quota_lease *lease, uint64_t now_ms)
+{
+  decay (lease, now_ms);
+  return (uint32_t)(lease->demand_per_s * QUOTA_AHEAD_MS / 1000);
+}
+
+uint32_t
+quota_lease_give_back (struct quota_lease *lease, uint64_t lender,
+                       uint64_t now_ms)
+{
+  uint32_t count = lease->unused_lender == lender ? lease->unused : 0;
+  if (count > 0)
+    lease->unused = 0;
+  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+    {
+      struct quota_batch *batch = &lease->batches[i];
+      if (!is_valid (batch, now_ms) || batch->lender != lender
+          || now_ms - batch->sent_ms < GIVE_BACK_MS)
+        continue;
+      count += batch->tokens;
+      batch->tokens = 0;
+    }
+  return count;
+}
+
+void
+quota_lease_add (struct quota_lease *lease, uint32_t tokens, uint64_t lender,
+                 uint64_t sent_ms, uint64_t now_ms)
+{
+  struct quota_batch added
+      = { .tokens = tokens, .sent_ms = sent_ms, .lender = lender };
+  if (!is_valid (&added, now_ms))
+    return;
+  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+    {
+      struct quota_batch *batch = &lease->batches[i];
+      if (batch->tokens > 0 && batch->sent_ms == sent_ms
+          && batch->lender == lender)
+        {
+          batch->tokens += tokens;
+          return;
+        }
+    }
+  /* The batch that expires first makes room. */
+  struct quota_batch *place = &lease->batches[0];
+  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+    {
+      struct quota_batch *batch = &lease->batches[i];
+      if (!is_valid (batch, now_ms))
+        {
+          place = batch;
+          break;
+        }
+      if (batch->sent_ms < place->sent_ms)
+        place = batch;
+    }
+  *place = added;
+}
+
+bool
+quota_lease_take_local (struct quota_lease *lease,
+                        const struct quota_limit *limit, size_t nodes,
+                        uint64_t now_ms)
+{
+  if (now_ms - lease->contact_ms < QUOTA_SILENCE_MS || nodes == 0)
+    {
+      lease->local_ms = 0;
+      return false;
+    }
+  double rate = limit->rate_per_s / (LOCAL_DIVISOR * (double)nodes);
+  double passed_s
+      = lease->local_ms == 0 ? 0 : (double)(now_ms - lease->local_ms) / 1000;
+  lease->local_tokens = lease->local_ms == 0
+                            ? 0
+                            : fmin (1, lease->local_tokens + rate * passed_s);
+  lease->local_ms = now_ms;
+  if (lease->local_tokens < 1)
+    return false;
+  lease->local_tokens--;
+  return true;
+}
--- /dev/null
+++ b/src/coordination/quota_rank.c
@@ -0,0 +1,41 @@
+/// Stateless; ranks the nodes of the directory for an account.
+#include "coordination/quota_rank.h"
+
+#include "base/hash.h"
+#include "coordination/rendezvous.h"
+
+/// Role hash of owners: keeps their scores independent of other choices that
+/// hash the same names.
+#define QUOTA_ROLE 0x71756f7461u
+
+void
+quota_rank_choose (const struct directory *directory, const char *account,
+                   struct quota_rank *rank)
+{
+  struct rendezvous choice;
+  uint64_t role
+      = hash_placement_pair (hash_placement_string (account), QUOTA_ROLE);
+  rendezvous_init (&choice, role, 2);
+  *rank = (struct quota_rank){ .handles = { SIZE_MAX, SIZE_MAX } };
+  for (size_t i = 0; i < directory->count; i++)
+    {
+      const struct directory_record *record = &directory->records[i];
+      if (!record->used || record->missing_ms != 0
+          || record->entry.state == DIRECTORY_LEAVING)
+        continue;
+      rank->nodes++;
+      uint64_t node = hash_placement_string (record->entry.node);
+      rendezvous_rank (&choice, hash_placement_pair (role, node), i);
+    }
+  for (unsigned i = 0; i < choice.count; i++)
+    rank->handles[i] = choice.slots[i];
+}
+
+enum quota_role
+quota_rank_role (const struct quota_rank *rank, size_t node)
+{
+  if (node != SIZE_MAX && rank->handles[0] == node)
+    return QUOTA_OWNER;
+  return node != SIZE_MAX && rank->handles[1] == node ? QUOTA_STANDBY
+                                                      : QUOTA_OTHER;
+}
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -40,6 +40,9 @@
 #define CALL_PATH_LEAVE "/_hawthornseam/leave"
 #define CALL_PATH_LEAVE_ASK "/_hawthornseam/leave/ask"
 
+/// Asks the owner of an account's quota for tokens.
+#define CALL_PATH_QUOTA "/_hawthornseam/quota"
+
 /// Longest deadline that a caller may request, ms.
 #define CALL_DEADLINE_MAX_MS (10u * 60 * 1000)
 
@@ -50,6 +53,8 @@
 /// Values of CALL_HEADER_REASON. Callers may print them; nodes compare them.
 #define CALL_REASON_NO_ROUTE "no-route"
 #define CALL_REASON_KEY_UNKNOWN "api-key-unknown"
+#define CALL_REASON_QUOTA "quota-exceeded"
+#define CALL_REASON_QUOTA_UNDECIDED "quota-undecided"
 #define CALL_REASON_NO_TARGET "no-target"
 #define CALL_REASON_NOT_READY "not-ready"
 #define CALL_REASON_DRAINING "draining"
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -54,6 +54,7 @@
 struct sidecar_moves;
 struct sidecar_leaves;
 struct sidecar_crashes;
+struct sidecar_quota;
 
 /// Acknowledgements of a target's leave that may wait for the store at once.
 #define SIDECAR_LEAVE_ACKS_MAX 4
@@ -112,6 +113,7 @@
   struct sidecar_leaves *leaves; ///< notices at this node, and calls to others
   struct sidecar_moves *moves;
   struct sidecar_crashes *crashes;
+  struct sidecar_quota *quota;
   struct event tick;
   struct event log_timer;
   uint64_t last_tick_ms; ///< last periodic work; 0: none yet
@@ -207,8 +209,8 @@
 ///         this process started, or as another node knows them
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
-/// @return true when the view was compared with the store, or with a relay that
-///         is in touch with it, within `config_apply`: a configuration that
+/// @return true when the view was compared with the store, or with a relay
+///         that is in touch with it, within `config_apply`: a configuration that
 ///         should be in force is known
 bool sidecar_store_is_current (const struct sidecar *sidecar);
 
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -1,5 +1,5 @@
 /// Owns no state; serves the readiness probe and the metrics.
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_quota.h"
 
 #include "base/counter.h"
 #include "base/histogram.h"
@@ -94,6 +94,7 @@
   add_gauge (text, "caller_connections", sidecar->calls.connections);
   add_gauge (text, "peer_connections", sidecar->peer_pool.connections);
   add_gauge (text, "target_connections", sidecar->target_pool.connections);
+  sidecar_quota_metrics (sidecar, text);
   size_t size = evbuffer_get_length (text);
   http_reply (request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
               evbuffer_pullup (text, -1), size);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "protocol/call_headers.h"
 #include "sidecar/sidecar_leave.h"
+#include "sidecar/sidecar_quota.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -444,6 +445,11 @@
       sidecar_moves_serve_evidence (sidecar, request);
       return;
     }
+  if (strcmp (request->head->target, CALL_PATH_QUOTA) == 0)
+    {
+      sidecar_quota_serve (sidecar, request);
+      return;
+    }
   if (strcmp (request->head->target, CALL_PATH_LEAVE) == 0
       || strcmp (request->head->target, CALL_PATH_LEAVE_ASK) == 0)
     {
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "platform/platform.h"
 #include "sidecar/sidecar_leave.h"
+#include "sidecar/sidecar_quota.h"
 #include "transport/timer.h"
 
 #include <argtable2.h>
@@ -261,6 +262,7 @@
   sidecar_store_tick (sidecar);
   sidecar_leave_tick (sidecar);
   sidecar_moves_tick (sidecar);
+  sidecar_quota_tick (sidecar);
   check_settings (sidecar, clock_monotonic_ms ());
   if (sidecar->stopping)
     continue_stop (sidecar, clock_monotonic_ms ());
@@ -309,6 +311,8 @@
     status = sidecar_moves_start (sidecar);
   if (status == STATUS_OK)
     status = sidecar_crash_start (sidecar);
+  if (status == STATUS_OK)
+    status = sidecar_quota_start (sidecar);
   const struct
   {
     struct http_server *server;
@@ -339,6 +343,7 @@
   sidecar_leave_stop (sidecar);
   sidecar_store_stop (sidecar);
   sidecar_crash_stop (sidecar);
+  sidecar_quota_stop (sidecar);
   http_pool_finish (&sidecar->peer_pool);
   http_pool_finish (&sidecar->target_pool);
   directory_finish (&sidecar->directory);
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -22,6 +22,9 @@
 /// it is varied by 50 % in either direction.
 #define RETRY_AFTER_MS_DEFAULT 300
 
+/// Smallest Retry-After of a request over its quota, before it is varied.
+#define QUOTA_RETRY_MS_MIN 100
+
 /// With less time than this until the timeout, no retry is sent.
 #define RETRY_TIME_MS_MIN 20
 
@@ -39,6 +42,8 @@
     = COUNTER ("entry_abandoned", "requests whose caller left");
 static struct counter unauthorized = COUNTER (
     "entry_unauthorized", "requests refused because of their API key");
+static struct counter over_quota = COUNTER (
+    "entry_over_quota", "requests rejected because of their account's quota");
 static struct counter unrouted
     = COUNTER ("entry_unrouted", "requests without a route");
 
@@ -47,6 +52,7 @@
 
 static struct log_rate_limit answered_log_limit = { .per_second = 5 };
 static struct log_rate_limit ended_log_limit = { .per_second = 40 };
+static struct log_rate_limit quota_log_limit = { .per_second = 5 };
 static struct log_rate_limit retry_log_limit = { .per_second = 40 };
 static struct log_rate_limit disconnect_log_limit = { .per_second = 5 };
 
@@ -73,6 +79,7 @@
 static void
 release (struct sidecar_outbound *outbound)
 {
+  sidecar_quota_release (outbound->sidecar, &outbound->quota, true);
   event_del (&outbound->timer);
   TAILQ_REMOVE (&outbound->sidecar->outbound, outbound, link);
   if (outbound->buffered != NULL)
@@ -140,6 +147,7 @@
            reason);
   send_local_reply (outbound->request, 503, call_outcome_name (CALL_NOT_RUN),
                     reason, retry_ms);
+  sidecar_quota_release (sidecar, &outbound->quota, false);
   release (outbound);
 }
 
@@ -405,6 +413,7 @@
     {
       refuse_key (outbound->request, outbound->id, outbound->route,
                   ACCOUNT_KEY_UNKNOWN);
+      sidecar_quota_release (outbound->sidecar, &outbound->quota, false);
       release (outbound);
     }
 }
@@ -460,12 +469,47 @@
   end_not_run (outbound);
 }
 
+/// @return Retry-After of a request over its quota, varied upwards by 50 % so
+///         that callers do not return all at once
+static uint64_t
+quota_retry_after_ms (struct sidecar *sidecar, uint32_t wait_ms)
+{
+  uint64_t retry_ms
+      = wait_ms > QUOTA_RETRY_MS_MIN ? wait_ms : QUOTA_RETRY_MS_MIN;
+  return retry_ms + rng_below (&sidecar->rng, retry_ms / 2 + 1);
+}
+
+/// Ends a request that got no token.
+static void
+end_without_token (struct sidecar_outbound *outbound,
+                   enum quota_decision decision, uint32_t retry_ms)
+{
+  if (decision != QUOTA_REJECT)
+    {
+      outbound->not_run_reason = CALL_REASON_QUOTA_UNDECIDED;
+      end_not_run (outbound);
+      return;
+    }
+  counter_add (&over_quota, 1);
+  log_end (outbound, &quota_log_limit, LOG_LEVEL_INFO, "request_not_run", 429,
+           CALL_REASON_QUOTA);
+  send_local_reply (outbound->request, 429, call_outcome_name (CALL_NOT_RUN),
+                    CALL_REASON_QUOTA,
+                    quota_retry_after_ms (outbound->sidecar, retry_ms));
+  release (outbound);
+}
+
 /// The request timed out: the route's timeout, the caller's deadline, a
 /// stopping node's limit or the extra time for a response body has passed.
 static void
 on_timeout (evutil_socket_t fd, short what, void *arg)
 {
   struct sidecar_outbound *outbound = arg;
+  if (outbound->quota.waiting)
+    {
+      end_without_token (outbound, QUOTA_UNAVAILABLE, 0);
+      return;
+    }
   if (outbound->exchange != NULL)
     http_exchange_cancel (outbound->exchange);
   outbound->exchange = NULL;
@@ -501,6 +545,37 @@
     }
 }
 
+static void
+on_quota_decision (struct quota_waiter *waiter, enum quota_decision decision,
+                   uint32_t retry_ms)
+{
+  struct sidecar_outbound *outbound
+      = (struct sidecar_outbound *)((char *)waiter
+                                    - offsetof (struct sidecar_outbound,
+                                                quota));
+  if (decision == QUOTA_ADMIT)
+    try_next_node (outbound);
+  else
+    end_without_token (outbound, decision, retry_ms);
+}
+
+/// Takes a token of the account's quota, or waits for one, and sends the
+/// request.
+static void
+take_token (struct sidecar_outbound *outbound,
+            const struct client_account *account)
+{
+  uint64_t now = clock_monotonic_ms ();
+  uint64_t left_ms
+      = outbound->respond_by_ms > now ? outbound->respond_by_ms - now : 0;
+  uint32_t retry_ms = 0;
+  enum quota_decision decision
+      = sidecar_quota_acquire (outbound->sidecar, account, left_ms,
+                               on_quota_decision, &outbound->quota, &retry_ms);
+  if (decision != QUOTA_WAIT)
+    on_quota_decision (&outbound->quota, decision, retry_ms);
+}
+
 static void
 start_request (struct sidecar_outbound *outbound, struct mesh_route *route,
                const struct client_account *account, uint32_t deadline_ms)
@@ -532,7 +607,10 @@
   timer_start_at (&outbound->timer, outbound->respond_by_ms);
   retry_quota_count_request (&sidecar->retry_quotas, outbound->service,
                              outbound->arrived_ms);
-  try_next_node (outbound);
+  if (account != NULL && account->rate_per_s > 0)
+    take_token (outbound, account);
+  else
+    try_next_node (outbound);
 }
 
 static void
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -7,6 +7,7 @@
 #include "protocol/hop.h"
 #include "sidecar/sidecar.h"
 #include "sidecar/sidecar_account.h"
+#include "sidecar/sidecar_quota.h"
 
 /// Largest response, bytes, that is buffered until it is complete, so that the
 /// request can be retried when the response is cut short. Larger ones and
@@ -64,6 +65,7 @@
   struct evbuffer *buffered;  ///< buffered body, NULL until needed
   size_t discarded;           ///< bytes of a body that is not passed on
   size_t forwarded;           ///< bytes of a body that is passed on
+  struct quota_waiter quota;  ///< token of the account's quota
 };
 
 /* sidecar_outbound.c */
--- /dev/null
+++ b/src/sidecar/sidecar_quota.c
@@ -0,0 +1,623 @@
+/// Owns the quota state of each account at this node: the requests that wait
+/// for tokens, the leased tokens, and the bucket where this node is the owner
+/// or the standby.
+#include "sidecar/sidecar_quota_internal.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "transport/timer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/// Interval at which waiting requests are checked.
+#define CHECK_MS 20
+
+/// Shortest time between two requests for the same account after one that
+/// left requests without a token.
+#define ASK_AGAIN_MS 20
+
+/// Longest wait for a token of a request over the quota. A request that comes
+/// between two tokens of a small quota is served; a longer queue would only
+/// delay all requests of an account that sends too much.
+#define OVER_WAIT_MS 250
+
+/// Longest wait for a decision, and the share of a request's time that it may
+/// take.
+#define DECISION_MS_MAX 500
+#define DECISION_DIVISOR 2
+
+/// The standby is asked for this long after the owner was not ready.
+#define STANDBY_MS 100
+
+/// A changed directory is ranked again after this time at the earliest.
+#define RANK_MS 100
+
+/// Accounts whose role is updated per tick without being used.
+#define REFRESH_COUNT 64
+
+/// Up to this number of accounts, the owner's buckets are created with the
+/// configuration instead of with the first request, so that they have filled.
+#define PREPARED_ACCOUNTS_MAX 512
+
+/// Accounts with state; the planned number is 10,000.
+#define ACCOUNTS_MAX 20000
+
+static struct counter unavailable = COUNTER (
+    "quota_undecided", "requests ended because no decision could be had");
+static struct counter local_admits
+    = COUNTER ("quota_local", "requests admitted without a reachable owner");
+
+static struct quota_account **
+bucket_of (struct sidecar_quota *quota, const char *name)
+{
+  return &quota->buckets[hash_placement_string (name) % QUOTA_BUCKETS];
+}
+
+/// Finds or creates the state of an account.
+/// @return NULL when there are too many, or the name is too long
+static struct quota_account *
+find_account (struct sidecar *sidecar, const char *name)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  struct quota_account **bucket = bucket_of (quota, name);
+  for (struct quota_account *account = *bucket; account != NULL;
+       account = account->next)
+    if (strcmp (account->name, name) == 0)
+      return account;
+  if (quota->account_count >= ACCOUNTS_MAX
+      || strlen (name) > QUOTA_MESSAGE_NAME_MAX)
+    return NULL;
+  struct quota_account *account = calloc (1, sizeof *account);
+  if (account == NULL)
+    return NULL;
+  strcpy (account->name, name);
+  TAILQ_INIT (&account->waiters);
+  quota_lease_init (&account->lease, clock_monotonic_ms ());
+  quota_owner_init (&account->owner);
+  account->next = *bucket;
+  *bucket = account;
+  TAILQ_INSERT_TAIL (&quota->accounts, account, link);
+  quota->account_count++;
+  return account;
+}
+
+static void
+free_account (struct sidecar *sidecar, struct quota_account *account)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  struct quota_account **place = bucket_of (quota, account->name);
+  while (*place != account)
+    place = &(*place)->next;
+  *place = account->next;
+  TAILQ_REMOVE (&quota->accounts, account, link);
+  quota->account_count--;
+  if (quota->cursor == account)
+    quota->cursor = NULL;
+  quota_owner_finish (&account->owner);
+  free (account);
+}
+
+static void
+set_limit (struct sidecar *sidecar, struct quota_account *account,
+           const struct client_account *configured)
+{
+  account->limit = (struct quota_limit){ 0 };
+  if (configured != NULL)
+    account->limit
+        = (struct quota_limit){ configured->rate_per_s, configured->burst };
+  account->config_version = sidecar->config->version;
+  quota_owner_set_limit (&account->owner, &account->limit);
+}
+
+/// Brings the account's limit and owner in step with the configuration and the
+/// directory.
+static void
+refresh (struct sidecar *sidecar, struct quota_account *account,
+         uint64_t now_ms)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  uint64_t generation = sidecar->directory.generation;
+  if (account->config_version != sidecar->config->version)
+    set_limit (
+        sidecar, account,
+        client_account_by_name (&sidecar->config->accounts, account->name));
+  if (quota->generation != generation)
+    {
+      quota->generation = generation;
+      quota->own_handle
+          = directory_find (&sidecar->directory, sidecar->settings.node);
+    }
+  bool ranked = account->rank_generation != 0;
+  if (ranked
+      && (account->rank_generation == generation
+          || now_ms - account->rank_ms < RANK_MS))
+    return;
+  struct quota_rank rank;
+  quota_rank_choose (&sidecar->directory, account->name, &rank);
+  if (memcmp (rank.handles, account->rank.handles, sizeof rank.handles) != 0)
+    account->standby_until_ms = 0;
+  account->rank = rank;
+  account->rank_generation = generation;
+  account->rank_ms = now_ms;
+  quota_owner_set_role (&account->owner,
+                        quota_rank_role (&rank, quota->own_handle), now_ms);
+}
+
+static bool
+is_in_use (const struct quota_account *account)
+{
+  return account->users > 0 || account->waiting > 0 || account->call != NULL
+         || account->queued_at != NULL || account->holding;
+}
+
+/* Holds */
+
+/// @return the standby to ask for a hold now, or NULL
+static struct quota_peer *
+due_standby (struct sidecar *sidecar, struct quota_account *account,
+             uint64_t now_ms)
+{
+  size_t handle = account->rank.handles[1];
+  if (account->owner.role != QUOTA_OWNER || account->holding
+      || now_ms < account->next_hold_ms || account->limit.rate_per_s <= 0)
+    return NULL;
+  account->next_hold_ms = now_ms + QUOTA_RENEW_MS;
+  if (handle != SIZE_MAX)
+    return sidecar_quota_peer (sidecar, handle);
+  /* A node that has been alone for long has no other one to ask. At its start
+     its directory may lack the others. */
+  if (now_ms - account->owner.role_since_ms >= QUOTA_SETTLE_MS)
+    quota_owner_held (&account->owner, now_ms);
+  return NULL;
+}
+
+/// Asks for the hold of an account without waiting for the next tick.
+static void
+require_hold (struct sidecar *sidecar, struct quota_account *account,
+              uint64_t now_ms)
+{
+  if (quota_owner_has_hold (&account->owner, now_ms))
+    return;
+  struct quota_peer *peer = due_standby (sidecar, account, now_ms);
+  if (peer != NULL)
+    sidecar_quota_ask_hold (sidecar, peer, &account, 1);
+}
+
+void
+sidecar_quota_held (struct sidecar *sidecar, struct quota_account *account,
+                    bool promised, uint64_t sent_ms)
+{
+  if (promised)
+    quota_owner_held (&account->owner, sent_ms);
+}
+
+/// Renews the holds that are due, with one message to each standby.
+static void
+renew_holds (struct sidecar *sidecar, uint64_t now_ms)
+{
+  struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
+  struct quota_account *first;
+  TAILQ_FOREACH (first, &sidecar->quota->accounts, link)
+  {
+    struct quota_peer *peer = due_standby (sidecar, first, now_ms);
+    if (peer == NULL)
+      continue;
+    size_t count = 0;
+    accounts[count++] = first;
+    for (struct quota_account *account = TAILQ_NEXT (first, link);
+         account != NULL && count < QUOTA_MESSAGE_ACCOUNTS_MAX;
+         account = TAILQ_NEXT (account, link))
+      if (account->rank.handles[1] == first->rank.handles[1]
+          && due_standby (sidecar, account, now_ms) == peer)
+        accounts[count++] = account;
+    sidecar_quota_ask_hold (sidecar, peer, accounts, count);
+  }
+}
+
+/* Requests of callers */
+
+static void
+start_timer (struct sidecar_quota *quota)
+{
+  if (quota->waiting > 0 && !evtimer_pending (&quota->timer, NULL))
+    timer_start (&quota->timer, CHECK_MS);
+}
+
+static void
+leave_queue (struct sidecar *sidecar, struct quota_waiter *waiter)
+{
+  struct quota_account *account = waiter->account;
+  TAILQ_REMOVE (&account->waiters, waiter, link);
+  waiter->waiting = false;
+  account->waiting--;
+  sidecar->quota->waiting--;
+}
+
+static void
+decide (struct sidecar *sidecar, struct quota_waiter *waiter,
+        enum quota_decision decision, uint32_t retry_ms)
+{
+  struct quota_account *account = waiter->account;
+  leave_queue (sidecar, waiter);
+  if (decision == QUOTA_ADMIT)
+    account->admitted++;
+  else if (decision == QUOTA_REJECT)
+    account->rejected++;
+  else
+    counter_add (&unavailable, 1);
+  waiter->on_decision (waiter, decision, retry_ms);
+}
+
+/// Gives the leased tokens to the waiting requests.
+static void
+serve_waiting (struct sidecar *sidecar, struct quota_account *account,
+               uint64_t now_ms)
+{
+  struct quota_waiter *waiter;
+  while ((waiter = TAILQ_FIRST (&account->waiters)) != NULL
+         && (account->limit.rate_per_s <= 0
+             || quota_lease_take (&account->lease, &waiter->token, now_ms)))
+    decide (sidecar, waiter, QUOTA_ADMIT, 0);
+}
+
+/// @return the first waiting request whose time for a decision ends before a
+///         time, or NULL. A decision may end other requests of its connection,
+///         so the queue is searched again after each.
+static struct quota_waiter *
+first_before (const struct quota_account *account, uint64_t time_ms)
+{
+  struct quota_waiter *waiter;
+  TAILQ_FOREACH (waiter, &account->waiters, link)
+  if (waiter->until_ms < time_ms)
+    return waiter;
+  return NULL;
+}
+
+/// Ends the requests that a token would not reach in time.
+static void
+reject_late (struct sidecar *sidecar, struct quota_account *account,
+             uint32_t wait_ms, uint64_t now_ms)
+{
+  uint64_t latest_ms = wait_ms > OVER_WAIT_MS ? UINT64_MAX : now_ms + wait_ms;
+  struct quota_waiter *waiter;
+  while ((waiter = first_before (account, latest_ms)) != NULL)
+    decide (sidecar, waiter, QUOTA_REJECT, wait_ms);
+}
+
+/// Serves waiting requests without a decision of another node.
+static void
+admit_locally (struct sidecar *sidecar, struct quota_account *account,
+               uint64_t now_ms)
+{
+  struct quota_waiter *waiter;
+  while ((waiter = TAILQ_FIRST (&account->waiters)) != NULL
+         && quota_lease_take_local (&account->lease, &account->limit,
+                                    account->rank.nodes, now_ms))
+    {
+      counter_add (&local_admits, 1);
+      decide (sidecar, waiter, QUOTA_ADMIT, 0);
+    }
+}
+
+void
+sidecar_quota_apply (struct sidecar *sidecar, struct quota_account *account,
+                     const struct quota_answer *answer, uint64_t lender,
+                     uint64_t sent_ms)
+{
+  uint64_t now = clock_monotonic_ms ();
+  if (answer == NULL || !answer->ready)
+    {
+      if (now < account->standby_until_ms)
+        {
+          account->standby_until_ms = 0;
+          account->next_ask_ms = now + ASK_AGAIN_MS;
+          admit_locally (sidecar, account, now);
+        }
+      else
+        account->standby_until_ms = now + STANDBY_MS;
+      sidecar_quota_pump (sidecar, account);
+      return;
+    }
+  account->lease.contact_ms = now;
+  quota_lease_add (&account->lease, answer->tokens, lender, sent_ms, now);
+  serve_waiting (sidecar, account, now);
+  account->over = answer->wait_ms > 0;
+  if (account->over)
+    {
+      account->next_ask_ms
+          = now
+            + (answer->wait_ms > ASK_AGAIN_MS ? answer->wait_ms
+                                              : ASK_AGAIN_MS);
+      if (account->next_ask_ms > now + OVER_WAIT_MS)
+        account->next_ask_ms = now + OVER_WAIT_MS;
+      account->over_wait_ms = answer->wait_ms;
+      reject_late (sidecar, account, answer->wait_ms, now);
+    }
+  sidecar_quota_pump (sidecar, account);
+}
+
+/// Decides at this node, as owner or standby.
+static struct quota_answer
+decide_here (struct sidecar *sidecar, struct quota_account *account,
+             size_t node, const struct quota_ask *ask, uint64_t now_ms)
+{
+  require_hold (sidecar, account, now_ms);
+  struct quota_grant grant
+      = quota_owner_ask (&account->owner, node, account->rank.nodes,
+                         sidecar_store_is_current (sidecar), ask->pending,
+                         ask->expected, ask->returned, now_ms);
+  return (struct quota_answer){ .ready = grant.verdict == QUOTA_DECIDED,
+                                .tokens = grant.tokens,
+                                .wait_ms = grant.wait_ms };
+}
+
+/// Asks this node itself.
+static void
+ask_here (struct sidecar *sidecar, struct quota_account *account,
+          uint64_t now_ms)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  struct quota_ask ask = {
+    .pending = account->waiting,
+    .expected = quota_lease_expected (&account->lease, now_ms),
+    .returned = quota_lease_give_back (&account->lease, quota->lender, now_ms),
+  };
+  struct quota_answer answer
+      = decide_here (sidecar, account, quota->own_handle, &ask, now_ms);
+  sidecar_quota_apply (sidecar, account, &answer, quota->lender, now_ms);
+}
+
+void
+sidecar_quota_pump (struct sidecar *sidecar, struct quota_account *account)
+{
+  uint64_t now = clock_monotonic_ms ();
+  if (sidecar->config == NULL)
+    return;
+  refresh (sidecar, account, now);
+  serve_waiting (sidecar, account, now);
+  if (account->waiting == 0 || account->call != NULL
+      || account->queued_at != NULL || now < account->next_ask_ms)
+    return;
+  bool standby = now < account->standby_until_ms;
+  size_t handle = account->rank.handles[standby];
+  if (handle != SIZE_MAX && handle == sidecar->quota->own_handle)
+    {
+      ask_here (sidecar, account, now);
+      return;
+    }
+  struct quota_peer *peer
+      = handle == SIZE_MAX ? NULL : sidecar_quota_peer (sidecar, handle);
+  if (peer == NULL || now < peer->down_until_ms)
+    sidecar_quota_apply (sidecar, account, NULL, 0, now);
+  else
+    sidecar_quota_ask (sidecar, peer, account);
+}
+
+/// Ends the requests whose time for a decision has passed.
+static void
+expire (struct sidecar *sidecar, struct quota_account *account,
+        uint64_t now_ms)
+{
+  struct quota_waiter *waiter;
+  while ((waiter = first_before (account, now_ms + 1)) != NULL)
+    decide (sidecar, waiter, account->over ? QUOTA_REJECT : QUOTA_UNAVAILABLE,
+            account->over ? account->over_wait_ms : 0);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct sidecar *sidecar = arg;
+  struct quota_account *account;
+  uint64_t now = clock_monotonic_ms ();
+  TAILQ_FOREACH (account, &sidecar->quota->accounts, link)
+  if (account->waiting > 0)
+    {
+      sidecar_quota_pump (sidecar, account);
+      expire (sidecar, account, now);
+    }
+  start_timer (sidecar->quota);
+}
+
+enum quota_decision
+sidecar_quota_acquire (struct sidecar *sidecar,
+                       const struct client_account *configured,
+                       uint64_t left_ms, quota_on_decision on_decision,
+                       struct quota_waiter *waiter, uint32_t *retry_ms)
+{
+  uint64_t now = clock_monotonic_ms ();
+  struct quota_account *account = find_account (sidecar, configured->name);
+  if (account == NULL)
+    {
+      counter_add (&unavailable, 1);
+      return QUOTA_UNAVAILABLE;
+    }
+  if (account->config_version != sidecar->config->version)
+    set_limit (sidecar, account, configured);
+  account->offered++;
+  quota_lease_arrive (&account->lease, now);
+  if (account->waiting == 0
+      && quota_lease_take (&account->lease, &waiter->token, now))
+    {
+      account->admitted++;
+      account->users++;
+      waiter->account = account;
+      return QUOTA_ADMIT;
+    }
+  /* While the account is far over its quota, the owner is not asked for each
+     request. */
+  if (account->over && now < account->next_ask_ms
+      && account->over_wait_ms > OVER_WAIT_MS)
+    {
+      account->rejected++;
+      *retry_ms = account->over_wait_ms;
+      return QUOTA_REJECT;
+    }
+  uint64_t most_ms = left_ms / DECISION_DIVISOR;
+  waiter->account = account;
+  account->users++;
+  waiter->on_decision = on_decision;
+  waiter->until_ms
+      = now + (most_ms < DECISION_MS_MAX ? most_ms : DECISION_MS_MAX);
+  waiter->waiting = true;
+  TAILQ_INSERT_TAIL (&account->waiters, waiter, link);
+  account->waiting++;
+  sidecar->quota->waiting++;
+  /* The owner is asked from the event loop, so that no decision is made before
+     this returns and all requests that arrived together are in one message. */
+  timer_start (&sidecar->quota->timer, 0);
+  return QUOTA_WAIT;
+}
+
+void
+sidecar_quota_release (struct sidecar *sidecar, struct quota_waiter *waiter,
+                       bool ran)
+{
+  struct quota_account *account = waiter->account;
+  if (account == NULL)
+    return;
+  if (waiter->waiting)
+    leave_queue (sidecar, waiter);
+  if (!ran)
+    quota_lease_put_back (&account->lease, &waiter->token,
+                          clock_monotonic_ms ());
+  account->users--;
+  waiter->account = NULL;
+}
+
+/* Requests of other nodes */
+
+static struct quota_answer
+answer_one (struct sidecar *sidecar, const struct quota_request *request,
+            size_t sender, const struct quota_ask *ask, uint64_t now_ms)
+{
+  struct quota_answer answer = { 0 };
+  struct quota_account *account
+      = client_account_by_name (&sidecar->config->accounts, ask->account)
+                == NULL
+            ? NULL
+            : find_account (sidecar, ask->account);
+  if (account == NULL)
+    return answer;
+  refresh (sidecar, account, now_ms);
+  if (request->hold)
+    {
+      bool owns = sender != SIZE_MAX && account->rank.handles[0] == sender;
+      answer.ready = quota_owner_promise (&account->owner, owns, now_ms);
+      return answer;
+    }
+  struct quota_ask checked = *ask;
+  if (request->lender != sidecar->quota->lender)
+    checked.returned = 0;
+  return decide_here (sidecar, account, sender, &checked, now_ms);
+}
+
+void
+sidecar_quota_serve (struct sidecar *sidecar, struct http_request *request)
+{
+  struct quota_request *read = malloc (sizeof *read);
+  size_t size = evbuffer_get_length (request->body);
+  if (read == NULL || sidecar->config == NULL || size == 0
+      || quota_request_read ((const char *)evbuffer_pullup (request->body, -1),
+                             size, read)
+             != STATUS_OK)
+    {
+      http_reply (request, read == NULL || sidecar->config == NULL ? 503 : 400,
+                  NULL, "", 0);
+      free (read);
+      return;
+    }
+  uint64_t now = clock_monotonic_ms ();
+  size_t sender = directory_find (&sidecar->directory, read->node);
+  struct quota_response *response = &sidecar->quota->response;
+  response->lender = sidecar->quota->lender;
+  response->count = read->count;
+  for (size_t i = 0; i < read->count; i++)
+    response->answers[i]
+        = answer_one (sidecar, read, sender, &read->asks[i], now);
+  free (read);
+  char *text = quota_response_write (response);
+  http_reply (request, text == NULL ? 503 : 200, NULL,
+              text == NULL ? "" : text, text == NULL ? 0 : strlen (text));
+  free (text);
+}
+
+/* Periodic work */
+
+/// Creates the state of the accounts of a new configuration.
+static void
+prepare_accounts (struct sidecar *sidecar)
+{
+  const struct client_account_table *table = &sidecar->config->accounts;
+  struct sidecar_quota *quota = sidecar->quota;
+  if (quota->prepared_version == sidecar->config->version)
+    return;
+  quota->prepared_version = sidecar->config->version;
+  if (table->account_count > PREPARED_ACCOUNTS_MAX)
+    return;
+  for (size_t i = 0; i < table->account_count; i++)
+    if (table->accounts[i].rate_per_s > 0)
+      find_account (sidecar, table->accounts[i].name);
+}
+
+/// Updates the roles of some accounts, and frees those that are no longer in
+/// the configuration.
+static void
+refresh_some (struct sidecar *sidecar, uint64_t now_ms)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  for (size_t i = 0; i < REFRESH_COUNT && i < quota->account_count; i++)
+    {
+      struct quota_account *account = quota->cursor == NULL
+                                          ? TAILQ_FIRST (&quota->accounts)
+                                          : quota->cursor;
+      if (account == NULL)
+        return;
+      quota->cursor = TAILQ_NEXT (account, link);
+      refresh (sidecar, account, now_ms);
+      if (account->limit.rate_per_s <= 0 && !is_in_use (account))
+        free_account (sidecar, account);
+    }
+}
+
+void
+sidecar_quota_tick (struct sidecar *sidecar)
+{
+  if (sidecar->config == NULL)
+    return;
+  uint64_t now = clock_monotonic_ms ();
+  prepare_accounts (sidecar);
+  refresh_some (sidecar, now);
+  renew_holds (sidecar, now);
+  sidecar_quota_sweep_peers (sidecar);
+}
+
+enum status
+sidecar_quota_start (struct sidecar *sidecar)
+{
+  struct sidecar_quota *quota = calloc (1, sizeof *quota);
+  if (quota == NULL)
+    return status_set (STATUS_NO_MEMORY, "out of memory for the quotas");
+  TAILQ_INIT (&quota->accounts);
+  quota->own_handle = SIZE_MAX;
+  quota->lender = rng_u64 (&sidecar->rng) >> 1 | 1;
+  evtimer_assign (&quota->timer, sidecar->base, on_timer, sidecar);
+  sidecar->quota = quota;
+  return STATUS_OK;
+}
+
+void
+sidecar_quota_stop (struct sidecar *sidecar)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  if (quota == NULL)
+    return;
+  event_del (&quota->timer);
+  sidecar_quota_free_peers (sidecar);
+  while (!TAILQ_EMPTY (&quota->accounts))
+    free_account (sidecar, TAILQ_FIRST (&quota->accounts));
+  free (quota);
+  sidecar->quota = NULL;
+}
--- /dev/null
+++ b/src/sidecar/sidecar_quota_call.c
@@ -0,0 +1,300 @@
+/// Owns the messages about quotas to other nodes. One request for tokens and
+/// one for holds is under way to each node; what is needed meanwhile goes into
+/// the next message.
+#include "sidecar/sidecar_quota_internal.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "protocol/call_headers.h"
+#include "transport/timer.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct counter messages = COUNTER (
+    "quota_messages", "messages to other nodes for tokens and holds");
+static struct counter message_bytes
+    = COUNTER ("quota_message_bytes", "bytes of these messages' bodies");
+static struct counter failures
+    = COUNTER ("quota_failures", "such messages without a valid response");
+
+static struct log_rate_limit failure_log_limit = { .per_second = 5 };
+
+static void send_queued (struct sidecar *sidecar, struct quota_peer *peer);
+
+struct quota_peer *
+sidecar_quota_peer (struct sidecar *sidecar, size_t handle)
+{
+  struct sidecar_quota *quota = sidecar->quota;
+  const struct directory_record *record = &sidecar->directory.records[handle];
+  for (struct quota_peer *peer = quota->peers; peer != NULL; peer = peer->next)
+    if (peer->serial == record->serial)
+      return peer;
+  struct quota_peer *peer = calloc (1, sizeof *peer);
+  if (peer == NULL)
+    return NULL;
+  peer->handle = handle;
+  peer->serial = record->serial;
+  struct quota_call *calls[] = { &peer->ask, &peer->hold };
+  for (size_t i = 0; i < 2; i++)
+    {
+      calls[i]->sidecar = sidecar;
+      calls[i]->peer = peer;
+      calls[i]->hold = i == 1;
+      calls[i]->body = evbuffer_new ();
+    }
+  peer->next = quota->peers;
+  quota->peers = peer;
+  return peer;
+}
+
+static void
+end_call (struct quota_call *call, const struct quota_response *response)
+{
+  struct sidecar *sidecar = call->sidecar;
+  struct quota_peer *peer = call->peer;
+  struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
+  size_t count = call->count;
+  uint64_t sent_ms = call->sent_ms;
+  bool hold = call->hold;
+  memcpy (accounts, call->accounts, count * sizeof *accounts);
+  event_del (&call->timer);
+  call->exchange = NULL;
+  call->count = 0;
+  if (response == NULL)
+    {
+      counter_add (&failures, 1);
+      log_rate_limited (&failure_log_limit, LOG_LEVEL_WARNING, "quota_failed",
+                        "peer=%zu hold=%d status=%u after_ms=%" PRIu64,
+                        peer->handle, hold, call->status,
+                        clock_monotonic_ms () - sent_ms);
+      if (!hold)
+        peer->down_until_ms = clock_monotonic_ms () + QUOTA_DOWN_MS;
+    }
+  else
+    {
+      peer->lender = response->lender;
+      peer->down_until_ms = 0;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct quota_answer *answer
+          = response == NULL ? NULL : &response->answers[i];
+      if (hold)
+        {
+          accounts[i]->holding = false;
+          sidecar_quota_held (sidecar, accounts[i],
+                              answer != NULL && answer->ready, sent_ms);
+          continue;
+        }
+      accounts[i]->call = NULL;
+      sidecar_quota_apply (sidecar, accounts[i], answer,
+                           response == NULL ? 0 : response->lender, sent_ms);
+    }
+  if (!hold)
+    send_queued (sidecar, peer);
+}
+
+static void
+on_head (void *arg, struct http_head *head)
+{
+  struct quota_call *call = arg;
+  call->status = head->status;
+}
+
+static void
+on_body (void *arg, const char *data, size_t size)
+{
+  struct quota_call *call = arg;
+  if (evbuffer_get_length (call->body) + size <= QUOTA_MESSAGE_BYTES_MAX)
+    evbuffer_add (call->body, data, size);
+}
+
+static void
+on_end (void *arg, enum http_end end)
+{
+  struct quota_call *call = arg;
+  struct quota_response *response = &call->sidecar->quota->response;
+  size_t size = evbuffer_get_length (call->body);
+  bool valid
+      = end == HTTP_END_COMPLETE && call->status == 200 && size > 0
+        && quota_response_read ((const char *)evbuffer_pullup (call->body, -1),
+                                size, response)
+               == STATUS_OK
+        && response->count == call->count;
+  /* Applying an answer may write other messages; the copy stays. */
+  struct quota_response *copy = valid ? malloc (sizeof *copy) : NULL;
+  if (copy != NULL)
+    *copy = *response;
+  end_call (call, copy);
+  free (copy);
+}
+
+static const struct http_exchange_ops ops
+    = { .head = on_head, .body = on_body, .end = on_end };
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct quota_call *call = arg;
+  if (call->exchange != NULL)
+    http_exchange_cancel (call->exchange);
+  end_call (call, NULL);
+}
+
+/// Sends `quota->request` for the accounts of a call. A failure is reported
+/// from the event loop.
+static void
+send_call (struct quota_call *call)
+{
+  struct sidecar *sidecar = call->sidecar;
+  const struct directory_record *record = directory_get (
+      &sidecar->directory, call->peer->handle, call->peer->serial);
+  struct quota_request *request = &sidecar->quota->request;
+  strcpy (request->node, sidecar->settings.node);
+  request->lender = call->peer->lender;
+  request->hold = call->hold;
+  request->count = call->count;
+  char *text = record == NULL ? NULL : quota_request_write (request);
+  call->sent_ms = clock_monotonic_ms ();
+  call->status = 0;
+  call->exchange = NULL;
+  evbuffer_drain (call->body, evbuffer_get_length (call->body));
+  evtimer_assign (&call->timer, sidecar->base, on_timer, call);
+  if (text != NULL)
+    {
+      struct evbuffer *bytes = evbuffer_new ();
+      evbuffer_add_printf (bytes,
+                           "POST " CALL_PATH_QUOTA " HTTP/1.1\r\nHost: quota"
+                           "\r\nContent-Length: %zu\r\n\r\n%s",
+                           strlen (text), text);
+      counter_add (&messages, 1);
+      counter_add (&message_bytes, strlen (text));
+      struct http_send send = { .address = record->entry.address,
+                                .port = record->entry.port,
+                                .request = bytes,
+                                .max_idle_ms = PEER_REUSE_MS };
+      call->exchange = http_pool_send (&sidecar->peer_pool, &send, &ops, call);
+      evbuffer_free (bytes);
+      free (text);
+    }
+  timer_start (&call->timer,
+               call->exchange == NULL ? 0 : QUOTA_ASK_TIMEOUT_MS);
+}
+
+static uint32_t
+limited (uint32_t count)
+{
+  return count < QUOTA_MESSAGE_COUNT_MAX ? count : QUOTA_MESSAGE_COUNT_MAX;
+}
+
+static void
+send_queued (struct sidecar *sidecar, struct quota_peer *peer)
+{
+  struct quota_call *call = &peer->ask;
+  struct quota_request *request = &sidecar->quota->request;
+  uint64_t now = clock_monotonic_ms ();
+  if (call->count > 0 || peer->queued_count == 0)
+    return;
+  for (size_t i = 0; i < peer->queued_count; i++)
+    {
+      struct quota_account *account = peer->queued[i];
+      struct quota_ask *ask = &request->asks[call->count];
+      account->queued_at = NULL;
+      if (account->waiting == 0 || account->call != NULL)
+        continue;
+      strcpy (ask->account, account->name);
+      ask->pending = limited (account->waiting);
+      ask->expected = limited (quota_lease_expected (&account->lease, now));
+      ask->returned = limited (
+          quota_lease_give_back (&account->lease, peer->lender, now));
+      account->call = call;
+      call->accounts[call->count++] = account;
+    }
+  peer->queued_count = 0;
+  if (call->count > 0)
+    send_call (call);
+}
+
+void
+sidecar_quota_ask (struct sidecar *sidecar, struct quota_peer *peer,
+                   struct quota_account *account)
+{
+  if (account->queued_at != NULL
+      || peer->queued_count == QUOTA_MESSAGE_ACCOUNTS_MAX)
+    return;
+  account->queued_at = peer;
+  peer->queued[peer->queued_count++] = account;
+  send_queued (sidecar, peer);
+}
+
+void
+sidecar_quota_ask_hold (struct sidecar *sidecar, struct quota_peer *peer,
+                        struct quota_account **accounts, size_t count)
+{
+  struct quota_call *call = &peer->hold;
+  struct quota_request *request = &sidecar->quota->request;
+  if (call->count > 0 || count == 0)
+    return;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct quota_ask *ask = &request->asks[i];
+      strcpy (ask->account, accounts[i]->name);
+      ask->pending = ask->expected = ask->returned = 0;
+      accounts[i]->holding = true;
+      call->accounts[i] = accounts[i];
+    }
+  call->count = count;
+  send_call (call);
+}
+
+static void
+free_call (struct quota_call *call)
+{
+  if (call->exchange != NULL)
+    http_exchange_cancel (call->exchange);
+  if (call->count > 0)
+    event_del (&call->timer);
+  evbuffer_free (call->body);
+}
+
+static void
+free_peer (struct quota_peer *peer)
+{
+  free_call (&peer->ask);
+  free_call (&peer->hold);
+  free (peer);
+}
+
+void
+sidecar_quota_free_peers (struct sidecar *sidecar)
+{
+  while (sidecar->quota->peers != NULL)
+    {
+      struct quota_peer *peer = sidecar->quota->peers;
+      sidecar->quota->peers = peer->next;
+      free_peer (peer);
+    }
+}
+
+void
+sidecar_quota_sweep_peers (struct sidecar *sidecar)
+{
+  struct quota_peer **link = &sidecar->quota->peers;
+  while (*link != NULL)
+    {
+      struct quota_peer *peer = *link;
+      bool busy = peer->ask.count > 0 || peer->hold.count > 0
+                  || peer->queued_count > 0;
+      if (busy
+          || directory_get (&sidecar->directory, peer->handle, peer->serial)
+                 != NULL)
+        {
+          link = &peer->next;
+          continue;
+        }
+      *link = peer->next;
+      free_peer (peer);
+    }
+}
--- /dev/null
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -0,0 +1,139 @@
+/// State shared by the files of the quota: accounts in sidecar_quota.c,
+/// messages to other nodes in sidecar_quota_call.c.
+#ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_INTERNAL_H
+#define HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_INTERNAL_H
+
+#include "protocol/quota_message.h"
+#include "sidecar/sidecar_quota.h"
+
+/// Time after which an unanswered request counts as failed. A round trip
+/// takes a few milliseconds; the second-ranked node is asked after this time,
+/// and callers' deadlines start at 600 ms.
+#define QUOTA_ASK_TIMEOUT_MS 80
+
+/// A node that did not answer is not asked again for this long.
+#define QUOTA_DOWN_MS 400
+
+/// Longest idle time after which a connection to another node is reused.
+#define PEER_REUSE_MS 3000
+
+#define QUOTA_BUCKETS 1024
+
+TAILQ_HEAD (quota_waiters, quota_waiter);
+
+/// What this node knows of one account, as entry node and as owner.
+struct quota_account
+{
+  char name[QUOTA_MESSAGE_NAME_MAX + 1];
+  struct quota_account *next; ///< in its hash bucket
+  TAILQ_ENTRY (quota_account) link;
+  uint64_t config_version; ///< from which the limit was taken
+  struct quota_limit limit;
+  struct quota_rank rank;
+  uint64_t rank_generation; ///< of the directory; 0: never ranked
+  uint64_t rank_ms;
+  struct quota_lease lease;
+  struct quota_owner owner;
+  struct quota_waiters waiters;
+  uint32_t waiting;
+  uint64_t next_ask_ms;
+  uint64_t standby_until_ms;    ///< the standby is asked instead until then
+  struct quota_call *call;      ///< asks for this account now, or NULL
+  struct quota_peer *queued_at; ///< is part of the next message to it, or NULL
+  uint64_t next_hold_ms;
+  bool holding;          ///< a request for a hold is under way
+  uint32_t users;        ///< requests in progress that point here
+  uint32_t over_wait_ms; ///< wait for a token as of the last decision
+  bool over;             ///< the last decision left requests without a token
+  uint64_t offered;
+  uint64_t admitted;
+  uint64_t rejected;
+};
+TAILQ_HEAD (quota_accounts, quota_account);
+
+/// One message to another node.
+struct quota_call
+{
+  struct sidecar *sidecar;
+  struct quota_peer *peer;
+  struct http_exchange *exchange; ///< NULL: unused
+  struct evbuffer *body;
+  struct event timer;
+  bool hold;
+  unsigned status;
+  uint64_t sent_ms;
+  size_t count;
+  struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
+};
+
+/// Another node that was asked.
+struct quota_peer
+{
+  struct quota_peer *next;
+  size_t handle;
+  uint64_t serial;
+  uint64_t lender; ///< its process, as of its last response; 0: unknown
+  uint64_t down_until_ms;
+  struct quota_call ask;
+  struct quota_call hold;
+  /// Accounts for the next message while one is under way.
+  struct quota_account *queued[QUOTA_MESSAGE_ACCOUNTS_MAX];
+  size_t queued_count;
+};
+
+struct sidecar_quota
+{
+  struct quota_account *buckets[QUOTA_BUCKETS];
+  struct quota_accounts accounts;
+  size_t account_count;
+  struct quota_account *cursor; ///< of the periodic update
+  struct quota_peer *peers;
+  struct event timer;           ///< while requests wait
+  size_t waiting;               ///< requests of all accounts
+  uint64_t lender;              ///< id of this process
+  size_t own_handle;            ///< in the directory
+  uint64_t generation;          ///< of the directory, for own_handle
+  uint64_t prepared_version;    ///< configuration whose accounts were created
+  struct quota_request request; ///< being written or read
+  struct quota_response response; ///< being written or read
+};
+
+/* sidecar_quota.c */
+
+/// Applies an answer and serves the waiting requests.
+/// @param answer  NULL when the node did not answer
+void sidecar_quota_apply (struct sidecar *sidecar,
+                          struct quota_account *account,
+                          const struct quota_answer *answer, uint64_t lender,
+                          uint64_t sent_ms);
+
+/// Asks for tokens if requests wait.
+void sidecar_quota_pump (struct sidecar *sidecar,
+                         struct quota_account *account);
+
+/// Applies the answer to a request for a hold.
+void sidecar_quota_held (struct sidecar *sidecar,
+                         struct quota_account *account, bool promised,
+                         uint64_t sent_ms);
+
+/* sidecar_quota_call.c */
+
+/// @return the peer with a directory handle, created if needed, or NULL
+struct quota_peer *sidecar_quota_peer (struct sidecar *sidecar, size_t handle);
+
+/// Includes an account in the next message to a peer, and sends it unless one
+/// is under way.
+void sidecar_quota_ask (struct sidecar *sidecar, struct quota_peer *peer,
+                        struct quota_account *account);
+
+/// Asks a standby for holds.
+/// @param accounts  at most QUOTA_MESSAGE_ACCOUNTS_MAX
+void sidecar_quota_ask_hold (struct sidecar *sidecar, struct quota_peer *peer,
+                             struct quota_account **accounts, size_t count);
+
+void sidecar_quota_free_peers (struct sidecar *sidecar);
+
+/// Frees the peers that have left the directory.
+void sidecar_quota_sweep_peers (struct sidecar *sidecar);
+
+#endif
