Let a majority of three nodes decide which node grants a quota's tokens

An owner without contact to its standby granted half of the rate, and the other half was lost until the directory dropped a dead owner (6.4 s). Now the first three nodes of an account's ranking vote; the standby has a majority 400 ms after the owner's death, while a cut-off owner loses its own.

--- a/src/coordination/quota_owner.c
+++ b/src/coordination/quota_owner.c
@@ -5,9 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/// Share of the rate for an owner without a hold, and for a standby without a
-/// promise. Together they are the rate.
-#define UNHELD_SHARE 0.5
+/// Share of the rate for each of two nodes that cannot reach each other.
+#define PAIR_SHARE 0.5
 
 /// Share of the rate that silent nodes may use on their own (quota_lease.h).
 #define SILENT_SHARE 0.5
@@ -32,10 +31,14 @@
 #define WAIT_MS_MAX 5000u
 
 void
-quota_owner_init (struct quota_owner *owner)
+quota_owner_init (struct quota_owner *owner, uint64_t started_ms)
 {
   memset (owner, 0, sizeof *owner);
-  owner->role = QUOTA_OTHER;
+  owner->rank = QUOTA_RANKS;
+  owner->promised_to = SIZE_MAX;
+  owner->promise_until_ms = started_ms + QUOTA_HOLD_MS;
+  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+    owner->votes[i].voter = SIZE_MAX;
 }
 
 void
@@ -54,69 +57,168 @@
     owner->tokens = limit->burst;
 }
 
-static void
-empty (struct quota_owner *owner)
+/// @return true when this node has been ranked for so long that all nodes know
+static bool
+is_settled (const struct quota_owner *owner, uint64_t now_ms)
 {
-  owner->tokens = 0;
-  owner->refilled_ms = 0;
+  return owner->rank < QUOTA_RANKS
+         && now_ms - owner->ranked_since_ms >= QUOTA_SETTLE_MS;
 }
 
 void
-quota_owner_set_role (struct quota_owner *owner, enum quota_role role,
-                      uint64_t now_ms)
+quota_owner_set_rank (struct quota_owner *owner, const struct quota_rank *rank,
+                      size_t own, uint64_t now_ms)
 {
-  if (role == owner->role)
-    return;
-  if (owner->role == QUOTA_OTHER)
-    owner->role_since_ms = now_ms;
-  /* Another node may have granted while this one had another role. */
-  if (role != QUOTA_OWNER || owner->role == QUOTA_OTHER)
-    empty (owner);
-  if (role != QUOTA_OWNER)
-    owner->hold_until_ms = 0;
-  owner->role = role;
+  struct quota_vote votes[QUOTA_RANKS - 1];
+  size_t count = 0;
+  unsigned place = quota_rank_of (rank, own);
+  for (unsigned i = 0; i < QUOTA_RANKS && count < QUOTA_RANKS - 1; i++)
+    {
+      if (i == place)
+        continue;
+      struct quota_vote vote = { .voter = rank->handles[i] };
+      for (size_t k = 0; k < QUOTA_RANKS - 1; k++)
+        if (vote.voter != SIZE_MAX && owner->votes[k].voter == vote.voter)
+          vote = owner->votes[k];
+      votes[count++] = vote;
+    }
+  memcpy (owner->votes, votes, sizeof votes);
+  if (owner->rank == QUOTA_RANKS)
+    owner->ranked_since_ms = now_ms;
+  owner->rank = place;
 }
 
-void
-quota_owner_held (struct quota_owner *owner, uint64_t sent_ms)
+static bool
+is_majority (const struct quota_owner *owner, bool settled, uint64_t now_ms)
 {
-  if (owner->role == QUOTA_OWNER
-      && owner->hold_until_ms < sent_ms + QUOTA_HOLD_MS)
+  bool any_settled = false;
+  bool all = true;
+  bool alone = true;
+  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
     {
-      owner->hold_until_ms = sent_ms + QUOTA_HOLD_MS;
-      if (owner->refilled_ms == 0)
-        owner->refilled_ms = sent_ms;
+      const struct quota_vote *vote = &owner->votes[i];
+      bool valid = now_ms < vote->until_ms;
+      if (vote->voter == SIZE_MAX)
+        continue;
+      alone = false;
+      all = all && valid;
+      any_settled = any_settled || (valid && vote->settled);
     }
+  /* At its start, a node's directory may lack all others. */
+  return alone ? settled : all || (settled && any_settled);
 }
 
 bool
-quota_owner_has_hold (const struct quota_owner *owner, uint64_t now_ms)
+quota_owner_is_held (const struct quota_owner *owner, uint64_t now_ms)
+{
+  return owner->rank <= QUOTA_RANK_STANDBY && now_ms >= owner->promise_until_ms
+         && is_majority (owner, is_settled (owner, now_ms), now_ms);
+}
+
+static bool
+is_candidate (const struct quota_owner *owner, uint64_t now_ms)
+{
+  if (owner->rank > QUOTA_RANK_STANDBY || now_ms < owner->promise_until_ms)
+    return false;
+  return owner->rank == QUOTA_RANK_OWNER
+         || (owner->asked_ms != 0
+             && now_ms - owner->asked_ms < QUOTA_CANDIDATE_MS);
+}
+
+/// @return true when one vote suffices and will not expire soon
+static bool
+has_firm_vote (const struct quota_owner *owner, uint64_t now_ms)
+{
+  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+    if (owner->votes[i].settled
+        && owner->votes[i].until_ms > now_ms + QUOTA_HOLD_MS / 2)
+      return is_settled (owner, now_ms);
+  return false;
+}
+
+size_t
+quota_owner_due_vote (struct quota_owner *owner, uint64_t now_ms)
+{
+  if (!is_candidate (owner, now_ms))
+    return SIZE_MAX;
+  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+    {
+      struct quota_vote *vote = &owner->votes[i];
+      if (vote->voter == SIZE_MAX || now_ms < vote->next_ms
+          || (i > 0 && has_firm_vote (owner, now_ms)))
+        continue;
+      vote->next_ms = now_ms + QUOTA_RENEW_MS;
+      return vote->voter;
+    }
+  return SIZE_MAX;
+}
+
+/// Empties the bucket after a time without a majority, in which another node
+/// may have granted.
+static void
+note_hold (struct quota_owner *owner, uint64_t now_ms)
 {
-  return owner->role == QUOTA_OWNER && now_ms < owner->hold_until_ms;
+  bool held = quota_owner_is_held (owner, now_ms);
+  if (held && !owner->was_held)
+    {
+      owner->tokens = 0;
+      owner->refilled_ms = now_ms;
+    }
+  owner->was_held = held;
+}
+
+void
+quota_owner_vote (struct quota_owner *owner, size_t voter, bool settled,
+                  uint64_t sent_ms, uint64_t now_ms)
+{
+  note_hold (owner, now_ms);
+  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+    {
+      struct quota_vote *vote = &owner->votes[i];
+      if (vote->voter != voter || voter == SIZE_MAX)
+        continue;
+      vote->settled = settled;
+      vote->until_ms = sent_ms + QUOTA_HOLD_MS;
+    }
+  note_hold (owner, now_ms);
 }
 
 bool
-quota_owner_promise (struct quota_owner *owner, bool sender_owns,
-                     uint64_t now_ms)
+quota_owner_promise (struct quota_owner *owner, size_t candidate,
+                     unsigned rank, bool *settled, uint64_t now_ms)
 {
-  if (!sender_owns || owner->role != QUOTA_STANDBY)
+  if (rank > QUOTA_RANK_STANDBY || owner->rank >= QUOTA_RANKS
+      || owner->rank == rank || owner->rank == QUOTA_RANK_OWNER)
+    return false;
+  if (now_ms < owner->promise_until_ms && owner->promised_to != candidate)
+    return false;
+  if (owner->rank < rank && quota_owner_is_held (owner, now_ms))
     return false;
+  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+    owner->votes[i].until_ms = 0;
+  owner->was_held = false;
+  owner->promised_to = candidate;
   owner->promise_until_ms = now_ms + QUOTA_HOLD_MS;
-  empty (owner);
+  *settled = is_settled (owner, now_ms);
   return true;
 }
 
-/// @return true when this node may grant at all
-static bool
-may_grant (const struct quota_owner *owner, bool current, uint64_t now_ms)
+/// @return rate at which this node may grant; 0: it may not decide
+static double
+granted_rate (const struct quota_owner *owner, bool current, uint64_t now_ms)
 {
-  if (owner->role == QUOTA_OTHER || now_ms < owner->promise_until_ms)
-    return false;
-  if (quota_owner_has_hold (owner, now_ms))
-    return true;
-  /* Without contact to the store it is unknown whether another pair of nodes
-     has taken over. */
-  return current && now_ms - owner->role_since_ms >= QUOTA_SETTLE_MS;
+  double rate = owner->limit.rate_per_s - owner->reserved;
+  if (quota_owner_is_held (owner, now_ms))
+    return rate;
+  /* Without contact to the store it is unknown whether there are others by
+     now. */
+  bool pair
+      = owner->votes[0].voter != SIZE_MAX && owner->votes[1].voter == SIZE_MAX;
+  return pair && current && owner->rank <= QUOTA_RANK_STANDBY
+                 && now_ms >= owner->promise_until_ms
+                 && is_settled (owner, now_ms)
+             ? rate * PAIR_SHARE
+             : 0;
 }
 
 static void
@@ -226,19 +328,13 @@
                  uint32_t returned, uint64_t now_ms)
 {
   struct quota_grant grant = { .verdict = QUOTA_NOT_READY };
-  if (!may_grant (owner, current, now_ms))
-    return grant;
-  bool held = quota_owner_has_hold (owner, now_ms);
-  /* Without its hold, the standby may have granted meanwhile. */
-  if (!held && owner->hold_until_ms != 0)
-    {
-      owner->hold_until_ms = 0;
-      empty (owner);
-    }
+  owner->asked_ms = now_ms;
   note_heard (owner, node, now_ms);
   update_reserve (owner, nodes, now_ms);
-  double rate = (owner->limit.rate_per_s - owner->reserved)
-                * (held ? 1 : UNHELD_SHARE);
+  note_hold (owner, now_ms);
+  double rate = granted_rate (owner, current, now_ms);
+  if (rate <= 0)
+    return grant;
   outstanding (owner, now_ms);
   take_back (owner, returned);
   double outside = outstanding (owner, now_ms);
--- a/src/coordination/quota_owner.h
+++ b/src/coordination/quota_owner.h
@@ -1,12 +1,20 @@
-/// Tokens of one account at the node that owns its quota, and at the standby
-/// that replaces this node. No I/O; times are monotonic milliseconds.
+/// Tokens of one account at the nodes that may grant them: the owner, or the
+/// standby that replaces it. No I/O; times are monotonic milliseconds.
 ///
-/// The owner grants at the full rate only while the standby has promised not
-/// to grant (a hold, renewed every QUOTA_RENEW_MS). An owner without a hold
-/// and a standby without a promise grant at half of the rate each, so that two
-/// sides of a partition stay within the rate together. A node that has had its
-/// role for less than QUOTA_SETTLE_MS grants only with a hold: until then an
-/// earlier owner may not know of the change.
+/// The first three nodes of the account's ranking vote. A node grants only
+/// while it holds a majority: its own vote and that of one other node, which
+/// promises for QUOTA_HOLD_MS to vote for nobody else. So two nodes never
+/// grant at the same time while all three rank the same nodes.
+///
+/// Nodes learn of a change of the ranking at different times, within
+/// QUOTA_SETTLE_MS. A candidate or voter that was ranked less than this ago is
+/// unsettled. Votes of or for it count only if all three agree: every majority
+/// of the ranking before has a member among them, unless two nodes joined at
+/// once. So the nodes of a mesh that has just started grant as soon as they
+/// agree, and with empty buckets.
+///
+/// Where only two nodes exist, one without the other's vote grants at half of
+/// the rate.
 #ifndef HAWTHORNSEAM_COORDINATION_QUOTA_OWNER_H
 #define HAWTHORNSEAM_COORDINATION_QUOTA_OWNER_H
 
@@ -19,10 +27,15 @@
 /// into the tolerance, which is half a second of the rate.
 #define QUOTA_LEASE_MS 400
 
-/// Length of a hold. It is also the time for which the standby grants nothing
-/// after the owner has died.
-#define QUOTA_HOLD_MS 500
-#define QUOTA_RENEW_MS 150
+/// Length of a promised vote. After the owner's death the standby grants
+/// nothing for this time; leased tokens and the time that requests may wait
+/// (sidecar_quota.c) cover it. It spans three renewals, so that a process that
+/// is late by 250 ms keeps its votes.
+#define QUOTA_HOLD_MS 400
+#define QUOTA_RENEW_MS 120
+
+/// A standby asks for votes for this long after it was asked for tokens.
+#define QUOTA_CANDIDATE_MS 1000
 
 /// Longest time until all nodes follow a change of the directory.
 #define QUOTA_SETTLE_MS 2000
@@ -48,16 +61,28 @@
   QUOTA_NOT_READY ///< this node must not decide: ask the other one
 };
 
+/// Vote of another node for this one.
+struct quota_vote
+{
+  size_t voter;      ///< directory handle; SIZE_MAX: none
+  bool settled;      ///< the voter has been ranked for long
+  uint64_t until_ms; ///< end of its promise
+  uint64_t next_ms;  ///< when to ask for it again
+};
+
 struct quota_owner
 {
   struct quota_limit limit;
-  enum quota_role role;
-  uint64_t role_since_ms; ///< start of owner or standby, whichever came first
-  uint64_t hold_until_ms; ///< the standby does not grant until then
+  unsigned rank;            ///< of this node; QUOTA_RANKS: none
+  uint64_t ranked_since_ms; ///< since when this node has had any rank
+  struct quota_vote votes[QUOTA_RANKS - 1];
+  bool was_held;             ///< at the last look; the bucket is valid
+  size_t promised_to;        ///< directory handle
   uint64_t promise_until_ms; ///< this node does not grant until then
+  uint64_t asked_ms;         ///< last request for tokens; 0: none
   double tokens;
-  uint64_t refilled_ms; ///< 0: nothing granted in this role yet
-  double debt;          ///< requests that found no token, not yet made up for
+  uint64_t refilled_ms;
+  double debt; ///< requests that found no token, not yet made up for
   uint32_t slots[QUOTA_SLOTS]; ///< outstanding tokens by time of grant
   uint64_t slot;               ///< number of the newest slot
   uint32_t *heard_ms;          ///< by directory handle; 0: never
@@ -73,30 +98,42 @@
   uint32_t wait_ms; ///< until a token for the next request is expected
 };
 
-void quota_owner_init (struct quota_owner *owner);
+/// @param started_ms  start of the process. It may have promised a vote right
+///                    before, and so has none for QUOTA_HOLD_MS.
+void quota_owner_init (struct quota_owner *owner, uint64_t started_ms);
 void quota_owner_finish (struct quota_owner *owner);
 
 /// Applies the limit of the configuration. A lowered burst is binding at once.
 void quota_owner_set_limit (struct quota_owner *owner,
                             const struct quota_limit *limit);
 
-/// Applies this node's role as its directory has it. The standby's bucket
-/// starts empty.
-void quota_owner_set_role (struct quota_owner *owner, enum quota_role role,
+/// Applies the account's ranking as this node's directory has it.
+/// @param own  directory handle of this node, or SIZE_MAX
+void quota_owner_set_rank (struct quota_owner *owner,
+                           const struct quota_rank *rank, size_t own,
                            uint64_t now_ms);
 
-/// The standby answered a request for a hold that was sent at `sent_ms`; or
-/// there is no standby, and the owner is the only node.
-void quota_owner_held (struct quota_owner *owner, uint64_t sent_ms);
-
-/// @return true while the owner has the standby's promise
-bool quota_owner_has_hold (const struct quota_owner *owner, uint64_t now_ms);
-
-/// The owner asks this node for a hold.
-/// @param sender_owns  the sender is the owner in this node's directory
-/// @return true when this node has promised not to grant
-bool quota_owner_promise (struct quota_owner *owner, bool sender_owns,
-                          uint64_t now_ms);
+/// @return directory handle of a node to ask for its vote now, or SIZE_MAX.
+///         The caller asks it; the same one is returned again after
+///         QUOTA_RENEW_MS.
+size_t quota_owner_due_vote (struct quota_owner *owner, uint64_t now_ms);
+
+/// Applies a vote for this node.
+/// @param sent_ms  when the vote was asked for; the promise is counted from it
+void quota_owner_vote (struct quota_owner *owner, size_t voter, bool settled,
+                       uint64_t sent_ms, uint64_t now_ms);
+
+/// @return true while this node has a majority
+bool quota_owner_is_held (const struct quota_owner *owner, uint64_t now_ms);
+
+/// Another node asks this one for its vote. A node that grants yields to one
+/// that ranks above it.
+/// @param candidate  its directory handle
+/// @param rank       its rank in this node's directory
+/// @param settled    set when the vote is given
+/// @return true when this node has promised its vote
+bool quota_owner_promise (struct quota_owner *owner, size_t candidate,
+                          unsigned rank, bool *settled, uint64_t now_ms);
 
 /// Decides on a request of another node, or of this one.
 /// @param node      directory handle of the requesting node, or SIZE_MAX
--- a/src/coordination/quota_rank.c
+++ b/src/coordination/quota_rank.c
@@ -2,7 +2,6 @@
 #include "coordination/quota_rank.h"
 
 #include "base/hash.h"
-#include "coordination/rendezvous.h"
 
 /// Role hash of owners: keeps their scores independent of other choices that
 /// hash the same names.
@@ -15,8 +14,8 @@
   struct rendezvous choice;
   uint64_t role
       = hash_placement_pair (hash_placement_string (account), QUOTA_ROLE);
-  rendezvous_init (&choice, role, 2);
-  *rank = (struct quota_rank){ .handles = { SIZE_MAX, SIZE_MAX } };
+  rendezvous_init (&choice, role, QUOTA_RANKS);
+  *rank = (struct quota_rank){ .handles = { SIZE_MAX, SIZE_MAX, SIZE_MAX } };
   for (size_t i = 0; i < directory->count; i++)
     {
       const struct directory_record *record = &directory->records[i];
@@ -31,11 +30,11 @@
     rank->handles[i] = choice.slots[i];
 }
 
-enum quota_role
-quota_rank_role (const struct quota_rank *rank, size_t node)
+unsigned
+quota_rank_of (const struct quota_rank *rank, size_t node)
 {
-  if (node != SIZE_MAX && rank->handles[0] == node)
-    return QUOTA_OWNER;
-  return node != SIZE_MAX && rank->handles[1] == node ? QUOTA_STANDBY
-                                                      : QUOTA_OTHER;
+  unsigned i = 0;
+  while (i < QUOTA_RANKS && (node == SIZE_MAX || rank->handles[i] != node))
+    i++;
+  return i;
 }
--- a/src/protocol/quota_message.c
+++ b/src/protocol/quota_message.c
@@ -86,7 +86,7 @@
     }
   json_t *object = json_object ();
   json_object_set_new (object, "node", json_string (request->node));
-  json_object_set_new (object, "hold", json_boolean (request->hold));
+  json_object_set_new (object, "vote", json_boolean (request->vote));
   return write_object (object, items, request->lender);
 }
 
@@ -106,13 +106,13 @@
 read_request (json_t *object, struct quota_request *request)
 {
   const char *node = json_string_value (json_object_get (object, "node"));
-  json_t *hold = json_object_get (object, "hold");
+  json_t *vote = json_object_get (object, "vote");
   json_t *items = read_items (object, &request->count);
-  if (items == NULL || node == NULL || !json_is_boolean (hold)
+  if (items == NULL || node == NULL || !json_is_boolean (vote)
       || !json_text_copy_name (request->node, node)
       || !read_lender (object, &request->lender))
     return false;
-  request->hold = json_is_true (hold);
+  request->vote = json_is_true (vote);
   for (size_t i = 0; i < request->count; i++)
     if (!read_ask (json_array_get (items, i), &request->asks[i]))
       return false;
--- a/src/protocol/quota_message.h
+++ b/src/protocol/quota_message.h
@@ -1,6 +1,6 @@
 /// JSON encoding of the messages between an entry node and the owner of a
-/// quota, and between the owner and its standby. A message is about several
-/// accounts; the response has one item for each, in the same order.
+/// quota, and between the nodes that vote on the owner. A message is about
+/// several accounts; the response has one item for each, in the same order.
 #ifndef HAWTHORNSEAM_PROTOCOL_QUOTA_MESSAGE_H
 #define HAWTHORNSEAM_PROTOCOL_QUOTA_MESSAGE_H
 
@@ -36,15 +36,15 @@
 {
   char node[DIRECTORY_NAME_MAX + 1]; ///< the sender
   uint64_t lender; ///< process to which `returned` tokens belong
-  bool hold;       ///< asks the standby for a hold; the counts are 0
+  bool vote;       ///< asks for votes for the sender; the counts are 0
   size_t count;
   struct quota_ask asks[QUOTA_MESSAGE_ACCOUNTS_MAX];
 };
 
 struct quota_answer
 {
-  bool ready; ///< the tokens are a decision; for a hold: promised
-  uint32_t tokens;
+  bool ready;      ///< the tokens are a decision; for a vote: given
+  uint32_t tokens; ///< for a vote: 1 when the voter is settled
   uint32_t wait_ms;
 };
 
--- a/src/sidecar/sidecar_quota.c
+++ b/src/sidecar/sidecar_quota.c
@@ -26,7 +26,7 @@
 /// Longest wait for a decision, and the share of a request's time that it may
 /// take.
 #define DECISION_MS_MAX 500
-#define DECISION_DIVISOR 2
+#define DECISION_SHARE 0.6
 
 /// The standby is asked for this long after the owner was not ready.
 #define STANDBY_MS 100
@@ -75,7 +75,7 @@
   strcpy (account->name, name);
   TAILQ_INIT (&account->waiters);
   quota_lease_init (&account->lease, clock_monotonic_ms ());
-  quota_owner_init (&account->owner);
+  quota_owner_init (&account->owner, quota->started_ms);
   account->next = *bucket;
   *bucket = account;
   TAILQ_INSERT_TAIL (&quota->accounts, account, link);
@@ -141,79 +141,54 @@
   account->rank = rank;
   account->rank_generation = generation;
   account->rank_ms = now_ms;
-  quota_owner_set_role (&account->owner,
-                        quota_rank_role (&rank, quota->own_handle), now_ms);
+  quota_owner_set_rank (&account->owner, &rank, quota->own_handle, now_ms);
 }
 
 static bool
 is_in_use (const struct quota_account *account)
 {
   return account->users > 0 || account->waiting > 0 || account->call != NULL
-         || account->queued_at != NULL || account->holding;
+         || account->queued_at != NULL || account->votes_asked > 0;
 }
 
-/* Holds */
+/* Votes */
 
-/// @return the standby to ask for a hold now, or NULL
-static struct quota_peer *
-due_standby (struct sidecar *sidecar, struct quota_account *account,
-             uint64_t now_ms)
-{
-  size_t handle = account->rank.handles[1];
-  if (account->owner.role != QUOTA_OWNER || account->holding
-      || now_ms < account->next_hold_ms || account->limit.rate_per_s <= 0)
-    return NULL;
-  account->next_hold_ms = now_ms + QUOTA_RENEW_MS;
-  if (handle != SIZE_MAX)
-    return sidecar_quota_peer (sidecar, handle);
-  /* A node that has been alone for long has no other one to ask. At its start
-     its directory may lack the others. */
-  if (now_ms - account->owner.role_since_ms >= QUOTA_SETTLE_MS)
-    quota_owner_held (&account->owner, now_ms);
-  return NULL;
-}
-
-/// Asks for the hold of an account without waiting for the next tick.
+/// Asks for the votes of an account that are due, without waiting for the next
+/// tick.
 static void
-require_hold (struct sidecar *sidecar, struct quota_account *account,
-              uint64_t now_ms)
+ask_votes (struct sidecar *sidecar, struct quota_account *account,
+           uint64_t now_ms)
 {
-  if (quota_owner_has_hold (&account->owner, now_ms))
+  size_t voter;
+  if (quota_owner_is_held (&account->owner, now_ms))
     return;
-  struct quota_peer *peer = due_standby (sidecar, account, now_ms);
-  if (peer != NULL)
-    sidecar_quota_ask_hold (sidecar, peer, &account, 1);
-}
-
-void
-sidecar_quota_held (struct sidecar *sidecar, struct quota_account *account,
-                    bool promised, uint64_t sent_ms)
-{
-  if (promised)
-    quota_owner_held (&account->owner, sent_ms);
+  while ((voter = quota_owner_due_vote (&account->owner, now_ms)) != SIZE_MAX)
+    {
+      struct quota_peer *peer = sidecar_quota_peer (sidecar, voter);
+      if (peer != NULL)
+        sidecar_quota_ask_vote (sidecar, peer, account);
+    }
 }
 
-/// Renews the holds that are due, with one message to each standby.
+/// Renews the votes that are due, with one message to each node.
 static void
-renew_holds (struct sidecar *sidecar, uint64_t now_ms)
+renew_votes (struct sidecar *sidecar, uint64_t now_ms)
 {
-  struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
-  struct quota_account *first;
-  TAILQ_FOREACH (first, &sidecar->quota->accounts, link)
+  struct quota_account *account;
+  TAILQ_FOREACH (account, &sidecar->quota->accounts, link)
   {
-    struct quota_peer *peer = due_standby (sidecar, first, now_ms);
-    if (peer == NULL)
+    size_t voter;
+    if (account->limit.rate_per_s <= 0)
       continue;
-    size_t count = 0;
-    accounts[count++] = first;
-    for (struct quota_account *account = TAILQ_NEXT (first, link);
-         account != NULL && count < QUOTA_MESSAGE_ACCOUNTS_MAX;
-         account = TAILQ_NEXT (account, link))
-      if (account->rank.handles[1] == first->rank.handles[1]
-          && due_standby (sidecar, account, now_ms) == peer)
-        accounts[count++] = account;
-    sidecar_quota_ask_hold (sidecar, peer, accounts, count);
+    while ((voter = quota_owner_due_vote (&account->owner, now_ms))
+           != SIZE_MAX)
+      {
+        struct quota_peer *peer = sidecar_quota_peer (sidecar, voter);
+        if (peer != NULL)
+          sidecar_quota_queue_vote (peer, account);
+      }
   }
+  sidecar_quota_send_votes (sidecar);
 }
 
 /* Requests of callers */
@@ -343,11 +318,11 @@
 decide_here (struct sidecar *sidecar, struct quota_account *account,
              size_t node, const struct quota_ask *ask, uint64_t now_ms)
 {
-  require_hold (sidecar, account, now_ms);
   struct quota_grant grant
       = quota_owner_ask (&account->owner, node, account->rank.nodes,
                          sidecar_store_is_current (sidecar), ask->pending,
                          ask->expected, ask->returned, now_ms);
+  ask_votes (sidecar, account, now_ms);
   return (struct quota_answer){ .ready = grant.verdict == QUOTA_DECIDED,
                                 .tokens = grant.tokens,
                                 .wait_ms = grant.wait_ms };
@@ -455,7 +430,7 @@
       *retry_ms = account->over_wait_ms;
       return QUOTA_REJECT;
     }
-  uint64_t most_ms = left_ms / DECISION_DIVISOR;
+  uint64_t most_ms = (uint64_t)((double)left_ms * DECISION_SHARE);
   waiter->account = account;
   account->users++;
   waiter->on_decision = on_decision;
@@ -502,10 +477,13 @@
   if (account == NULL)
     return answer;
   refresh (sidecar, account, now_ms);
-  if (request->hold)
+  if (request->vote)
     {
-      bool owns = sender != SIZE_MAX && account->rank.handles[0] == sender;
-      answer.ready = quota_owner_promise (&account->owner, owns, now_ms);
+      bool settled = false;
+      answer.ready = quota_owner_promise (
+          &account->owner, sender, quota_rank_of (&account->rank, sender),
+          &settled, now_ms);
+      answer.tokens = settled;
       return answer;
     }
   struct quota_ask checked = *ask;
@@ -590,7 +568,7 @@
   uint64_t now = clock_monotonic_ms ();
   prepare_accounts (sidecar);
   refresh_some (sidecar, now);
-  renew_holds (sidecar, now);
+  renew_votes (sidecar, now);
   sidecar_quota_sweep_peers (sidecar);
 }
 
@@ -602,6 +580,7 @@
     return status_set (STATUS_NO_MEMORY, "out of memory for the quotas");
   TAILQ_INIT (&quota->accounts);
   quota->own_handle = SIZE_MAX;
+  quota->started_ms = clock_monotonic_ms ();
   quota->lender = rng_u64 (&sidecar->rng) >> 1 | 1;
   evtimer_assign (&quota->timer, sidecar->base, on_timer, sidecar);
   sidecar->quota = quota;
--- a/src/sidecar/sidecar_quota.h
+++ b/src/sidecar/sidecar_quota.h
@@ -61,7 +61,7 @@
 void sidecar_quota_serve (struct sidecar *sidecar,
                           struct http_request *request);
 
-/// Renews the holds of the quotas that this node owns.
+/// Renews the votes for this node as owner.
 void sidecar_quota_tick (struct sidecar *sidecar);
 
 /// Appends the counts of each account in the text format of the metrics.
--- a/src/sidecar/sidecar_quota_call.c
+++ b/src/sidecar/sidecar_quota_call.c
@@ -1,5 +1,5 @@
 /// Owns the messages about quotas to other nodes. One request for tokens and
-/// one for holds is under way to each node; what is needed meanwhile goes into
+/// one for votes is under way to each node; what is needed meanwhile goes into
 /// the next message.
 #include "sidecar/sidecar_quota_internal.h"
 
@@ -13,7 +13,7 @@
 #include <string.h>
 
 static struct counter messages = COUNTER (
-    "quota_messages", "messages to other nodes for tokens and holds");
+    "quota_messages", "messages to other nodes for tokens and votes");
 static struct counter message_bytes
     = COUNTER ("quota_message_bytes", "bytes of these messages' bodies");
 static struct counter failures
@@ -36,12 +36,12 @@
     return NULL;
   peer->handle = handle;
   peer->serial = record->serial;
-  struct quota_call *calls[] = { &peer->ask, &peer->hold };
+  struct quota_call *calls[] = { &peer->ask, &peer->vote };
   for (size_t i = 0; i < 2; i++)
     {
       calls[i]->sidecar = sidecar;
       calls[i]->peer = peer;
-      calls[i]->hold = i == 1;
+      calls[i]->vote = i == 1;
       calls[i]->body = evbuffer_new ();
     }
   peer->next = quota->peers;
@@ -57,7 +57,7 @@
   struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
   size_t count = call->count;
   uint64_t sent_ms = call->sent_ms;
-  bool hold = call->hold;
+  bool vote = call->vote;
   memcpy (accounts, call->accounts, count * sizeof *accounts);
   event_del (&call->timer);
   call->exchange = NULL;
@@ -66,10 +66,10 @@
     {
       counter_add (&failures, 1);
       log_rate_limited (&failure_log_limit, LOG_LEVEL_WARNING, "quota_failed",
-                        "peer=%zu hold=%d status=%u after_ms=%" PRIu64,
-                        peer->handle, hold, call->status,
+                        "peer=%zu vote=%d status=%u after_ms=%" PRIu64,
+                        peer->handle, vote, call->status,
                         clock_monotonic_ms () - sent_ms);
-      if (!hold)
+      if (!vote)
         peer->down_until_ms = clock_monotonic_ms () + QUOTA_DOWN_MS;
     }
   else
@@ -81,18 +81,20 @@
     {
       const struct quota_answer *answer
           = response == NULL ? NULL : &response->answers[i];
-      if (hold)
+      if (vote)
         {
-          accounts[i]->holding = false;
-          sidecar_quota_held (sidecar, accounts[i],
-                              answer != NULL && answer->ready, sent_ms);
+          accounts[i]->votes_asked--;
+          if (answer != NULL && answer->ready)
+            quota_owner_vote (&accounts[i]->owner, peer->handle,
+                              answer->tokens > 0, sent_ms,
+                              clock_monotonic_ms ());
           continue;
         }
       accounts[i]->call = NULL;
       sidecar_quota_apply (sidecar, accounts[i], answer,
                            response == NULL ? 0 : response->lender, sent_ms);
     }
-  if (!hold)
+  if (!vote)
     send_queued (sidecar, peer);
 }
 
@@ -154,7 +156,7 @@
   struct quota_request *request = &sidecar->quota->request;
   strcpy (request->node, sidecar->settings.node);
   request->lender = call->peer->lender;
-  request->hold = call->hold;
+  request->vote = call->vote;
   request->count = call->count;
   char *text = record == NULL ? NULL : quota_request_write (request);
   call->sent_ms = clock_monotonic_ms ();
@@ -230,25 +232,50 @@
 }
 
 void
-sidecar_quota_ask_hold (struct sidecar *sidecar, struct quota_peer *peer,
-                        struct quota_account **accounts, size_t count)
+sidecar_quota_queue_vote (struct quota_peer *peer,
+                          struct quota_account *account)
 {
-  struct quota_call *call = &peer->hold;
+  if (peer->vote_count == QUOTA_MESSAGE_ACCOUNTS_MAX)
+    return;
+  account->votes_asked++;
+  peer->votes[peer->vote_count++] = account;
+}
+
+static void
+send_votes (struct sidecar *sidecar, struct quota_peer *peer)
+{
+  struct quota_call *call = &peer->vote;
   struct quota_request *request = &sidecar->quota->request;
-  if (call->count > 0 || count == 0)
+  if (call->count > 0 || peer->vote_count == 0)
     return;
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < peer->vote_count; i++)
     {
       struct quota_ask *ask = &request->asks[i];
-      strcpy (ask->account, accounts[i]->name);
+      strcpy (ask->account, peer->votes[i]->name);
       ask->pending = ask->expected = ask->returned = 0;
-      accounts[i]->holding = true;
-      call->accounts[i] = accounts[i];
+      call->accounts[i] = peer->votes[i];
     }
-  call->count = count;
+  call->count = peer->vote_count;
+  peer->vote_count = 0;
   send_call (call);
 }
 
+void
+sidecar_quota_send_votes (struct sidecar *sidecar)
+{
+  for (struct quota_peer *peer = sidecar->quota->peers; peer != NULL;
+       peer = peer->next)
+    send_votes (sidecar, peer);
+}
+
+void
+sidecar_quota_ask_vote (struct sidecar *sidecar, struct quota_peer *peer,
+                        struct quota_account *account)
+{
+  sidecar_quota_queue_vote (peer, account);
+  send_votes (sidecar, peer);
+}
+
 static void
 free_call (struct quota_call *call)
 {
@@ -263,7 +290,7 @@
 free_peer (struct quota_peer *peer)
 {
   free_call (&peer->ask);
-  free_call (&peer->hold);
+  free_call (&peer->vote);
   free (peer);
 }
 
@@ -285,8 +312,8 @@
   while (*link != NULL)
     {
       struct quota_peer *peer = *link;
-      bool busy = peer->ask.count > 0 || peer->hold.count > 0
-                  || peer->queued_count > 0;
+      bool busy = peer->ask.count > 0 || peer->vote.count > 0
+                  || peer->queued_count > 0 || peer->vote_count > 0;
       if (busy
           || directory_get (&sidecar->directory, peer->handle, peer->serial)
                  != NULL)
--- a/src/sidecar/sidecar_quota_internal.h
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -40,11 +40,10 @@
   uint64_t standby_until_ms;    ///< the standby is asked instead until then
   struct quota_call *call;      ///< asks for this account now, or NULL
   struct quota_peer *queued_at; ///< is part of the next message to it, or NULL
-  uint64_t next_hold_ms;
-  bool holding;          ///< a request for a hold is under way
-  uint32_t users;        ///< requests in progress that point here
-  uint32_t over_wait_ms; ///< wait for a token as of the last decision
-  bool over;             ///< the last decision left requests without a token
+  uint32_t votes_asked;         ///< messages that ask for a vote
+  uint32_t users;               ///< requests in progress that point here
+  uint32_t over_wait_ms;        ///< wait for a token as of the last decision
+  bool over; ///< the last decision left requests without a token
   uint64_t offered;
   uint64_t admitted;
   uint64_t rejected;
@@ -59,7 +58,7 @@
   struct http_exchange *exchange; ///< NULL: unused
   struct evbuffer *body;
   struct event timer;
-  bool hold;
+  bool vote; ///< asks for votes, else for tokens
   unsigned status;
   uint64_t sent_ms;
   size_t count;
@@ -75,10 +74,12 @@
   uint64_t lender; ///< its process, as of its last response; 0: unknown
   uint64_t down_until_ms;
   struct quota_call ask;
-  struct quota_call hold;
+  struct quota_call vote;
   /// Accounts for the next message while one is under way.
   struct quota_account *queued[QUOTA_MESSAGE_ACCOUNTS_MAX];
   size_t queued_count;
+  struct quota_account *votes[QUOTA_MESSAGE_ACCOUNTS_MAX]; ///< likewise
+  size_t vote_count;
 };
 
 struct sidecar_quota
@@ -88,10 +89,11 @@
   size_t account_count;
   struct quota_account *cursor; ///< of the periodic update
   struct quota_peer *peers;
-  struct event timer;           ///< while requests wait
-  size_t waiting;               ///< requests of all accounts
-  uint64_t lender;              ///< id of this process
-  size_t own_handle;            ///< in the directory
+  struct event timer; ///< while requests wait
+  size_t waiting;     ///< requests of all accounts
+  uint64_t lender;    ///< id of this process
+  size_t own_handle;  ///< in the directory
+  uint64_t started_ms;
   uint64_t generation;          ///< of the directory, for own_handle
   uint64_t prepared_version;    ///< configuration whose accounts were created
   struct quota_request request; ///< being written or read
@@ -111,11 +113,6 @@
 void sidecar_quota_pump (struct sidecar *sidecar,
                          struct quota_account *account);
 
-/// Applies the answer to a request for a hold.
-void sidecar_quota_held (struct sidecar *sidecar,
-                         struct quota_account *account, bool promised,
-                         uint64_t sent_ms);
-
 /* sidecar_quota_call.c */
 
 /// @return the peer with a directory handle, created if needed, or NULL
@@ -126,10 +123,16 @@
 void sidecar_quota_ask (struct sidecar *sidecar, struct quota_peer *peer,
                         struct quota_account *account);
 
-/// Asks a standby for holds.
-/// @param accounts  at most QUOTA_MESSAGE_ACCOUNTS_MAX
-void sidecar_quota_ask_hold (struct sidecar *sidecar, struct quota_peer *peer,
-                             struct quota_account **accounts, size_t count);
+/// Includes an account in the next request for votes to a peer.
+void sidecar_quota_queue_vote (struct quota_peer *peer,
+                               struct quota_account *account);
+
+/// Sends the requests for votes, unless one to the peer is under way.
+void sidecar_quota_send_votes (struct sidecar *sidecar);
+
+/// Asks for a vote at once.
+void sidecar_quota_ask_vote (struct sidecar *sidecar, struct quota_peer *peer,
+                             struct quota_account *account);
 
 void sidecar_quota_free_peers (struct sidecar *sidecar);
 
--- a/test/functional/quota_test.sh
+++ b/test/functional/quota_test.sh
@@ -17,6 +17,15 @@
   local route='"Host":"a.example","RouteType":"safe","Timeout":"1500ms","TargetLatency":"200ms","Priority":1,"Service":"orders","MaxAttempts":2'
   curl -s -X POST "$STORE/control/put?op/config" -d "{\"Version\":\"$1\",\"Routes\":[{\"Name\":\"reads\",\"Prefix\":\"/read/\",$route}],\"Services\":[{\"Name\":\"orders\"}],\"Limits\":{},\"Tenants\":$2}"
 }
+# report_for SECONDS [NODE...]: sends reports from a subshell. Its sequence
+# numbers are not seen by the script, which adds 100 to its own afterwards.
+report_for() {
+  local k
+  for k in $(seq 1 "$1"); do
+    report_all "${@:2}"
+    sleep 1
+  done
+}
 # status NODE KEY [OPTION...]: sends a request; prints the status.
 status() {
   local node=$1 key=$2
@@ -79,9 +88,10 @@
 expect "rejected within the quota" "$rejected" 0
 
 # Over the quota, at all nodes at once.
-(for _ in 1 2 3 4 5 6; do report_all; sleep 1; done) &
+report_for 6 &
 flood 6 "$RUN/flood" 0 1 2
 wait
+SEQUENCE=$((SEQUENCE + 100))
 echo "flood: 200: $(count "$RUN/flood" 200), 429: $(count "$RUN/flood" 429), 503: $(count "$RUN/flood" 503), worst window: $(worst_window "$RUN/flood") of $BOUND"
 [ "$(worst_window "$RUN/flood")" -le "$BOUND" ] || fail "more than the quota was admitted"
 [ "$(count "$RUN/flood" 200)" -ge $((RATE * 6 * 8 / 10)) ] || fail "less than the quota was admitted"
@@ -106,7 +116,7 @@
 # The owner is killed under load.
 rest=()
 for i in 0 1 2; do [ "$i" = "$OWNER" ] || rest+=("$i"); done
-(for _ in 1 2 3 4 5 6 7 8; do report_all "${rest[@]}"; sleep 1; done) &
+report_for 8 "${rest[@]}" &
 (sleep 1; send_signal "s$OWNER" KILL) &
 flood 8 "$RUN/killed" "${rest[@]}"
 wait
