--- a/src/coordination/quota_lease.c
+++ b/src/coordination/quota_lease.c
@@ -15,10 +15,9 @@
 #define LOCAL_DIVISOR 2.0
 
 void
-quota_lease_init (struct quota_lease *lease, uint64_t now_ms)
+quota_lease_init (struct quota_lease *lease)
 {
   memset (lease, 0, sizeof *lease);
-  lease->contact_ms = now_ms;
 }
 
 static void
@@ -63,6 +62,41 @@
   return true;
 }
 
+/// Adds leased tokens.
+static void
+add_tokens (struct quota_lease *lease, uint32_t tokens, uint64_t lender,
+            uint64_t sent_ms, uint64_t now_ms)
+{
+  struct quota_batch added
+      = { .tokens = tokens, .sent_ms = sent_ms, .lender = lender };
+  if (!is_valid (&added, now_ms))
+    return;
+  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+    {
+      struct quota_batch *batch = &lease->batches[i];
+      if (batch->tokens > 0 && batch->sent_ms == sent_ms
+          && batch->lender == lender)
+        {
+          batch->tokens += tokens;
+          return;
+        }
+    }
+  /* The batch that expires first makes room. */
+  struct quota_batch *place = &lease->batches[0];
+  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+    {
+      struct quota_batch *batch = &lease->batches[i];
+      if (!is_valid (batch, now_ms))
+        {
+          place = batch;
+          break;
+        }
+      if (batch->sent_ms < place->sent_ms)
+        place = batch;
+    }
+  *place = added;
+}
+
 void
 quota_lease_put_back (struct quota_lease *lease, struct quota_token *token,
                       uint64_t now_ms)
@@ -72,7 +106,7 @@
   token->taken = false;
   if (now_ms < token->sent_ms + QUOTA_LEASE_MS)
     {
-      quota_lease_add (lease, 1, token->lender, token->sent_ms, now_ms);
+      add_tokens (lease, 1, token->lender, token->sent_ms, now_ms);
       return;
     }
   if (lease->unused_lender != token->lender)
@@ -107,38 +141,59 @@
   return count;
 }
 
+bool
+quota_lease_asks_standby (const struct quota_lease *lease, uint64_t now_ms)
+{
+  return now_ms < lease->standby_until_ms;
+}
+
 void
-quota_lease_add (struct quota_lease *lease, uint32_t tokens, uint64_t lender,
-                 uint64_t sent_ms, uint64_t now_ms)
+quota_lease_decided (struct quota_lease *lease, uint32_t tokens,
+                     uint32_t wait_ms, uint64_t lender, uint64_t sent_ms,
+                     uint64_t now_ms)
 {
-  struct quota_batch added
-      = { .tokens = tokens, .sent_ms = sent_ms, .lender = lender };
-  if (!is_valid (&added, now_ms))
+  lease->contact_ms = now_ms;
+  lease->over_wait_ms = wait_ms;
+  add_tokens (lease, tokens, lender, sent_ms, now_ms);
+  if (wait_ms == 0)
     return;
-  for (size_t i = 0; i < QUOTA_BATCHES; i++)
-    {
-      struct quota_batch *batch = &lease->batches[i];
-      if (batch->tokens > 0 && batch->sent_ms == sent_ms
-          && batch->lender == lender)
-        {
-          batch->tokens += tokens;
-          return;
-        }
-    }
-  /* The batch that expires first makes room. */
-  struct quota_batch *place = &lease->batches[0];
-  for (size_t i = 0; i < QUOTA_BATCHES; i++)
+  uint32_t again_ms = wait_ms;
+  if (again_ms < QUOTA_ASK_AGAIN_MS)
+    again_ms = QUOTA_ASK_AGAIN_MS;
+  if (again_ms > QUOTA_OVER_WAIT_MS)
+    again_ms = QUOTA_OVER_WAIT_MS;
+  lease->next_ask_ms = now_ms + again_ms;
+}
+
+bool
+quota_lease_undecided (struct quota_lease *lease, uint64_t now_ms)
+{
+  if (!quota_lease_asks_standby (lease, now_ms))
     {
-      struct quota_batch *batch = &lease->batches[i];
-      if (!is_valid (batch, now_ms))
-        {
-          place = batch;
-          break;
-        }
-      if (batch->sent_ms < place->sent_ms)
-        place = batch;
+      lease->standby_until_ms = now_ms + QUOTA_STANDBY_MS;
+      return false;
     }
-  *place = added;
+  lease->standby_until_ms = 0;
+  lease->over_wait_ms = 0;
+  lease->next_ask_ms = now_ms + QUOTA_ASK_AGAIN_MS;
+  return true;
+}
+
+bool
+quota_lease_is_far_over (const struct quota_lease *lease, uint64_t now_ms)
+{
+  return lease->over_wait_ms > QUOTA_OVER_WAIT_MS
+         && now_ms < lease->next_ask_ms;
+}
+
+uint64_t
+quota_lease_reject_before (const struct quota_lease *lease, uint64_t now_ms)
+{
+  if (lease->over_wait_ms == 0)
+    return 0;
+  return lease->over_wait_ms > QUOTA_OVER_WAIT_MS
+             ? UINT64_MAX
+             : now_ms + lease->over_wait_ms;
 }
 
 bool
@@ -146,7 +201,9 @@
                         const struct quota_limit *limit, size_t nodes,
                         uint64_t now_ms)
 {
-  if (now_ms - lease->contact_ms < QUOTA_SILENCE_MS || nodes == 0)
+  uint64_t silent_ms = now_ms - lease->contact_ms;
+  if (lease->contact_ms == 0 || nodes == 0 || silent_ms < QUOTA_SILENCE_MS
+      || silent_ms >= QUOTA_LOCAL_END_MS)
     {
       lease->local_ms = 0;
       return false;
--- a/src/coordination/quota_lease.h
+++ b/src/coordination/quota_lease.h
@@ -8,6 +8,18 @@
 /// Time for which tokens are requested in advance.
 #define QUOTA_AHEAD_MS 250
 
+/// Shortest time between two requests for tokens after one that left requests
+/// without any.
+#define QUOTA_ASK_AGAIN_MS 20
+
+/// Longest wait for a token of a request over the quota. A request that comes
+/// between two tokens of a small quota is served; a longer queue would only
+/// delay all requests of an account that sends too much.
+#define QUOTA_OVER_WAIT_MS 250
+
+/// The standby is asked for this long after the owner did not decide.
+#define QUOTA_STANDBY_MS 100
+
 /// Grants that are kept apart until they expire.
 #define QUOTA_BATCHES 4
 
@@ -29,17 +41,20 @@
 struct quota_lease
 {
   struct quota_batch batches[QUOTA_BATCHES];
-  double demand_per_s; ///< smoothed
-  uint64_t demand_ms;  ///< time of the last update
-  uint64_t contact_ms; ///< last decision of an owner or standby, or the start
-  uint32_t unused;     ///< tokens of expired leases whose requests never ran
+  double demand_per_s;       ///< smoothed
+  uint64_t demand_ms;        ///< time of the last update
+  uint64_t contact_ms;       ///< last decision of an owner or standby; 0: none
+  uint64_t next_ask_ms;      ///< earliest next request for tokens
+  uint64_t standby_until_ms; ///< the standby is asked until then
+  uint32_t over_wait_ms; ///< wait for a token as of the last decision; 0: the
+                         ///< account was within its quota
+  uint32_t unused;       ///< tokens of expired leases whose requests never ran
   uint64_t unused_lender;
   double local_tokens; ///< for requests without a reachable owner
   uint64_t local_ms;
 };
 
-/// @param now_ms  the time without contact starts here
-void quota_lease_init (struct quota_lease *lease, uint64_t now_ms);
+void quota_lease_init (struct quota_lease *lease);
 
 /// Counts a request of a caller.
 void quota_lease_arrive (struct quota_lease *lease, uint64_t now_ms);
@@ -64,13 +79,37 @@
 uint32_t quota_lease_give_back (struct quota_lease *lease, uint64_t lender,
                                 uint64_t now_ms);
 
-/// Adds tokens granted in response to a message sent at `sent_ms`.
-void quota_lease_add (struct quota_lease *lease, uint32_t tokens,
-                      uint64_t lender, uint64_t sent_ms, uint64_t now_ms);
+/// @return true when the standby is to be asked, else the owner
+bool quota_lease_asks_standby (const struct quota_lease *lease,
+                               uint64_t now_ms);
+
+/// Applies the decision in response to a message sent at `sent_ms`: adds the
+/// granted tokens.
+/// @param wait_ms  until a token for the next request is expected; 0: all
+///                 requests got theirs
+void quota_lease_decided (struct quota_lease *lease, uint32_t tokens,
+                          uint32_t wait_ms, uint64_t lender, uint64_t sent_ms,
+                          uint64_t now_ms);
+
+/// The node asked could not decide or did not answer: the other one is asked
+/// next.
+/// @return true when neither could; quota_lease_take_local may be used
+bool quota_lease_undecided (struct quota_lease *lease, uint64_t now_ms);
+
+/// @return true for a request without a token that is rejected without asking:
+///         the account is far over its quota
+bool quota_lease_is_far_over (const struct quota_lease *lease,
+                              uint64_t now_ms);
+
+/// @return latest time, after now, of the decision for a waiting request that
+///         is rejected now, as a token would come too late; 0: none is
+uint64_t quota_lease_reject_before (const struct quota_lease *lease,
+                                    uint64_t now_ms);
 
 /// Decides on a request when neither the owner nor the standby can be asked.
-/// A node may admit rate / (2 x nodes) on its own, once it has had no contact
-/// for QUOTA_SILENCE_MS: the owner has reserved that share by then.
+/// A node that was in contact before may admit rate / (2 x nodes) on its own,
+/// once it has had no contact for QUOTA_SILENCE_MS: the owner has reserved
+/// that share by then.
 /// @return true to admit it
 bool quota_lease_take_local (struct quota_lease *lease,
                              const struct quota_limit *limit, size_t nodes,
--- a/src/coordination/quota_owner.c
+++ b/src/coordination/quota_owner.c
@@ -241,22 +241,24 @@
   owner->heard_ms[node] = (uint32_t)now_ms | 1;
 }
 
-/// Computes the part of the rate that nodes which have not been heard may use
+/// Computes the part of the rate that nodes which have fallen silent may use
 /// on their own.
 static void
 update_reserve (struct quota_owner *owner, size_t nodes, uint64_t now_ms)
 {
   if (owner->reserved_ms != 0 && now_ms - owner->reserved_ms < RESERVE_MS)
     return;
-  size_t heard = 0;
+  size_t silent = 0;
   for (size_t i = 0; i < owner->heard_capacity; i++)
-    heard += owner->heard_ms[i] != 0
-             && (uint32_t)now_ms - owner->heard_ms[i] < QUOTA_SILENCE_MS;
-  double silent
-      = nodes > heard ? (double)(nodes - heard) / (double)nodes : 0.0;
-  double window_s = QUOTA_SILENCE_MS / 1000.0;
-  double use = silent * SILENT_SHARE * owner->limit.rate_per_s;
-  owner->reserved = fmax (0, use - SILENT_FREE / window_s);
+    {
+      uint32_t age_ms = (uint32_t)now_ms - owner->heard_ms[i];
+      silent += owner->heard_ms[i] != 0 && age_ms >= QUOTA_SILENCE_MS
+                && age_ms < QUOTA_LOCAL_END_MS;
+    }
+  double use = nodes == 0 ? 0
+                          : SILENT_SHARE * owner->limit.rate_per_s
+                                * (double)silent / (double)nodes;
+  owner->reserved = fmax (0, use - SILENT_FREE * 1000 / QUOTA_SILENCE_MS);
   owner->reserved_ms = now_ms;
 }
 
--- a/src/coordination/quota_owner.h
+++ b/src/coordination/quota_owner.h
@@ -41,8 +41,11 @@
 #define QUOTA_SETTLE_MS 2000
 
 /// A node that has not been heard for this long may admit requests on its own
-/// (quota_lease.h); the owner reserves its share. It is the quota's window, so
-/// that a node cannot use both within one window.
+/// (quota_lease.h), and the owner reserves its share. It is the quota's
+/// window, so that a node cannot use both within one window. It ends after
+/// QUOTA_LOCAL_END_MS: the owner does not reserve for nodes without requests
+/// of the account forever.
+#define QUOTA_LOCAL_END_MS 60000
 #define QUOTA_SILENCE_MS 5000
 
 /// Slots in which outstanding tokens are counted until they expire.
--- a/src/sidecar/sidecar_quota.c
+++ b/src/sidecar/sidecar_quota.c
@@ -14,23 +14,11 @@
 /// Interval at which waiting requests are checked.
 #define CHECK_MS 20
 
-/// Shortest time between two requests for the same account after one that
-/// left requests without a token.
-#define ASK_AGAIN_MS 20
-
-/// Longest wait for a token of a request over the quota. A request that comes
-/// between two tokens of a small quota is served; a longer queue would only
-/// delay all requests of an account that sends too much.
-#define OVER_WAIT_MS 250
-
 /// Longest wait for a decision, and the share of a request's time that it may
 /// take.
 #define DECISION_MS_MAX 500
 #define DECISION_SHARE 0.6
 
-/// The standby is asked for this long after the owner was not ready.
-#define STANDBY_MS 100
-
 /// A changed directory is ranked again after this time at the earliest.
 #define RANK_MS 100
 
@@ -74,7 +62,7 @@
     return NULL;
   strcpy (account->name, name);
   TAILQ_INIT (&account->waiters);
-  quota_lease_init (&account->lease, clock_monotonic_ms ());
+  quota_lease_init (&account->lease);
   quota_owner_init (&account->owner, quota->started_ms);
   account->next = *bucket;
   *bucket = account;
@@ -137,7 +125,7 @@
   struct quota_rank rank;
   quota_rank_choose (&sidecar->directory, account->name, &rank);
   if (memcmp (rank.handles, account->rank.handles, sizeof rank.handles) != 0)
-    account->standby_until_ms = 0;
+    account->lease.standby_until_ms = 0;
   account->rank = rank;
   account->rank_generation = generation;
   account->rank_ms = now_ms;
@@ -253,12 +241,12 @@
 /// Ends the requests that a token would not reach in time.
 static void
 reject_late (struct sidecar *sidecar, struct quota_account *account,
-             uint32_t wait_ms, uint64_t now_ms)
+             uint64_t now_ms)
 {
-  uint64_t latest_ms = wait_ms > OVER_WAIT_MS ? UINT64_MAX : now_ms + wait_ms;
+  uint64_t before_ms = quota_lease_reject_before (&account->lease, now_ms);
   struct quota_waiter *waiter;
-  while ((waiter = first_before (account, latest_ms)) != NULL)
-    decide (sidecar, waiter, QUOTA_REJECT, wait_ms);
+  while ((waiter = first_before (account, before_ms)) != NULL)
+    decide (sidecar, waiter, QUOTA_REJECT, account->lease.over_wait_ms);
 }
 
 /// Serves waiting requests without a decision of another node.
@@ -284,31 +272,15 @@
   uint64_t now = clock_monotonic_ms ();
   if (answer == NULL || !answer->ready)
     {
-      if (now < account->standby_until_ms)
-        {
-          account->standby_until_ms = 0;
-          account->next_ask_ms = now + ASK_AGAIN_MS;
-          admit_locally (sidecar, account, now);
-        }
-      else
-        account->standby_until_ms = now + STANDBY_MS;
-      sidecar_quota_pump (sidecar, account);
-      return;
+      if (quota_lease_undecided (&account->lease, now))
+        admit_locally (sidecar, account, now);
     }
-  account->lease.contact_ms = now;
-  quota_lease_add (&account->lease, answer->tokens, lender, sent_ms, now);
-  serve_waiting (sidecar, account, now);
-  account->over = answer->wait_ms > 0;
-  if (account->over)
+  else
     {
-      account->next_ask_ms
-          = now
-            + (answer->wait_ms > ASK_AGAIN_MS ? answer->wait_ms
-                                              : ASK_AGAIN_MS);
-      if (account->next_ask_ms > now + OVER_WAIT_MS)
-        account->next_ask_ms = now + OVER_WAIT_MS;
-      account->over_wait_ms = answer->wait_ms;
-      reject_late (sidecar, account, answer->wait_ms, now);
+      quota_lease_decided (&account->lease, answer->tokens, answer->wait_ms,
+                           lender, sent_ms, now);
+      serve_waiting (sidecar, account, now);
+      reject_late (sidecar, account, now);
     }
   sidecar_quota_pump (sidecar, account);
 }
@@ -353,9 +325,9 @@
   refresh (sidecar, account, now);
   serve_waiting (sidecar, account, now);
   if (account->waiting == 0 || account->call != NULL
-      || account->queued_at != NULL || now < account->next_ask_ms)
+      || account->queued_at != NULL || now < account->lease.next_ask_ms)
     return;
-  bool standby = now < account->standby_until_ms;
+  bool standby = quota_lease_asks_standby (&account->lease, now);
   size_t handle = account->rank.handles[standby];
   if (handle != SIZE_MAX && handle == sidecar->quota->own_handle)
     {
@@ -375,10 +347,11 @@
 expire (struct sidecar *sidecar, struct quota_account *account,
         uint64_t now_ms)
 {
+  uint32_t wait_ms = account->lease.over_wait_ms;
   struct quota_waiter *waiter;
   while ((waiter = first_before (account, now_ms + 1)) != NULL)
-    decide (sidecar, waiter, account->over ? QUOTA_REJECT : QUOTA_UNAVAILABLE,
-            account->over ? account->over_wait_ms : 0);
+    decide (sidecar, waiter, wait_ms > 0 ? QUOTA_REJECT : QUOTA_UNAVAILABLE,
+            wait_ms);
 }
 
 static void
@@ -421,13 +394,10 @@
       waiter->account = account;
       return QUOTA_ADMIT;
     }
-  /* While the account is far over its quota, the owner is not asked for each
-     request. */
-  if (account->over && now < account->next_ask_ms
-      && account->over_wait_ms > OVER_WAIT_MS)
+  if (quota_lease_is_far_over (&account->lease, now))
     {
       account->rejected++;
-      *retry_ms = account->over_wait_ms;
+      *retry_ms = account->lease.over_wait_ms;
       return QUOTA_REJECT;
     }
   uint64_t most_ms = (uint64_t)((double)left_ms * DECISION_SHARE);
--- a/src/sidecar/sidecar_quota_internal.h
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -36,14 +36,10 @@
   struct quota_owner owner;
   struct quota_waiters waiters;
   uint32_t waiting;
-  uint64_t next_ask_ms;
-  uint64_t standby_until_ms;    ///< the standby is asked instead until then
   struct quota_call *call;      ///< asks for this account now, or NULL
   struct quota_peer *queued_at; ///< is part of the next message to it, or NULL
   uint32_t votes_asked;         ///< messages that ask for a vote
   uint32_t users;               ///< requests in progress that point here
-  uint32_t over_wait_ms;        ///< wait for a token as of the last decision
-  bool over; ///< the last decision left requests without a token
   uint64_t offered;
   uint64_t admitted;
   uint64_t rejected;
