Hand a quota over only to a settled owner, and rank accounts in groups

A restarted owner took the votes of a standby that was granting and could not grant itself for up to 800 ms. A node that grants learns how many nodes may be cut off.

--- a/src/coordination/quota_lease.c
+++ b/src/coordination/quota_lease.c
@@ -119,7 +119,7 @@
 quota_lease_expected (struct quota_lease *lease, uint64_t now_ms)
 {
   decay (lease, now_ms);
-  return (uint32_t)(lease->demand_per_s * QUOTA_AHEAD_MS / 1000);
+  return (uint32_t)(lease->demand_per_s * QUOTA_AHEAD_MS / 1000 + 0.5);
 }
 
 uint32_t
@@ -153,6 +153,7 @@
                      uint64_t now_ms)
 {
   lease->contact_ms = now_ms;
+  lease->undecided_ms = 0;
   lease->over_wait_ms = wait_ms;
   add_tokens (lease, tokens, lender, sent_ms, now_ms);
   if (wait_ms == 0)
@@ -175,6 +176,8 @@
     }
   lease->standby_until_ms = 0;
   lease->over_wait_ms = 0;
+  if (lease->undecided_ms == 0)
+    lease->undecided_ms = now_ms;
   lease->next_ask_ms = now_ms + QUOTA_ASK_AGAIN_MS;
   return true;
 }
@@ -186,6 +189,14 @@
          && now_ms < lease->next_ask_ms;
 }
 
+bool
+quota_lease_is_hopeless (const struct quota_lease *lease, uint32_t waiting,
+                         uint64_t now_ms)
+{
+  return waiting > 0 && lease->undecided_ms != 0
+         && now_ms - lease->undecided_ms >= QUOTA_FAIL_FAST_MS;
+}
+
 uint64_t
 quota_lease_reject_before (const struct quota_lease *lease, uint64_t now_ms)
 {
--- a/src/coordination/quota_lease.h
+++ b/src/coordination/quota_lease.h
@@ -20,6 +20,10 @@
 /// The standby is asked for this long after the owner did not decide.
 #define QUOTA_STANDBY_MS 100
 
+/// After this time without a decision, a request waits only if no other one
+/// does: it would most likely wait in vain.
+#define QUOTA_FAIL_FAST_MS 1000
+
 /// Grants that are kept apart until they expire.
 #define QUOTA_BATCHES 4
 
@@ -44,6 +48,7 @@
   double demand_per_s;       ///< smoothed
   uint64_t demand_ms;        ///< time of the last update
   uint64_t contact_ms;       ///< last decision of an owner or standby; 0: none
+  uint64_t undecided_ms;     ///< since when nobody has decided; 0: not so
   uint64_t next_ask_ms;      ///< earliest next request for tokens
   uint64_t standby_until_ms; ///< the standby is asked until then
   uint32_t over_wait_ms; ///< wait for a token as of the last decision; 0: the
@@ -101,6 +106,10 @@
 bool quota_lease_is_far_over (const struct quota_lease *lease,
                               uint64_t now_ms);
 
+/// @return true for a request that is not held, as nobody has decided for long
+bool quota_lease_is_hopeless (const struct quota_lease *lease,
+                              uint32_t waiting, uint64_t now_ms);
+
 /// @return latest time, after now, of the decision for a waiting request that
 ///         is rejected now, as a token would come too late; 0: none is
 uint64_t quota_lease_reject_before (const struct quota_lease *lease,
--- a/src/coordination/quota_owner.c
+++ b/src/coordination/quota_owner.c
@@ -31,12 +31,11 @@
 #define WAIT_MS_MAX 5000u
 
 void
-quota_owner_init (struct quota_owner *owner, uint64_t started_ms)
+quota_owner_init (struct quota_owner *owner)
 {
   memset (owner, 0, sizeof *owner);
   owner->rank = QUOTA_RANKS;
   owner->promised_to = SIZE_MAX;
-  owner->promise_until_ms = started_ms + QUOTA_HOLD_MS;
   for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
     owner->votes[i].voter = SIZE_MAX;
 }
@@ -57,9 +56,8 @@
     owner->tokens = limit->burst;
 }
 
-/// @return true when this node has been ranked for so long that all nodes know
-static bool
-is_settled (const struct quota_owner *owner, uint64_t now_ms)
+bool
+quota_owner_is_settled (const struct quota_owner *owner, uint64_t now_ms)
 {
   return owner->rank < QUOTA_RANKS
          && now_ms - owner->ranked_since_ms >= QUOTA_SETTLE_MS;
@@ -112,7 +110,8 @@
 quota_owner_is_held (const struct quota_owner *owner, uint64_t now_ms)
 {
   return owner->rank <= QUOTA_RANK_STANDBY && now_ms >= owner->promise_until_ms
-         && is_majority (owner, is_settled (owner, now_ms), now_ms);
+         && is_majority (owner, quota_owner_is_settled (owner, now_ms),
+                         now_ms);
 }
 
 static bool
@@ -132,7 +131,7 @@
   for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
     if (owner->votes[i].settled
         && owner->votes[i].until_ms > now_ms + QUOTA_HOLD_MS / 2)
-      return is_settled (owner, now_ms);
+      return quota_owner_is_settled (owner, now_ms);
   return false;
 }
 
@@ -147,12 +146,25 @@
       if (vote->voter == SIZE_MAX || now_ms < vote->next_ms
           || (i > 0 && has_firm_vote (owner, now_ms)))
         continue;
-      vote->next_ms = now_ms + QUOTA_RENEW_MS;
+      /* The votes of all accounts are due at the same times, to go into the
+         same messages. */
+      vote->next_ms = (now_ms / QUOTA_RENEW_MS + 1) * QUOTA_RENEW_MS;
       return vote->voter;
     }
   return SIZE_MAX;
 }
 
+/// Applies the number of nodes that asked the node which granted before.
+static void
+inherit (struct quota_owner *owner, uint32_t known, uint64_t now_ms)
+{
+  if (known == 0
+      || (owner->inherited_ms == now_ms && known < owner->inherited))
+    return;
+  owner->inherited = known;
+  owner->inherited_ms = now_ms;
+}
+
 /// Empties the bucket after a time without a majority, in which another node
 /// may have granted.
 static void
@@ -163,13 +175,15 @@
     {
       owner->tokens = 0;
       owner->refilled_ms = now_ms;
+      for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+        inherit (owner, owner->votes[i].known, now_ms);
     }
   owner->was_held = held;
 }
 
 void
 quota_owner_vote (struct quota_owner *owner, size_t voter, bool settled,
-                  uint64_t sent_ms, uint64_t now_ms)
+                  uint32_t known, uint64_t sent_ms, uint64_t now_ms)
 {
   note_hold (owner, now_ms);
   for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
@@ -178,28 +192,33 @@
       if (vote->voter != voter || voter == SIZE_MAX)
         continue;
       vote->settled = settled;
+      vote->known = known;
       vote->until_ms = sent_ms + QUOTA_HOLD_MS;
     }
   note_hold (owner, now_ms);
 }
 
 bool
-quota_owner_promise (struct quota_owner *owner, size_t candidate,
-                     unsigned rank, bool *settled, uint64_t now_ms)
+quota_owner_promise (struct quota_owner *owner,
+                     const struct quota_candidate *candidate, bool *settled,
+                     uint64_t now_ms)
 {
-  if (rank > QUOTA_RANK_STANDBY || owner->rank >= QUOTA_RANKS
-      || owner->rank == rank || owner->rank == QUOTA_RANK_OWNER)
+  if (candidate->rank > QUOTA_RANK_STANDBY || owner->rank >= QUOTA_RANKS
+      || owner->rank == candidate->rank || owner->rank == QUOTA_RANK_OWNER)
     return false;
-  if (now_ms < owner->promise_until_ms && owner->promised_to != candidate)
+  if (now_ms < owner->promise_until_ms
+      && owner->promised_to != candidate->node)
     return false;
-  if (owner->rank < rank && quota_owner_is_held (owner, now_ms))
+  if (quota_owner_is_held (owner, now_ms)
+      && (owner->rank < candidate->rank || !candidate->settled))
     return false;
   for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
     owner->votes[i].until_ms = 0;
   owner->was_held = false;
-  owner->promised_to = candidate;
+  owner->promised_to = candidate->node;
   owner->promise_until_ms = now_ms + QUOTA_HOLD_MS;
-  *settled = is_settled (owner, now_ms);
+  inherit (owner, candidate->known, now_ms);
+  *settled = quota_owner_is_settled (owner, now_ms);
   return true;
 }
 
@@ -216,7 +235,7 @@
       = owner->votes[0].voter != SIZE_MAX && owner->votes[1].voter == SIZE_MAX;
   return pair && current && owner->rank <= QUOTA_RANK_STANDBY
                  && now_ms >= owner->promise_until_ms
-                 && is_settled (owner, now_ms)
+                 && quota_owner_is_settled (owner, now_ms)
              ? rate * PAIR_SHARE
              : 0;
 }
@@ -241,6 +260,38 @@
   owner->heard_ms[node] = (uint32_t)now_ms | 1;
 }
 
+/// @return number of nodes that were last heard between `age_min_ms` and
+///         QUOTA_LOCAL_END_MS ago
+static size_t
+count_heard (const struct quota_owner *owner, uint32_t age_min_ms,
+             uint64_t now_ms)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < owner->heard_capacity; i++)
+    {
+      uint32_t age_ms = (uint32_t)now_ms - (owner->heard_ms[i] & ~1u);
+      count += owner->heard_ms[i] != 0 && age_ms >= age_min_ms
+               && age_ms < QUOTA_LOCAL_END_MS;
+    }
+  return count;
+}
+
+static bool
+has_inherited (const struct quota_owner *owner, uint64_t now_ms)
+{
+  return owner->inherited_ms != 0
+         && now_ms - owner->inherited_ms < QUOTA_LOCAL_END_MS;
+}
+
+uint32_t
+quota_owner_known (const struct quota_owner *owner, uint64_t now_ms)
+{
+  uint32_t heard = (uint32_t)count_heard (owner, 0, now_ms);
+  return has_inherited (owner, now_ms) && owner->inherited > heard
+             ? owner->inherited
+             : heard;
+}
+
 /// Computes the part of the rate that nodes which have fallen silent may use
 /// on their own.
 static void
@@ -248,13 +299,11 @@
 {
   if (owner->reserved_ms != 0 && now_ms - owner->reserved_ms < RESERVE_MS)
     return;
-  size_t silent = 0;
-  for (size_t i = 0; i < owner->heard_capacity; i++)
-    {
-      uint32_t age_ms = (uint32_t)now_ms - owner->heard_ms[i];
-      silent += owner->heard_ms[i] != 0 && age_ms >= QUOTA_SILENCE_MS
-                && age_ms < QUOTA_LOCAL_END_MS;
-    }
+  size_t heard = count_heard (owner, 0, now_ms);
+  size_t silent = count_heard (owner, QUOTA_SILENCE_MS, now_ms);
+  if (has_inherited (owner, now_ms) && owner->inherited > heard
+      && now_ms - owner->inherited_ms >= QUOTA_SILENCE_MS - QUOTA_HOLD_MS)
+    silent += owner->inherited - heard;
   double use = nodes == 0 ? 0
                           : SILENT_SHARE * owner->limit.rate_per_s
                                 * (double)silent / (double)nodes;
--- a/src/coordination/quota_owner.h
+++ b/src/coordination/quota_owner.h
@@ -10,8 +10,9 @@
 /// QUOTA_SETTLE_MS. A candidate or voter that was ranked less than this ago is
 /// unsettled. Votes of or for it count only if all three agree: every majority
 /// of the ranking before has a member among them, unless two nodes joined at
-/// once. So the nodes of a mesh that has just started grant as soon as they
-/// agree, and with empty buckets.
+/// once. This covers a restarted node too, which has forgotten its promises.
+/// So the nodes of a mesh that has just started grant as soon as they agree,
+/// and with empty buckets.
 ///
 /// Where only two nodes exist, one without the other's vote grants at half of
 /// the rate.
@@ -71,6 +72,16 @@
   bool settled;      ///< the voter has been ranked for long
   uint64_t until_ms; ///< end of its promise
   uint64_t next_ms;  ///< when to ask for it again
+  uint32_t known;    ///< nodes that the voter knows to have asked for tokens
+};
+
+/// Another node that asks for a vote.
+struct quota_candidate
+{
+  size_t node;    ///< directory handle
+  unsigned rank;  ///< in this node's directory
+  bool settled;   ///< it has been ranked for long
+  uint32_t known; ///< what quota_owner_known returned there
 };
 
 struct quota_owner
@@ -90,8 +101,10 @@
   uint64_t slot;               ///< number of the newest slot
   uint32_t *heard_ms;          ///< by directory handle; 0: never
   size_t heard_capacity;
-  uint64_t reserved_ms; ///< when `reserved` was computed
-  double reserved;      ///< part of the rate kept for silent nodes
+  uint64_t reserved_ms;  ///< when `reserved` was computed
+  double reserved;       ///< part of the rate kept for silent nodes
+  uint32_t inherited;    ///< nodes that asked the node that granted before
+  uint64_t inherited_ms; ///< when this was learned; 0: never
 };
 
 struct quota_grant
@@ -101,9 +114,7 @@
   uint32_t wait_ms; ///< until a token for the next request is expected
 };
 
-/// @param started_ms  start of the process. It may have promised a vote right
-///                    before, and so has none for QUOTA_HOLD_MS.
-void quota_owner_init (struct quota_owner *owner, uint64_t started_ms);
+void quota_owner_init (struct quota_owner *owner);
 void quota_owner_finish (struct quota_owner *owner);
 
 /// Applies the limit of the configuration. A lowered burst is binding at once.
@@ -122,21 +133,29 @@
 size_t quota_owner_due_vote (struct quota_owner *owner, uint64_t now_ms);
 
 /// Applies a vote for this node.
+/// @param known    what quota_owner_known returned at the voter
 /// @param sent_ms  when the vote was asked for; the promise is counted from it
 void quota_owner_vote (struct quota_owner *owner, size_t voter, bool settled,
-                       uint64_t sent_ms, uint64_t now_ms);
+                       uint32_t known, uint64_t sent_ms, uint64_t now_ms);
+
+/// @return number of nodes that asked for tokens within QUOTA_LOCAL_END_MS, as
+///         far as this node knows. It goes along with votes, so that the next
+///         node that grants can reserve for those that are cut off from it.
+uint32_t quota_owner_known (const struct quota_owner *owner, uint64_t now_ms);
 
 /// @return true while this node has a majority
 bool quota_owner_is_held (const struct quota_owner *owner, uint64_t now_ms);
 
-/// Another node asks this one for its vote. A node that grants yields to one
-/// that ranks above it.
-/// @param candidate  its directory handle
-/// @param rank       its rank in this node's directory
-/// @param settled    set when the vote is given
+/// @return true when this node has been ranked for QUOTA_SETTLE_MS
+bool quota_owner_is_settled (const struct quota_owner *owner, uint64_t now_ms);
+
+/// Another node asks this one for its vote. A node that grants yields to a
+/// settled one that ranks above it; an unsettled one could not take over yet.
+/// @param settled  set when the vote is given: this node is settled
 /// @return true when this node has promised its vote
-bool quota_owner_promise (struct quota_owner *owner, size_t candidate,
-                          unsigned rank, bool *settled, uint64_t now_ms);
+bool quota_owner_promise (struct quota_owner *owner,
+                          const struct quota_candidate *candidate,
+                          bool *settled, uint64_t now_ms);
 
 /// Decides on a request of another node, or of this one.
 /// @param node      directory handle of the requesting node, or SIZE_MAX
--- a/src/protocol/quota_message.h
+++ b/src/protocol/quota_message.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 /// Accounts in one message; further ones go into the next message.
-#define QUOTA_MESSAGE_ACCOUNTS_MAX 128
+#define QUOTA_MESSAGE_ACCOUNTS_MAX 256
 
 /// Longest name of an account in a message, bytes. The quota of an account
 /// with a longer name cannot be distributed.
@@ -36,16 +36,18 @@
 {
   char node[DIRECTORY_NAME_MAX + 1]; ///< the sender
   uint64_t lender; ///< process to which `returned` tokens belong
-  bool vote;       ///< asks for votes for the sender; the counts are 0
+  bool vote;       ///< asks for votes for the sender; `pending` is its number
+                   ///< of known nodes (quota_owner.h), `expected` is 1 when
+                   ///< it is settled
   size_t count;
   struct quota_ask asks[QUOTA_MESSAGE_ACCOUNTS_MAX];
 };
 
 struct quota_answer
 {
-  bool ready;      ///< the tokens are a decision; for a vote: given
-  uint32_t tokens; ///< for a vote: 1 when the voter is settled
-  uint32_t wait_ms;
+  bool ready;       ///< the tokens are a decision; for a vote: given
+  uint32_t tokens;  ///< for a vote: 1 when the voter is settled
+  uint32_t wait_ms; ///< for a vote: known nodes of the voter
 };
 
 struct quota_response
--- a/src/sidecar/sidecar_quota.c
+++ b/src/sidecar/sidecar_quota.c
@@ -63,7 +63,7 @@
   strcpy (account->name, name);
   TAILQ_INIT (&account->waiters);
   quota_lease_init (&account->lease);
-  quota_owner_init (&account->owner, quota->started_ms);
+  quota_owner_init (&account->owner);
   account->next = *bucket;
   *bucket = account;
   TAILQ_INSERT_TAIL (&quota->accounts, account, link);
@@ -400,6 +400,14 @@
       *retry_ms = account->lease.over_wait_ms;
       return QUOTA_REJECT;
     }
+  if (quota_lease_is_hopeless (&account->lease, account->waiting, now))
+    {
+      bool admitted = quota_lease_take_local (&account->lease, &account->limit,
+                                              account->rank.nodes, now);
+      account->admitted += admitted;
+      counter_add (admitted ? &local_admits : &unavailable, 1);
+      return admitted ? QUOTA_ADMIT : QUOTA_UNAVAILABLE;
+    }
   uint64_t most_ms = (uint64_t)((double)left_ms * DECISION_SHARE);
   waiter->account = account;
   account->users++;
@@ -450,10 +458,15 @@
   if (request->vote)
     {
       bool settled = false;
-      answer.ready = quota_owner_promise (
-          &account->owner, sender, quota_rank_of (&account->rank, sender),
-          &settled, now_ms);
+      struct quota_candidate candidate
+          = { .node = sender,
+              .rank = quota_rank_of (&account->rank, sender),
+              .settled = ask->expected > 0,
+              .known = ask->pending };
+      answer.ready = quota_owner_promise (&account->owner, &candidate,
+                                          &settled, now_ms);
       answer.tokens = settled;
+      answer.wait_ms = quota_owner_known (&account->owner, now_ms);
       return answer;
     }
   struct quota_ask checked = *ask;
@@ -550,7 +563,6 @@
     return status_set (STATUS_NO_MEMORY, "out of memory for the quotas");
   TAILQ_INIT (&quota->accounts);
   quota->own_handle = SIZE_MAX;
-  quota->started_ms = clock_monotonic_ms ();
   quota->lender = rng_u64 (&sidecar->rng) >> 1 | 1;
   evtimer_assign (&quota->timer, sidecar->base, on_timer, sidecar);
   sidecar->quota = quota;
--- a/src/sidecar/sidecar_quota_call.c
+++ b/src/sidecar/sidecar_quota_call.c
@@ -49,53 +49,84 @@
   return peer;
 }
 
+/// @return false when the list is full or without memory
+static bool
+append (struct quota_list *list, struct quota_account *account)
+{
+  if (list->count == QUOTA_MESSAGE_ACCOUNTS_MAX)
+    return false;
+  if (list->count == list->capacity)
+    {
+      size_t capacity = list->capacity == 0 ? 4 : 2 * list->capacity;
+      struct quota_account **items
+          = realloc (list->items, capacity * sizeof (*items));
+      if (items == NULL)
+        return false;
+      list->items = items;
+      list->capacity = capacity;
+    }
+  list->items[list->count++] = account;
+  return true;
+}
+
+static void
+clear (struct quota_list *list)
+{
+  free (list->items);
+  *list = (struct quota_list){ 0 };
+}
+
+/// Applies the answer for one account.
+/// @param answer  NULL when there is none
+static void
+end_account (struct quota_call *call, struct quota_account *account,
+             const struct quota_answer *answer, uint64_t sent_ms)
+{
+  struct quota_peer *peer = call->peer;
+  if (!call->vote)
+    {
+      account->call = NULL;
+      sidecar_quota_apply (call->sidecar, account, answer, peer->lender,
+                           sent_ms);
+      return;
+    }
+  account->votes_asked--;
+  if (answer != NULL && answer->ready)
+    quota_owner_vote (&account->owner, peer->handle, answer->tokens > 0,
+                      answer->wait_ms, sent_ms, clock_monotonic_ms ());
+}
+
 static void
 end_call (struct quota_call *call, const struct quota_response *response)
 {
-  struct sidecar *sidecar = call->sidecar;
   struct quota_peer *peer = call->peer;
-  struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
-  size_t count = call->count;
+  /* Applying the answers may start the next call. */
+  struct quota_list accounts = call->accounts;
   uint64_t sent_ms = call->sent_ms;
-  bool vote = call->vote;
-  memcpy (accounts, call->accounts, count * sizeof *accounts);
+  uint64_t now = clock_monotonic_ms ();
   event_del (&call->timer);
   call->exchange = NULL;
-  call->count = 0;
+  call->accounts = (struct quota_list){ 0 };
   if (response == NULL)
     {
       counter_add (&failures, 1);
       log_rate_limited (&failure_log_limit, LOG_LEVEL_WARNING, "quota_failed",
                         "peer=%zu vote=%d status=%u after_ms=%" PRIu64,
-                        peer->handle, vote, call->status,
-                        clock_monotonic_ms () - sent_ms);
-      if (!vote)
-        peer->down_until_ms = clock_monotonic_ms () + QUOTA_DOWN_MS;
+                        peer->handle, call->vote, call->status, now - sent_ms);
+      if (!call->vote)
+        peer->down_until_ms = now + QUOTA_DOWN_MS;
     }
   else
     {
       peer->lender = response->lender;
       peer->down_until_ms = 0;
     }
-  for (size_t i = 0; i < count; i++)
-    {
-      const struct quota_answer *answer
-          = response == NULL ? NULL : &response->answers[i];
-      if (vote)
-        {
-          accounts[i]->votes_asked--;
-          if (answer != NULL && answer->ready)
-            quota_owner_vote (&accounts[i]->owner, peer->handle,
-                              answer->tokens > 0, sent_ms,
-                              clock_monotonic_ms ());
-          continue;
-        }
-      accounts[i]->call = NULL;
-      sidecar_quota_apply (sidecar, accounts[i], answer,
-                           response == NULL ? 0 : response->lender, sent_ms);
-    }
-  if (!vote)
-    send_queued (sidecar, peer);
+  for (size_t i = 0; i < accounts.count; i++)
+    end_account (call, accounts.items[i],
+                 response == NULL ? NULL : &response->answers[i], sent_ms);
+  clear (&accounts);
+  if (!call->vote)
+    send_queued (call->sidecar, peer);
 }
 
 static void
@@ -124,7 +155,7 @@
         && quota_response_read ((const char *)evbuffer_pullup (call->body, -1),
                                 size, response)
                == STATUS_OK
-        && response->count == call->count;
+        && response->count == call->accounts.count;
   /* Applying an answer may write other messages; the copy stays. */
   struct quota_response *copy = valid ? malloc (sizeof *copy) : NULL;
   if (copy != NULL)
@@ -157,7 +188,7 @@
   strcpy (request->node, sidecar->settings.node);
   request->lender = call->peer->lender;
   request->vote = call->vote;
-  request->count = call->count;
+  request->count = call->accounts.count;
   char *text = record == NULL ? NULL : quota_request_write (request);
   call->sent_ms = clock_monotonic_ms ();
   call->status = 0;
@@ -197,14 +228,17 @@
   struct quota_call *call = &peer->ask;
   struct quota_request *request = &sidecar->quota->request;
   uint64_t now = clock_monotonic_ms ();
-  if (call->count > 0 || peer->queued_count == 0)
+  if (call->accounts.count > 0 || peer->queued.count == 0)
     return;
-  for (size_t i = 0; i < peer->queued_count; i++)
+  struct quota_list queued = peer->queued;
+  peer->queued = (struct quota_list){ 0 };
+  for (size_t i = 0; i < queued.count; i++)
     {
-      struct quota_account *account = peer->queued[i];
-      struct quota_ask *ask = &request->asks[call->count];
+      struct quota_account *account = queued.items[i];
+      struct quota_ask *ask = &request->asks[call->accounts.count];
       account->queued_at = NULL;
-      if (account->waiting == 0 || account->call != NULL)
+      if (account->waiting == 0 || account->call != NULL
+          || !append (&call->accounts, account))
         continue;
       strcpy (ask->account, account->name);
       ask->pending = limited (account->waiting);
@@ -212,10 +246,9 @@
       ask->returned = limited (
           quota_lease_give_back (&account->lease, peer->lender, now));
       account->call = call;
-      call->accounts[call->count++] = account;
     }
-  peer->queued_count = 0;
-  if (call->count > 0)
+  clear (&queued);
+  if (call->accounts.count > 0)
     send_call (call);
 }
 
@@ -223,11 +256,9 @@
 sidecar_quota_ask (struct sidecar *sidecar, struct quota_peer *peer,
                    struct quota_account *account)
 {
-  if (account->queued_at != NULL
-      || peer->queued_count == QUOTA_MESSAGE_ACCOUNTS_MAX)
+  if (account->queued_at != NULL || !append (&peer->queued, account))
     return;
   account->queued_at = peer;
-  peer->queued[peer->queued_count++] = account;
   send_queued (sidecar, peer);
 }
 
@@ -235,10 +266,8 @@
 sidecar_quota_queue_vote (struct quota_peer *peer,
                           struct quota_account *account)
 {
-  if (peer->vote_count == QUOTA_MESSAGE_ACCOUNTS_MAX)
-    return;
-  account->votes_asked++;
-  peer->votes[peer->vote_count++] = account;
+  if (append (&peer->votes, account))
+    account->votes_asked++;
 }
 
 static void
@@ -246,17 +275,20 @@
 {
   struct quota_call *call = &peer->vote;
   struct quota_request *request = &sidecar->quota->request;
-  if (call->count > 0 || peer->vote_count == 0)
+  uint64_t now = clock_monotonic_ms ();
+  if (call->accounts.count > 0 || peer->votes.count == 0)
     return;
-  for (size_t i = 0; i < peer->vote_count; i++)
+  call->accounts = peer->votes;
+  peer->votes = (struct quota_list){ 0 };
+  for (size_t i = 0; i < call->accounts.count; i++)
     {
+      struct quota_account *account = call->accounts.items[i];
       struct quota_ask *ask = &request->asks[i];
-      strcpy (ask->account, peer->votes[i]->name);
-      ask->pending = ask->expected = ask->returned = 0;
-      call->accounts[i] = peer->votes[i];
+      strcpy (ask->account, account->name);
+      ask->pending = quota_owner_known (&account->owner, now);
+      ask->expected = quota_owner_is_settled (&account->owner, now);
+      ask->returned = 0;
     }
-  call->count = peer->vote_count;
-  peer->vote_count = 0;
   send_call (call);
 }
 
@@ -281,8 +313,9 @@
 {
   if (call->exchange != NULL)
     http_exchange_cancel (call->exchange);
-  if (call->count > 0)
+  if (call->accounts.count > 0)
     event_del (&call->timer);
+  clear (&call->accounts);
   evbuffer_free (call->body);
 }
 
@@ -291,6 +324,8 @@
 {
   free_call (&peer->ask);
   free_call (&peer->vote);
+  clear (&peer->queued);
+  clear (&peer->votes);
   free (peer);
 }
 
@@ -312,8 +347,8 @@
   while (*link != NULL)
     {
       struct quota_peer *peer = *link;
-      bool busy = peer->ask.count > 0 || peer->vote.count > 0
-                  || peer->queued_count > 0 || peer->vote_count > 0;
+      bool busy = peer->ask.accounts.count > 0 || peer->vote.accounts.count > 0
+                  || peer->queued.count > 0 || peer->votes.count > 0;
       if (busy
           || directory_get (&sidecar->directory, peer->handle, peer->serial)
                  != NULL)
--- a/src/sidecar/sidecar_quota_internal.h
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -21,6 +21,14 @@
 
 TAILQ_HEAD (quota_waiters, quota_waiter);
 
+/// A list of accounts that grows as needed.
+struct quota_list
+{
+  struct quota_account **items;
+  size_t count;
+  size_t capacity;
+};
+
 /// What this node knows of one account, as entry node and as owner.
 struct quota_account
 {
@@ -57,8 +65,7 @@
   bool vote; ///< asks for votes, else for tokens
   unsigned status;
   uint64_t sent_ms;
-  size_t count;
-  struct quota_account *accounts[QUOTA_MESSAGE_ACCOUNTS_MAX];
+  struct quota_list accounts; ///< empty: nothing is under way
 };
 
 /// Another node that was asked.
@@ -71,11 +78,8 @@
   uint64_t down_until_ms;
   struct quota_call ask;
   struct quota_call vote;
-  /// Accounts for the next message while one is under way.
-  struct quota_account *queued[QUOTA_MESSAGE_ACCOUNTS_MAX];
-  size_t queued_count;
-  struct quota_account *votes[QUOTA_MESSAGE_ACCOUNTS_MAX]; ///< likewise
-  size_t vote_count;
+  struct quota_list queued; ///< for the next request for tokens
+  struct quota_list votes;  ///< for the next request for votes
 };
 
 struct sidecar_quota
@@ -85,11 +89,10 @@
   size_t account_count;
   struct quota_account *cursor; ///< of the periodic update
   struct quota_peer *peers;
-  struct event timer; ///< while requests wait
-  size_t waiting;     ///< requests of all accounts
-  uint64_t lender;    ///< id of this process
-  size_t own_handle;  ///< in the directory
-  uint64_t started_ms;
+  struct event timer;           ///< while requests wait
+  size_t waiting;               ///< requests of all accounts
+  uint64_t lender;              ///< id of this process
+  size_t own_handle;            ///< in the directory
   uint64_t generation;          ///< of the directory, for own_handle
   uint64_t prepared_version;    ///< configuration whose accounts were created
   struct quota_request request; ///< being written or read
