--- a/src/protocol/quota_message.h
+++ b/src/protocol/quota_message.h
@@ -22,7 +22,7 @@
 #define QUOTA_MESSAGE_COUNT_MAX 1000000
 
 /// Bytes of the largest message: names may need six bytes for each of theirs.
-#define QUOTA_MESSAGE_BYTES_MAX (256u * 1024)
+#define QUOTA_MESSAGE_BYTES_MAX (512u * 1024)
 
 struct quota_ask
 {
--- a/test/fuzz/platform_fuzz.c
+++ b/test/fuzz/platform_fuzz.c
@@ -1,11 +1,13 @@
 /// Decodes arbitrary bytes as messages of the platform and as records of other
 /// nodes. Invariants: an entry record stays the same when it is written and
 /// read again; a view that was read can be written; an accepted configuration
-/// serves every lookup; evidence has no more failures than calls.
+/// serves every lookup; evidence has no more failures than calls; a quota
+/// message stays the same when it is written and read again.
 #include "platform/platform.h"
 #include "protocol/entry_record.h"
 #include "protocol/hop.h"
 #include "protocol/move_record.h"
+#include "protocol/quota_message.h"
 #include "protocol/view.h"
 
 #include <assert.h>
@@ -71,6 +73,37 @@
   mirror_finish (&mirror);
 }
 
+static void
+fuzz_quota (const char *data, size_t size)
+{
+  static struct quota_request request;
+  static struct quota_request request_again;
+  static struct quota_response response;
+  static struct quota_response response_again;
+  if (quota_request_read (data, size, &request) == STATUS_OK)
+    {
+      char *text = quota_request_write (&request);
+      assert (text != NULL
+              && quota_request_read (text, strlen (text), &request_again)
+                     == STATUS_OK
+              && request.count == request_again.count
+              && request.lender == request_again.lender
+              && memcmp (request.asks, request_again.asks,
+                         request.count * sizeof request.asks[0])
+                     == 0);
+      free (text);
+    }
+  if (quota_response_read (data, size, &response) == STATUS_OK)
+    {
+      char *text = quota_response_write (&response);
+      assert (text != NULL
+              && quota_response_read (text, strlen (text), &response_again)
+                     == STATUS_OK
+              && response.count == response_again.count);
+      free (text);
+    }
+}
+
 static void
 fuzz_headers (const uint8_t *data, size_t size)
 {
@@ -121,6 +154,7 @@
     case 4:
       fuzz_records (data, size);
       fuzz_view (data, size);
+      fuzz_quota ((const char *)data, size);
       break;
     default:
       fuzz_headers (data, size);
--- a/test/unit/quota_test.c
+++ b/test/unit/quota_test.c
@@ -1,3 +1,4 @@
+#include "protocol/quota_message.h"
 #include "quota_sim.h"
 #include "testing.h"
 
@@ -355,10 +356,217 @@
     }
 }
 
+/* Single decisions */
+
+/// Sets up an owner with handle 0 and voters 1 and 2.
+static void
+set_up_owner (struct quota_owner *owner, unsigned place, double rate,
+              double burst, uint64_t now_ms)
+{
+  struct quota_rank rank = { .handles = { 0, 1, 2 }, .nodes = 3 };
+  struct quota_limit limit = { rate, burst };
+  quota_owner_init (owner);
+  quota_owner_set_limit (owner, &limit);
+  quota_owner_set_rank (owner, &rank, rank.handles[place], now_ms);
+}
+
+static bool
+promises (struct quota_owner *owner, unsigned rank, bool settled,
+          uint64_t now_ms)
+{
+  struct quota_candidate candidate
+      = { .node = rank, .rank = rank, .settled = settled };
+  bool own_settled;
+  return quota_owner_promise (owner, &candidate, &own_settled, now_ms);
+}
+
+static void
+test_majority (void)
+{
+  static const struct
+  {
+    uint64_t age_ms; ///< since the candidate was ranked
+    bool votes[2];
+    bool settled; ///< the voters
+    bool held;
+  } rows[] = {
+    { 100, { true, true }, false, true },
+    { 100, { true, false }, true, false },
+    { 100, { false, true }, true, false },
+    { 2000, { true, false }, true, true },
+    { 2000, { false, true }, true, true },
+    { 2000, { true, false }, false, false },
+    { 2000, { true, true }, false, true },
+    { 2000, { false, false }, true, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct quota_owner owner;
+      uint64_t now = 10000 + rows[i].age_ms;
+      set_up_owner (&owner, 0, 100, 10, 10000);
+      for (size_t k = 0; k < 2; k++)
+        if (rows[i].votes[k])
+          quota_owner_vote (&owner, k + 1, rows[i].settled, 0, now, now);
+      CU_ASSERT_EQUAL (quota_owner_is_held (&owner, now), rows[i].held);
+      CU_ASSERT_EQUAL (quota_owner_is_held (&owner, now + QUOTA_HOLD_MS),
+                       false);
+      quota_owner_finish (&owner);
+    }
+}
+
+static void
+test_promise (void)
+{
+  struct quota_owner owner;
+  uint64_t now = 20000;
+  set_up_owner (&owner, 2, 100, 10, 10000);
+  CU_ASSERT (promises (&owner, 0, true, now));
+  CU_ASSERT (!promises (&owner, 1, true, now + QUOTA_HOLD_MS - 1));
+  CU_ASSERT (promises (&owner, 0, true, now + 100));
+  CU_ASSERT (!promises (&owner, 1, true, now + QUOTA_HOLD_MS));
+  CU_ASSERT (promises (&owner, 1, true, now + 100 + QUOTA_HOLD_MS));
+  CU_ASSERT (!promises (&owner, 3, true, now + 1000));
+  quota_owner_finish (&owner);
+
+  /* A standby that grants yields to a settled owner only. */
+  set_up_owner (&owner, 1, 100, 10, 10000);
+  quota_owner_vote (&owner, 2, true, 0, now, now);
+  CU_ASSERT (quota_owner_is_held (&owner, now));
+  CU_ASSERT (!promises (&owner, 0, false, now));
+  CU_ASSERT (quota_owner_is_held (&owner, now));
+  CU_ASSERT (promises (&owner, 0, true, now));
+  CU_ASSERT (!quota_owner_is_held (&owner, now));
+  struct quota_grant grant
+      = quota_owner_ask (&owner, 5, 3, true, 1, 0, 0, now);
+  CU_ASSERT_EQUAL (grant.verdict, QUOTA_NOT_READY);
+  quota_owner_finish (&owner);
+}
+
+static void
+test_bucket (void)
+{
+  struct quota_owner owner;
+  uint64_t now = 20000;
+  set_up_owner (&owner, 0, 100, 10, 10000);
+  quota_owner_vote (&owner, 1, true, 0, now, now);
+  struct quota_grant grant
+      = quota_owner_ask (&owner, 5, 3, true, 3, 0, 0, now);
+  CU_ASSERT_EQUAL (grant.verdict, QUOTA_DECIDED);
+  CU_ASSERT_EQUAL (grant.tokens, 0);
+  CU_ASSERT (grant.wait_ms >= 10);
+  grant = quota_owner_ask (&owner, 5, 3, true, 3, 0, 0, now + 100);
+  CU_ASSERT_EQUAL (grant.tokens, 3);
+  CU_ASSERT_EQUAL (grant.wait_ms, 0);
+  /* Returned tokens are granted again, up to the burst. */
+  grant = quota_owner_ask (&owner, 5, 3, true, 20, 0, 3, now + 100);
+  CU_ASSERT_EQUAL (grant.tokens, 10);
+  grant = quota_owner_ask (&owner, 5, 3, true, 20, 0, 1000, now + 100);
+  CU_ASSERT (grant.tokens <= 10);
+  /* A lapsed majority empties the bucket. */
+  now += 2000;
+  quota_owner_vote (&owner, 1, true, 0, now, now);
+  grant = quota_owner_ask (&owner, 5, 3, true, 1, 0, 0, now);
+  CU_ASSERT_EQUAL (grant.tokens, 0);
+  quota_owner_finish (&owner);
+}
+
+static void
+test_lease (void)
+{
+  struct quota_lease lease;
+  struct quota_token token = { 0 };
+  uint64_t now = 20000;
+  quota_lease_init (&lease);
+  CU_ASSERT (!quota_lease_take (&lease, &token, now));
+  quota_lease_decided (&lease, 2, 0, 9, now, now + 2);
+  CU_ASSERT (quota_lease_take (&lease, &token, now + 10));
+  CU_ASSERT (!quota_lease_take (&lease, &(struct quota_token){ 0 },
+                                now + QUOTA_LEASE_MS));
+  /* A token of a request that never ran serves another one, once. */
+  quota_lease_put_back (&lease, &token, now + 20);
+  quota_lease_put_back (&lease, &token, now + 20);
+  CU_ASSERT_EQUAL (quota_lease_give_back (&lease, 8, now + 300), 0);
+  CU_ASSERT_EQUAL (quota_lease_give_back (&lease, 9, now + 300), 2);
+  CU_ASSERT_EQUAL (quota_lease_give_back (&lease, 9, now + 300), 0);
+  /* After its lease it goes back to its lender. */
+  quota_lease_decided (&lease, 1, 0, 9, now, now + 2);
+  CU_ASSERT (quota_lease_take (&lease, &token, now + 10));
+  quota_lease_put_back (&lease, &token, now + 1000);
+  CU_ASSERT (!quota_lease_take (&lease, &token, now + 1000));
+  CU_ASSERT_EQUAL (quota_lease_give_back (&lease, 9, now + 1000), 1);
+}
+
+static void
+test_local_rate (void)
+{
+  struct quota_lease lease;
+  struct quota_limit limit = { 100, 10 };
+  uint64_t now = 20000;
+  quota_lease_init (&lease);
+  CU_ASSERT (!quota_lease_take_local (&lease, &limit, 10, now));
+  quota_lease_decided (&lease, 0, 0, 9, now, now);
+  CU_ASSERT (!quota_lease_take_local (&lease, &limit, 10,
+                                      now + QUOTA_SILENCE_MS - 1));
+  unsigned admitted = 0;
+  for (uint64_t t = QUOTA_SILENCE_MS; t < QUOTA_SILENCE_MS + 10000; t++)
+    admitted += quota_lease_take_local (&lease, &limit, 10, now + t);
+  CU_ASSERT (admitted >= 48 && admitted <= 50);
+  CU_ASSERT (
+      !quota_lease_take_local (&lease, &limit, 10, now + QUOTA_LOCAL_END_MS));
+}
+
+static void
+test_messages (void)
+{
+  static const char *const malformed[] = {
+    "",
+    "{}",
+    "[]",
+    "{\"node\":\"n\",\"vote\":false,\"lender\":1}",
+    "{\"node\":\"n\",\"vote\":false,\"lender\":-1,\"accounts\":[]}",
+    "{\"node\":\"n\",\"vote\":1,\"lender\":1,\"accounts\":[]}",
+    "{\"node\":\"n\",\"vote\":true,\"lender\":1,\"accounts\":[[\"a\",1,2]]}",
+    "{\"node\":\"n\",\"vote\":true,\"lender\":1,"
+    "\"accounts\":[[\"a\",1,2,-3]]}",
+    "{\"node\":\"n\",\"vote\":true,\"lender\":1,"
+    "\"accounts\":[[\"a\",1,2,1000001]]}",
+    "{\"node\":\"n\",\"vote\":true,\"lender\":1,"
+    "\"accounts\":[[\"a\",1,2,1.5]]}",
+  };
+  static struct quota_request request;
+  static struct quota_request read;
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    CU_ASSERT_EQUAL (
+        quota_request_read (malformed[i], strlen (malformed[i]), &read),
+        STATUS_INVALID);
+  strcpy (request.node, "node-1");
+  request.lender = INT64_MAX;
+  request.vote = true;
+  request.count = QUOTA_MESSAGE_ACCOUNTS_MAX;
+  for (size_t i = 0; i < request.count; i++)
+    {
+      memset (request.asks[i].account, '"', QUOTA_MESSAGE_NAME_MAX);
+      request.asks[i].pending = (uint32_t)i;
+      request.asks[i].returned = QUOTA_MESSAGE_COUNT_MAX;
+    }
+  char *text = quota_request_write (&request);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+  CU_ASSERT (strlen (text) <= QUOTA_MESSAGE_BYTES_MAX);
+  CU_ASSERT_EQUAL (quota_request_read (text, strlen (text), &read), STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&read, &request, sizeof read), 0);
+  free (text);
+}
+
 int
 main (void)
 {
   static const struct test_case cases[] = {
+    { "a node grants without a majority", test_majority },
+    { "a node votes for two others", test_promise },
+    { "a bucket starts full or exceeds its burst", test_bucket },
+    { "a token is used twice or after its lease", test_lease },
+    { "a node that is cut off admits more than its share", test_local_rate },
+    { "a malformed message is accepted", test_messages },
     { "requests within the quota are rejected", test_usual_demand },
     { "more than the bound is admitted during a fault",
       test_bound_under_faults },
