--- a/test/functional/quota_test.sh
+++ b/test/functional/quota_test.sh
@@ -113,9 +113,41 @@
 metrics=$(curl -s "http://127.0.0.1:$(port 1 5)/" | grep -c '^hawthornseam_account_over_quota{account="club"} [1-9]')
 expect "rejections in the metrics" "$metrics" 1
 
+# Callers leave while their requests wait for a token, and a node stops while
+# requests wait at it: these are answered, and the process ends.
+report_all
+flood 2 "$RUN/leaving" 0 1 2 &
+FLOOD=$!
+for k in $(seq 1 60); do
+  status $((k % 3)) key-club -m 0.03 >/dev/null &
+done
+wait "$FLOOD"
+wait
+for i in 0 1 2; do has_ended "${PID[s$i]}" && fail "node $i ended when callers left"; done
+SPARE=$(((OWNER + 1) % 3))
+SEQUENCE=$((SEQUENCE + 100))
+report_all
+flood 2 "$RUN/stopping" "$SPARE" &
+FLOOD=$!
+sleep 0.5
+send_signal "s$SPARE" TERM
+wait_for "end of a stopping node" 10 has_ended "${PID[s$SPARE]}"
+wait "$FLOOD"
+grep -q '"event":"stopped"\|event=stopped' "$RUN/s$SPARE.out" || fail "the stopping node did not end by itself"
+sidecar_run "$SPARE"
+wait_for "ready again" 10 ready "$SPARE" || fail "node $SPARE is not ready again"
+report_all
+wait_for "answer after the restart" 10 status_is 200 "$SPARE" key-club || fail "no answer after the restart"
+wait_for "owner after the restart" 5 has_owner
+OWNER=$(owner_of)
+report_all
+sleep 2.5 # the restarted node's vote counts again (QUOTA_SETTLE_MS)
+
 # The owner is killed under load.
 rest=()
 for i in 0 1 2; do [ "$i" = "$OWNER" ] || rest+=("$i"); done
+SEQUENCE=$((SEQUENCE + 100))
+report_all
 report_for 8 "${rest[@]}" &
 (sleep 1; send_signal "s$OWNER" KILL) &
 flood 8 "$RUN/killed" "${rest[@]}"
