--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,9 @@
   leave_holders.c \
   placement.c \
   placement_speed.c \
+  quota_lease.c \
+  quota_owner.c \
+  quota_rank.c \
   relay.c \
   rendezvous.c \
   resend.c \
@@ -68,6 +71,7 @@
   hop.c \
   json_text.c \
   move_record.c \
+  quota_message.c \
   scalar.c \
   store_api.c \
   target_load.c \
