--- a/test/unit/placement_sim.h
+++ b/test/unit/placement_sim.h
@@ -23,6 +23,7 @@
 #define SIM_SPEEDS_MAX 4
 #define SIM_TOGGLES_MAX 1024
 #define SIM_QUEUE_MAX 4096
+#define SIM_SECONDS_MAX 256
 
 /// Weight of a sample in the mean that nodes report without the figure, as in
 /// the admission queue.
@@ -45,6 +46,8 @@
   double disturbed_share; ///< of the time, for each target
   double disturbed_ms;    ///< mean length of a disturbance
   double disturbed_factor;
+  double burst; ///< in seconds 10 to 15, zone 0 has this times the demand
+                ///< of each other zone; 0: as usual
   double seconds;
   bool speed_by_zone; ///< with as many zones as speeds, all targets of a zone
                       ///< have the same; otherwise each has targets of all
@@ -54,6 +57,7 @@
   uint64_t seed;
 };
 
+/// Results of the time after the first 10 s.
 struct sim_result
 {
   double mean_ms;
@@ -61,6 +65,7 @@
   double within;           ///< share of requests within the limit of the setup
   double cross_zone;       ///< share of requests between zones
   double cross_zone_bytes; ///< share of the bodies' bytes between zones
+  double cross_zone_at[SIM_SECONDS_MAX]; ///< `cross_zone` of each second
   /// work done per slot, second and unit of speed, for each of the speeds; 1:
   /// fully used while undisturbed
   double use[SIM_SPEEDS_MAX];
@@ -134,6 +139,8 @@
   float *times_ms;
   size_t time_count;
   size_t cross_zone;
+  size_t calls_at[SIM_SECONDS_MAX];
+  size_t cross_zone_at[SIM_SECONDS_MAX];
   uint64_t body_bytes;
   uint64_t cross_zone_bytes;
 };
@@ -364,7 +371,14 @@
       double phase = (double)sim->now_us / 1e6 / setup->wave_s
                      + (double)zone / (double)setup->zones;
       double weight = 1 + setup->wave * sin (2 * M_PI * phase);
-      if (rng_unit (&sim->rng) * (1 + setup->wave) < weight)
+      double most = 1 + setup->wave;
+      uint64_t s = sim->now_us / 1000000;
+      if (setup->burst > 0 && s >= 20 && s < 25)
+        {
+          weight = zone == 0 ? setup->burst : 1;
+          most = setup->burst;
+        }
+      if (rng_unit (&sim->rng) * most < weight)
         return entry;
     }
 }
@@ -383,6 +397,13 @@
   size_t handle = placement_choose (&sim->directories[entry], &wanted,
                                     &sim->rng, now_ms);
   placement_begin (&sim->directories[entry].records[handle]);
+  if (sim->now_us >= sim->counted_from_us)
+    {
+      size_t s = (sim->now_us - sim->counted_from_us) / 1000000;
+      sim->calls_at[s]++;
+      sim->cross_zone_at[s]
+          += entry % setup->zones != sim->targets[handle].zone;
+    }
   struct sim_request request
       = { .sent_us = sim->now_us,
           .entry = (uint32_t)entry,
@@ -474,6 +495,9 @@
   result.p95_ms = sim->times_ms[sim->time_count * 95 / 100];
   result.within = (double)within / count;
   result.cross_zone = (double)sim->cross_zone / count;
+  for (size_t i = 0; i < SIM_SECONDS_MAX && sim->calls_at[i] > 0; i++)
+    result.cross_zone_at[i]
+        = (double)sim->cross_zone_at[i] / (double)sim->calls_at[i];
   if (sim->body_bytes > 0)
     result.cross_zone_bytes
         = (double)sim->cross_zone_bytes / (double)sim->body_bytes;
--- a/test/unit/uneven_targets_test.c
+++ b/test/unit/uneven_targets_test.c
@@ -152,6 +152,29 @@
   printf ("\n  ");
 }
 
+/// Half of all requests enter in one zone for 5 s, which is the capacity of
+/// its targets.
+static void
+test_spill_and_return (void)
+{
+  struct sim_setup setup = base;
+  setup.figure = true;
+  setup.wave = 0;
+  setup.burst = 6;
+  setup.seconds = 25;
+  struct sim_result result = placement_sim_run (&setup);
+  print_result ("burst in one zone", "with", &setup, &result);
+  printf ("\n    between zones, each second:");
+  for (size_t i = 5; i < 25; i++)
+    printf (" %.2f", result.cross_zone_at[i]);
+  CU_ASSERT (result.cross_zone_at[9] < 0.06);
+  CU_ASSERT (result.cross_zone_at[10] > 0.08);
+  CU_ASSERT (result.cross_zone_at[13] > 0.15);
+  CU_ASSERT (result.cross_zone_at[16] < 0.06);
+  CU_ASSERT (result.within > 0.95);
+  printf ("\n  ");
+}
+
 static void
 test_uploads_stay_in_their_zone (void)
 {
@@ -176,6 +199,8 @@
       test_nodes_do_not_herd },
     { "slow targets stay idle while fast ones queue",
       test_load_follows_capacity },
+    { "requests queue in a zone, or do not return to it",
+      test_spill_and_return },
     { "large bodies cross zones without need",
       test_uploads_stay_in_their_zone },
   };
