Leave a target's refusals out of its service time at the usual speed

A target that refuses requests at once, with the header that says so, would report an ever shorter service time and get more of them.

--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -183,7 +183,8 @@
 {
   struct sidecar *sidecar = inbound->sidecar;
   bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
-  if (timed)
+  /* A target that refuses requests at once must not look fast. */
+  if (timed && !inbound->not_run)
     target_speed_sample (&sidecar->target.speed, inbound->sent_us,
                          inbound->speed_integral, clock_monotonic_us ());
   struct admission_queue_ticket ticket = inbound->ticket;
@@ -248,6 +249,7 @@
   admission_queue_note_head (&inbound->ticket, clock_monotonic_us ());
   sidecar->target.refusals = 0;
   read_target_load (sidecar, head);
+  inbound->not_run = not_run;
   if (not_run)
     {
       counter_add (&shed, 1);
--- a/src/sidecar/sidecar_inbound.h
+++ b/src/sidecar/sidecar_inbound.h
@@ -23,7 +23,8 @@
   uint64_t deadline_ms;
   uint64_t sent_us;        ///< when it was sent to the target
   uint64_t speed_integral; ///< target_speed_integral at that time
-  uint64_t fingerprint;    ///< identifies the request in crash records
+  bool not_run; ///< the target states that it did not execute the request
+  uint64_t fingerprint; ///< identifies the request in crash records
 };
 
 #endif
--- a/test/functional/uneven_targets_test.sh
+++ b/test/functional/uneven_targets_test.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Tests the speed figure of targets with sidecars as processes on loopback.
 # Guards against these failures: a node reports a figure that its target did not
-# state, does not report one that it did, or believes a malformed one; the
-# target's header does not reach callers unchanged; the load of the node does.
+# state, does not report one that it did, or believes a malformed one; a target
+# that refuses requests at once looks fast; the target's header does not reach
+# callers unchanged; the load of the node does.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin uneven
 sidecars_begin
@@ -49,6 +50,14 @@
 for n in 1 2 3; do peer_load /read/load-250 >/dev/null; done
 [[ $(peer_load /read/5) =~ $five ]] || fail "no figure after a pause"
 
+# Refusals by the target, which come at once, are no service times.
+for n in 1 2 3 4; do peer_load /read/slow-load-250 >/dev/null; done
+before=$(peer_load /read/slow-load-250 | cut -d, -f4)
+[ "$before" -gt 20000 ] || fail "service time after slow requests: $before us"
+for n in $(seq 20); do peer_load /read/load-shed >/dev/null; done
+after=$(peer_load /read/load-shed | cut -d, -f4)
+[ "$after" -ge "$before" ] || fail "refusals shorten the service time: $before, then $after us"
+
 # A new incarnation of the target starts without the figure of the last one.
 curl -s -m 2 -o /dev/null -X POST \
   "http://127.0.0.1:$(port 1 3)/api/instances/i-b/heartbeat" \
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -184,11 +184,15 @@
   const char *account = http_head_find (request->head, "Hawthornseam-Tenant");
   const char *key = http_head_find (request->head, "Api-Key");
   bool fails = strstr (request->head->target, "fail") != NULL;
+  bool shed = strstr (request->head->target, "load-shed") != NULL;
   const char *load = "";
   if (strstr (request->head->target, "load-odd") != NULL)
     load = "Hawthornseam-Server-Load: 1,0,4,-250\r\n";
   else if (strstr (request->head->target, "load-250") != NULL)
     load = "Hawthornseam-Server-Load: 1,0,4,250\r\n";
+  else if (shed)
+    load = "Hawthornseam-Server-Load: 1,0,4,250\r\n"
+           "Hawthornseam-Not-Executed: 1\r\n";
   snprintf (fields, sizeof fields,
             "Hawthornseam-Request-Id: %s\r\nHawthornseam-Response-Seal: x\r\n"
             "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n"
@@ -199,8 +203,11 @@
             strstr (request->head->target, "forge") == NULL
                 ? ""
                 : "Hawthornseam-Outcome: not-run\r\n");
-  http_reply (request, fails ? 500 : 200, fields, run->target->instance,
-              strlen (run->target->instance));
+  http_reply (request,
+              shed    ? 503
+              : fails ? 500
+                      : 200,
+              fields, run->target->instance, strlen (run->target->instance));
   free_run (run);
 }
 
