Count work close to its objective as late

Requests of a kind differ in their work, so those started with just their expected time left missed the objective in slots that others could use in time. An eighth of the time is now left as a margin.

--- a/src/coordination/shed_cost.c
+++ b/src/coordination/shed_cost.c
@@ -8,9 +8,6 @@
 /// need up to half of the work, and does not outweigh all of them.
 #define RANK_WEIGHT_RATIO 0.5
 
-/// Ranks beyond this one count the same.
-#define RANK_MAX 8
-
 /// Value of a response between objective and deadline, relative to one within
 /// the objective; callers state 0.3 to 0.75.
 #define LATE_VALUE 0.5
@@ -23,6 +20,12 @@
 /// Requests beyond an account's usual share count this much.
 #define OVER_SHARE_WEIGHT (1.0 / 32)
 
+/// Work whose objective leaves less than 9 / 8 of its expected time counts as
+/// late: requests of a kind differ, and with less time left half of them would
+/// miss the objective in slots that others could use in time. With 5 / 4,
+/// short work on slow machines would always count as late.
+#define OBJECTIVE_MARGIN_DIVISOR 8
+
 /// Slack is discounted over this many mean slot times.
 #define SLACK_MEANS 2.0
 
@@ -97,6 +100,8 @@
 shed_cost_init (struct shed_cost *cost)
 {
   memset (cost, 0, sizeof *cost);
+  for (size_t i = 0; i <= SHED_COST_RANK_MAX; i++)
+    cost->rank_weights[i] = pow (RANK_WEIGHT_RATIO, (double)i);
 }
 
 bool
@@ -346,8 +351,9 @@
 static double
 weight (const struct shed_cost *cost, const struct shed_cost_item *item)
 {
-  uint32_t rank = item->rank < RANK_MAX ? item->rank : RANK_MAX;
-  double value = pow (RANK_WEIGHT_RATIO, rank);
+  uint32_t rank
+      = item->rank < SHED_COST_RANK_MAX ? item->rank : SHED_COST_RANK_MAX;
+  double value = cost->rank_weights[rank];
   const struct shed_cost_kind *kind = kind_of (cost, item);
   if (kind != NULL)
     value *= kind->boost;
@@ -378,7 +384,7 @@
   if (to_deadline < 0)
     return 0;
   double loss = LATE_VALUE * urgency (to_deadline, scale_us);
-  if (to_objective >= 0)
+  if (to_objective >= need_us / OBJECTIVE_MARGIN_DIVISOR)
     loss += (1 - LATE_VALUE) * urgency (to_objective, scale_us);
   return weight (cost, item) * loss / need_us;
 }
--- a/src/coordination/shed_cost.h
+++ b/src/coordination/shed_cost.h
@@ -20,6 +20,9 @@
 /// ranks, which accounts may set, counts as different kinds.
 #define SHED_COST_KINDS 32
 
+/// Ranks beyond this one count the same.
+#define SHED_COST_RANK_MAX 8
+
 /// Accounts that are tracked; those with the least use are replaced first. An
 /// account that crowds out others is among the largest of a node.
 #define SHED_COST_ACCOUNTS 128
@@ -79,6 +82,7 @@
   bool reserve;        ///< the last free slot is for short kinds
   uint64_t return_us;  ///< time up to which retries are scheduled
   struct shed_cost_outcomes outcomes;
+  double rank_weights[SHED_COST_RANK_MAX + 1];
   struct shed_cost_kind kinds[SHED_COST_KINDS];
   struct shed_cost_account accounts[SHED_COST_ACCOUNTS];
 };
--- a/test/unit/shed_cost_test.c
+++ b/test/unit/shed_cost_test.c
@@ -649,7 +649,7 @@
 static void
 test_value (void)
 {
-  static const double least[SERVICES] = { 0.97, 1, 1.2 };
+  static const double least[SERVICES] = { 0.99, 1, 1.2 };
   for (size_t i = 0; i < SERVICES; i++)
     {
       double values[2] = { 0 };
