--- a/src/coordination/shed_cost.c
+++ b/src/coordination/shed_cost.c
@@ -47,11 +47,11 @@
 /// Largest factor by which a kind is raised, more than the ratio of the values
 /// per slot time of usual kinds, and the factor of one step.
 #define BOOST_MAX 64.0
-#define BOOST_STEP 1.2
+#define BOOST_STEP 1.5
 
 /// A kind is raised when it is served less often, or less often on time, than
 /// a less urgent one by more than this. Callers are promised 5 and 15 in 100.
-#define SERVED_GAP_MAX 0.02
+#define SERVED_GAP_MAX 0.01
 #define ON_TIME_GAP_MAX 0.08
 
 /// A kind counts as short, so that a free slot helps it, when its work is less
--- a/test/unit/admission_queue_test.c
+++ b/test/unit/admission_queue_test.c
@@ -439,6 +439,25 @@
   CU_ASSERT_EQUAL (refused, 0);
 }
 
+/// A slot that is kept free by cost is used by rank, at once.
+static void
+test_kept_slot_is_used_after_a_change (void)
+{
+  mode = ADMISSION_COST;
+  set_up (4);
+  mode = ADMISSION_RANK;
+  record_service (100);
+  offer (0, 1, 5000, 9000, 1000);
+  queue.cost.reserve = true;
+  for (size_t i = 1; i < 4; i++)
+    offer (i, 1, 5000, 9000, 1000);
+  CU_ASSERT_EQUAL (queue.running, 3);
+  CU_ASSERT_EQUAL (queue.queued, 1);
+  admission_queue_set_mode (&queue, ADMISSION_RANK, 1000 * 1000);
+  CU_ASSERT_EQUAL (queue.running, 4);
+  CU_ASSERT_EQUAL (started, 1);
+}
+
 /// The target may run a request on after its caller left, and then resets the
 /// connection of one more.
 static void
@@ -521,6 +540,8 @@
       test_mode_changes_while_queued },
     { "work whose caller left gives its slot away while the target runs it",
       test_abandoned_work_keeps_its_slot },
+    { "queued work waits for a free slot after the policy has changed",
+      test_kept_slot_is_used_after_a_change },
     { "a full queue refuses work that costs more than what is queued",
       test_full_queue_keeps_the_best },
   };
