Order requests of equal accounts by their routes' priority

An account's priority replaced that of the route, so where all accounts have the same one, urgent short requests queued and were refused like any other. The account still goes first; the route now decides between equal ones. Without accounts a rank is the route's priority as before. The cost mode of admission is the default where the configuration has accounts; on targets that only report their speed it served fewer requests on time.

--- a/src/coordination/shed_cost.c
+++ b/src/coordination/shed_cost.c
@@ -351,8 +351,10 @@
 static double
 weight (const struct shed_cost *cost, const struct shed_cost_item *item)
 {
-  uint32_t rank
-      = item->rank < SHED_COST_RANK_MAX ? item->rank : SHED_COST_RANK_MAX;
+  uint32_t rank = item->rank / SHED_COST_ROUTE_RANKS
+                  + item->rank % SHED_COST_ROUTE_RANKS;
+  if (rank > SHED_COST_RANK_MAX)
+    rank = SHED_COST_RANK_MAX;
   double value = cost->rank_weights[rank];
   const struct shed_cost_kind *kind = kind_of (cost, item);
   if (kind != NULL)
--- a/src/coordination/shed_cost.h
+++ b/src/coordination/shed_cost.h
@@ -20,6 +20,10 @@
 /// ranks, which accounts may set, counts as different kinds.
 #define SHED_COST_KINDS 32
 
+/// Ranks of routes within one rank of accounts: a rank is that of the account
+/// times this, and that of the route. Without accounts it is the route's.
+#define SHED_COST_ROUTE_RANKS 4u
+
 /// Ranks beyond this one count the same.
 #define SHED_COST_RANK_MAX 8
 
--- a/src/sidecar/sidecar_account.c
+++ b/src/sidecar/sidecar_account.c
@@ -5,6 +5,9 @@
 
 #include <strings.h>
 
+/// Larger priorities of accounts count the same.
+#define RANK_ACCOUNT_MAX 1000u
+
 /// @return value of the only field with a name, or NULL when there is none or
 ///         more than one
 static const char *
@@ -42,6 +45,23 @@
              : ACCOUNT_UNDECIDED;
 }
 
+uint32_t
+sidecar_account_rank (const struct sidecar *sidecar,
+                      const struct client_account *account,
+                      const struct mesh_route *route)
+{
+  if (!sidecar->config->accounts.required)
+    return route->priority;
+  uint32_t of_route = route->priority < SHED_COST_ROUTE_RANKS
+                          ? route->priority
+                          : SHED_COST_ROUTE_RANKS - 1;
+  uint32_t first = account != NULL && account->has_priority ? account->priority
+                                                            : route->priority;
+  if (first > RANK_ACCOUNT_MAX)
+    first = RANK_ACCOUNT_MAX;
+  return first * SHED_COST_ROUTE_RANKS + of_route;
+}
+
 uint32_t
 sidecar_account_hash (const char *name)
 {
--- a/src/sidecar/sidecar_account.h
+++ b/src/sidecar/sidecar_account.h
@@ -23,6 +23,12 @@
                        const struct http_head *head,
                        const struct client_account **account);
 
+/// @return rank of a request: the priority of its account goes before that of
+///         its route, which decides between requests of equal accounts
+uint32_t sidecar_account_rank (const struct sidecar *sidecar,
+                               const struct client_account *account,
+                               const struct mesh_route *route);
+
 /// @param name  of the account, or NULL
 /// @return hash that identifies the account to other nodes; 0: no account
 uint32_t sidecar_account_hash (const char *name);
--- a/src/sidecar/sidecar_admission.c
+++ b/src/sidecar/sidecar_admission.c
@@ -34,8 +34,7 @@
     }
   bool has_accounts
       = sidecar->config != NULL && sidecar->config->accounts.required;
-  return has_accounts || sidecar->target.speed_percent > 0 ? ADMISSION_COST
-                                                           : ADMISSION_RANK;
+  return has_accounts ? ADMISSION_COST : ADMISSION_RANK;
 }
 
 void
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -606,8 +606,7 @@
   outbound->retry.attempts_max = route->attempts_max;
   if (route->retry_class == MESH_DOWNLOAD || route->large_responses)
     http_request_block_next (outbound->request);
-  outbound->rank = account != NULL && account->has_priority ? account->priority
-                                                            : route->priority;
+  outbound->rank = sidecar_account_rank (sidecar, account, route);
   outbound->kind = (uint32_t)hash_placement_string (route->name);
   if (deadline_ms > route->deadline_seen_ms)
     route->deadline_seen_ms = deadline_ms;
