Count what is left of a target's link when placing large bodies

The node beside a target smooths the bytes of the bodies that arrive and reports what is left of its link, as an optional sixth number of the load header. A body's transfer time at that rate counts in the cost of a node.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
   admission_rank.c \
   cold_limit.c \
   leave_holders.c \
+  link_load.c \
   placement.c \
   placement_speed.c \
   quota_lease.c \
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -228,7 +228,7 @@
 prefers_own (const struct placement_request *request)
 {
   return request->own_node != NULL
-         && placement_speed_transfer_us (request) > 0;
+         && placement_speed_transfer_us (request, NULL) > 0;
 }
 
 static bool
@@ -323,7 +323,6 @@
     }
   struct placement_speed_typical typical
       = placement_speed_typical (directory, handles, count);
-  uint64_t transfer_us = placement_speed_transfer_us (request);
   for (size_t i = 0; i < count; i++)
     {
       const struct directory_record *record = &directory->records[handles[i]];
@@ -332,7 +331,7 @@
         costs[i]
             += placement_speed_cross_zone_us (request, typical.service_us);
       if (!is_own (record, request))
-        costs[i] += transfer_us;
+        costs[i] += placement_speed_transfer_us (request, record);
     }
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -65,10 +65,13 @@
 
 /// Stores the speed of the target that the same report contained. A report
 /// without this call is one without the figure.
+/// @param link_free_kbytes_per_s  rate left for bodies on the VM's link; 0:
+///                                unknown
 /// @param speed_percent  how long work takes now, at least 1; 100: as usual.
 ///                       The service time of the report is that at 100
 ///                       percent.
 void placement_report_speed (struct directory_record *record,
-                             uint32_t speed_percent);
+                             uint32_t speed_percent,
+                             uint32_t link_free_kbytes_per_s);
 
 #endif
--- a/src/coordination/placement_speed.c
+++ b/src/coordination/placement_speed.c
@@ -76,9 +76,11 @@
 
 void
 placement_report_speed (struct directory_record *record,
-                        uint32_t speed_percent)
+                        uint32_t speed_percent,
+                        uint32_t link_free_kbytes_per_s)
 {
   struct directory_load *load = &record->load;
+  load->link_free_kbytes_per_s = link_free_kbytes_per_s;
   uint64_t busy = (uint64_t)load->running + load->waiting;
   if (busy > BUSY_MAX)
     busy = BUSY_MAX;
@@ -186,13 +188,19 @@
 }
 
 uint64_t
-placement_speed_transfer_us (const struct placement_request *request)
+placement_speed_transfer_us (const struct placement_request *request,
+                             const struct directory_record *record)
 {
-  if (request->link_bytes_per_s == 0)
+  uint64_t bytes_per_s = request->link_bytes_per_s;
+  uint64_t left_per_s
+      = record == NULL ? 0 : record->load.link_free_kbytes_per_s * 1000ull;
+  if (left_per_s > 0 && (bytes_per_s == 0 || left_per_s < bytes_per_s))
+    bytes_per_s = left_per_s;
+  if (bytes_per_s == 0)
     return 0;
   uint64_t bytes = request->body_bytes < BODY_BYTES_MAX ? request->body_bytes
                                                         : BODY_BYTES_MAX;
-  uint64_t us = bytes * 1000000 / request->link_bytes_per_s;
+  uint64_t us = bytes * 1000000 / bytes_per_s;
   return us < TRANSFER_US_MIN ? 0 : us;
 }
 
--- a/src/coordination/placement_speed.h
+++ b/src/coordination/placement_speed.h
@@ -26,10 +26,12 @@
                              const struct placement_speed_typical *typical,
                              uint64_t now_ms);
 
-/// @return time that the request's body takes on this VM's link, which
-/// requests
-///         to the own target don't use, microseconds; 0 when it is short
-uint64_t placement_speed_transfer_us (const struct placement_request *request);
+/// @param record  node to which the request would go; NULL: any
+/// @return time that the request's body takes on the slower of this VM's link
+///         and what is left of the other one's, microseconds; 0 when it is
+///         short. Requests to the own target use no link.
+uint64_t placement_speed_transfer_us (const struct placement_request *request,
+                                      const struct directory_record *record);
 
 /// @return what a request to another zone costs, microseconds
 uint64_t
--- a/src/protocol/hop.c
+++ b/src/protocol/hop.c
@@ -10,7 +10,6 @@
 #define HOP_FIELDS_MIN 9
 #define HOP_FIELDS 10
 #define LOAD_FIELDS_MIN 4
-#define LOAD_FIELDS 5
 
 void
 hop_write (const struct hop *hop, char text[HOP_SIZE_MAX])
@@ -50,20 +49,26 @@
   int length = snprintf (text, HOP_LOAD_SIZE_MAX, "%u,%u,%u,%u", load->running,
                          load->waiting, load->slots, load->service_us);
   if (load->speed_percent > 0)
+    length += snprintf (text + length, HOP_LOAD_SIZE_MAX - (size_t)length,
+                        ",%u", load->speed_percent);
+  if (load->speed_percent > 0 && load->link_free_kbytes_per_s > 0)
     snprintf (text + length, HOP_LOAD_SIZE_MAX - (size_t)length, ",%u",
-              load->speed_percent);
+              load->link_free_kbytes_per_s);
 }
 
 enum status
 hop_load_parse (const char *text, struct hop_load *load)
 {
   load->speed_percent = 0;
-  int fields = text == NULL ? 0
-                            : sscanf (text, "%u,%u,%u,%u,%u", &load->running,
-                                      &load->waiting, &load->slots,
-                                      &load->service_us, &load->speed_percent);
+  load->link_free_kbytes_per_s = 0;
+  int fields
+      = text == NULL
+            ? 0
+            : sscanf (text, "%u,%u,%u,%u,%u,%u", &load->running,
+                      &load->waiting, &load->slots, &load->service_us,
+                      &load->speed_percent, &load->link_free_kbytes_per_s);
   if (fields < LOAD_FIELDS_MIN
-      || (fields == LOAD_FIELDS
+      || (fields > LOAD_FIELDS_MIN
           && (load->speed_percent < TARGET_SPEED_PERCENT_MIN
               || load->speed_percent > TARGET_SPEED_PERCENT_MAX)))
     return status_set (STATUS_INVALID, "malformed load header");
--- a/src/protocol/hop.h
+++ b/src/protocol/hop.h
@@ -14,7 +14,7 @@
 
 /// Bytes of the value that hop_load_write gives to CALL_HEADER_LOAD, including
 /// the terminating zero.
-#define HOP_LOAD_SIZE_MAX 64
+#define HOP_LOAD_SIZE_MAX 80
 
 /// Routing decision about one request.
 struct hop
@@ -42,6 +42,9 @@
                           ///< percent if `speed_percent` is known
   uint32_t speed_percent; ///< how long work takes in the target now; 100: as
                           ///< usual, 0: unknown and not written
+  uint32_t
+      link_free_kbytes_per_s; ///< what is left of the VM's link for bodies;
+                              ///< 0: unknown; written with the speed only
 };
 
 void hop_write (const struct hop *hop, char text[HOP_SIZE_MAX]);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -15,6 +15,7 @@
 #include "base/rng.h"
 #include "coordination/admission_queue.h"
 #include "coordination/cold_limit.h"
+#include "coordination/link_load.h"
 #include "coordination/placement.h"
 #include "coordination/retry_quota.h"
 #include "coordination/stop_plan.h"
@@ -87,6 +88,7 @@
   uint32_t speed_percent;      ///< newest speed figure of the target; 100: as
                                ///< usual, 0: not reported
   uint64_t speed_ms;           ///< time of the newest speed figure
+  struct link_load link;       ///< bodies of requests for it
   struct target_speed speed;   ///< service time at the usual speed
 };
 
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -73,6 +73,11 @@
     {
       load.service_us = speed->service_us;
       load.speed_percent = speed->percent;
+      load.link_free_kbytes_per_s
+          = (uint32_t)(link_load_free (&sidecar->target.link,
+                                       sidecar->admission.link_bytes_per_s,
+                                       clock_monotonic_us ())
+                       / 1000);
     }
   char text[HOP_LOAD_SIZE_MAX];
   hop_load_write (&load, text);
@@ -547,6 +552,8 @@
     id = "";
   if (!sidecar_store_has_view (sidecar))
     sidecar_store_request_view (sidecar, hop.address, hop.port);
+  link_load_add (&sidecar->target.link, evbuffer_get_length (request->body),
+                 now_us);
   const char *reason = refusal_reason (sidecar, &hop, now_us / 1000);
   struct sidecar_inbound *inbound
       = reason == NULL ? calloc (1, sizeof *inbound) : NULL;
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -46,7 +46,8 @@
   placement_report (record, load.running, load.waiting, load.service_us,
                     clock_monotonic_ms ());
   if (load.speed_percent > 0)
-    placement_report_speed (record, load.speed_percent);
+    placement_report_speed (record, load.speed_percent,
+                            load.link_free_kbytes_per_s);
 }
 
 /// @return false for a response below 300 that lacks the target's proof header
--- a/src/state/directory.h
+++ b/src/state/directory.h
@@ -56,12 +56,14 @@
   uint32_t service_us;  ///< mean time in the target, as the node reported
   uint64_t reported_ms; ///< time of the last report, 0 for none
   uint32_t sent_since_report; ///< calls sent after the last report
-  uint32_t speed_percent;  ///< how long work takes on the target's machine, as
-                           ///< last reported; 100: as usual, 0: not reported
-  uint32_t usual_percent;  ///< smoothed over the reports
-  uint32_t usual_busy;     ///< running and queued requests, smoothed over the
-                           ///< reports, in 1 / 256
-  uint64_t down_until_ms;  ///< the node is avoided until then
+  uint32_t speed_percent; ///< how long work takes on the target's machine, as
+                          ///< last reported; 100: as usual, 0: not reported
+  uint32_t usual_percent; ///< smoothed over the reports
+  uint32_t usual_busy;    ///< running and queued requests, smoothed over the
+                          ///< reports, in 1 / 256
+  uint32_t link_free_kbytes_per_s; ///< left for bodies of the VM's link, as
+                                   ///< last reported; 0: not reported
+  uint64_t down_until_ms;          ///< the node is avoided until then
   unsigned failures;       ///< consecutive failed connects or lost responses
   uint32_t error_permille; ///< smoothed share of failed responses
   uint64_t error_ms;       ///< time of the last change of error_permille
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -63,7 +63,7 @@
                                            "3,4,12,81000,9",
                                            "3,4,12,81000,10001",
                                            "3,4,12,81000,-1" };
-  struct hop_load load = { 3, 4, 12, 81000, 0 };
+  struct hop_load load = { 3, 4, 12, 81000, 0, 0 };
   struct hop_load read;
   char text[HOP_LOAD_SIZE_MAX];
   hop_load_write (&load, text);
@@ -76,6 +76,11 @@
   CU_ASSERT_STRING_EQUAL (text, "3,4,12,81000,250");
   CU_ASSERT_EQUAL (hop_load_parse (text, &read), STATUS_OK);
   CU_ASSERT_EQUAL (memcmp (&load, &read, sizeof load), 0);
+  load.link_free_kbytes_per_s = 1250;
+  hop_load_write (&load, text);
+  CU_ASSERT_STRING_EQUAL (text, "3,4,12,81000,250,1250");
+  CU_ASSERT_EQUAL (hop_load_parse (text, &read), STATUS_OK);
+  CU_ASSERT_EQUAL (memcmp (&load, &read, sizeof load), 0);
   for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
     CU_ASSERT_EQUAL (hop_load_parse (malformed[i], &read), STATUS_INVALID);
   CU_ASSERT_EQUAL (hop_load_parse (NULL, &read), STATUS_INVALID);
--- a/test/unit/placement_sim.h
+++ b/test/unit/placement_sim.h
@@ -334,7 +334,7 @@
   placement_report (record, report->running, report->waiting,
                     report->service_us, sim->now_us / 1000);
   if (report->speed_percent > 0)
-    placement_report_speed (record, report->speed_percent);
+    placement_report_speed (record, report->speed_percent, 0);
 }
 
 static inline void
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -264,7 +264,7 @@
 {
   struct directory_record *record = &directory.records[handle];
   placement_report (record, running, waiting, service_us, now_ms);
-  placement_report_speed (record, speed_percent);
+  placement_report_speed (record, speed_percent, 0);
 }
 
 /// Lets a target be known by many reports.
@@ -424,6 +424,45 @@
     }
 }
 
+/// All targets of the own zone have full links, those of another zone free
+/// ones: a wave of uploads in one zone.
+static void
+test_uploads_leave_a_zone_of_full_links (void)
+{
+  static const struct
+  {
+    uint64_t body_bytes;
+    uint32_t near_kbytes_per_s;
+    bool leaves; ///< most of the requests are expected to leave the zone
+  } rows[] = {
+    { 60000, 60, true },
+    { 60000, 1250, false },
+    { 60000, 0, false },
+    { 2000, 60, false },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      set_up ();
+      for (unsigned k = 0; k < 8; k++)
+        {
+          char node[8];
+          snprintf (node, sizeof node, "n%u", k % 100);
+          add (node, k < 4 ? "z1" : "z2", "v1", DIRECTORY_READY);
+          settle_with_speed (k, 1, 200000, 1000);
+          directory.records[k].load.link_free_kbytes_per_s
+              = k < 4 ? rows[i].near_kbytes_per_s : 1250;
+        }
+      struct placement_request request = request_from ("z1");
+      request.body_bytes = rows[i].body_bytes;
+      request.link_bytes_per_s = 1250000;
+      request.objective_ms = 1000;
+      size_t far = 0;
+      for (int k = 0; k < 100; k++)
+        far += placement_choose (&directory, &request, &rng, 1001) >= 4;
+      CU_ASSERT_EQUAL (far > 50, rows[i].leaves);
+    }
+}
+
 /// Extreme figures that another node may send.
 static void
 test_extreme_reports (void)
@@ -511,6 +550,8 @@
       test_spill_to_other_zones_and_return },
     { "uploads use a slow link although the own target has a slot",
       test_uploads_avoid_the_slow_link },
+    { "large bodies fill the links of one zone while others are free",
+      test_uploads_leave_a_zone_of_full_links },
     { "extreme reports overflow the estimate", test_extreme_reports },
     { "placement of targets without a speed figure changes",
       test_choices_without_figure_are_unchanged },
