Use the reported speed of a machine for expected service times

A machine that is disturbed for half a second needs several slow responses before the smoothed service times follow, and is refused work for a while after it has recovered. By cost, expected times are now scaled by the speed that the target reports, also those of queued requests, and samples are recorded as at the usual speed.

--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -8,6 +8,11 @@
 /// within a few responses and hardly changes because of a single one.
 #define SMOOTHING_DIVISOR 8
 
+/// Bounds of a reported speed, so that a wrong report neither refuses all work
+/// nor lets all of it in.
+#define SPEED_PERCENT_MIN 20
+#define SPEED_PERCENT_MAX 1000
+
 /// Upper bound of a sample, so that a single slow response does not make all
 /// later work look too late.
 #define SERVICE_US_MAX 2000000
@@ -63,6 +68,17 @@
   return halvings < 31 ? mean_us >> halvings : 0;
 }
 
+/// @return the speed in percent of the usual time, within bounds
+static uint32_t
+effective_percent (uint32_t percent)
+{
+  if (percent == 0)
+    return 100;
+  if (percent < SPEED_PERCENT_MIN)
+    return SPEED_PERCENT_MIN;
+  return percent < SPEED_PERCENT_MAX ? percent : SPEED_PERCENT_MAX;
+}
+
 /// @return expected service time of a kind of work, microseconds; that of all
 ///         kinds for one without a sample
 static uint32_t
@@ -70,9 +86,26 @@
 {
   const struct admission_queue_kind *known
       = admission_queue_find_kind (queue, kind);
-  return known == NULL
-             ? decayed_us (queue->mean_us, queue->last_sample_us, now_us)
-             : decayed_us (known->mean_us, known->last_sample_us, now_us);
+  if (known == NULL)
+    return decayed_us (queue->mean_us, queue->last_sample_us, now_us);
+  uint64_t usual_us
+      = decayed_us (known->mean_us, known->last_sample_us, now_us);
+  return (uint32_t)(usual_us * effective_percent (queue->speed_percent) / 100);
+}
+
+void
+admission_queue_set_speed (struct admission_queue *queue, uint32_t percent)
+{
+  uint32_t before = effective_percent (queue->speed_percent);
+  uint32_t now = effective_percent (percent);
+  queue->speed_percent = percent;
+  for (size_t i = 0; now != before && i < queue->queued; i++)
+    {
+      struct admission_queue_ticket *ticket = queue->waiting[i];
+      ticket->service_us
+          = (uint32_t)((uint64_t)ticket->service_us * now / before);
+      ticket->cost.service_us = ticket->service_us;
+    }
 }
 
 /// @return time that a response takes on the link, microseconds; 0 when it is
@@ -148,7 +181,10 @@
   struct admission_queue_kind *kind
       = find_or_add_kind (queue, ticket->work.kind);
   bool first = kind->samples == 0;
-  kind->mean_us = smooth (kind->mean_us, sample, first);
+  uint64_t percent = (effective_percent (ticket->started_percent)
+                      + effective_percent (queue->speed_percent))
+                     / 2;
+  kind->mean_us = smooth (kind->mean_us, sample * 100 / percent, first);
   kind->head_mean_us = smooth (kind->head_mean_us,
                                head_us < sample ? head_us : sample, first);
   kind->mean_bytes = smooth (kind->mean_bytes, ticket->bytes, first);
@@ -200,6 +236,7 @@
   ticket->counted = kind != NULL;
   ticket->state = ADMIT_RUNNING;
   ticket->started_us = now_us;
+  ticket->started_percent = queue->speed_percent;
 }
 
 static void
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -52,12 +52,13 @@
   struct admission_queue_work work;
   uint32_t service_us; ///< expected service time
   uint64_t started_us;
-  uint64_t head_us;   ///< arrival of the response head; 0: not yet
-  uint64_t bytes;     ///< size of the response body so far
-  bool link_limited;  ///< the VM's link, not the slots, limits its kind
-  bool counted;       ///< included in the running tickets of its kind
-  size_t queue_index; ///< index in the queue
-  bool scored;        ///< `cost` is set and its outcome is counted
+  uint32_t started_percent; ///< speed of the machine at the start
+  uint64_t head_us;         ///< arrival of the response head; 0: not yet
+  uint64_t bytes;           ///< size of the response body so far
+  bool link_limited;        ///< the VM's link, not the slots, limits its kind
+  bool counted;             ///< included in the running tickets of its kind
+  size_t queue_index;       ///< index in the queue
+  bool scored;              ///< `cost` is set and its outcome is counted
   struct shed_cost_item cost;
 };
 
@@ -80,7 +81,7 @@
 struct admission_queue_kind
 {
   uint32_t kind;
-  uint32_t mean_us;        ///< smoothed service time
+  uint32_t mean_us;        ///< smoothed service time at the usual speed
   uint64_t last_sample_us; ///< time of the last sample
   uint32_t head_mean_us;   ///< smoothed time to the response head
   uint32_t mean_bytes;     ///< smoothed size of the response body
@@ -100,6 +101,7 @@
   size_t running; ///< including the abandoned ones
   size_t queued;
   bool draining;
+  uint32_t speed_percent;           ///< how long work takes now; 0: as usual
   uint64_t link_bytes_per_s;        ///< rate of the VM's link; 0: no limit
   uint32_t mean_us;                 ///< smoothed service time over all kinds
   uint64_t last_sample_us;          ///< time of the last sample of any kind
@@ -127,6 +129,13 @@
 void admission_queue_set_slots (struct admission_queue *queue, size_t slots,
                                 uint64_t now_us);
 
+/// Sets how long work takes on the target's machine at this moment. Expected
+/// service times, also of queued tickets, change with it; samples are recorded
+/// as if it had been 100.
+/// @param percent  of the usual time; 0: not known
+void admission_queue_set_speed (struct admission_queue *queue,
+                                uint32_t percent);
+
 /// @return true if a response of this size takes long enough on the link for
 ///         the link to limit its kind
 bool admission_queue_is_large (const struct admission_queue *queue,
--- a/src/sidecar/sidecar_admission.c
+++ b/src/sidecar/sidecar_admission.c
@@ -50,6 +50,9 @@
 sidecar_admission_tick (struct sidecar *sidecar)
 {
   enum admission_mode mode = wanted_mode (sidecar);
+  admission_queue_set_speed (
+      &sidecar->admission,
+      mode == ADMISSION_COST ? target_speed_percent (sidecar) : 0);
   if (mode == admission_queue_mode (&sidecar->admission))
     return;
   admission_queue_set_mode (&sidecar->admission, mode, clock_monotonic_us ());
--- a/src/sidecar/sidecar_admission.h
+++ b/src/sidecar/sidecar_admission.h
@@ -5,7 +5,8 @@
 #include "sidecar/sidecar_inbound.h"
 
 /// Applies the setting, or with `auto` the configuration and the target's
-/// report. Called periodically, so that a change takes effect while running.
+/// report, and passes on the speed that the target reports. Called
+/// periodically, so that a change takes effect while running.
 void sidecar_admission_tick (struct sidecar *sidecar);
 
 /// Counts a request that admission refused.
--- a/test/fuzz/admission_queue_fuzz.c
+++ b/test/fuzz/admission_queue_fuzz.c
@@ -137,6 +137,8 @@
           break;
         case 5:
           now_us += (uint64_t)data[i] * 500;
+          if (data[i] % 16 == 3)
+            admission_queue_set_speed (&admission_queue, data[i] * 4U);
           admission_queue_expire (&admission_queue, now_us);
           break;
         case 6:
--- a/test/unit/admission_queue_test.c
+++ b/test/unit/admission_queue_test.c
@@ -439,6 +439,31 @@
   CU_ASSERT_EQUAL (refused, 0);
 }
 
+/// A target that reports that its machine is slow now must not get work that
+/// cannot end in time, and what was measured meanwhile must not count later.
+static void
+test_reported_speed (void)
+{
+  mode = ADMISSION_COST;
+  set_up (1);
+  mode = ADMISSION_RANK;
+  record_service (100);
+  offer (0, 1, 5000, 5000, 100);
+  offer (1, 1, 400, 450, 100);
+  CU_ASSERT_EQUAL (tickets[1].state, ADMIT_QUEUED);
+  admission_queue_set_speed (&queue, 250);
+  CU_ASSERT_EQUAL (offer (2, 1, 300, 330, 100), ADMIT_OVER);
+  /* 250 ms from 210 ms on end after 450 ms. */
+  admission_queue_expire (&queue, 210 * 1000);
+  CU_ASSERT_EQUAL (tickets[1].state, ADMIT_OVER);
+  admission_queue_finish (&queue, &tickets[0], true, 275 * 1000);
+  CU_ASSERT_EQUAL (offer (3, 1, 5000, 5000, 300), ADMIT_RUNNING);
+  admission_queue_finish (&queue, &tickets[3], true, 550 * 1000);
+  admission_queue_set_speed (&queue, 100);
+  CU_ASSERT_EQUAL (offer (4, 1, 700, 720, 560), ADMIT_RUNNING);
+  CU_ASSERT (tickets[4].service_us > 95000 && tickets[4].service_us < 105000);
+}
+
 /// A slot that is kept free by cost is used by rank, at once.
 static void
 test_kept_slot_is_used_after_a_change (void)
@@ -540,6 +565,8 @@
       test_mode_changes_while_queued },
     { "work whose caller left gives its slot away while the target runs it",
       test_abandoned_work_keeps_its_slot },
+    { "work is accepted that a slowed machine cannot end in time",
+      test_reported_speed },
     { "queued work waits for a free slot after the policy has changed",
       test_kept_slot_is_used_after_a_change },
     { "a full queue refuses work that costs more than what is queued",
