Count requests by route in the metrics only under names that need no escape

A route name with a quote or a backslash would have broken the metrics page. admission_test.sh checks the counters by route; it and sidecar_test.sh pass.

--- a/src/sidecar/sidecar_admission.c
+++ b/src/sidecar/sidecar_admission.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 static struct counter refused_absent = COUNTER (
     "run_refused_absent", "requests refused by admission: no target");
@@ -113,7 +114,8 @@
     {
       const struct shed_cost_kind *kind = &sidecar->admission.cost.kinds[i];
       const char *name = route_name (sidecar, kind->kind);
-      if (!kind->used || name == NULL)
+      /* A name that would end the label's value early is left out. */
+      if (!kind->used || name == NULL || strpbrk (name, "\"\\\n") != NULL)
         continue;
       evbuffer_add_printf (text,
                            "hawthornseam_gate_kind_requests{route=\"%s\",rank="
--- a/test/functional/admission_test.sh
+++ b/test/functional/admission_test.sh
@@ -76,4 +76,6 @@
 done
 late=$(($(metric 1 run_refused_late) + $(metric 2 run_refused_late)))
 [ "$late" -ge 1 ] || fail "refusals are not counted by reason"
+[ -n "$(metric 1 'gate_kind_requests{route="slow",rank="1",end="served"}')" ] \
+  || fail "requests are not counted by route"
 echo "passed: served $served, refused $refused, running at most $running_max"
