Reserve the share of cut-off nodes that the new owner does not know

quota_test.sh failed once in seven runs on a busy machine: its reports came too late, and requests found no target. It reports more often, and prints the statuses.

--- a/src/coordination/quota_lease.c
+++ b/src/coordination/quota_lease.c
@@ -152,6 +152,9 @@
                      uint32_t wait_ms, uint64_t lender, uint64_t sent_ms,
                      uint64_t now_ms)
 {
+  if (lease->contact_ms == 0
+      || now_ms - lease->contact_ms >= QUOTA_LOCAL_END_MS)
+    lease->first_contact_ms = now_ms;
   lease->contact_ms = now_ms;
   lease->undecided_ms = 0;
   lease->over_wait_ms = wait_ms;
@@ -214,7 +217,8 @@
 {
   uint64_t silent_ms = now_ms - lease->contact_ms;
   if (lease->contact_ms == 0 || nodes == 0 || silent_ms < QUOTA_SILENCE_MS
-      || silent_ms >= QUOTA_LOCAL_END_MS)
+      || silent_ms >= QUOTA_LOCAL_END_MS
+      || lease->contact_ms - lease->first_contact_ms < QUOTA_KNOWN_MS)
     {
       lease->local_ms = 0;
       return false;
--- a/src/coordination/quota_lease.h
+++ b/src/coordination/quota_lease.h
@@ -24,6 +24,11 @@
 /// does: it would most likely wait in vain.
 #define QUOTA_FAIL_FAST_MS 1000
 
+/// A node that was in contact for less than this may be unknown to the voters,
+/// and so to the next owner. They learn of it with the next vote, within
+/// 150 ms; the owner may grant for another QUOTA_HOLD_MS without them.
+#define QUOTA_KNOWN_MS 1000
+
 /// Grants that are kept apart until they expire.
 #define QUOTA_BATCHES 4
 
@@ -48,6 +53,8 @@
   double demand_per_s;       ///< smoothed
   uint64_t demand_ms;        ///< time of the last update
   uint64_t contact_ms;       ///< last decision of an owner or standby; 0: none
+  uint64_t first_contact_ms; ///< start of the contact without longer gaps than
+                             ///< QUOTA_LOCAL_END_MS
   uint64_t undecided_ms;     ///< since when nobody has decided; 0: not so
   uint64_t next_ask_ms;      ///< earliest next request for tokens
   uint64_t standby_until_ms; ///< the standby is asked until then
@@ -116,9 +123,9 @@
                                     uint64_t now_ms);
 
 /// Decides on a request when neither the owner nor the standby can be asked.
-/// A node that was in contact before may admit rate / (2 x nodes) on its own,
-/// once it has had no contact for QUOTA_SILENCE_MS: the owner has reserved
-/// that share by then.
+/// A node that was in contact for QUOTA_KNOWN_MS before may admit rate / (2 x
+/// nodes) on its own, once it has had no contact for QUOTA_SILENCE_MS: the
+/// owner has reserved that share by then.
 /// @return true to admit it
 bool quota_lease_take_local (struct quota_lease *lease,
                              const struct quota_limit *limit, size_t nodes,
--- a/src/coordination/quota_owner.c
+++ b/src/coordination/quota_owner.c
@@ -301,9 +301,12 @@
     return;
   size_t heard = count_heard (owner, 0, now_ms);
   size_t silent = count_heard (owner, QUOTA_SILENCE_MS, now_ms);
-  if (has_inherited (owner, now_ms) && owner->inherited > heard
+  /* Which nodes asked the one that granted before is not known, only their
+     number. */
+  size_t unheard = nodes > heard ? nodes - heard : 0;
+  if (has_inherited (owner, now_ms)
       && now_ms - owner->inherited_ms >= QUOTA_SILENCE_MS - QUOTA_HOLD_MS)
-    silent += owner->inherited - heard;
+    silent += owner->inherited < unheard ? owner->inherited : unheard;
   double use = nodes == 0 ? 0
                           : SILENT_SHARE * owner->limit.rate_per_s
                                 * (double)silent / (double)nodes;
--- a/test/functional/quota_test.sh
+++ b/test/functional/quota_test.sh
@@ -79,13 +79,14 @@
 OWNER=$(owner_of)
 
 # Within the quota: at about half of the rate, from all nodes in turn.
-rejected=0
+rejected=
 for k in $(seq 1 40); do
-  [ "$(status $((k % 3)) key-club)" = 200 ] || rejected=$((rejected + 1))
-  [ $((k % 10)) != 0 ] || report_all
+  code=$(status $((k % 3)) key-club)
+  [ "$code" = 200 ] || rejected="$rejected $k:$code"
+  [ $((k % 3)) != 0 ] || report_all
   sleep 0.08
 done
-expect "rejected within the quota" "$rejected" 0
+expect "rejected within the quota" "$rejected" ""
 
 # Over the quota, at all nodes at once.
 report_for 6 &
--- a/test/unit/quota_test.c
+++ b/test/unit/quota_test.c
@@ -120,12 +120,12 @@
   sim_run (sim, sim->length_ms);
 }
 
-/// Separates a third of the nodes from the owners and their voters.
+/// Separates the nodes whose number divides from the owners and their voters.
 static void
-cut_callers_off (struct sim *sim)
+cut_callers_off (struct sim *sim, uint32_t divisor)
 {
   sim_run (sim, 8000);
-  for (uint32_t n = 0; n < NODES; n += 3)
+  for (uint32_t n = 0; n < NODES; n += divisor)
     sim->nodes[n].group = 1;
   for (uint32_t a = 0; a < ACCOUNTS; a++)
     for (unsigned place = 0; place < QUOTA_RANKS; place++)
@@ -133,6 +133,19 @@
   sim_run (sim, sim->length_ms);
 }
 
+static void
+cut_third_off (struct sim *sim)
+{
+  cut_callers_off (sim, 3);
+}
+
+/// Without the owner's reserve for them, their local rate breaks the bound.
+static void
+cut_half_off (struct sim *sim)
+{
+  cut_callers_off (sim, 2);
+}
+
 static void
 restart_owners (struct sim *sim)
 {
@@ -220,7 +233,8 @@
   { "owners killed", kill_owners, 0.01 },
   { "owners frozen for 5 s", freeze_owners, 0.01 },
   { "owners cut off with a third", cut_owners_off, 0.40 },
-  { "a third cut off from the owners", cut_callers_off, 0.40 },
+  { "a third cut off from the owners", cut_third_off, 0.40 },
+  { "half cut off from the owners", cut_half_off, 0.40 },
   { "owners restarted empty", restart_owners, 0.02 },
   { "owner moved by a join", join_owner, 0.01 },
   { "all killed at once", kill_all, 0.04 },
@@ -505,6 +519,10 @@
   quota_lease_init (&lease);
   CU_ASSERT (!quota_lease_take_local (&lease, &limit, 10, now));
   quota_lease_decided (&lease, 0, 0, 9, now, now);
+  CU_ASSERT (
+      !quota_lease_take_local (&lease, &limit, 10, now + QUOTA_SILENCE_MS));
+  now += QUOTA_KNOWN_MS;
+  quota_lease_decided (&lease, 0, 0, 9, now, now);
   CU_ASSERT (!quota_lease_take_local (&lease, &limit, 10,
                                       now + QUOTA_SILENCE_MS - 1));
   unsigned admitted = 0;
