--- a/src/coordination/quota_rank.c
+++ b/src/coordination/quota_rank.c
@@ -24,8 +24,10 @@
   for (size_t i = 0; i < directory->count; i++)
     {
       const struct directory_record *record = &directory->records[i];
-      if (!record->used || record->missing_ms != 0
-          || record->entry.state == DIRECTORY_LEAVING)
+      /* A node whose entry is missing for a moment keeps its rank: a change
+         costs the quota some hundred milliseconds, and the votes show whether
+         the node is there. */
+      if (!record->used || record->entry.state == DIRECTORY_LEAVING)
         continue;
       rank->nodes++;
       uint64_t node = hash_placement_string (record->entry.node);
