--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -210,8 +210,8 @@
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
 /// @return true when the view was compared with the store, or with a relay
-///         that is in touch with it, within `config_apply`: a configuration that
-///         should be in force is known
+///         that is in touch with it, within `config_apply`: a configuration
+///         that should be in force is known
 bool sidecar_store_is_current (const struct sidecar *sidecar);
 
 /// @return true when the store has this node's current entry
