--- a/test/functional/quota_test.sh
+++ b/test/functional/quota_test.sh
@@ -2,7 +2,7 @@
 # Tests the quota of an account over three nodes. Guards against these failures:
 # the nodes together admit more than the quota allows; a request within the quota
 # is rejected; a request over it gets no 429 with Retry-After; an account without
-# a limit is limited; the death of the quota's owner stops the account, or lets
+# a limit is limited; the death or pause of the quota's owner stops the account, or lets
 # more than the quota through.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin quota
@@ -144,11 +144,27 @@
 report_all
 sleep 2.5 # the restarted node's vote counts again (QUOTA_SETTLE_MS)
 
-# The owner is killed under load.
+# The owner is frozen under load and goes on afterwards.
 rest=()
 for i in 0 1 2; do [ "$i" = "$OWNER" ] || rest+=("$i"); done
 SEQUENCE=$((SEQUENCE + 100))
 report_all
+report_for 6 "${rest[@]}" &
+(
+  sleep 1
+  send_signal "s$OWNER" STOP
+  sleep 3
+  send_signal "s$OWNER" CONT
+) &
+flood 6 "$RUN/frozen" "${rest[@]}"
+wait
+echo "owner frozen for 3 s: 200: $(count "$RUN/frozen" 200), 429: $(count "$RUN/frozen" 429), 503: $(count "$RUN/frozen" 503), worst window: $(worst_window "$RUN/frozen") of $BOUND"
+[ "$(worst_window "$RUN/frozen")" -le "$BOUND" ] || fail "more than the quota was admitted around the owner's pause"
+[ "$(count "$RUN/frozen" 200)" -ge $((RATE * 6 / 3)) ] || fail "too little was admitted around the owner's pause"
+
+# The owner is killed under load.
+SEQUENCE=$((SEQUENCE + 100))
+report_all
 report_for 8 "${rest[@]}" &
 (sleep 1; send_signal "s$OWNER" KILL) &
 flood 8 "$RUN/killed" "${rest[@]}"
