Serve accounts at their usual rate while the ranking of a quota settles

While both nodes answer that they are not ready, nobody grants. An account that was within its quota at the last decision goes on at the rate that this node saw before, smoothed over 10 s; all nodes together then admit what they did before. Where a node does not answer at all, which may be a partition, nothing changes.

--- a/src/coordination/quota_lease.c
+++ b/src/coordination/quota_lease.c
@@ -7,6 +7,17 @@
 /// Time constant of the demand estimate.
 #define DEMAND_MS 1000.0
 
+/// Time constant of the usual demand: longer than a change of the ranking
+/// takes to settle, so that a jump of the demand hardly changes it before
+/// then.
+#define USUAL_MS 10000.0
+
+/// Requests of the usual demand that may come at once, as time at its rate.
+#define SETTLING_BURST_MS 500.0
+
+/// Answers of the owner and of the standby.
+#define NOT_READY_ANSWERS 2
+
 /// Unused tokens go back after this time. The rest of the lease is left for
 /// the message.
 #define GIVE_BACK_MS 250
@@ -33,6 +44,11 @@
 {
   decay (lease, now_ms);
   lease->demand_per_s += 1000 / DEMAND_MS;
+  if (lease->undecided_ms != 0 || lease->over_wait_ms > 0)
+    return;
+  lease->usual_per_s *= exp (-(double)(now_ms - lease->usual_ms) / USUAL_MS);
+  lease->usual_per_s += 1000 / USUAL_MS;
+  lease->usual_ms = now_ms;
 }
 
 static bool
@@ -157,6 +173,9 @@
     lease->first_contact_ms = now_ms;
   lease->contact_ms = now_ms;
   lease->undecided_ms = 0;
+  lease->not_ready = 0;
+  lease->was_over = false;
+  lease->settling_ms = 0;
   lease->over_wait_ms = wait_ms;
   add_tokens (lease, tokens, lender, sent_ms, now_ms);
   if (wait_ms == 0)
@@ -170,8 +189,11 @@
 }
 
 bool
-quota_lease_undecided (struct quota_lease *lease, uint64_t now_ms)
+quota_lease_undecided (struct quota_lease *lease, bool answered,
+                       uint64_t now_ms)
 {
+  lease->not_ready = answered ? lease->not_ready + 1 : 0;
+  lease->was_over = lease->was_over || lease->over_wait_ms > 0;
   if (!quota_lease_asks_standby (lease, now_ms))
     {
       lease->standby_until_ms = now_ms + QUOTA_STANDBY_MS;
@@ -185,6 +207,27 @@
   return true;
 }
 
+bool
+quota_lease_take_settling (struct quota_lease *lease, uint64_t now_ms)
+{
+  if (lease->contact_ms == 0 || lease->was_over
+      || lease->not_ready < NOT_READY_ANSWERS
+      || now_ms - lease->contact_ms >= QUOTA_SILENCE_MS)
+    return false;
+  double most = fmax (1, lease->usual_per_s * SETTLING_BURST_MS / 1000);
+  double passed_s = (double)(now_ms - lease->settling_ms) / 1000;
+  lease->settling_tokens
+      = lease->settling_ms == 0
+            ? 1
+            : fmin (most,
+                    lease->settling_tokens + lease->usual_per_s * passed_s);
+  lease->settling_ms = now_ms;
+  if (lease->settling_tokens < 1)
+    return false;
+  lease->settling_tokens--;
+  return true;
+}
+
 bool
 quota_lease_is_far_over (const struct quota_lease *lease, uint64_t now_ms)
 {
--- a/src/coordination/quota_lease.h
+++ b/src/coordination/quota_lease.h
@@ -62,7 +62,13 @@
                          ///< account was within its quota
   uint32_t unused;       ///< tokens of expired leases whose requests never ran
   uint64_t unused_lender;
-  double local_tokens; ///< for requests without a reachable owner
+  double usual_per_s; ///< smoothed demand while it was within the quota
+  uint64_t usual_ms;  ///< time of the last update
+  bool was_over;      ///< over the quota at the last decision, while undecided
+  unsigned not_ready; ///< answers in a row that the node asked is not ready
+  double settling_tokens; ///< for requests while no node is ready
+  uint64_t settling_ms;   ///< time of the last update; 0: not so now
+  double local_tokens;    ///< for requests without a reachable owner
   uint64_t local_ms;
 };
 
@@ -105,8 +111,19 @@
 
 /// The node asked could not decide or did not answer: the other one is asked
 /// next.
-/// @return true when neither could; quota_lease_take_local may be used
-bool quota_lease_undecided (struct quota_lease *lease, uint64_t now_ms);
+/// @param answered  it answered that it is not ready to decide
+/// @return true when neither could; quota_lease_take_local and
+///         quota_lease_take_settling may be used
+bool quota_lease_undecided (struct quota_lease *lease, bool answered,
+                            uint64_t now_ms);
+
+/// Decides on a request while owner and standby both answer that they are not
+/// ready: the ranking has just changed, by many entries at once, and nobody
+/// grants. An account that was within its quota goes on at its usual rate at
+/// this node. All nodes together then admit what they did before, which was
+/// within the quota, also if the account begins to send more.
+/// @return true to admit it
+bool quota_lease_take_settling (struct quota_lease *lease, uint64_t now_ms);
 
 /// @return true for a request without a token that is rejected without asking:
 ///         the account is far over its quota
--- a/src/sidecar/sidecar_quota.c
+++ b/src/sidecar/sidecar_quota.c
@@ -224,6 +224,18 @@
     decide (sidecar, waiter, QUOTA_REJECT, account->lease.over_wait_ms);
 }
 
+/// @return true when a request may be admitted without a decision of another
+///         node
+static bool
+may_admit_locally (struct sidecar *sidecar, struct quota_account *account,
+                   uint64_t now_ms)
+{
+  return quota_lease_take_settling (&account->lease, now_ms)
+         || quota_lease_take_local (
+             &account->lease, &account->limit,
+             sidecar_quota_rank (sidecar, account)->nodes, now_ms);
+}
+
 /// Serves waiting requests without a decision of another node.
 static void
 admit_locally (struct sidecar *sidecar, struct quota_account *account,
@@ -231,9 +243,7 @@
 {
   struct quota_waiter *waiter;
   while ((waiter = TAILQ_FIRST (&account->waiters)) != NULL
-         && quota_lease_take_local (
-             &account->lease, &account->limit,
-             sidecar_quota_rank (sidecar, account)->nodes, now_ms))
+         && may_admit_locally (sidecar, account, now_ms))
     {
       counter_add (&local_admits, 1);
       decide (sidecar, waiter, QUOTA_ADMIT, 0);
@@ -248,7 +258,7 @@
   uint64_t now = clock_monotonic_ms ();
   if (answer == NULL || !answer->ready)
     {
-      if (quota_lease_undecided (&account->lease, now))
+      if (quota_lease_undecided (&account->lease, answer != NULL, now))
         admit_locally (sidecar, account, now);
     }
   else
@@ -364,9 +374,7 @@
     }
   if (quota_lease_is_hopeless (&account->lease, account->waiting, now))
     {
-      bool admitted = quota_lease_take_local (
-          &account->lease, &account->limit,
-          sidecar_quota_rank (sidecar, account)->nodes, now);
+      bool admitted = may_admit_locally (sidecar, account, now);
       account->admitted += admitted;
       counter_add (admitted ? &local_admits : &unavailable, 1);
       return admitted ? QUOTA_ADMIT : QUOTA_UNAVAILABLE;
--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -421,11 +421,12 @@
   struct sim_entry *entry = sim_entry (sim, n, a);
   if (answer == NULL || !answer->ready)
     {
-      if (quota_lease_undecided (&entry->lease, sim->now))
+      if (quota_lease_undecided (&entry->lease, answer != NULL, sim->now))
         while (entry->waiting > 0
-               && quota_lease_take_local (&entry->lease,
-                                          &sim->accounts[a].limit,
-                                          sim->node_count, sim->now))
+               && (quota_lease_take_settling (&entry->lease, sim->now)
+                   || quota_lease_take_local (&entry->lease,
+                                              &sim->accounts[a].limit,
+                                              sim->node_count, sim->now)))
           {
             sim_admit (sim, a, entry->until_ms[0]);
             sim_remove (entry, 0);
--- a/test/unit/quota_test.c
+++ b/test/unit/quota_test.c
@@ -533,6 +533,58 @@
       !quota_lease_take_local (&lease, &limit, 10, now + QUOTA_LOCAL_END_MS));
 }
 
+/// @return requests admitted in two seconds of 100 requests per second, after
+///         the last answers that decided nothing
+static unsigned
+admitted_while_settling (struct quota_lease *lease, uint64_t now)
+{
+  unsigned admitted = 0;
+  for (uint64_t t = 0; t < 2000; t += 10)
+    {
+      quota_lease_arrive (lease, now + t);
+      admitted += quota_lease_take_settling (lease, now + t);
+    }
+  return admitted;
+}
+
+/// Many entries of the directory go and come, so that owner and standby change
+/// at once.
+static void
+test_settling (void)
+{
+  static const struct
+  {
+    bool owner_answers;
+    bool standby_answers;
+    uint32_t over_wait_ms; ///< of the last decision
+    unsigned least;
+    unsigned most;
+  } rows[] = {
+    { true, true, 0, 8, 12 }, /* 5 requests per second before */
+    { true, false, 0, 0, 0 },
+    { false, true, 0, 0, 0 },
+    { true, true, 80, 0, 0 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct quota_lease lease;
+      uint64_t now = 100000;
+      quota_lease_init (&lease);
+      CU_ASSERT (!quota_lease_take_settling (&lease, now));
+      quota_lease_decided (&lease, 1, 0, 9, now, now);
+      for (int k = 0; k < 300; k++, now += 200)
+        quota_lease_arrive (&lease, now);
+      quota_lease_decided (&lease, 1, rows[i].over_wait_ms, 9, now, now);
+      CU_ASSERT (!quota_lease_take_settling (&lease, now));
+      quota_lease_undecided (&lease, rows[i].owner_answers, now);
+      quota_lease_undecided (&lease, rows[i].standby_answers, now);
+      unsigned admitted = admitted_while_settling (&lease, now);
+      CU_ASSERT (admitted >= rows[i].least && admitted <= rows[i].most);
+      quota_lease_decided (&lease, 1, 0, 9, now + 2000, now + 2000);
+      CU_ASSERT (!quota_lease_take_settling (&lease, now + 2000));
+    }
+}
+
 static void
 test_messages (void)
 {
@@ -584,6 +636,9 @@
     { "a bucket starts full or exceeds its burst", test_bucket },
     { "a token is used twice or after its lease", test_lease },
     { "a node that is cut off admits more than its share", test_local_rate },
+    { "requests are refused, or a jump of the demand admitted, while the "
+      "ranking settles",
+      test_settling },
     { "a malformed message is accepted", test_messages },
     { "requests within the quota are rejected", test_usual_demand },
     { "more than the bound is admitted during a fault",
