--- a/test/functional/sidecars.sh
+++ b/test/functional/sidecars.sh
@@ -51,9 +51,9 @@
 }
 
 # put_config VERSION SERVICE: writes a configuration that routes /read/ to
-# SERVICE. TIMEOUT: of the routes.
+# SERVICE. TIMEOUT: of the routes. BODY_BYTES: largest body.
 put_config() {
-  curl -s -X POST "$STORE/control/put?op/config" -d "{\"Version\":\"$1\",\"Routes\":[{\"Name\":\"reads\",\"Host\":\"a.example\",\"Prefix\":\"/read/\",\"RouteType\":\"safe\",\"Timeout\":\"${TIMEOUT:-1500ms}\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"$2\",\"MaxAttempts\":2},{\"Name\":\"seals\",\"Host\":\"a.example\",\"Prefix\":\"/seal/\",\"RouteType\":\"unsafe\",\"Timeout\":\"${TIMEOUT:-1500ms}\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"orders\",\"MaxAttempts\":2}],\"Services\":[{\"Name\":\"menu\"},{\"Name\":\"orders\"}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}"
+  curl -s -X POST "$STORE/control/put?op/config" -d "{\"Version\":\"$1\",\"Routes\":[{\"Name\":\"reads\",\"Host\":\"a.example\",\"Prefix\":\"/read/\",\"RouteType\":\"safe\",\"Timeout\":\"${TIMEOUT:-1500ms}\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"$2\",\"MaxAttempts\":2},{\"Name\":\"seals\",\"Host\":\"a.example\",\"Prefix\":\"/seal/\",\"RouteType\":\"unsafe\",\"Timeout\":\"${TIMEOUT:-1500ms}\",\"TargetLatency\":\"200ms\",\"Priority\":1,\"Service\":\"orders\",\"MaxAttempts\":2}],\"Services\":[{\"Name\":\"menu\"},{\"Name\":\"orders\"}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":${BODY_BYTES:-65536},\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}"
 }
 
 # ask NODE PATH [OPTION...]: sends a request to a node; prints "status body".
