Limit the memory and descriptors of all connections by one budget

Clients that held many heads, bodies or connections open took a process past its memory: every buffer was kept until its message ended, each header line was an allocation of its own, and a body that was sent on was held three times.

All servers of a sidecar now charge their heads, bodies, unread input, unsent and held responses and requests to one budget of half of memory_mb. At its limit the messages with the least progress are rejected as not run (503 with Retry-After and the outcome field, then the close); a quarter stays for requests up to 24 KiB. Requests in progress keep their responses. Accepting pauses at a share of the descriptors (the limit less 232), and messages that have nearly stopped are rejected then. A body must reach 4 KiB/s in each receive interval, also behind requests in progress, where nothing limited it before. A body that reaches it is no longer cut off after HeaderTimeout.

The strings of a head are one block. The output of a request refers to its body instead of copying it. A connection whose bytes were no request (400, 431) was never shut down after its reply and stayed for the idle time: it is now, and its input is dropped.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
   retry.c rollout.c seqtest.c stop_plan.c store_pace.c transfer.c) \
   $(addprefix src/protocol/,call_headers.c crash_record.c document.c entry_record.c hop.c \
   json_text.c move_record.c scalar.c store_api.c view.c) \
-  $(addprefix src/transport/,http_head_check.c http_pool.c http_server.c http_stream.c \
+  $(addprefix src/transport/,http_head_check.c http_pool.c http_server.c http_stream.c memory_budget.c \
   store_client.c timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
 SIDECAR_LIBS := -Wl,-Bstatic -levent_extra -levent_core -lhttp_parser -lyaml -ltalloc -lsodium \
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -100,6 +100,7 @@
   struct transfer_scheduler
       transfers; ///< of large responses of the local target
   struct sidecar_outbound_list outbound; ///< requests of callers in progress
+  struct memory_budget budget;           ///< of all servers and pools
   struct http_server calls;              ///< from callers on this VM
   struct http_server peers;              ///< from other nodes
   struct http_server ready;              ///< readiness probes of the platform
@@ -207,7 +208,8 @@
 ///         this process started, or as another node knows them
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
-/// @return true when the view was compared with the store, or with a relay that
+/// @return true when the view was compared with the store, or with a relay
+/// that
 ///         is in touch with it, within `config_apply`: a configuration that
 ///         should be in force is known
 bool sidecar_store_is_current (const struct sidecar *sidecar);
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -5,6 +5,7 @@
 #include "base/findings.h"
 #include "base/log.h"
 #include "platform/platform.h"
+#include "protocol/call_headers.h"
 #include "sidecar/sidecar_leave.h"
 #include "transport/timer.h"
 
@@ -16,6 +17,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <talloc.h>
 
@@ -49,6 +51,18 @@
 #define SERVER_IDLE_MS 60000
 #define SERVER_RECEIVE_MS 10000
 
+/// Fields of a 503 that a server itself sends, with the wait that callers are
+/// told elsewhere: the node of the caller then knows that the request did not
+/// run and offers it to another node.
+#define NOT_RUN_FIELDS                                                        \
+  CALL_HEADER_OUTCOME ": not-run\r\n" CALL_HEADER_REASON                      \
+                      ": " CALL_REASON_BUSY "\r\nRetry-After: 0.300\r\n"
+
+/// Limit of open files when the system states none, and the largest one that
+/// is used; the platform's machines allow 4,100 to 8,192.
+#define DESCRIPTORS_DEFAULT 1024
+#define DESCRIPTORS_MAX 65536
+
 enum exit_code
 {
   EXIT_CODE_OK = 0,
@@ -269,7 +283,7 @@
 static enum status
 start_server (struct sidecar *sidecar, struct http_server *server,
               const struct settings_endpoint *endpoint,
-              const struct http_server_ops *ops)
+              const struct http_server_ops *ops, enum memory_budget_use use)
 {
   const struct http_server_limits limits
       = { .head_bytes = HTTP_HEAD_BYTES_MAX,
@@ -278,20 +292,39 @@
           .idle_ms = SERVER_IDLE_MS };
   if (endpoint->port == 0)
     return STATUS_OK;
-  return http_server_start (server, sidecar->base, endpoint->address,
-                            endpoint->port, &limits, ops, sidecar);
+  enum status status
+      = http_server_start (server, sidecar->base, endpoint->address,
+                           endpoint->port, &limits, ops, sidecar);
+  http_server_use_budget (server, &sidecar->budget, use);
+  server->not_run_fields = NOT_RUN_FIELDS;
+  return status;
+}
+
+/// @return limit of this process's open files
+static size_t
+descriptor_limit (void)
+{
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return DESCRIPTORS_DEFAULT;
+  return limit.rlim_cur > DESCRIPTORS_MAX ? DESCRIPTORS_MAX
+                                          : (size_t)limit.rlim_cur;
 }
 
 static enum status
 start (struct sidecar *sidecar)
 {
   const struct sidecar_settings *settings = &sidecar->settings;
-  const struct http_pool_options peer
-      = { .idle_ms = PEER_IDLE_MS, .connect_ms = PEER_CONNECT_MS };
+  const struct http_pool_options peer = { .idle_ms = PEER_IDLE_MS,
+                                          .connect_ms = PEER_CONNECT_MS,
+                                          .budget = &sidecar->budget };
   const struct http_pool_options target
       = { .idle_ms = TARGET_IDLE_MS,
           .connect_ms = TARGET_CONNECT_MS,
+          .budget = &sidecar->budget,
           .id_header = sidecar->adapter->headers.request_id };
+  memory_budget_init (&sidecar->budget, settings->memory_mb,
+                      descriptor_limit (), http_server_shed);
   TAILQ_INIT (&sidecar->outbound);
   directory_init (&sidecar->directory);
   retry_quota_init (&sidecar->retry_quotas, settings->retry_ratio_permille);
@@ -314,16 +347,22 @@
     struct http_server *server;
     const struct settings_endpoint *endpoint;
     const struct http_server_ops *ops;
+    enum memory_budget_use use;
   } servers[] = {
-    { &sidecar->calls, &settings->calls, &sidecar_outbound_ops },
-    { &sidecar->peers, &settings->peers, &sidecar_inbound_ops },
-    { &sidecar->ready, &settings->ready, &sidecar_ready_ops },
-    { &sidecar->reports, &settings->reports, &sidecar_report_ops },
-    { &sidecar->metrics, &settings->metrics, &sidecar_metrics_ops },
+    { &sidecar->calls, &settings->calls, &sidecar_outbound_ops,
+      MEMORY_BUDGET_CALLERS },
+    { &sidecar->peers, &settings->peers, &sidecar_inbound_ops,
+      MEMORY_BUDGET_NODES },
+    { &sidecar->ready, &settings->ready, &sidecar_ready_ops,
+      MEMORY_BUDGET_LOCAL },
+    { &sidecar->reports, &settings->reports, &sidecar_report_ops,
+      MEMORY_BUDGET_LOCAL },
+    { &sidecar->metrics, &settings->metrics, &sidecar_metrics_ops,
+      MEMORY_BUDGET_LOCAL },
   };
   for (size_t i = 0; status == STATUS_OK && i < 5; i++)
     status = start_server (sidecar, servers[i].server, servers[i].endpoint,
-                           servers[i].ops);
+                           servers[i].ops, servers[i].use);
   return status;
 }
 
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -270,6 +270,7 @@
 }
 
 /// Serializes the request for the node of the chosen target.
+/// @return NULL if memory is exhausted
 static struct evbuffer *
 build_request (struct sidecar_outbound *outbound,
                const struct directory_record *record, uint64_t now_ms)
@@ -319,8 +320,13 @@
   if (size > 0 || head->has_length || head->chunked)
     evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
   evbuffer_add (bytes, "\r\n", 2);
-  if (size > 0)
-    evbuffer_add (bytes, evbuffer_pullup (outbound->request->body, -1), size);
+  /* The body stays with the request for another attempt and is not copied. */
+  if (size > 0
+      && evbuffer_add_buffer_reference (bytes, outbound->request->body) != 0)
+    {
+      evbuffer_free (bytes);
+      return NULL;
+    }
   return bytes;
 }
 
@@ -450,9 +456,13 @@
     .no_body = outbound->request->head->method == HTTP_HEAD,
   };
   placement_begin (record);
-  outbound->exchange = http_pool_send (
-      &sidecar->peer_pool, &send, &sidecar_outbound_exchange_ops, outbound);
-  evbuffer_free (bytes);
+  outbound->exchange
+      = bytes == NULL
+            ? NULL
+            : http_pool_send (&sidecar->peer_pool, &send,
+                              &sidecar_outbound_exchange_ops, outbound);
+  if (bytes != NULL)
+    evbuffer_free (bytes);
   if (outbound->exchange != NULL)
     return;
   sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -88,6 +88,8 @@
     link = &(*link)->next;
   *link = connection->next;
   connection->pool->connections--;
+  if (connection->pool->options.budget != NULL)
+    connection->pool->options.budget->descriptors--;
   http_stream_free (connection->stream);
   free (connection->id);
   free (connection);
@@ -271,6 +273,10 @@
 static struct http_connection *
 open_connection (struct http_pool *pool, struct http_endpoint *endpoint)
 {
+  struct memory_budget *budget = pool->options.budget;
+  if (budget != NULL
+      && !memory_budget_has_descriptor (budget, MEMORY_BUDGET_POOLS))
+    return NULL;
   struct bufferevent *bev
       = bufferevent_socket_new (pool->base, -1, BEV_OPT_CLOSE_ON_FREE);
   struct http_connection *connection = calloc (1, sizeof *connection);
@@ -293,6 +299,8 @@
   connection->next = endpoint->first;
   endpoint->first = connection;
   pool->connections++;
+  if (budget != NULL)
+    budget->descriptors++;
   counter_add (&opened, 1);
   return connection;
 }
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -5,6 +5,7 @@
 #define HAWTHORNSEAM_TRANSPORT_HTTP_POOL_H
 
 #include "transport/http_stream.h"
+#include "transport/memory_budget.h"
 
 #include <event2/event.h>
 #include <event2/event_struct.h>
@@ -34,6 +35,7 @@
   const char *id_header; ///< name of the id field: a response whose value
                          ///< differs from the request's id is dropped, also
                          ///< if the request has none; NULL: not compared
+  struct memory_budget *budget; ///< counts the descriptors; NULL: no limit
 };
 
 struct http_endpoint;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -29,11 +29,30 @@
 /// connection, and the caller could lose the response.
 #define LINGER_MS 1000
 
+/// The same while descriptors are exhausted: a few round trips. What such a
+/// connection still receives is dropped, so that its close resets it only if
+/// the caller goes on sending.
+#define LINGER_PRESSED_MS 100
+
 /// A stopping server gives a connection this time: without any request yet,
 /// since its first one may still be on its way; shut down for writing, since
 /// its caller may still read the last response and send more.
 #define STOP_WAIT_MS 250
 
+/// Memory of a connection without requests, bytes: its structures here and in
+/// libevent (1.2 KiB), and one block of input. 640 idle connections took
+/// 4.6 KiB each.
+#define CONNECTION_BYTES 4096u
+
+/// Memory of a request beside its head and body, bytes: its structures, those
+/// of the handler, and a connection to another node or the target with a block
+/// in each direction.
+#define REQUEST_BYTES 12288u
+
+/// Minimum rate of a body, bytes per second. A hundred uploads that share a
+/// link of 10 Mbit/s have 12,500 each.
+#define BODY_RATE_MIN 4096u
+
 /// Maximum size of a status line with the framing fields, bytes.
 #define STATUS_LINE_BYTES_MAX 160
 
@@ -41,6 +60,10 @@
     "http_requests_malformed", "connections closed: bytes are no request");
 static struct counter slow
     = COUNTER ("http_requests_slow", "connections closed: request too slow");
+static struct counter shed = COUNTER (
+    "http_requests_shed", "requests rejected: memory of the process is used");
+static struct counter accept_pauses = COUNTER (
+    "http_accept_pauses", "times accepting stopped: no free descriptors");
 static struct counter too_large = COUNTER (
     "http_requests_too_large", "requests refused: head or body too large");
 
@@ -53,6 +76,12 @@
   struct http_request *receiving_request; ///< request that is being received
   uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
                              ///< the last response, or begin of closing
+  struct memory_account account;
+  uint64_t message_start_ms; ///< start of the message that is being received,
+                             ///< as seen by the sweep; 0: none
+  uint64_t window_start_ms;  ///< start of the interval in which the body must
+                             ///< reach the minimum rate; 0: no body
+  size_t window_size;        ///< bytes of the body at that time
   unsigned rejected;  ///< status for what follows the requests that are in
                       ///< progress and is rejected; 0: nothing
   bool handing_over;  ///< requests are being handed over
@@ -66,6 +95,48 @@
   struct http_server_connection *previous;
 };
 
+/// @return memory of a request, bytes. Its head and body are kept until its
+/// end
+///         for another attempt; the head is also copied into what is sent on.
+static size_t
+request_memory (const struct http_request *request)
+{
+  size_t body = evbuffer_get_length (request->body);
+  size_t size = REQUEST_BYTES + sizeof *request->head
+                + 2 * request->head->text_size
+                + (body > request->body_size ? body : request->body_size);
+  return request->output == NULL
+             ? size
+             : size + evbuffer_get_length (request->output);
+}
+
+/// @return true when no further request of the connection is started
+static bool
+ignores_input (const struct http_server_connection *connection)
+{
+  return connection->closing || connection->last_response
+         || connection->rejected != 0;
+}
+
+/// Updates what is charged for a connection.
+static void
+charge (struct http_server_connection *connection)
+{
+  if (connection->server->budget == NULL)
+    return;
+  const struct http_stream *stream = connection->stream;
+  size_t size = CONNECTION_BYTES + http_stream_memory (stream);
+  for (const struct http_request *r = connection->request; r != NULL;
+       r = r->next)
+    size += request_memory (r);
+  if (connection->receiving_request != NULL)
+    size += request_memory (connection->receiving_request);
+  bool receiving = !ignores_input (connection)
+                   && (connection->receiving_request != NULL || stream->started
+                       || http_stream_unread (stream) > 0);
+  memory_account_charge (&connection->account, size, receiving);
+}
+
 static void
 free_request (struct http_request *request)
 {
@@ -107,6 +178,11 @@
   if (connection->receiving_request != NULL)
     free_request (connection->receiving_request);
   server->connections--;
+  if (server->budget != NULL)
+    {
+      memory_account_close (&connection->account);
+      server->budget->descriptors--;
+    }
   http_stream_free (connection->stream);
   connection->freed = true;
   if (!connection->handing_over)
@@ -143,28 +219,27 @@
   evbuffer_add (output, line, (size_t)size);
 }
 
-/// Rejects a request that has not arrived completely, and closes the
-/// connection, once the requests before it have their responses.
+/// Rejects a request that was not handed over, and closes the connection, once
+/// the requests before it have their responses. Its memory is freed at once.
 static void
 reject (struct http_server_connection *connection, unsigned status)
 {
   connection->rejected = status;
+  if (connection->receiving_request != NULL)
+    free_request (connection->receiving_request);
+  connection->receiving_request = NULL;
+  http_stream_discard (connection->stream);
+  charge (connection);
   if (connection->request != NULL)
     return;
   struct evbuffer *output = http_stream_output (connection->stream);
   write_status_line (output, status, true, "Content-Length: 0\r\n");
+  if (status == 503 && connection->server->not_run_fields != NULL)
+    evbuffer_add_printf (output, "%s", connection->server->not_run_fields);
   evbuffer_add (output, "\r\n", 2);
   close_when_sent (connection);
 }
 
-/// @return true when no further request of the connection is started
-static bool
-ignores_input (const struct http_server_connection *connection)
-{
-  return connection->closing || connection->last_response
-         || connection->rejected != 0;
-}
-
 static void
 on_head (struct http_stream *stream, struct http_head *head)
 {
@@ -197,6 +272,20 @@
                          "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+/// Sheds connections while the budget is exhausted, after this one has grown.
+/// @return false when this one is rejected
+static bool
+settle (struct http_server_connection *connection)
+{
+  if (connection->server->budget == NULL)
+    return true;
+  charge (connection);
+  if (!memory_account_settle (&connection->account)
+      && !ignores_input (connection) && connection->account.receiving)
+    http_server_shed (connection);
+  return connection->rejected == 0;
+}
+
 static void
 on_body (struct http_stream *stream, const char *data, size_t size)
 {
@@ -275,8 +364,13 @@
 {
   struct http_server_connection *connection = stream->owner;
   struct http_request *request = connection->receiving_request;
+  connection->message_start_ms = 0;
+  connection->window_start_ms = 0;
   if (request == NULL || ignores_input (connection))
     return;
+  request->body_size = evbuffer_get_length (request->body);
+  if (!settle (connection))
+    return;
   connection->receiving_request = NULL;
   connection->served = true;
   struct http_request **last = &connection->request;
@@ -297,6 +391,12 @@
   hand_over_requests (connection);
 }
 
+static void
+on_received (struct http_stream *stream)
+{
+  settle (stream->owner);
+}
+
 static void
 on_closed (struct http_stream *stream, enum http_close reason)
 {
@@ -329,6 +429,7 @@
   .complete = on_complete,
   .closed = on_closed,
   .drained = on_drained,
+  .received = on_received,
 };
 
 static void
@@ -362,13 +463,81 @@
     server->first->previous = connection;
   server->first = connection;
   server->connections++;
+  if (server->budget == NULL)
+    return;
+  memory_account_open (&connection->account, server->budget, connection);
+  server->budget->descriptors++;
+  charge (connection);
 }
 
 static void
 on_accept (struct evconnlistener *listener, evutil_socket_t fd,
            struct sockaddr *from, int size, void *arg)
 {
-  add_connection (arg, fd);
+  struct http_server *server = arg;
+  struct memory_budget *budget = server->budget;
+  add_connection (server, fd);
+  if (budget == NULL || memory_budget_has_descriptor (budget, server->use))
+    return;
+  counter_add (&accept_pauses, 1);
+  server->accepting_paused = true;
+  budget->paused_uses++;
+  evconnlistener_disable (listener);
+}
+
+/// Accepts connections again once descriptors are free.
+static void
+resume_accepting (struct http_server *server)
+{
+  struct memory_budget *budget = server->budget;
+  if (!server->accepting_paused || budget == NULL || server->listener == NULL
+      || !memory_budget_has_descriptor (budget, server->use))
+    return;
+  server->accepting_paused = false;
+  budget->paused_uses--;
+  evconnlistener_enable (server->listener);
+}
+
+/// @return true when a message behind requests in progress arrives too slowly,
+///         or a body below the minimum rate
+static bool
+is_too_slow (struct http_server_connection *connection, uint64_t now_ms)
+{
+  uint32_t limit_ms = connection->server->limits.receive_ms;
+  if (!connection->stream->started || ignores_input (connection))
+    return false;
+  if (connection->message_start_ms == 0)
+    connection->message_start_ms = now_ms;
+  const struct http_request *request = connection->receiving_request;
+  if (request == NULL)
+    return now_ms - connection->message_start_ms > limit_ms;
+  size_t size = evbuffer_get_length (request->body);
+  bool ends = connection->window_start_ms != 0
+              && now_ms - connection->window_start_ms > limit_ms;
+  bool below = ends
+               && (size - connection->window_size) * 1000ull
+                      < (uint64_t)BODY_RATE_MIN * limit_ms;
+  if (ends || connection->window_start_ms == 0)
+    {
+      connection->window_start_ms = now_ms;
+      connection->window_size = size;
+    }
+  return below;
+}
+
+/// @return time for which a connection waits for its caller's close, ms
+static uint32_t
+linger_ms (const struct http_server *server)
+{
+  bool waited_for = server->budget != NULL && server->budget->paused_uses > 0;
+  return waited_for ? LINGER_PRESSED_MS : LINGER_MS;
+}
+
+static void
+reject_slow (struct http_server_connection *connection)
+{
+  counter_add (&slow, 1);
+  reject (connection, 408);
 }
 
 static void
@@ -380,23 +549,42 @@
   for (struct http_server_connection *c = server->first; c != NULL; c = next)
     {
       next = c->next;
-      if (c->request != NULL)
+      if (server->budget != NULL)
+        {
+          charge (c);
+          memory_account_measure (&c->account, c->stream->received_bytes);
+          if (memory_account_blocks_others (&c->account))
+            http_server_shed (c);
+        }
+      if (is_too_slow (c, now))
+        {
+          reject_slow (c);
+          continue;
+        }
+      if (c->request != NULL || (c->stream->started && !c->closing))
         continue;
-      bool receiving = c->stream->started && !c->closing;
       uint32_t limit
-          = receiving ? server->limits.receive_ms : server->limits.idle_ms;
-      if (c->lingering)
-        limit = LINGER_MS;
-      if (now - c->timeout_start_ms <= limit)
-        continue;
-      if (!receiving)
+          = c->lingering ? linger_ms (server) : server->limits.idle_ms;
+      if (now - c->timeout_start_ms > limit)
         free_connection (c);
-      else
-        {
-          counter_add (&slow, 1);
-          reject (c, 408);
-        }
     }
+  resume_accepting (server);
+}
+
+void
+http_server_use_budget (struct http_server *server,
+                        struct memory_budget *budget,
+                        enum memory_budget_use use)
+{
+  server->budget = budget;
+  server->use = use;
+}
+
+void
+http_server_shed (void *arg)
+{
+  counter_add (&shed, 1);
+  reject (arg, 503);
 }
 
 enum status
@@ -503,6 +691,9 @@
     }
   evconnlistener_free (server->listener);
   server->listener = NULL;
+  if (server->accepting_paused)
+    server->budget->paused_uses--;
+  server->accepting_paused = false;
 }
 
 bool
@@ -609,7 +800,8 @@
           reject (connection, connection->rejected);
           return;
         }
-      http_stream_next (connection->stream);
+      if (connection->rejected == 0)
+        http_stream_next (connection->stream);
     }
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -13,6 +13,7 @@
 
 #include "base/status.h"
 #include "transport/http_stream.h"
+#include "transport/memory_budget.h"
 
 #include <event2/event.h>
 #include <event2/event_struct.h>
@@ -31,6 +32,7 @@
   void *arena;            ///< talloc context, freed after the response
   struct http_head *head; ///< in the arena
   struct evbuffer *body;
+  size_t body_size;     ///< bytes of the body when the request was complete
   uint64_t received_us; ///< when the request was complete, monotonic
   void *context;        ///< pointer of the handler
   unsigned status;      ///< of the response; 0: not started
@@ -60,7 +62,8 @@
 {
   uint32_t head_bytes;
   uint64_t body_bytes;
-  uint32_t receive_ms; ///< time limit for a request to arrive
+  uint32_t receive_ms; ///< time limit for a head to arrive, and interval in
+                       ///< which a body must reach the minimum rate
   uint32_t idle_ms;    ///< time limit of an idle connection
 };
 
@@ -75,7 +78,12 @@
   struct event sweep;
   size_t connections;
   size_t in_progress;
-  bool draining; ///< responses close their connections
+  struct memory_budget *budget; ///< NULL: memory is not limited
+  enum memory_budget_use use;   ///< of its connections' descriptors
+  const char *not_run_fields;   ///< header lines of a 503 that the server
+                                ///< itself sends, or NULL
+  bool accepting_paused;        ///< until descriptors are free
+  bool draining;                ///< responses close their connections
 };
 
 /// Starts listening.
@@ -88,6 +96,16 @@
                                const struct http_server_limits *limits,
                                const struct http_server_ops *ops, void *arg);
 
+/// Charges the server's connections to a budget, which the process's servers
+/// share and which outlives them. Called before connections are accepted.
+void http_server_use_budget (struct http_server *server,
+                             struct memory_budget *budget,
+                             enum memory_budget_use use);
+
+/// Function of a budget that sheds a connection of any server: rejects what it
+/// has sent of a request with 503 and closes it. That request is never run.
+void http_server_shed (void *connection);
+
 /// Closes the listener and all connections at once. Handlers of requests in
 /// progress are not notified.
 void http_server_stop (struct http_server *server);
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -13,6 +13,9 @@
 /// sender down.
 #define INPUT_BYTES_MAX (64u * 1024)
 
+/// First size of a head's text, bytes; most heads are shorter than 1 KiB.
+#define TEXT_BYTES_MIN 512u
+
 /// A vanished peer is detected after idle time + probes x interval = 3 s, the
 /// shortest time after which the platform reports a machine as reachable
 /// again.
@@ -27,8 +30,12 @@
   return parser->data;
 }
 
+/// Adds bytes to the text of the head. They start a new string or continue the
+/// last one.
+/// @return false when the head is too large, malformed, or memory is exhausted
 static bool
-append_text (struct http_stream *stream, const char *data, size_t size)
+append_text (struct http_stream *stream, const char *data, size_t size,
+             bool starts_string)
 {
   stream->head_bytes += size;
   if (stream->head_bytes > stream->head_bytes_max)
@@ -36,22 +43,57 @@
       stream->head_too_large = true;
       return false;
     }
-  char *text = talloc_realloc (stream->head, stream->field_text, char,
-                               stream->field_size + size + 1);
-  if (text == NULL)
-    return false;
-  memcpy (text + stream->field_size, data, size);
-  stream->field_size += size;
-  text[stream->field_size] = '\0';
-  stream->field_text = text;
-  return true;
+  size_t needed = stream->text_size + size + 2;
+  if (needed > stream->text_capacity)
+    {
+      size_t capacity = 2 * stream->text_capacity;
+      if (capacity < needed)
+        capacity = needed < TEXT_BYTES_MIN ? TEXT_BYTES_MIN : needed;
+      char *text = talloc_realloc (stream->head, stream->text, char, capacity);
+      if (text == NULL)
+        return false;
+      stream->text = text;
+      stream->text_capacity = capacity;
+    }
+  if (starts_string)
+    stream->text[stream->text_size++] = '\0';
+  memcpy (stream->text + stream->text_size, data, size);
+  stream->text_size += size;
+  return memchr (data, '\0', size) == NULL;
 }
 
 static void
 reset_text (struct http_stream *stream)
 {
-  stream->field_text = NULL;
-  stream->field_size = 0;
+  stream->text = NULL;
+  stream->text_size = 0;
+  stream->text_capacity = 0;
+}
+
+/// Ends the text of a complete head and points its fields to their strings.
+/// @return false when memory is exhausted
+static bool
+finish_text (struct http_stream *stream)
+{
+  struct http_head *head = stream->head;
+  if (!append_text (stream, "", 0, true))
+    return false;
+  char *text = talloc_realloc (head, stream->text, char, stream->text_size);
+  if (text == NULL)
+    return false;
+  char *next = text;
+  if (stream->parser.type == HTTP_REQUEST)
+    head->target = next;
+  for (size_t i = 0; i < head->field_count; i++)
+    {
+      next += strlen (next) + 1;
+      head->fields[i].name = next;
+      next += strlen (next) + 1;
+      head->fields[i].value = next;
+    }
+  head->text_size = stream->text_size;
+  reset_text (stream);
+  return true;
 }
 
 static int
@@ -62,6 +104,8 @@
   stream->head = talloc_zero (NULL, struct http_head);
   stream->head_bytes = 0;
   stream->head_too_large = false;
+  stream->head_complete = false;
+  stream->trailer_count = 0;
   stream->completed = false;
   stream->in_value = false;
   stream->started = true;
@@ -72,11 +116,19 @@
 static int
 on_url (http_parser *parser, const char *data, size_t size)
 {
-  struct http_stream *stream = stream_of (parser);
-  if (!append_text (stream, data, size))
-    return 1;
-  stream->head->target = stream->field_text;
-  return 0;
+  return append_text (stream_of (parser), data, size, false) ? 0 : 1;
+}
+
+/// Counts a part of a trailer field, which is not kept.
+static int
+skip_trailer (struct http_stream *stream, size_t size, bool new_field)
+{
+  stream->head_bytes += size;
+  stream->trailer_count += new_field;
+  stream->head_too_large
+      = stream->head_bytes > stream->head_bytes_max
+        || stream->head->field_count + stream->trailer_count > HTTP_FIELDS_MAX;
+  return stream->head_too_large;
 }
 
 static int
@@ -86,22 +138,17 @@
   struct http_head *head = stream->head;
   if (head == NULL)
     return 0; /* trailer fields; the owner has taken the head over */
-  if (stream->in_value || head->field_count == 0)
+  bool new_field = stream->in_value || head->field_count == 0;
+  stream->in_value = false;
+  if (stream->head_complete)
+    return skip_trailer (stream, size, new_field);
+  if (new_field && head->field_count == HTTP_FIELDS_MAX)
     {
-      if (head->field_count == HTTP_FIELDS_MAX)
-        {
-          stream->head_too_large = true;
-          return 1;
-        }
-      reset_text (stream);
-      stream->in_value = false;
-      head->fields[head->field_count].value = "";
-      head->field_count++;
+      stream->head_too_large = true;
+      return 1;
     }
-  if (!append_text (stream, data, size))
-    return 1;
-  head->fields[head->field_count - 1].name = stream->field_text;
-  return 0;
+  head->field_count += new_field;
+  return append_text (stream, data, size, new_field) ? 0 : 1;
 }
 
 static int
@@ -111,15 +158,11 @@
   struct http_head *head = stream->head;
   if (head == NULL || head->field_count == 0)
     return 0;
-  if (!stream->in_value)
-    {
-      reset_text (stream);
-      stream->in_value = true;
-    }
-  if (!append_text (stream, data, size))
-    return 1;
-  head->fields[head->field_count - 1].value = stream->field_text;
-  return 0;
+  bool new_value = !stream->in_value;
+  stream->in_value = true;
+  if (stream->head_complete)
+    return skip_trailer (stream, size, false);
+  return append_text (stream, data, size, new_value) ? 0 : 1;
 }
 
 static int
@@ -132,6 +175,10 @@
   if (parser->type == HTTP_REQUEST && parser->method == HTTP_CONNECT)
     return -1;
   parser->upgrade = 0;
+  if (!finish_text (stream))
+    return -1;
+  stream->head_complete = true;
+  stream->in_value = true; /* the next field starts a trailer */
   if (!http_head_is_strict (head, parser))
     return -1;
   head->method = (enum http_method)parser->method;
@@ -140,7 +187,6 @@
   head->chunked = (parser->flags & F_CHUNKED) != 0;
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
-  reset_text (stream);
   if (head->status >= 100 && head->status < 200)
     return 0;
   stream->ops->head (stream, head);
@@ -207,13 +253,24 @@
   stream->ops->complete (stream);
 }
 
+/// Drops the input and the head of an incomplete message.
+static void
+drop_input (struct http_stream *stream)
+{
+  struct evbuffer *input = bufferevent_get_input (stream->bev);
+  evbuffer_drain (input, evbuffer_get_length (input));
+  TALLOC_FREE (stream->head);
+  reset_text (stream);
+}
+
 static void
 parse_input (struct http_stream *stream)
 {
   struct evbuffer *input = bufferevent_get_input (stream->bev);
   stream->parsing = true;
   while (!stream->free_pending && !stream->waiting_for_next && !stream->paused
-         && !stream->ended && evbuffer_get_length (input) > 0)
+         && !stream->ended && !stream->discarding
+         && evbuffer_get_length (input) > 0)
     {
       struct evbuffer_iovec data;
       if (evbuffer_peek (input, -1, NULL, &data, 1) < 1)
@@ -228,8 +285,11 @@
                                          data.iov_base, data.iov_len);
       enum http_errno error = HTTP_PARSER_ERRNO (&stream->parser);
       evbuffer_drain (input, used);
+      stream->received_bytes += used;
       if (stream->free_pending)
         break;
+      if (stream->discarding)
+        break; /* by a callback */
       if (error != HPE_OK && error != HPE_PAUSED)
         report_close (stream, HTTP_CLOSE_PROTOCOL);
       else if (stream->completed)
@@ -237,7 +297,14 @@
     }
   stream->parsing = false;
   if (stream->free_pending)
-    free_stream (stream);
+    {
+      free_stream (stream);
+      return;
+    }
+  if (stream->discarding)
+    drop_input (stream);
+  if (stream->ops->received != NULL)
+    stream->ops->received (stream);
 }
 
 static void
@@ -252,7 +319,7 @@
 on_write (struct bufferevent *bev, void *arg)
 {
   struct http_stream *stream = arg;
-  if (stream->ops->drained != NULL && !stream->ended)
+  if (stream->ops->drained != NULL)
     stream->ops->drained (stream);
 }
 
@@ -262,7 +329,7 @@
 parse_end (struct http_stream *stream)
 {
   stream->parsing = true;
-  if (!stream->waiting_for_next && stream->started)
+  if (!stream->waiting_for_next && stream->started && !stream->discarding)
     {
       http_parser_execute (&stream->parser, &parser_settings, NULL, 0);
       if (!stream->free_pending && stream->completed)
@@ -345,6 +412,25 @@
     bufferevent_trigger (stream->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
+void
+http_stream_discard (struct http_stream *stream)
+{
+  stream->discarding = true;
+  if (!stream->parsing)
+    drop_input (stream);
+}
+
+size_t
+http_stream_memory (const struct http_stream *stream)
+{
+  size_t size = evbuffer_get_length (bufferevent_get_input (stream->bev))
+                + evbuffer_get_length (bufferevent_get_output (stream->bev));
+  if (stream->head != NULL)
+    size += sizeof *stream->head + stream->text_capacity
+            + stream->head->text_size;
+  return size;
+}
+
 void
 http_stream_pause (struct http_stream *stream)
 {
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -26,8 +26,9 @@
   const char *value;
 };
 
-/// Head of a request or response. Strings are allocated in the head's talloc
-/// context.
+/// Head of a request or response. Its strings are parts of one block in the
+/// head's talloc context: an allocation for each of many short lines would
+/// take many times their bytes.
 struct http_head
 {
   enum http_method method; ///< of a request
@@ -35,10 +36,11 @@
   unsigned status;         ///< of a response
   struct http_field fields[HTTP_FIELDS_MAX];
   size_t field_count;
-  bool keep_alive; ///< the connection can carry another message
-  bool chunked;    ///< the body has chunked coding
-  bool has_length; ///< Content-Length is present
-  uint64_t length; ///< bytes of the body
+  size_t text_size; ///< bytes of all strings
+  bool keep_alive;  ///< the connection can carry another message
+  bool chunked;     ///< the body has chunked coding
+  bool has_length;  ///< Content-Length is present
+  uint64_t length;  ///< bytes of the body
 };
 
 enum http_close
@@ -58,6 +60,8 @@
   /// No further message will be parsed; the owner frees the stream, at once or
   /// after its last output.
   void (*closed) (struct http_stream *stream, enum http_close reason);
+  /// Bytes were received and parsed as far as possible; may be NULL.
+  void (*received) (struct http_stream *stream);
   /// The output buffer is empty; may be NULL.
   void (*drained) (struct http_stream *stream);
   /// A client's connection was established; may be NULL.
@@ -76,8 +80,13 @@
   struct http_head *head;
   size_t head_bytes;
   size_t head_bytes_max;
-  char *field_text; ///< URL, field name or value being parsed
-  size_t field_size;
+  char *text; ///< target, names and values, in the head's context; each ends
+              ///< with a zero
+  size_t text_size;
+  size_t text_capacity;
+  uint64_t received_bytes; ///< parsed so far, of all messages
+  size_t trailer_count;    ///< fields after the body of a kept head
+  bool head_complete;
   bool in_value;
   bool head_too_large;
   bool started;          ///< the current message has begun
@@ -85,6 +94,7 @@
   bool waiting_for_next; ///< parsing is stopped until http_stream_next
   bool paused;           ///< parsing is stopped until http_stream_resume
   bool no_body;          ///< the next response has no body (HEAD)
+  bool discarding;       ///< all further input is dropped
   bool parsing;
   bool ended;        ///< `closed` was called
   bool free_pending; ///< http_stream_free was called while parsing
@@ -109,6 +119,14 @@
 void http_stream_pause (struct http_stream *stream);
 void http_stream_resume (struct http_stream *stream);
 
+/// Parses no further message and drops what is buffered of the current one and
+/// all further input. The end of the input is still reported.
+void http_stream_discard (struct http_stream *stream);
+
+/// @return bytes of memory of the head that is being received and of the
+/// buffers in both directions
+size_t http_stream_memory (const struct http_stream *stream);
+
 /// @return the buffer for bytes to send
 struct evbuffer *http_stream_output (struct http_stream *stream);
 
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -89,6 +89,81 @@
   server_tear_down (&raw_client);
 }
 
+/// The caller keeps sending single bytes, so that its connection is never
+/// idle.
+static void
+test_slow_body_behind_a_request (void)
+{
+  static const char *const heads[]
+      = { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "63\r\n",
+          "GET / HTTP/1.1\r\nHost: h\r\nSlow: " };
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+      client_send (&raw_client, heads[i]);
+      for (unsigned k = 0; k < 25; k++)
+        {
+          client_send (&raw_client, "b");
+          run_ms (50);
+        }
+      CU_ASSERT_EQUAL (request_count, 1);
+      CU_ASSERT_EQUAL (raw_client.size, 0);
+      http_reply (requests[0], 200, NULL, "x", 1);
+      run_ms (50);
+      const char *second = strstr (raw_client.received, "x");
+      CU_ASSERT_EQUAL (strncmp (raw_client.received, "HTTP/1.1 200", 12), 0);
+      CU_ASSERT (second != NULL && strstr (second, "HTTP/1.1 408") != NULL);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// Requests in progress are answered; what was received of others is rejected
+/// as not run.
+static void
+test_exhausted_budget (void)
+{
+  struct memory_budget budget;
+  struct raw_client clients[3];
+  memory_budget_init (&budget, 8, 1000, http_server_shed);
+  uint16_t port = server_set_up ();
+  http_server_use_budget (&server, &budget, MEMORY_BUDGET_CALLERS);
+  server.not_run_fields = "Not-Run: yes\r\n";
+  for (size_t i = 0; i < 3; i++)
+    client_connect (&clients[i], port);
+  client_send (&clients[0], "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET / HTTP/1.1\r\nHost: h\r\nA: ");
+  client_send (&clients[1], "POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 3\r\n\r\nab");
+  run_ms (50);
+  CU_ASSERT_EQUAL (request_count, 1);
+  budget.limit = budget.reserve = 0;
+  client_send (&clients[2], "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  CU_ASSERT_EQUAL (request_count, 1);
+  for (size_t i = 1; i < 3; i++)
+    {
+      CU_ASSERT_EQUAL (strncmp (clients[i].received, "HTTP/1.1 503", 12), 0);
+      CU_ASSERT (strstr (clients[i].received, "Not-Run: yes\r\n") != NULL);
+    }
+  CU_ASSERT_EQUAL (clients[0].size, 0);
+  http_reply (requests[0], 200, NULL, "x", 1);
+  run_ms (50);
+  CU_ASSERT_EQUAL (strncmp (clients[0].received, "HTTP/1.1 200", 12), 0);
+  CU_ASSERT (strstr (clients[0].received, "x") != NULL
+             && strstr (clients[0].received, "HTTP/1.1 503") != NULL);
+  for (size_t i = 0; i < 3; i++)
+    bufferevent_free (clients[i].bev);
+  run_ms (50);
+  CU_ASSERT_EQUAL (budget.used, 0);
+  CU_ASSERT_EQUAL (budget.descriptors, 0);
+  http_server_stop (&server);
+  event_base_free (base);
+}
+
 /// A draining server responds to the requests it has read, then closes.
 static void
 test_draining_server_responds_to_all (void)
@@ -566,6 +641,10 @@
       test_caller_disconnects },
     { "a malformed, ambiguous, too large or slow request is handled",
       test_refused_requests },
+    { "single bytes hold a message behind a request in progress",
+      test_slow_body_behind_a_request },
+    { "an exhausted budget ends requests in progress or runs others",
+      test_exhausted_budget },
     { "a draining server drops requests that it has read",
       test_draining_server_responds_to_all },
     { "a draining server drops requests behind a response that it holds back",
