Compute the crash fingerprint of a body without copying it

The node beside a target made each body contiguous to hash it, which took the body's size once more for a moment. XXH3 over the parts gives the same value, so nodes of both versions agree on a request.

--- a/src/base/hash.c
+++ b/src/base/hash.c
@@ -11,6 +11,20 @@
   return XXH3_64bits (data, size);
 }
 
+enum status
+hash_placement_parts (const struct iovec *parts, size_t count, uint64_t *hash)
+{
+  XXH3_state_t *state = XXH3_createState ();
+  if (state == NULL)
+    return STATUS_NO_MEMORY;
+  XXH3_64bits_reset (state);
+  for (size_t i = 0; i < count; i++)
+    XXH3_64bits_update (state, parts[i].iov_base, parts[i].iov_len);
+  *hash = XXH3_64bits_digest (state);
+  XXH3_freeState (state);
+  return STATUS_OK;
+}
+
 uint64_t
 hash_placement_string (const char *string)
 {
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -2,8 +2,11 @@
 #ifndef HAWTHORNSEAM_BASE_HASH_H
 #define HAWTHORNSEAM_BASE_HASH_H
 
+#include "base/status.h"
+
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/uio.h>
 
 #define CONTENT_HASH_SIZE 16
 
@@ -16,6 +19,11 @@
 /// against an attacker
 uint64_t hash_placement (const void *data, size_t size);
 
+/// Computes the placement hash of a byte string that is stored in parts.
+/// @return STATUS_OK or STATUS_NO_MEMORY
+enum status hash_placement_parts (const struct iovec *parts, size_t count,
+                                  uint64_t *hash);
+
 /// @return placement hash of a zero-terminated string
 uint64_t hash_placement_string (const char *string);
 
--- a/src/sidecar/sidecar_crash.c
+++ b/src/sidecar/sidecar_crash.c
@@ -16,6 +16,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <talloc.h>
 
 /// Requests lost within this time before the last one are attributed to the
 /// same crash.
@@ -48,14 +49,36 @@
   size_t next; ///< index in `lost` of the next write
 };
 
+/// Does not make the body contiguous, which would need its size once more.
+/// @return placement hash of a body, or 0 if it is empty
+static uint64_t
+hash_body (struct evbuffer *body)
+{
+  if (evbuffer_get_length (body) == 0)
+    return 0;
+  int count = evbuffer_peek (body, -1, NULL, NULL, 0);
+  struct evbuffer_iovec *parts
+      = talloc_array (NULL, struct evbuffer_iovec, (size_t)count);
+  uint64_t hash;
+  enum status status = STATUS_NO_MEMORY;
+  if (parts != NULL)
+    {
+      evbuffer_peek (body, -1, NULL, parts, count);
+      status = hash_placement_parts (parts, (size_t)count, &hash);
+    }
+  if (status != STATUS_OK)
+    hash = hash_placement (evbuffer_pullup (body, -1),
+                           evbuffer_get_length (body));
+  talloc_free (parts);
+  return hash;
+}
+
 uint64_t
 sidecar_crash_fingerprint (const char *caller, const char *method,
                            const char *target, struct evbuffer *body)
 {
-  size_t size = evbuffer_get_length (body);
-  const unsigned char empty = 0;
-  const unsigned char *bytes = size == 0 ? &empty : evbuffer_pullup (body, -1);
-  uint64_t request = suspect_fingerprint (NULL, method, target, bytes, size);
+  uint64_t request
+      = suspect_fingerprint_hashed (method, target, hash_body (body));
   return hash_placement_pair (request, hash_placement_string (caller));
 }
 
--- a/src/state/suspect.c
+++ b/src/state/suspect.c
@@ -110,18 +110,24 @@
   memset (table, 0, sizeof *table);
 }
 
+uint64_t
+suspect_fingerprint_hashed (const char *method, const char *uri,
+                            uint64_t body_hash)
+{
+  uint64_t hash = hash_placement_pair (
+      hash_placement_pair (2, hash_placement_string (method)),
+      hash_placement_pair (hash_placement_string (uri), body_hash));
+  return hash == 0 ? 1 : hash;
+}
+
 uint64_t
 suspect_fingerprint (const char *key, const char *method, const char *uri,
                      const void *body, size_t size)
 {
-  uint64_t hash;
-  if (key != NULL)
-    hash = hash_placement_pair (1, hash_placement_string (key));
-  else
-    hash = hash_placement_pair (
-        hash_placement_pair (2, hash_placement_string (method)),
-        hash_placement_pair (hash_placement_string (uri),
-                             size == 0 ? 0 : hash_placement (body, size)));
+  if (key == NULL)
+    return suspect_fingerprint_hashed (
+        method, uri, size == 0 ? 0 : hash_placement (body, size));
+  uint64_t hash = hash_placement_pair (1, hash_placement_string (key));
   return hash == 0 ? 1 : hash;
 }
 
--- a/src/state/suspect.h
+++ b/src/state/suspect.h
@@ -55,6 +55,11 @@
 uint64_t suspect_fingerprint (const char *key, const char *method,
                               const char *uri, const void *body, size_t size);
 
+/// @param body_hash  placement hash of the body; 0: no body
+/// @return the same fingerprint of a request without a key
+uint64_t suspect_fingerprint_hashed (const char *method, const char *uri,
+                                     uint64_t body_hash);
+
 enum suspect_verdict suspect_check (const struct suspect_table *table,
                                     uint64_t fingerprint, uint64_t now_ms);
 
--- a/test/unit/suspect_test.c
+++ b/test/unit/suspect_test.c
@@ -1,3 +1,4 @@
+#include "base/hash.h"
 #include "state/suspect.h"
 #include "testing.h"
 
@@ -90,6 +91,27 @@
                    suspect_fingerprint ("k", "PUT", "/b", "c", 1));
 }
 
+/// Nodes that hold a body in other parts must agree on the request.
+static void
+test_fingerprint_of_parts (void)
+{
+  char body[3000];
+  for (size_t i = 0; i < sizeof body; i++)
+    body[i] = (char)(i * 7);
+  for (size_t size = 1; size <= sizeof body; size += 37)
+    for (size_t cut = 0; cut <= size; cut += 53)
+      {
+        const struct iovec parts[]
+            = { { body, cut }, { body + cut, size - cut } };
+        uint64_t hash = 0;
+        CU_ASSERT_EQUAL (hash_placement_parts (parts, 2, &hash), STATUS_OK);
+        CU_ASSERT_EQUAL (suspect_fingerprint (NULL, "PUT", "/a", body, size),
+                         suspect_fingerprint_hashed ("PUT", "/a", hash));
+      }
+  CU_ASSERT_EQUAL (suspect_fingerprint (NULL, "PUT", "/a", "", 0),
+                   suspect_fingerprint_hashed ("PUT", "/a", 0));
+}
+
 static const struct test_case cases[] = {
   { "a crash that is reported twice counts as two",
     test_counts_distinct_crashes },
@@ -99,6 +121,8 @@
   { "a suspect does not expire, or expires too early", test_expiry },
   { "the table grows without bound", test_eviction },
   { "different requests share a fingerprint", test_fingerprints },
+  { "a request whose body is stored in parts is taken for another one",
+    test_fingerprint_of_parts },
 };
 
 int
