--- a/Makefile
+++ b/Makefile
@@ -83,6 +83,7 @@
   http_server.c \
   http_socket.c \
   http_stream.c \
+  memory_budget.c \
   store_client.c \
   timer.c))
 SIDECAR := $(BUILD)/hawthornseam-sidecar
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -112,6 +112,7 @@
   struct transfer_scheduler
       transfers; ///< of large responses of the local target
   struct sidecar_outbound_list outbound; ///< requests of callers in progress
+  struct memory_budget budget;           ///< of all servers and pools
   struct http_server calls;              ///< from callers on this VM
   struct http_server peers;              ///< from other nodes
   struct http_server ready;              ///< readiness probes of the platform
