Tell targets the deadline that a request has without the stop

A target that keeps its deadline ended responses of a stopping node when a seventh of the grace was left: the node sent the time at which it gives up what has not begun.

--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -321,7 +321,7 @@
   http_write_fields (bytes, head, skip);
   evbuffer_add_printf (bytes, "%s: %s\r\n%s: %" PRIu64 "\r\n%s: %s\r\n",
                        CALL_HEADER_HOP, hop_text, names->deadline_ms,
-                       outbound->respond_by_ms - now_ms, names->caller_service,
+                       outbound->run_by_ms - now_ms, names->caller_service,
                        sidecar->settings.service);
   if (outbound->account != NULL)
     evbuffer_add_printf (bytes, "%s: %s\r\n", names->account,
@@ -633,6 +633,7 @@
       outbound->respond_by_ms = outbound->arrived_ms + route->timeout_ms;
       outbound->body_by_ms = outbound->respond_by_ms + OUTBOUND_OVERTIME_MS;
     }
+  outbound->run_by_ms = outbound->respond_by_ms;
   if (sidecar->stopping && outbound->respond_by_ms > stop_answer_ms (sidecar))
     outbound->respond_by_ms = stop_answer_ms (sidecar);
   timer_start_at (&outbound->timer, outbound->respond_by_ms);
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -48,9 +48,10 @@
   uint64_t arrived_ms;
   uint64_t objective_ms;  ///< when the route's latency objective is exceeded
   uint64_t respond_by_ms; ///< when the request times out at this node
-  uint64_t body_by_ms;    ///< limit of a response that is being sent, also at
-                          ///< a stopping node
-  uint64_t deadline_ms;   ///< when the caller gives up
+  uint64_t run_by_ms;   ///< its limit without a stop, which the target is told
+  uint64_t body_by_ms;  ///< limit of a response that is being sent, also at
+                        ///< a stopping node
+  uint64_t deadline_ms; ///< when the caller gives up
   size_t tried[PLACEMENT_TRIED_MAX]; ///< handles of the nodes tried so far
   size_t tried_count;
   size_t node; ///< handle of the node of the current attempt
--- a/src/transport/http_socket.h
+++ b/src/transport/http_socket.h
@@ -22,11 +22,12 @@
   uint64_t checked_ms;      ///< last check, monotonic; 0: none
   uint64_t acknowledged_ms; ///< nothing was outstanding at this time, or the
                             ///< peer has acknowledged something
+  bool failed; ///< the kernel does not tell; its own timeout is set instead
 };
 
 /// To be called several times a second while the connection is in use.
-/// @return true when the peer has acknowledged nothing for 3 s although bytes
-///         or a probe are outstanding
+/// @return true when the connection was reset, or the peer has acknowledged
+///         nothing for 3 s although bytes or a probe are outstanding
 bool http_peer_watch_is_lost (struct http_peer_watch *watch,
                               evutil_socket_t fd, uint64_t now_ms);
 
--- a/test/standin/slow_readers.c
+++ b/test/standin/slow_readers.c
@@ -106,6 +106,7 @@
   struct reader *reader;
   struct event timer;
   uint64_t begun_ms;
+  uint64_t deadline_ms; ///< as stated in the request
   uint32_t written;
 };
 
@@ -117,6 +118,14 @@
   struct run *run = arg;
   struct reader *reader = run->reader;
   uint64_t elapsed_ms = clock_monotonic_ms () - run->begun_ms;
+  /* As targets do; callers state a deadline far beyond the grace. */
+  if (run->begun_ms + elapsed_ms >= run->deadline_ms)
+    {
+      http_reply_abort (run->request);
+      event_del (&run->timer);
+      free (run);
+      return;
+    }
   uint64_t due = elapsed_ms >= reader->work_ms
                      ? reader->size
                      : elapsed_ms * reader->size / reader->work_ms;
@@ -170,6 +179,11 @@
       run->reader = &readers[index];
       run->reader->runs++;
       run->begun_ms = clock_monotonic_ms ();
+      const char *deadline
+          = http_head_find (request->head, "Hawthornseam-Deadline-Ms");
+      run->deadline_ms
+          = run->begun_ms
+            + (deadline == NULL ? 0 : strtoul (deadline, NULL, 10));
       request->context = run;
       http_reply_start (request, 200, fields, run->reader->size);
       evtimer_assign (&run->timer, base, on_run_timer, run);
