Let followers know the age of the view that a relay sends

Relays state the age of their view now, and a response that brings changes counts from the time at which it was asked for.

--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -12,6 +12,7 @@
 #include "transport/timer.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -56,6 +57,9 @@
   struct http_exchange *exchange; ///< own request to a relay, or NULL
   uint64_t relay_serial;          ///< of the relay's directory record
   unsigned status;                ///< HTTP status of its response
+  uint64_t asked_ms;              ///< when it was sent
+  uint64_t asked_after;           ///< revision of the view then
+  uint32_t view_age_ms;           ///< of the view that the relay sent
   enum store_pace_relay contact;  ///< what the last relay asked did
   struct evbuffer *response;      ///< body received so far
   struct event timer;
@@ -142,7 +146,13 @@
   if (relay->cached == NULL)
     refuse (request);
   else
-    http_reply (request, 200, NULL, relay->cached, relay->cached_size);
+    {
+      char fields[64];
+      snprintf (fields, sizeof fields,
+                CALL_HEADER_VIEW_AGE ": %" PRIu64 "\r\n",
+                clock_monotonic_ms () - store->view_checked_ms);
+      http_reply (request, 200, fields, relay->cached, relay->cached_size);
+    }
 }
 
 void
@@ -284,8 +294,11 @@
   if (served)
     {
       store->caught_up = true;
-      /* The relay may not have heard from the store for so long. */
-      store->view_checked_ms = now - STORE_RESPONSE_AGE_MS_MAX;
+      /* A response with changes may have been long on its way. */
+      uint64_t known_ms
+          = store->as_of == relay->asked_after ? now : relay->asked_ms;
+      store->view_checked_ms
+          = known_ms > relay->view_age_ms ? known_ms - relay->view_age_ms : 0;
       if (returned)
         sidecar_store_probe_now (sidecar);
       return;
@@ -338,7 +351,13 @@
 on_head (void *arg, struct http_head *head)
 {
   struct sidecar *sidecar = arg;
-  sidecar->store->relay->status = head->status;
+  struct sidecar_relay *relay = sidecar->store->relay;
+  relay->status = head->status;
+  /* Relays of an older version do not send it. */
+  if (call_deadline_parse (http_head_find (head, CALL_HEADER_VIEW_AGE),
+                           STORE_RESPONSE_AGE_MS_MAX, &relay->view_age_ms)
+      != STATUS_OK)
+    relay->view_age_ms = CALL_DEADLINE_MAX_MS;
 }
 
 static void
@@ -387,6 +406,8 @@
   evbuffer_drain (relay->response, evbuffer_get_length (relay->response));
   relay->status = 0;
   relay->relay_serial = record->serial;
+  relay->asked_ms = now_ms;
+  relay->asked_after = store->as_of;
   struct http_send send = { .address = record->entry.address,
                             .port = record->entry.port,
                             .request = request,
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -220,7 +220,9 @@
     case STATUS_OK:
       mark_reachable (store);
       store->caught_up = true;
-      store->view_checked_ms = clock_monotonic_ms ();
+      /* Changes may have been long on their way. */
+      store->view_checked_ms = reply->key_count == 0 ? clock_monotonic_ms ()
+                                                     : store->watch_sent_ms;
       sidecar_store_apply_keys (store, reply);
       if (reply->as_of > store->as_of)
         store->as_of = reply->as_of;
@@ -261,6 +263,7 @@
       return;
     }
   store->watching = true;
+  store->watch_sent_ms = now_ms;
   store_client_ops.watch_prefix (
       &sidecar->store_client, sidecar->adapter->watch_prefix, store->as_of,
       sidecar->settings.config_apply_ms * WATCH_WAIT_PERCENT / 100, on_watch,
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -23,6 +23,7 @@
   uint64_t lease;            ///< 0: none
   uint64_t renewed_ms;       ///< last successful renewal of the lease
   uint64_t last_response_ms; ///< last response of the store
+  uint64_t watch_sent_ms;    ///< start of the last watch
   uint64_t view_checked_ms;  ///< last time that the view was known to be that
                              ///< of the store or of a relay in touch with it
   uint64_t next_probe_ms;    ///< while unreachable: time of the next probe
