--- a/src/protocol/adapter.h
+++ b/src/protocol/adapter.h
@@ -18,6 +18,9 @@
       *expected_instance;     ///< the only instance that may run the request
   const char *not_run;        ///< set by a target that did not run the request
   const char *caller_service; ///< service of the VM where a request starts
+  const char *api_key;        ///< key of the caller's client account
+  const char *account;        ///< name of that account, for the target
+  const char *target_load;    ///< load that a target states, see target_load.h
 };
 
 /// One report of the target on the same VM.
@@ -72,6 +75,7 @@
   const char *config_key;    ///< key of the newest configuration
   const char *order_prefix;  ///< prefix of the move orders, one per service
   const char *status_prefix; ///< prefix of the outcomes of orders
+  const char *evacuation_prefix; ///< prefix of the evacuated zones
 
   /// Tells which call a request is.
   /// @param path  path without query
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -34,12 +34,18 @@
 
 /// Long poll for changes of a node's view; the revision is appended.
 #define CALL_PATH_CHANGES "/_hawthornseam/changes?after="
+/// Age of the view that a relay sends: time since it was known to be that of
+/// the store, ms.
+#define CALL_HEADER_VIEW_AGE "Hawthornseam-View-Age-Ms"
 #define CALL_PATH_EVIDENCE "/_hawthornseam/evidence"
 
 /// Leaves the notice of a leaving target with another node, and asks for it.
 #define CALL_PATH_LEAVE "/_hawthornseam/leave"
 #define CALL_PATH_LEAVE_ASK "/_hawthornseam/leave/ask"
 
+/// Asks the owner of an account's quota for tokens.
+#define CALL_PATH_QUOTA "/_hawthornseam/quota"
+
 /// Longest deadline that a caller may request, ms.
 #define CALL_DEADLINE_MAX_MS (10u * 60 * 1000)
 
@@ -49,9 +55,14 @@
 
 /// Values of CALL_HEADER_REASON. Callers may print them; nodes compare them.
 #define CALL_REASON_NO_ROUTE "no-route"
+#define CALL_REASON_KEY_UNKNOWN "api-key-unknown"
+#define CALL_REASON_QUOTA "quota-exceeded"
+#define CALL_REASON_QUOTA_UNDECIDED "quota-undecided"
 #define CALL_REASON_NO_TARGET "no-target"
 #define CALL_REASON_NOT_READY "not-ready"
 #define CALL_REASON_DRAINING "draining"
+#define CALL_REASON_EVACUATED "zone-evacuated"
+#define CALL_REASON_COLD "cold-target"
 #define CALL_REASON_QUEUE_FULL "queue-full"
 #define CALL_REASON_DEADLINE "deadline"
 #define CALL_REASON_BUSY "too-many-calls"
--- a/src/protocol/hop.h
+++ b/src/protocol/hop.h
@@ -10,11 +10,11 @@
 
 /// Bytes of the value that hop_write gives to CALL_HEADER_HOP, including the
 /// terminating zero.
-#define HOP_SIZE_MAX 224
+#define HOP_SIZE_MAX 240
 
 /// Bytes of the value that hop_load_write gives to CALL_HEADER_LOAD, including
 /// the terminating zero.
-#define HOP_LOAD_SIZE_MAX 64
+#define HOP_LOAD_SIZE_MAX 80
 
 /// Routing decision about one request.
 struct hop
@@ -29,6 +29,7 @@
   uint32_t address;      ///< where the sender accepts requests of other
                          ///< nodes; IPv4, host byte order
   uint16_t port;
+  uint32_t account; ///< hash of the client account's name; 0: none
 };
 
 /// Load of a target.
@@ -37,7 +38,13 @@
   uint32_t running; ///< requests in the target
   uint32_t waiting; ///< requests in the queue of its node
   uint32_t slots;
-  uint32_t service_us; ///< mean time of a request in the target
+  uint32_t service_us;    ///< mean time of a request in the target; at 100
+                          ///< percent if `speed_percent` is known
+  uint32_t speed_percent; ///< how long work takes in the target now; 100: as
+                          ///< usual, 0: unknown and not written
+  uint32_t
+      link_free_kbytes_per_s; ///< what is left of the VM's link for bodies;
+                              ///< 0: unknown; written with the speed only
 };
 
 void hop_write (const struct hop *hop, char text[HOP_SIZE_MAX]);
@@ -48,7 +55,9 @@
 void hop_load_write (const struct hop_load *load,
                      char text[HOP_LOAD_SIZE_MAX]);
 
-/// @return STATUS_INVALID when a field is missing
+/// Nodes whose target does not report its speed, and older nodes, send only
+/// the first four numbers.
+/// @return STATUS_INVALID when a field is missing or the speed is out of range
 enum status hop_load_parse (const char *text, struct hop_load *load);
 
 #endif
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -14,13 +14,17 @@
 #include "base/counter.h"
 #include "base/rng.h"
 #include "coordination/admission_queue.h"
+#include "coordination/cold_limit.h"
+#include "coordination/link_load.h"
 #include "coordination/placement.h"
 #include "coordination/retry_quota.h"
 #include "coordination/stop_plan.h"
+#include "coordination/target_speed.h"
 #include "coordination/transfer.h"
 #include "protocol/adapter.h"
 #include "sidecar/sidecar_settings.h"
 #include "state/directory.h"
+#include "state/evacuation.h"
 #include "state/mesh_config.h"
 #include "state/target_history.h"
 #include "transport/http_pool.h"
@@ -54,6 +58,7 @@
 struct sidecar_moves;
 struct sidecar_leaves;
 struct sidecar_crashes;
+struct sidecar_quota;
 
 /// Acknowledgements of a target's leave that may wait for the store at once.
 #define SIDECAR_LEAVE_ACKS_MAX 4
@@ -79,6 +84,12 @@
   uint64_t draining_ms;        ///< when the leave was acknowledged; 0: unknown
   uint32_t cold_ms;            ///< warm-up time stated in the first report
   unsigned refusals;           ///< connections refused in a row
+  struct cold_limit cold;      ///< rate of requests while it is cold
+  uint32_t speed_percent;      ///< newest speed figure of the target; 100: as
+                               ///< usual, 0: not reported
+  uint64_t speed_ms;           ///< time of the newest speed figure
+  struct link_load link;       ///< bodies of requests for it
+  struct target_speed speed;   ///< service time at the usual speed
 };
 
 struct sidecar
@@ -94,12 +105,14 @@
   struct mesh_config *config; ///< NULL until a configuration was read
   uint64_t config_ms;         ///< when `config` came into force
   struct directory directory;
+  struct evacuation_set evacuations;
   struct retry_quota_table retry_quotas;
   struct sidecar_target target;
   struct admission_queue admission;
   struct transfer_scheduler
       transfers; ///< of large responses of the local target
   struct sidecar_outbound_list outbound; ///< requests of callers in progress
+  struct memory_budget budget;           ///< of all servers and pools
   struct http_server calls;              ///< from callers on this VM
   struct http_server peers;              ///< from other nodes
   struct http_server ready;              ///< readiness probes of the platform
@@ -112,6 +125,7 @@
   struct sidecar_leaves *leaves; ///< notices at this node, and calls to others
   struct sidecar_moves *moves;
   struct sidecar_crashes *crashes;
+  struct sidecar_quota *quota;
   struct event tick;
   struct event log_timer;
   uint64_t last_tick_ms; ///< last periodic work; 0: none yet
@@ -146,6 +160,17 @@
 /// in the store. Called after the state has changed.
 void sidecar_target_update (struct sidecar *sidecar);
 
+/// Applies the limits that the configuration in force has for cold targets.
+void sidecar_target_limit_cold (struct sidecar *sidecar);
+
+/// Closes or opens the admission queue after a change of the evacuations.
+/// @param was_evacuated  before the change
+void sidecar_target_note_evacuation (struct sidecar *sidecar,
+                                     bool was_evacuated);
+
+/// @return true while the zone of the local target is evacuated
+bool sidecar_target_is_evacuated (const struct sidecar *sidecar);
+
 /// Counts a connection that the target refused; several in a row mark the
 /// target as gone.
 void sidecar_target_refused (struct sidecar *sidecar);
@@ -207,6 +232,11 @@
 ///         this process started, or as another node knows them
 bool sidecar_store_has_view (const struct sidecar *sidecar);
 
+/// @return true when the view was compared with the store, or with a relay
+///         that is in touch with it, within `config_apply`: a configuration
+///         that should be in force is known
+bool sidecar_store_is_current (const struct sidecar *sidecar);
+
 /// @return true when the store has this node's current entry
 bool sidecar_store_is_announced (const struct sidecar *sidecar);
 
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -1,5 +1,6 @@
 /// Owns no state; serves the readiness probe and the metrics.
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_admission.h"
+#include "sidecar/sidecar_quota.h"
 
 #include "base/counter.h"
 #include "base/histogram.h"
@@ -91,9 +92,14 @@
   add_gauge (text, "gate_running", sidecar->admission.running);
   add_gauge (text, "gate_waiting", sidecar->admission.queued);
   add_gauge (text, "gate_service_us", sidecar->admission.mean_us);
+  add_gauge (text, "target_speed_percent", sidecar->target.speed_percent);
+  add_gauge (text, "target_usual_service_us",
+             sidecar->target.speed.service_us);
+  sidecar_admission_add_metrics (sidecar, text);
   add_gauge (text, "caller_connections", sidecar->calls.connections);
   add_gauge (text, "peer_connections", sidecar->peer_pool.connections);
   add_gauge (text, "target_connections", sidecar->target_pool.connections);
+  sidecar_quota_metrics (sidecar, text);
   size_t size = evbuffer_get_length (text);
   http_reply (request, 200, "Content-Type: text/plain; version=0.0.4\r\n",
               evbuffer_pullup (text, -1), size);
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -5,7 +5,9 @@
 #include "base/findings.h"
 #include "base/log.h"
 #include "platform/platform.h"
+#include "protocol/call_headers.h"
 #include "sidecar/sidecar_leave.h"
+#include "sidecar/sidecar_quota.h"
 #include "transport/timer.h"
 
 #include <argtable2.h>
@@ -16,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <talloc.h>
 
@@ -49,6 +52,21 @@
 #define SERVER_IDLE_MS 60000
 #define SERVER_RECEIVE_MS 10000
 
+/// Connections with unsent bytes that are logged when the process ends.
+#define CUT_LINES_MAX 20
+
+/// Fields of a 503 that a server itself sends, with the wait that callers are
+/// told elsewhere: the node of the caller then knows that the request did not
+/// run and offers it to another node.
+#define NOT_RUN_FIELDS                                                        \
+  CALL_HEADER_OUTCOME ": not-run\r\n" CALL_HEADER_REASON                      \
+                      ": " CALL_REASON_BUSY "\r\nRetry-After: 0.300\r\n"
+
+/// Limit of open files when the system states none, and the largest one that
+/// is used; the platform's machines allow 4,100 to 8,192.
+#define DESCRIPTORS_DEFAULT 1024
+#define DESCRIPTORS_MAX 65536
+
 enum exit_code
 {
   EXIT_CODE_OK = 0,
@@ -120,6 +138,8 @@
   log_event (LOG_LEVEL_INFO, "drained", "after_ms=%" PRIu64 " in_progress=%zu",
              clock_monotonic_ms () - sidecar->stopping_ms,
              sidecar->calls.in_progress + sidecar->peers.in_progress);
+  http_server_log_unsent (&sidecar->calls, "calls", CUT_LINES_MAX);
+  http_server_log_unsent (&sidecar->peers, "peers", CUT_LINES_MAX);
   event_base_loopbreak (sidecar->base);
 }
 
@@ -210,6 +230,7 @@
       active->config_apply_ms = settings.config_apply_ms;
       active->grace_ms = settings.grace_ms;
       active->retry_slack = settings.retry_slack;
+      active->admission = settings.admission;
       log_event (LOG_LEVEL_INFO, "reloaded", "path=%s",
                  sidecar->settings_path);
     }
@@ -261,6 +282,7 @@
   sidecar_store_tick (sidecar);
   sidecar_leave_tick (sidecar);
   sidecar_moves_tick (sidecar);
+  sidecar_quota_tick (sidecar);
   check_settings (sidecar, clock_monotonic_ms ());
   if (sidecar->stopping)
     continue_stop (sidecar, clock_monotonic_ms ());
@@ -269,7 +291,7 @@
 static enum status
 start_server (struct sidecar *sidecar, struct http_server *server,
               const struct settings_endpoint *endpoint,
-              const struct http_server_ops *ops)
+              const struct http_server_ops *ops, enum memory_budget_use use)
 {
   const struct http_server_limits limits
       = { .head_bytes = HTTP_HEAD_BYTES_MAX,
@@ -278,20 +300,39 @@
           .idle_ms = SERVER_IDLE_MS };
   if (endpoint->port == 0)
     return STATUS_OK;
-  return http_server_start (server, sidecar->base, endpoint->address,
-                            endpoint->port, &limits, ops, sidecar);
+  enum status status
+      = http_server_start (server, sidecar->base, endpoint->address,
+                           endpoint->port, &limits, ops, sidecar);
+  http_server_use_budget (server, &sidecar->budget, use);
+  server->not_run_fields = NOT_RUN_FIELDS;
+  return status;
+}
+
+/// @return limit of this process's open files
+static size_t
+descriptor_limit (void)
+{
+  struct rlimit limit;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return DESCRIPTORS_DEFAULT;
+  return limit.rlim_cur > DESCRIPTORS_MAX ? DESCRIPTORS_MAX
+                                          : (size_t)limit.rlim_cur;
 }
 
 static enum status
 start (struct sidecar *sidecar)
 {
   const struct sidecar_settings *settings = &sidecar->settings;
-  const struct http_pool_options peer
-      = { .idle_ms = PEER_IDLE_MS, .connect_ms = PEER_CONNECT_MS };
+  const struct http_pool_options peer = { .idle_ms = PEER_IDLE_MS,
+                                          .connect_ms = PEER_CONNECT_MS,
+                                          .budget = &sidecar->budget };
   const struct http_pool_options target
       = { .idle_ms = TARGET_IDLE_MS,
           .connect_ms = TARGET_CONNECT_MS,
+          .budget = &sidecar->budget,
           .id_header = sidecar->adapter->headers.request_id };
+  memory_budget_init (&sidecar->budget, settings->memory_mb,
+                      descriptor_limit (), http_server_shed);
   TAILQ_INIT (&sidecar->outbound);
   directory_init (&sidecar->directory);
   retry_quota_init (&sidecar->retry_quotas, settings->retry_ratio_permille);
@@ -309,21 +350,29 @@
     status = sidecar_moves_start (sidecar);
   if (status == STATUS_OK)
     status = sidecar_crash_start (sidecar);
+  if (status == STATUS_OK)
+    status = sidecar_quota_start (sidecar);
   const struct
   {
     struct http_server *server;
     const struct settings_endpoint *endpoint;
     const struct http_server_ops *ops;
+    enum memory_budget_use use;
   } servers[] = {
-    { &sidecar->calls, &settings->calls, &sidecar_outbound_ops },
-    { &sidecar->peers, &settings->peers, &sidecar_inbound_ops },
-    { &sidecar->ready, &settings->ready, &sidecar_ready_ops },
-    { &sidecar->reports, &settings->reports, &sidecar_report_ops },
-    { &sidecar->metrics, &settings->metrics, &sidecar_metrics_ops },
+    { &sidecar->calls, &settings->calls, &sidecar_outbound_ops,
+      MEMORY_BUDGET_CALLERS },
+    { &sidecar->peers, &settings->peers, &sidecar_inbound_ops,
+      MEMORY_BUDGET_NODES },
+    { &sidecar->ready, &settings->ready, &sidecar_ready_ops,
+      MEMORY_BUDGET_LOCAL },
+    { &sidecar->reports, &settings->reports, &sidecar_report_ops,
+      MEMORY_BUDGET_LOCAL },
+    { &sidecar->metrics, &settings->metrics, &sidecar_metrics_ops,
+      MEMORY_BUDGET_LOCAL },
   };
   for (size_t i = 0; status == STATUS_OK && i < 5; i++)
     status = start_server (sidecar, servers[i].server, servers[i].endpoint,
-                           servers[i].ops);
+                           servers[i].ops, servers[i].use);
   return status;
 }
 
@@ -339,6 +388,7 @@
   sidecar_leave_stop (sidecar);
   sidecar_store_stop (sidecar);
   sidecar_crash_stop (sidecar);
+  sidecar_quota_stop (sidecar);
   http_pool_finish (&sidecar->peer_pool);
   http_pool_finish (&sidecar->target_pool);
   directory_finish (&sidecar->directory);
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -22,6 +22,9 @@
 /// it is varied by 50 % in either direction.
 #define RETRY_AFTER_MS_DEFAULT 300
 
+/// Smallest Retry-After of a request over its quota, before it is varied.
+#define QUOTA_RETRY_MS_MIN 100
+
 /// With less time than this until the timeout, no retry is sent.
 #define RETRY_TIME_MS_MIN 20
 
@@ -35,8 +38,14 @@
     = COUNTER ("entry_failures", "requests answered as failed or late");
 static struct counter retries
     = COUNTER ("entry_repeats", "offers after the first one of a request");
+static struct counter cross_zone
+    = COUNTER ("entry_cross_zone", "offers to nodes of other zones");
 static struct counter abandoned
     = COUNTER ("entry_abandoned", "requests whose caller left");
+static struct counter unauthorized = COUNTER (
+    "entry_unauthorized", "requests refused because of their API key");
+static struct counter over_quota = COUNTER (
+    "entry_over_quota", "requests rejected because of their account's quota");
 static struct counter unrouted
     = COUNTER ("entry_unrouted", "requests without a route");
 
@@ -45,6 +54,7 @@
 
 static struct log_rate_limit answered_log_limit = { .per_second = 5 };
 static struct log_rate_limit ended_log_limit = { .per_second = 40 };
+static struct log_rate_limit quota_log_limit = { .per_second = 5 };
 static struct log_rate_limit retry_log_limit = { .per_second = 40 };
 static struct log_rate_limit disconnect_log_limit = { .per_second = 5 };
 
@@ -71,6 +81,7 @@
 static void
 release (struct sidecar_outbound *outbound)
 {
+  sidecar_quota_release (outbound->sidecar, &outbound->quota, true);
   event_del (&outbound->timer);
   TAILQ_REMOVE (&outbound->sidecar->outbound, outbound, link);
   if (outbound->buffered != NULL)
@@ -138,6 +149,7 @@
            reason);
   send_local_reply (outbound->request, 503, call_outcome_name (CALL_NOT_RUN),
                     reason, retry_ms);
+  sidecar_quota_release (sidecar, &outbound->quota, false);
   release (outbound);
 }
 
@@ -268,6 +280,7 @@
 }
 
 /// Serializes the request for the node of the chosen target.
+/// @return NULL if memory is exhausted
 static struct evbuffer *
 build_request (struct sidecar_outbound *outbound,
                const struct directory_record *record, uint64_t now_ms)
@@ -275,14 +288,17 @@
   struct sidecar *sidecar = outbound->sidecar;
   const struct adapter_headers *names = &sidecar->adapter->headers;
   const struct http_head *head = outbound->request->head;
-  const char *skip[] = { CALL_HEADER_HOP,
-                         CALL_HEADER_OUTCOME,
-                         CALL_HEADER_REASON,
-                         names->deadline_ms,
-                         names->caller_service,
-                         names->expected_instance,
-                         "Expect",
-                         NULL };
+  const char *skip[]
+      = { CALL_HEADER_HOP,
+          CALL_HEADER_OUTCOME,
+          CALL_HEADER_REASON,
+          names->deadline_ms,
+          names->caller_service,
+          names->expected_instance,
+          "Expect",
+          names->account,
+          sidecar->config->accounts.required ? names->api_key : NULL,
+          NULL };
   struct hop hop = {
     .retry_class = outbound->retry.retry_class,
     .rank = outbound->rank,
@@ -293,6 +309,7 @@
     .is_retry = outbound->retry.runs > 0,
     .address = sidecar->settings.announced.address,
     .port = sidecar->settings.announced.port,
+    .account = sidecar_account_hash (outbound->account),
   };
   strcpy (hop.service, outbound->service);
   strcpy (hop.version, record->entry.version);
@@ -304,14 +321,22 @@
   http_write_fields (bytes, head, skip);
   evbuffer_add_printf (bytes, "%s: %s\r\n%s: %" PRIu64 "\r\n%s: %s\r\n",
                        CALL_HEADER_HOP, hop_text, names->deadline_ms,
-                       outbound->respond_by_ms - now_ms, names->caller_service,
+                       outbound->run_by_ms - now_ms, names->caller_service,
                        sidecar->settings.service);
+  if (outbound->account != NULL)
+    evbuffer_add_printf (bytes, "%s: %s\r\n", names->account,
+                         outbound->account);
   size_t size = evbuffer_get_length (outbound->request->body);
   if (size > 0 || head->has_length || head->chunked)
     evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
   evbuffer_add (bytes, "\r\n", 2);
-  if (size > 0)
-    evbuffer_add (bytes, evbuffer_pullup (outbound->request->body, -1), size);
+  /* The body stays with the request for another attempt and is not copied. */
+  if (size > 0
+      && evbuffer_add_buffer_reference (bytes, outbound->request->body) != 0)
+    {
+      evbuffer_free (bytes);
+      return NULL;
+    }
   return bytes;
 }
 
@@ -338,10 +363,14 @@
   struct placement_request request = {
     .service = outbound->service,
     .availability_zone = sidecar->settings.availability_zone,
+    .evacuations = &sidecar->evacuations,
     .large_response = outbound->retry.retry_class == MESH_DOWNLOAD,
     .objective_ms = outbound->objective_ms > now_ms
                         ? (uint32_t)(outbound->objective_ms - now_ms)
                         : 1,
+    .body_bytes = evbuffer_get_length (outbound->request->body),
+    .link_bytes_per_s = sidecar->admission.link_bytes_per_s,
+    .own_node = sidecar->settings.node,
     .tried_count = outbound->tried_count,
   };
   memcpy (request.tried, outbound->tried, sizeof request.tried);
@@ -351,6 +380,56 @@
                            now_ms);
 }
 
+/// Refuses a request whose API key is not accepted and that has not run.
+static void
+refuse_key (struct http_request *request, const char *id, const char *route,
+            enum account_decision decision)
+{
+  bool unknown = decision == ACCOUNT_KEY_UNKNOWN;
+  unsigned status = unknown ? 401 : 503;
+  const char *reason
+      = unknown ? CALL_REASON_KEY_UNKNOWN : CALL_REASON_NOT_READY;
+  counter_add (unknown ? &unauthorized : &refusals, 1);
+  log_rate_limited (&ended_log_limit, LOG_LEVEL_INFO, "request_not_run",
+                    "id=%s route=%s status=%u reason=%s", id, route, status,
+                    reason);
+  send_local_reply (request, status, call_outcome_name (CALL_NOT_RUN), reason,
+                    unknown ? 0 : RETRY_AFTER_MS_DEFAULT);
+}
+
+/// @return true while the request's API key is accepted by the configuration
+///         in force, which may be newer than the one that chose the route
+static bool
+has_valid_key (struct sidecar_outbound *outbound)
+{
+  const struct client_account *account;
+  if (!outbound->needs_key
+      || outbound->config_version == outbound->sidecar->config->version)
+    return true;
+  return sidecar_account_check (outbound->sidecar, outbound->request->head,
+                                &account)
+             == ACCOUNT_ACCEPTED
+         && (account == NULL
+             || strcmp (account->name, outbound->account) == 0);
+}
+
+/// Ends a request whose key was removed while it was in progress.
+static void
+end_key_removed (struct sidecar_outbound *outbound)
+{
+  if (outbound->target_failed)
+    sidecar_outbound_end_answered (outbound);
+  else if (resend_give_up (&outbound->retry) != RESEND_RESPOND_NOT_RUN)
+    sidecar_outbound_end_failed (outbound, 502, CALL_REASON_KEY_UNKNOWN);
+  else
+    {
+      refuse_key (outbound->request, outbound->id, outbound->route,
+                  ACCOUNT_KEY_UNKNOWN);
+      sidecar_quota_release (outbound->sidecar, &outbound->quota, false);
+      release (outbound);
+    }
+}
+
 /// Sends the request to the best node that has not been tried yet, or ends it
 /// when there is none.
 static void
@@ -358,6 +437,11 @@
 {
   struct sidecar *sidecar = outbound->sidecar;
   uint64_t now = clock_monotonic_ms ();
+  if (!has_valid_key (outbound))
+    {
+      end_key_removed (outbound);
+      return;
+    }
   size_t node
       = now < outbound->respond_by_ms ? choose_node (outbound, now) : SIZE_MAX;
   if (node == SIZE_MAX)
@@ -387,9 +471,17 @@
     .no_body = outbound->request->head->method == HTTP_HEAD,
   };
   placement_begin (record);
-  outbound->exchange = http_pool_send (
-      &sidecar->peer_pool, &send, &sidecar_outbound_exchange_ops, outbound);
-  evbuffer_free (bytes);
+  if (strcmp (record->entry.availability_zone,
+              sidecar->settings.availability_zone)
+      != 0)
+    counter_add (&cross_zone, 1);
+  outbound->exchange
+      = bytes == NULL
+            ? NULL
+            : http_pool_send (&sidecar->peer_pool, &send,
+                              &sidecar_outbound_exchange_ops, outbound);
+  if (bytes != NULL)
+    evbuffer_free (bytes);
   if (outbound->exchange != NULL)
     return;
   sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
@@ -397,12 +489,55 @@
   end_not_run (outbound);
 }
 
+/// @return Retry-After of a request over its quota, varied upwards by 50 % so
+///         that callers do not return all at once
+static uint64_t
+quota_retry_after_ms (struct sidecar *sidecar, uint32_t wait_ms)
+{
+  uint64_t retry_ms
+      = wait_ms > QUOTA_RETRY_MS_MIN ? wait_ms : QUOTA_RETRY_MS_MIN;
+  return retry_ms + rng_below (&sidecar->rng, retry_ms / 2 + 1);
+}
+
+/// Ends a request that got no token.
+static void
+end_without_token (struct sidecar_outbound *outbound,
+                   enum quota_decision decision, uint32_t retry_ms)
+{
+  if (decision != QUOTA_REJECT)
+    {
+      outbound->not_run_reason = CALL_REASON_QUOTA_UNDECIDED;
+      end_not_run (outbound);
+      return;
+    }
+  counter_add (&over_quota, 1);
+  log_end (outbound, &quota_log_limit, LOG_LEVEL_INFO, "request_not_run", 429,
+           CALL_REASON_QUOTA);
+  send_local_reply (outbound->request, 429, call_outcome_name (CALL_NOT_RUN),
+                    CALL_REASON_QUOTA,
+                    quota_retry_after_ms (outbound->sidecar, retry_ms));
+  release (outbound);
+}
+
 /// The request timed out: the route's timeout, the caller's deadline, a
 /// stopping node's limit or the extra time for a response body has passed.
 static void
 on_timeout (evutil_socket_t fd, short what, void *arg)
 {
   struct sidecar_outbound *outbound = arg;
+  if (outbound->quota.waiting)
+    {
+      end_without_token (outbound, QUOTA_UNAVAILABLE, 0);
+      return;
+    }
+  /* A stopping node gives up what has not begun. A response that was held back
+     may have begun since the timer was set. */
+  if (http_reply_is_begun (outbound->request)
+      && clock_monotonic_ms () < outbound->body_by_ms)
+    {
+      timer_start_at (&outbound->timer, outbound->body_by_ms);
+      return;
+    }
   if (outbound->exchange != NULL)
     http_exchange_cancel (outbound->exchange);
   outbound->exchange = NULL;
@@ -438,9 +573,40 @@
     }
 }
 
+static void
+on_quota_decision (struct quota_waiter *waiter, enum quota_decision decision,
+                   uint32_t retry_ms)
+{
+  struct sidecar_outbound *outbound
+      = (struct sidecar_outbound *)((char *)waiter
+                                    - offsetof (struct sidecar_outbound,
+                                                quota));
+  if (decision == QUOTA_ADMIT)
+    try_next_node (outbound);
+  else
+    end_without_token (outbound, decision, retry_ms);
+}
+
+/// Takes a token of the account's quota, or waits for one, and sends the
+/// request.
+static void
+take_token (struct sidecar_outbound *outbound,
+            const struct client_account *account)
+{
+  uint64_t now = clock_monotonic_ms ();
+  uint64_t left_ms
+      = outbound->respond_by_ms > now ? outbound->respond_by_ms - now : 0;
+  uint32_t retry_ms = 0;
+  enum quota_decision decision
+      = sidecar_quota_acquire (outbound->sidecar, account, left_ms,
+                               on_quota_decision, &outbound->quota, &retry_ms);
+  if (decision != QUOTA_WAIT)
+    on_quota_decision (&outbound->quota, decision, retry_ms);
+}
+
 static void
 start_request (struct sidecar_outbound *outbound, struct mesh_route *route,
-               uint32_t deadline_ms)
+               const struct client_account *account, uint32_t deadline_ms)
 {
   struct sidecar *sidecar = outbound->sidecar;
   strncpy (outbound->route, route->name, sizeof outbound->route - 1);
@@ -450,7 +616,7 @@
   outbound->retry.attempts_max = route->attempts_max;
   if (route->retry_class == MESH_DOWNLOAD || route->large_responses)
     http_request_block_next (outbound->request);
-  outbound->rank = route->priority;
+  outbound->rank = sidecar_account_rank (sidecar, account, route);
   outbound->kind = (uint32_t)hash_placement_string (route->name);
   if (deadline_ms > route->deadline_seen_ms)
     route->deadline_seen_ms = deadline_ms;
@@ -461,14 +627,22 @@
                                             : 0);
   outbound->deadline_ms = outbound->arrived_ms + deadline_ms;
   outbound->respond_by_ms = outbound->deadline_ms;
+  outbound->body_by_ms = outbound->deadline_ms;
   if (route->timeout_ms < deadline_ms)
-    outbound->respond_by_ms = outbound->arrived_ms + route->timeout_ms;
+    {
+      outbound->respond_by_ms = outbound->arrived_ms + route->timeout_ms;
+      outbound->body_by_ms = outbound->respond_by_ms + OUTBOUND_OVERTIME_MS;
+    }
+  outbound->run_by_ms = outbound->respond_by_ms;
   if (sidecar->stopping && outbound->respond_by_ms > stop_answer_ms (sidecar))
     outbound->respond_by_ms = stop_answer_ms (sidecar);
   timer_start_at (&outbound->timer, outbound->respond_by_ms);
   retry_quota_count_request (&sidecar->retry_quotas, outbound->service,
                              outbound->arrived_ms);
-  try_next_node (outbound);
+  if (account != NULL && account->rate_per_s > 0)
+    take_token (outbound, account);
+  else
+    try_next_node (outbound);
 }
 
 static void
@@ -496,6 +670,19 @@
       = host == NULL
             ? NULL
             : mesh_config_find (sidecar->config, host, request->head->target);
+  if (route == NULL && !sidecar_store_is_current (sidecar))
+    {
+      /* The route may have been added since the view was read. */
+      counter_add (&refusals, 1);
+      log_rate_limited (&ended_log_limit, LOG_LEVEL_INFO, "request_not_run",
+                        "id=%s host=%.64s config=%" PRIx64
+                        " status=503 reason=old-view",
+                        id == NULL ? "-" : id, host == NULL ? "-" : host,
+                        sidecar->config->version);
+      send_local_reply (request, 503, call_outcome_name (CALL_NOT_RUN),
+                        CALL_REASON_NOT_READY, RETRY_AFTER_MS_DEFAULT);
+      return;
+    }
   if (route == NULL)
     {
       counter_add (&unrouted, 1);
@@ -520,6 +707,16 @@
                         CALL_REASON_SUSPECT, RETRY_AFTER_MS_DEFAULT);
       return;
     }
+  const struct client_account *account = NULL;
+  bool needs_key = sidecar->config->accounts.required && !route->no_key;
+  enum account_decision decision
+      = needs_key ? sidecar_account_check (sidecar, request->head, &account)
+                  : ACCOUNT_ACCEPTED;
+  if (decision != ACCOUNT_ACCEPTED)
+    {
+      refuse_key (request, id == NULL ? "-" : id, route->name, decision);
+      return;
+    }
   uint32_t deadline_ms;
   struct sidecar_outbound *outbound = calloc (1, sizeof *outbound);
   if (outbound == NULL
@@ -536,11 +733,14 @@
   outbound->sidecar = sidecar;
   outbound->request = request;
   outbound->id = id == NULL ? "-" : id;
+  outbound->needs_key = needs_key;
+  outbound->account
+      = account == NULL ? NULL : talloc_strdup (request->arena, account->name);
   outbound->arrived_ms = request->received_us / 1000;
   request->context = outbound;
   evtimer_assign (&outbound->timer, sidecar->base, on_timeout, outbound);
   TAILQ_INSERT_TAIL (&sidecar->outbound, outbound, link);
-  start_request (outbound, route, deadline_ms);
+  start_request (outbound, route, account, deadline_ms);
 }
 
 static void
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -6,6 +6,8 @@
 #include "coordination/resend.h"
 #include "protocol/hop.h"
 #include "sidecar/sidecar.h"
+#include "sidecar/sidecar_account.h"
+#include "sidecar/sidecar_quota.h"
 
 /// Largest response, bytes, that is buffered until it is complete, so that the
 /// request can be retried when the response is cut short. Larger ones and
@@ -35,14 +37,21 @@
   const char *id; ///< in the request's arena
   char route[64];
   char service[DIRECTORY_NAME_MAX + 1];
+  /// Name of the client account, in the request's arena; NULL: none.
+  const char *account;
+  bool needs_key;          ///< the key is checked again before each attempt
   uint64_t config_version; ///< of the configuration that chose the route
   struct resend retry;     ///< attempts so far
-  uint32_t rank;           ///< route's priority, 0 is the most urgent
+  uint32_t rank;           ///< priority of the account or route, 0 is the most
+                           ///< urgent
   uint32_t kind;           ///< hash of the route's name
   uint64_t arrived_ms;
   uint64_t objective_ms;  ///< when the route's latency objective is exceeded
   uint64_t respond_by_ms; ///< when the request times out at this node
-  uint64_t deadline_ms;   ///< when the caller gives up
+  uint64_t run_by_ms;   ///< its limit without a stop, which the target is told
+  uint64_t body_by_ms;  ///< limit of a response that is being sent, also at
+                        ///< a stopping node
+  uint64_t deadline_ms; ///< when the caller gives up
   size_t tried[PLACEMENT_TRIED_MAX]; ///< handles of the nodes tried so far
   size_t tried_count;
   size_t node; ///< handle of the node of the current attempt
@@ -59,8 +68,13 @@
   struct evbuffer *buffered;  ///< buffered body, NULL until needed
   size_t discarded;           ///< bytes of a body that is not passed on
   size_t forwarded;           ///< bytes of a body that is passed on
+  struct quota_waiter quota;  ///< token of the account's quota
 };
 
+/// Once the head of a response was forwarded, its body may take this much
+/// longer than the route's timeout. The platform tolerates 500 ms.
+#define OUTBOUND_OVERTIME_MS 350
+
 /* sidecar_outbound.c */
 
 /// @return the directory record of the current attempt's node, or NULL when it
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -10,10 +10,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/// Once the head of a response was forwarded, its body may take this much
-/// longer than the route's timeout. The platform tolerates 500 ms.
-#define FORWARD_OVERTIME_MS 350
-
 /// Longest Retry-After of a node that is believed, seconds.
 #define RETRY_AFTER_S_MAX 60.0
 
@@ -29,7 +25,8 @@
       = { CALL_REASON_NO_TARGET,     CALL_REASON_DRAINING,
           CALL_REASON_QUEUE_FULL,    CALL_REASON_DEADLINE,
           CALL_REASON_NOT_CONNECTED, CALL_REASON_SHED,
-          CALL_REASON_BUSY,          CALL_REASON_CONNECTION_LOST };
+          CALL_REASON_BUSY,          CALL_REASON_CONNECTION_LOST,
+          CALL_REASON_EVACUATED,     CALL_REASON_COLD };
   for (size_t i = 0; text != NULL && i < sizeof reasons / sizeof reasons[0];
        i++)
     if (strcmp (text, reasons[i]) == 0)
@@ -43,10 +40,14 @@
   struct hop_load load;
   struct directory_record *record = sidecar_outbound_node (outbound);
   const char *text = http_head_find (head, CALL_HEADER_LOAD);
-  if (record != NULL && text != NULL
-      && hop_load_parse (text, &load) == STATUS_OK)
-    placement_report (record, load.running, load.waiting, load.service_us,
-                      clock_monotonic_ms ());
+  if (record == NULL || text == NULL
+      || hop_load_parse (text, &load) != STATUS_OK)
+    return;
+  placement_report (record, load.running, load.waiting, load.service_us,
+                    clock_monotonic_ms ());
+  if (load.speed_percent > 0)
+    placement_report_speed (record, load.speed_percent,
+                            load.link_free_kbytes_per_s);
 }
 
 /// @return false for a response below 300 that lacks the target's proof header
@@ -166,10 +167,8 @@
     sidecar_outbound_start_forwarding (outbound);
   bool may_overrun = !outbound->sidecar->stopping
                      || http_reply_is_begun (outbound->request);
-  if (outbound->forwarding && may_overrun
-      && outbound->respond_by_ms < outbound->deadline_ms)
-    timer_start_at (&outbound->timer,
-                    outbound->respond_by_ms + FORWARD_OVERTIME_MS);
+  if (outbound->forwarding && may_overrun)
+    timer_start_at (&outbound->timer, outbound->body_by_ms);
 }
 
 static void
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -127,7 +127,7 @@
     {
       store->list_as_of = reply->as_of;
       mirror_clear (&store->mirror, reply->as_of);
-      directory_begin_list (&store->sidecar->directory);
+      sidecar_store_begin_list (store);
     }
   /* A page that may be old may also be older than the one before it. */
   if (reply->as_of < store->list_as_of)
@@ -140,14 +140,16 @@
       list_next (store);
       return;
     }
-  directory_end_list (&store->sidecar->directory, store->list_as_of,
-                      clock_monotonic_ms ());
+  sidecar_store_end_list (store, store->list_as_of);
   store->relist = false;
   /* The pages are not a consistent snapshot. The watch starts at the oldest of
      their revisions and delivers the changes since then. */
   store->as_of = store->list_as_of;
   if (!store->list_stale)
-    store->caught_up = true;
+    {
+      store->caught_up = true;
+      store->view_checked_ms = clock_monotonic_ms ();
+    }
   if (sidecar_relay_is_available (store->sidecar))
     store->next_watch_ms = 0;
 }
@@ -218,6 +220,9 @@
     case STATUS_OK:
       mark_reachable (store);
       store->caught_up = true;
+      /* Changes may have been long on their way. */
+      store->view_checked_ms = reply->key_count == 0 ? clock_monotonic_ms ()
+                                                     : store->watch_sent_ms;
       sidecar_store_apply_keys (store, reply);
       if (reply->as_of > store->as_of)
         store->as_of = reply->as_of;
@@ -231,6 +236,7 @@
       break;
     case STATUS_TIMEOUT:
       store->caught_up = true;
+      store->view_checked_ms = clock_monotonic_ms ();
       break;
     default:
       if (!responded)
@@ -257,6 +263,7 @@
       return;
     }
   store->watching = true;
+  store->watch_sent_ms = now_ms;
   store_client_ops.watch_prefix (
       &sidecar->store_client, sidecar->adapter->watch_prefix, store->as_of,
       sidecar->settings.config_apply_ms * WATCH_WAIT_PERCENT / 100, on_watch,
@@ -449,6 +456,15 @@
   return sidecar->store->caught_up;
 }
 
+bool
+sidecar_store_is_current (const struct sidecar *sidecar)
+{
+  const struct sidecar_store *store = sidecar->store;
+  return store->caught_up
+         && clock_monotonic_ms () - store->view_checked_ms
+                <= sidecar->settings.config_apply_ms;
+}
+
 bool
 sidecar_store_is_announced (const struct sidecar *sidecar)
 {
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -23,6 +23,9 @@
   uint64_t lease;            ///< 0: none
   uint64_t renewed_ms;       ///< last successful renewal of the lease
   uint64_t last_response_ms; ///< last response of the store
+  uint64_t watch_sent_ms;    ///< start of the last watch
+  uint64_t view_checked_ms;  ///< last time that the view was known to be that
+                             ///< of the store or of a relay in touch with it
   uint64_t next_probe_ms;    ///< while unreachable: time of the next probe
   unsigned probe_failures;   ///< probes in a row that failed
   uint64_t revision;         ///< last known revision of this node's entry
@@ -63,6 +66,12 @@
 void sidecar_store_apply_keys (struct sidecar_store *store,
                                const struct store_reply *reply);
 
+/// Start and end of a full read of the watched keys: nodes and evacuations
+/// that are not in it are removed at its end.
+/// @param as_of  store revision of the read
+void sidecar_store_begin_list (struct sidecar_store *store);
+void sidecar_store_end_list (struct sidecar_store *store, uint64_t as_of);
+
 /// Applies the view, or the changes, that a relay sent.
 /// @param as_of  store revision that the view describes
 /// @param full   true for a full view: nodes that are not in it are removed;
--- a/src/state/mesh_config.c
+++ b/src/state/mesh_config.c
@@ -66,7 +66,7 @@
                            "routes %s and %s have the same host and prefix",
                            config->routes[i - 1].name, route->name);
     }
-  return STATUS_OK;
+  return client_account_prepare (&config->accounts);
 }
 
 /// Compares a host name with the first bytes of a Host header, ignoring case.
@@ -105,6 +105,15 @@
   return NULL;
 }
 
+const struct mesh_service *
+mesh_config_service (const struct mesh_config *config, const char *name)
+{
+  for (size_t i = 0; i < config->service_count; i++)
+    if (strcmp (config->services[i].name, name) == 0)
+      return &config->services[i];
+  return NULL;
+}
+
 const char *
 mesh_route_choose (struct mesh_route *route)
 {
--- a/test/fuzz/platform_fuzz.c
+++ b/test/fuzz/platform_fuzz.c
@@ -1,11 +1,15 @@
 /// Decodes arbitrary bytes as messages of the platform and as records of other
 /// nodes. Invariants: an entry record stays the same when it is written and
 /// read again; a view that was read can be written; an accepted configuration
-/// serves every lookup; evidence has no more failures than calls.
+/// serves every lookup; evidence has no more failures than calls; accepted
+/// load headers are within their ranges; a quota message stays the same when
+/// it is written and read again.
 #include "platform/platform.h"
 #include "protocol/entry_record.h"
 #include "protocol/hop.h"
 #include "protocol/move_record.h"
+#include "protocol/quota_message.h"
+#include "protocol/target_load.h"
 #include "protocol/view.h"
 
 #include <assert.h>
@@ -71,6 +75,39 @@
   mirror_finish (&mirror);
 }
 
+static void
+fuzz_quota (const char *data, size_t size)
+{
+  static struct quota_request request;
+  static struct quota_request request_again;
+  static struct quota_response response;
+  static struct quota_response response_again;
+  if (quota_request_read (data, size, &request) == STATUS_OK)
+    {
+      char *text = quota_request_write (&request);
+      assert (text != NULL
+              && quota_request_read (text, strlen (text), &request_again)
+                     == STATUS_OK
+              && request.count == request_again.count
+              && request.lender == request_again.lender);
+      for (size_t i = 0; i < request.count; i++)
+        assert (strcmp (request.asks[i].account, request_again.asks[i].account)
+                    == 0
+                && request.asks[i].pending == request_again.asks[i].pending
+                && request.asks[i].returned == request_again.asks[i].returned);
+      free (text);
+    }
+  if (quota_response_read (data, size, &response) == STATUS_OK)
+    {
+      char *text = quota_response_write (&response);
+      assert (text != NULL
+              && quota_response_read (text, strlen (text), &response_again)
+                     == STATUS_OK
+              && response.count == response_again.count);
+      free (text);
+    }
+}
+
 static void
 fuzz_headers (const uint8_t *data, size_t size)
 {
@@ -82,7 +119,19 @@
   text[size] = '\0';
   if (hop_parse (text, &hop) == STATUS_OK)
     assert (strlen (hop.service) <= DIRECTORY_NAME_MAX);
-  hop_load_parse (text, &load);
+  if (hop_load_parse (text, &load) == STATUS_OK && load.speed_percent != 0)
+    assert (load.speed_percent >= TARGET_SPEED_PERCENT_MIN
+            && load.speed_percent <= TARGET_SPEED_PERCENT_MAX);
+  struct target_load target_load;
+  if (target_load_parse (text, &target_load) == STATUS_OK)
+    {
+      assert (target_load.running <= TARGET_LOAD_COUNT_MAX
+              && target_load.waiting <= TARGET_LOAD_COUNT_MAX
+              && target_load.slots <= TARGET_LOAD_COUNT_MAX);
+      assert (target_load.speed_percent == 0
+              || (target_load.speed_percent >= TARGET_SPEED_PERCENT_MIN
+                  && target_load.speed_percent <= TARGET_SPEED_PERCENT_MAX));
+    }
   char id[DIRECTORY_NAME_MAX + 1];
   platform_adapter.classify ("POST", text, id);
 }
@@ -121,6 +170,7 @@
     case 4:
       fuzz_records (data, size);
       fuzz_view (data, size);
+      fuzz_quota ((const char *)data, size);
       break;
     default:
       fuzz_headers (data, size);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -9,6 +9,7 @@
 ///   POST /control/compact   discards the history: open watches are aborted,
 ///                           and watches from an older revision get 410
 ///   POST /control/put?KEY   sets a key to the request body, as an operator
+///   POST /control/remove?KEY removes a key, as an operator
 ///   GET /control/watches    number of open watches
 ///   GET /control/runs       "RUNS TWICE CRASHES": requests that ran, those
 ///                           below /seal/ that ran again, and crashes caused
@@ -84,6 +85,11 @@
       put_text (target + 13, evbuffer_pullup (request->body, -1), size);
       http_reply (request, 200, NULL, "", 0);
     }
+  else if (strncmp (target, "/control/remove?", 16) == 0)
+    {
+      set_item (target + 16, NULL, 0);
+      http_reply (request, 200, NULL, "", 0);
+    }
   else if (strcmp (target, "/control/watches") == 0)
     {
       size_t waiting = 0;
@@ -177,21 +183,37 @@
 answer_run (struct run *run)
 {
   struct http_request *request = run->request;
-  char fields[512];
+  char fields[768];
   const char *id = http_head_find (request->head, "Hawthornseam-Request-Id");
   const char *caller
       = http_head_find (request->head, "Hawthornseam-Caller-Service");
+  const char *account = http_head_find (request->head, "Hawthornseam-Tenant");
+  const char *key = http_head_find (request->head, "Api-Key");
   bool fails = strstr (request->head->target, "fail") != NULL;
+  bool shed = strstr (request->head->target, "load-shed") != NULL;
+  const char *load = "";
+  if (strstr (request->head->target, "load-odd") != NULL)
+    load = "Hawthornseam-Server-Load: 1,0,4,-250\r\n";
+  else if (strstr (request->head->target, "load-250") != NULL)
+    load = "Hawthornseam-Server-Load: 1,0,4,250\r\n";
+  else if (shed)
+    load = "Hawthornseam-Server-Load: 1,0,4,250\r\n"
+           "Hawthornseam-Not-Executed: 1\r\n";
   snprintf (fields, sizeof fields,
             "Hawthornseam-Request-Id: %s\r\nHawthornseam-Response-Seal: x\r\n"
-            "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n%s",
+            "Hawthornseam-Instance-Id: %s\r\nX-Caller: %s\r\n"
+            "X-Account: %s\r\nX-Key: %s\r\n%s%s",
             id == NULL ? "" : id, run->target->instance,
-            caller == NULL ? "" : caller,
+            caller == NULL ? "" : caller, account == NULL ? "-" : account,
+            key == NULL ? "-" : key, load,
             strstr (request->head->target, "forge") == NULL
                 ? ""
                 : "Hawthornseam-Outcome: not-run\r\n");
-  http_reply (request, fails ? 500 : 200, fields, run->target->instance,
-              strlen (run->target->instance));
+  http_reply (request,
+              shed    ? 503
+              : fails ? 500
+                      : 200,
+              fields, run->target->instance, strlen (run->target->instance));
   free_run (run);
 }
 
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -1,5 +1,7 @@
 #include "http_peers.h"
 
+#include <linux/filter.h>
+
 static void
 test_pipelined_answers_in_order (void)
 {
@@ -89,6 +91,81 @@
   server_tear_down (&raw_client);
 }
 
+/// The caller keeps sending single bytes, so that its connection is never
+/// idle.
+static void
+test_slow_body_behind_a_request (void)
+{
+  static const char *const heads[]
+      = { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n",
+          "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "63\r\n",
+          "GET / HTTP/1.1\r\nHost: h\r\nSlow: " };
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+      client_send (&raw_client, heads[i]);
+      for (unsigned k = 0; k < 25; k++)
+        {
+          client_send (&raw_client, "b");
+          run_ms (50);
+        }
+      CU_ASSERT_EQUAL (request_count, 1);
+      CU_ASSERT_EQUAL (raw_client.size, 0);
+      http_reply (requests[0], 200, NULL, "x", 1);
+      run_ms (50);
+      const char *second = strstr (raw_client.received, "x");
+      CU_ASSERT_EQUAL (strncmp (raw_client.received, "HTTP/1.1 200", 12), 0);
+      CU_ASSERT (second != NULL && strstr (second, "HTTP/1.1 408") != NULL);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// Requests in progress are answered; what was received of others is rejected
+/// as not run.
+static void
+test_exhausted_budget (void)
+{
+  struct memory_budget budget;
+  struct raw_client clients[3];
+  memory_budget_init (&budget, 8, 1000, http_server_shed);
+  uint16_t port = server_set_up ();
+  http_server_use_budget (&server, &budget, MEMORY_BUDGET_CALLERS);
+  server.not_run_fields = "Not-Run: yes\r\n";
+  for (size_t i = 0; i < 3; i++)
+    client_connect (&clients[i], port);
+  client_send (&clients[0], "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET / HTTP/1.1\r\nHost: h\r\nA: ");
+  client_send (&clients[1], "POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 3\r\n\r\nab");
+  run_ms (50);
+  CU_ASSERT_EQUAL (request_count, 1);
+  budget.limit = budget.reserve = 0;
+  client_send (&clients[2], "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  CU_ASSERT_EQUAL (request_count, 1);
+  for (size_t i = 1; i < 3; i++)
+    {
+      CU_ASSERT_EQUAL (strncmp (clients[i].received, "HTTP/1.1 503", 12), 0);
+      CU_ASSERT (strstr (clients[i].received, "Not-Run: yes\r\n") != NULL);
+    }
+  CU_ASSERT_EQUAL (clients[0].size, 0);
+  http_reply (requests[0], 200, NULL, "x", 1);
+  run_ms (50);
+  CU_ASSERT_EQUAL (strncmp (clients[0].received, "HTTP/1.1 200", 12), 0);
+  CU_ASSERT (strstr (clients[0].received, "x") != NULL
+             && strstr (clients[0].received, "HTTP/1.1 503") != NULL);
+  for (size_t i = 0; i < 3; i++)
+    bufferevent_free (clients[i].bev);
+  run_ms (50);
+  CU_ASSERT_EQUAL (budget.used, 0);
+  CU_ASSERT_EQUAL (budget.descriptors, 0);
+  http_server_stop (&server);
+  event_base_free (base);
+}
+
 /// A draining server responds to the requests it has read, then closes.
 static void
 test_draining_server_responds_to_all (void)
@@ -424,6 +501,197 @@
   server_tear_down (&raw_client);
 }
 
+/// A finished response and a part of the next one are not sent yet when the
+/// latter is aborted. Only the aborted one is lost, and does not look
+/// complete.
+static void
+test_abort_keeps_earlier_responses (void)
+{
+  static const int64_t lengths[] = { -1, 100 };
+  for (size_t i = 0; i < sizeof lengths / sizeof lengths[0]; i++)
+    {
+      struct raw_client raw_client;
+      struct evbuffer *fields = evbuffer_new ();
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run_ms (50);
+      CU_ASSERT_EQUAL_FATAL (request_count, 3);
+      http_reply (requests[0], 200, NULL, "one", 3);
+      http_reply (requests[1], 200, NULL, "two", 3);
+      http_reply_start (requests[2], 200, fields, lengths[i]);
+      http_reply_write (requests[2], "part", 4);
+      CU_ASSERT (http_reply_is_begun (requests[2]));
+      http_reply_abort (requests[2]);
+      CU_ASSERT_EQUAL (server.in_progress, 0);
+      run_ms (50);
+      CU_ASSERT (strstr (raw_client.received, "one") != NULL);
+      CU_ASSERT (strstr (raw_client.received, "two") != NULL);
+      const char *part = strstr (raw_client.received, "part");
+      CU_ASSERT (part == NULL || strlen (part) <= strlen ("part\r\n"));
+      CU_ASSERT (raw_client.closed);
+      CU_ASSERT_EQUAL (disconnect_count, 0);
+      evbuffer_free (fields);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// The process ends right after a response was written, or while its caller
+/// still sends more than is read.
+static void
+test_stop_sends_what_the_kernel_takes (void)
+{
+  static char more[300 * 1024];
+  memset (more, 'x', sizeof more - 1);
+  for (int sends_more = 0; sends_more < 2; sends_more++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n"
+                                "Connection: close\r\n\r\n");
+      run_ms (50);
+      CU_ASSERT_EQUAL_FATAL (request_count, 1);
+      if (sends_more)
+        {
+          client_send (&raw_client, more);
+          run_ms (50);
+        }
+      http_reply (requests[0], 200, NULL, "one", 3);
+      http_server_stop (&server);
+      run_ms (50);
+      CU_ASSERT (strstr (raw_client.received, "one") != NULL);
+      CU_ASSERT (raw_client.closed);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// The caller's kernel acknowledges the probes of its closed window.
+static void
+test_reader_that_stalls_is_not_lost (void)
+{
+  static char body[16 * 1024 * 1024];
+  struct raw_client raw_client;
+  client_connect (&raw_client, server_set_up ());
+  client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  bufferevent_disable (raw_client.bev, EV_READ);
+  CU_ASSERT_EQUAL_FATAL (request_count, 1);
+  struct evbuffer *fields = evbuffer_new ();
+  http_reply_start (requests[0], 200, fields, sizeof body);
+  http_reply_write (requests[0], body, sizeof body);
+  run_ms (4500);
+  CU_ASSERT_EQUAL (disconnect_count, 0);
+  CU_ASSERT_EQUAL_FATAL (server.in_progress, 1);
+  http_reply_finish (requests[0]);
+  bufferevent_setcb (raw_client.bev, client_count, NULL, client_event,
+                     &raw_client);
+  bufferevent_enable (raw_client.bev, EV_READ);
+  run_ms (500);
+  CU_ASSERT (raw_client.size > sizeof body);
+  evbuffer_free (fields);
+  server_tear_down (&raw_client);
+}
+
+/// Lets the kernel drop all that arrives for a socket, as if its machine had
+/// vanished.
+static void
+drop_input (evutil_socket_t fd)
+{
+  struct sock_filter drop = { .code = BPF_RET | BPF_K, .k = 0 };
+  struct sock_fprog program = { .len = 1, .filter = &drop };
+  CU_ASSERT_EQUAL_FATAL (
+      setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program),
+      0);
+}
+
+/// With an open window nothing of the response is acknowledged, with a closed
+/// one no probe of it.
+static void
+test_vanished_reader_is_noticed (void)
+{
+  static char body[16 * 1024 * 1024];
+  for (int window_closed = 0; window_closed < 2; window_closed++)
+    {
+      struct raw_client raw_client;
+      client_connect (&raw_client, server_set_up ());
+      client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run_ms (50);
+      CU_ASSERT_EQUAL_FATAL (request_count, 1);
+      bufferevent_disable (raw_client.bev, EV_READ);
+      evutil_socket_t fd = bufferevent_getfd (raw_client.bev);
+      if (!window_closed)
+        drop_input (fd);
+      struct evbuffer *fields = evbuffer_new ();
+      http_reply_start (requests[0], 200, fields, sizeof body);
+      http_reply_write (requests[0], body, sizeof body);
+      run_ms (500);
+      if (window_closed)
+        drop_input (fd);
+      run_ms (2000);
+      CU_ASSERT_EQUAL (disconnect_count, 0);
+      run_ms (window_closed ? 4000 : 1500);
+      CU_ASSERT_EQUAL (disconnect_count, 1);
+      CU_ASSERT_EQUAL (server.connections, 0);
+      evbuffer_free (fields);
+      server_tear_down (&raw_client);
+    }
+}
+
+/// A target that does not read a large request for some seconds, and one that
+/// has vanished.
+static void
+test_slow_target_is_not_lost (void)
+{
+  static char body[16 * 1024 * 1024];
+  for (int vanishes = 0; vanishes < 2; vanishes++)
+    {
+      const struct script script_rows
+          = { .responses = { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                             "X-Id: a\r\n\r\n" } };
+      uint16_t port = pool_set_up (&script_rows);
+      struct evbuffer *bytes = evbuffer_new ();
+      evbuffer_add_printf (bytes,
+                           "POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: %zu\r\n\r\n",
+                           sizeof body);
+      evbuffer_add (bytes, body, sizeof body);
+      struct http_send send = { .address = LOOPBACK,
+                                .port = port,
+                                .request = bytes,
+                                .id = "a",
+                                .max_idle_ms = 4000 };
+      struct result result = { .ended = false };
+      evconnlistener_disable (target);
+      struct http_exchange *pending
+          = http_pool_send (&pool, &send, &result_ops, &result);
+      evbuffer_free (bytes);
+      run_ms (100);
+      if (vanishes)
+        {
+          struct sockaddr_in at;
+          socklen_t size = sizeof at;
+          evutil_socket_t fd = accept (evconnlistener_get_fd (target),
+                                       (struct sockaddr *)&at, &size);
+          drop_input (fd);
+          run_ms (6500);
+          CU_ASSERT (result.ended && result.end == HTTP_END_LOST);
+          close (fd);
+        }
+      else
+        {
+          run_ms (4500);
+          CU_ASSERT (!result.ended);
+          evconnlistener_enable (target);
+          run_ms (500);
+          CU_ASSERT (result.ended && result.end == HTTP_END_COMPLETE);
+        }
+      if (!result.ended)
+        http_exchange_cancel (pending);
+      pool_tear_down ();
+    }
+}
+
 static void
 test_ends_of_responses (void)
 {
@@ -566,6 +834,10 @@
       test_caller_disconnects },
     { "a malformed, ambiguous, too large or slow request is handled",
       test_refused_requests },
+    { "single bytes hold a message behind a request in progress",
+      test_slow_body_behind_a_request },
+    { "an exhausted budget ends requests in progress or runs others",
+      test_exhausted_budget },
     { "a draining server drops requests that it has read",
       test_draining_server_responds_to_all },
     { "a draining server drops requests behind a response that it holds back",
@@ -586,6 +858,18 @@
       test_taken_back_response },
     { "a truncated response looks complete to the caller",
       test_truncated_response_is_detectable },
+    { "an aborted response takes finished ones with it that are not sent yet",
+      test_abort_keeps_earlier_responses },
+    { "a response is dropped at the end of the process although the kernel "
+      "would take it",
+      test_stop_sends_what_the_kernel_takes },
+    { "a caller that does not read for some seconds is taken for vanished",
+      test_reader_that_stalls_is_not_lost },
+    { "a caller that has vanished is not noticed",
+      test_vanished_reader_is_noticed },
+    { "a target that does not read for some seconds is taken for vanished, or "
+      "a vanished one is not noticed",
+      test_slow_target_is_not_lost },
     { "a truncated or mismatched response is taken for complete",
       test_ends_of_responses },
     { "unsolicited bytes are taken for the next response",
