--- a/src/sidecar/sidecar_admission.h
+++ b/src/sidecar/sidecar_admission.h
@@ -4,8 +4,8 @@
 
 #include "sidecar/sidecar_inbound.h"
 
-/// Applies the setting, or with `auto` the configuration and the target's
-/// report. Called periodically, so that a change takes effect while running.
+/// Applies the setting, or with `auto` the configuration in force. Called
+/// periodically, so that a change takes effect while running.
 void sidecar_admission_tick (struct sidecar *sidecar);
 
 /// Counts a request that admission refused.
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -10,8 +10,8 @@
 /// How the admission queue beside the target orders and refuses requests.
 enum sidecar_admission
 {
-  SIDECAR_ADMISSION_AUTO, ///< by cost with client accounts or a target that
-                          ///< reports its speed, otherwise by rank
+  SIDECAR_ADMISSION_AUTO, ///< by cost if the configuration has client
+                          ///< accounts, otherwise by rank
   SIDECAR_ADMISSION_RANK,
   SIDECAR_ADMISSION_COST
 };
--- a/test/functional/broken_pipeline_test.sh
+++ b/test/functional/broken_pipeline_test.sh
@@ -16,13 +16,16 @@
 report_all
 wait_for "first answer" 10 answers 0 /read/whole-2-0/first 200 || fail "no request is answered"
 
-# send PATH...: sends GET requests on the open connection.
+# send PATH...: sends GET requests on the open connection, all in one write: on a busy
+# machine the first response would otherwise begin before the second request is sent.
 send() {
-  local path
+  local path text='' request
   for path in "$@"; do
-    printf 'GET /read/%s HTTP/1.1\r\nHost: a.example\r\nHawthornseam-Request-Id: p%s-%s\r\nHawthornseam-Deadline-Ms: 1200\r\n\r\n' \
-      "$path" $RANDOM$RANDOM "${path##*/}" >&$PIPE
+    printf -v request 'GET /read/%s HTTP/1.1\r\nHost: a.example\r\nHawthornseam-Request-Id: p%s-%s\r\nHawthornseam-Deadline-Ms: 1200\r\n\r\n' \
+      "$path" $RANDOM$RANDOM "${path##*/}"
+    text+=$request
   done
+  printf '%s' "$text" >&$PIPE
 }
 statuses() { grep -aoE 'HTTP/1.1 [0-9]+' "$RUN/pipeline" | cut -d' ' -f2 | tr '\n' ' '; }
 ran() { grep -qh "^run $1 " "$RUN"/target*.out; }
