--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -17,7 +17,7 @@
 
 #define SIM_WINDOW_MS 5000
 #define SIM_DELAY_MS 1    ///< one way
-#define SIM_TIMEOUT_MS 80 ///< QUOTA_ASK_TIMEOUT_MS of the sidecar
+#define SIM_TIMEOUT_MS 200 ///< QUOTA_ASK_TIMEOUT_MS of the sidecar
 #define SIM_DOWN_MS 400   ///< QUOTA_DOWN_MS of the sidecar
 #define SIM_DECIDE_MS 360 ///< longest wait, for a deadline of 600 ms
 #define SIM_HELD_MAX 512  ///< waiting requests of an account at a node
