--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -221,9 +221,8 @@
   bool with_speed; ///< one of the eligible targets reports its speed
 };
 
-/// @return true when a target on this VM is to be compared in any case,
-/// because
-///         the request's body takes long on the link
+/// @return true when a target on this VM is to be compared in any case: the
+///         request's body takes long on the link
 static bool
 prefers_own (const struct placement_request *request)
 {
--- a/src/coordination/shed_cost.h
+++ b/src/coordination/shed_cost.h
@@ -108,10 +108,9 @@
                         const struct shed_cost_item *item, uint64_t now_us);
 
 /// @return true when the request may take the last free slot. That slot is
-/// kept
-///         for short work while an urgent short kind misses its objective more
-///         often than the bounds allow: it would have to wait for the end of
-///         long work.
+///         kept for short work while an urgent short kind misses its objective
+///         more often than the bounds allow: it would have to wait for the end
+///         of long work.
 bool shed_cost_may_take_last (const struct shed_cost *cost,
                               const struct shed_cost_item *item);
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -107,9 +107,8 @@
   return bufferevent_getfd (connection->stream->bev);
 }
 
-/// @return memory of a request, bytes. Its head and body are kept until its
-/// end
-///         for another attempt; the head is also copied into what is sent on.
+/// @return memory of a request, bytes. Its head and body are kept for another
+///         attempt; the head is also copied into what is sent on.
 static size_t
 request_memory (const struct http_request *request)
 {
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -124,6 +124,7 @@
 /// Ends the connection as reset, from the event loop, when its peer has
 /// vanished. To be called several times a second while it is in use.
 void http_stream_check_peer (struct http_stream *stream, uint64_t now_ms);
+
 /// Parses no further message and drops what is buffered of the current one and
 /// all further input. The end of the input is still reported.
 void http_stream_discard (struct http_stream *stream);
