--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -305,6 +305,36 @@
     }
 }
 
+/// The kernel has taken a finished response, and its reader takes longer than
+/// a connection lingers. Input that is not read would make a close a reset.
+static void
+test_unacknowledged_bytes_are_work (void)
+{
+  static char body[1000000];
+  struct raw_client raw_client;
+  client_connect (&raw_client, server_set_up ());
+  client_send (&raw_client, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (50);
+  bufferevent_setcb (raw_client.bev, client_count, NULL, client_event,
+                     &raw_client);
+  bufferevent_disable (raw_client.bev, EV_READ);
+  http_server_drain (&server);
+  http_reply (requests[0], 200, NULL, body, sizeof body);
+  run_ms (50);
+  CU_ASSERT_EQUAL (http_server_unsent (&server), 0);
+  run_ms (1250);
+  http_server_close_idle (&server);
+  CU_ASSERT (http_server_has_work (&server));
+  CU_ASSERT_EQUAL (server.connections, 1);
+  client_send (&raw_client, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_ms (20);
+  bufferevent_enable (raw_client.bev, EV_READ);
+  run_ms (300);
+  CU_ASSERT (raw_client.size > sizeof body);
+  CU_ASSERT (raw_client.closed);
+  server_tear_down (&raw_client);
+}
+
 /// A response that is held back and breaks off: it is taken back, and the
 /// other requests of the connection keep theirs.
 static void
@@ -848,6 +878,8 @@
       test_draining_server_sends_finished_response },
     { "a stopping server resets connections on which responses are read",
       test_stopping_server_waits_for_callers_to_close },
+    { "a response is cut that the kernel has taken and its reader has not",
+      test_unacknowledged_bytes_are_work },
     { "a large response that breaks off takes those behind it with it",
       test_response_with_requests_behind_breaks_off },
     { "requests behind a response sent in part are lost when it breaks off",
