--- a/test/unit/quota_sim.h
+++ b/test/unit/quota_sim.h
@@ -16,14 +16,14 @@
 #include <string.h>
 
 #define SIM_WINDOW_MS 5000
-#define SIM_DELAY_MS 1    ///< one way
+#define SIM_DELAY_MS 1     ///< one way
 #define SIM_TIMEOUT_MS 200 ///< QUOTA_ASK_TIMEOUT_MS of the sidecar
-#define SIM_DOWN_MS 400   ///< QUOTA_DOWN_MS of the sidecar
-#define SIM_DECIDE_MS 360 ///< longest wait, for a deadline of 600 ms
-#define SIM_HELD_MAX 512  ///< waiting requests of an account at a node
-#define SIM_BATCH 256     ///< accounts in a message
-#define SIM_RING 16384    ///< steps that messages can be ahead
-#define SIM_BYTES_HEAD 60 ///< JSON around the items, without HTTP
+#define SIM_DOWN_MS 400    ///< QUOTA_DOWN_MS of the sidecar
+#define SIM_DECIDE_MS 360  ///< longest wait, for a deadline of 600 ms
+#define SIM_HELD_MAX 512   ///< waiting requests of an account at a node
+#define SIM_BATCH 256      ///< accounts in a message
+#define SIM_RING 16384     ///< steps that messages can be ahead
+#define SIM_BYTES_HEAD 60  ///< JSON around the items, without HTTP
 #define SIM_BYTES_ITEM 22
 
 enum sim_mode
