--- a/src/sidecar/sidecar_quota_internal.h
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -8,9 +8,9 @@
 #include "sidecar/sidecar_quota.h"
 
 /// Time after which an unanswered request counts as failed. A round trip
-/// takes a few milliseconds, but a node that has a tenth of a core stands still
-/// for up to 90 ms when it has used its share. The second-ranked node is asked
-/// after this time, and callers' deadlines start at 600 ms.
+/// takes a few milliseconds, but a node that has a tenth of a core stands
+/// still for up to 90 ms when it has used its share. The second-ranked node is
+/// asked after this time, and callers' deadlines start at 600 ms.
 #define QUOTA_ASK_TIMEOUT_MS 200
 
 /// A node that did not answer is not asked again for this long.
