Wait for the state that pause_test needs instead of timing it

The test started requests, slept 0.1 s twice and paused the node, whatever had arrived by then.

The test waits until the node reports four running and two queued requests, checks that four have run, and pauses it then. Its requests run for 2 s and have a deadline of 3 s, so that the state holds while it is looked at. What is checked after the pause is the same. "got '2'" is not explained: the failure printed no lines of the nodes. It prints them now.

--- a/test/functional/mesh.sh
+++ b/test/functional/mesh.sh
@@ -248,6 +248,7 @@
 fail() {
   echo "FAILED: $1"
   tail -n 5 "$RUN"/*.log
+  tail -n 20 "$RUN"/*.out
   exit 1
 }
 
--- a/test/functional/pause_test.sh
+++ b/test/functional/pause_test.sh
@@ -10,12 +10,18 @@
 
 runs() { curl -s "$STORE/control/runs" | cut -d' ' -f1; }
 
-# hop NODE PATH: passes a request to the node as another node would.
+# hop NODE PATH [DEADLINE_MS]: passes a request to the node as another node would.
 hop() {
   curl -s -m 6 -o /dev/null -w '%{http_code}\n' \
     -H "Hawthornseam-Hop: orders v1 2 1 2 3 0 0 0" \
-    -H "Hawthornseam-Request-Id: p$RANDOM$RANDOM$RANDOM" -H 'Hawthornseam-Deadline-Ms: 900' \
-    "http://127.0.0.1:$(port "$1" 1)$2"
+    -H "Hawthornseam-Request-Id: p$RANDOM$RANDOM$RANDOM" \
+    -H "Hawthornseam-Deadline-Ms: ${3:-900}" "http://127.0.0.1:$(port "$1" 1)$2"
+}
+
+# gauge NODE NAME VALUE: tells whether a gauge of the node has this value.
+gauge() {
+  curl -s -m 1 "http://127.0.0.1:$(port "$1" 5)/metrics" \
+    | grep -qx "hawthornseam_$2 $3"
 }
 
 # status_of_move: state in the outcome that operators read.
@@ -33,14 +39,16 @@
 wait_for "first answer" 5 answers 0 /read/1 200 || fail "no request is answered"
 
 # Four requests take all slots of the target, two more wait. The node is paused
-# until the deadlines of all have passed.
+# until the deadlines of all have passed. The requests run for longer than it
+# takes to see that all of them are there.
 before=$(runs)
-for n in 1 2 3 4; do hop 1 /seal/slow$n >/dev/null & done
-sleep 0.1
-for n in 5 6; do hop 1 /seal/queued$n >>"$RUN/queued" & done
-sleep 0.1
+for n in 1 2 3 4; do hop 1 /seal/slow-2s$n 3000 >/dev/null & done
+wait_for "four requests run" 1 gauge 1 gate_running 4 || fail "four requests do not run"
+for n in 5 6; do hop 1 /seal/queued$n 3000 >>"$RUN/queued" & done
+wait_for "two requests wait" 1 gauge 1 gate_waiting 2 || fail "two requests do not wait"
+expect "requests run before the pause" "$(($(runs) - before))" 4
 send_signal s1 STOP
-sleep 2.5
+sleep 3.5
 send_signal s1 CONT
 sleep 1
 expect "requests run around the pause" "$(($(runs) - before))" 4
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -23,6 +23,7 @@
 #define TARGETS_MAX 8
 #define LOOPBACK 0x7f000001u
 #define SLOW_REQUEST_MS 400
+#define SLOWER_REQUEST_MS 2000 ///< with "slow-2s" in the path
 #define BREAK_OFF_MS 30
 
 /// Bodies without end: bytes of one part, pause between two of them, and
@@ -298,6 +299,8 @@
     start_endless (run);
   else if (strstr (request->head->target, "break") != NULL)
     break_off (run);
+  else if (strstr (request->head->target, "slow-2s") != NULL)
+    timer_start (&run->timer, SLOWER_REQUEST_MS);
   else if (strstr (request->head->target, "slow") != NULL)
     timer_start (&run->timer, SLOW_REQUEST_MS);
   else
