Block SIGHUP until its handler is installed

A node that got SIGHUP 80 ms after its start ended by it (soak): main reads the settings and allocates before it installs handlers, which takes long on a busy machine. SIGHUP is blocked first thing in main and unblocked with the handler; a pending one then reloads the settings.

A signal that arrives before main still ends the process.

--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -396,6 +396,18 @@
   talloc_free (sidecar->config);
 }
 
+/// Blocks or unblocks SIGHUP. One that arrives before its handler is installed
+/// would end the process.
+/// @param how  SIG_BLOCK or SIG_UNBLOCK
+static void
+mask_reload_signal (int how)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (how, &set, NULL);
+}
+
 static int
 run (struct sidecar *sidecar)
 {
@@ -405,6 +417,7 @@
   signals[2] = evsignal_new (sidecar->base, SIGHUP, on_reload_signal, sidecar);
   for (size_t i = 0; i < 3; i++)
     event_add (signals[i], NULL);
+  mask_reload_signal (SIG_UNBLOCK);
   event_assign (&sidecar->tick, sidecar->base, -1, EV_PERSIST, on_tick,
                 sidecar);
   event_add (&sidecar->tick, &(struct timeval){ 0, TICK_MS * 1000 });
@@ -456,6 +469,7 @@
 {
   static struct sidecar sidecar;
   struct options options;
+  mask_reload_signal (SIG_BLOCK);
   int code = parse_options (argc, argv, &options);
   if (code >= 0)
     return code;
--- a/test/functional/sidecars.sh
+++ b/test/functional/sidecars.sh
@@ -12,8 +12,9 @@
 # target 4, metrics 5.
 port() { echo $((BASE + 100 + 10 * $1 + $2)); }
 
-# sidecar_run NODE: starts a node; SETTINGS_EXTRA: further lines of its settings.
-sidecar_run() {
+# sidecar_settings NODE: writes the settings of a node; SETTINGS_EXTRA: further
+# lines of them.
+sidecar_settings() {
   local i=$1
   cat >"$RUN/s$i.yaml" <<YAML
 format: 1
@@ -30,7 +31,12 @@
 heartbeat: 1500ms
 ${SETTINGS_EXTRA:-}
 YAML
-  start "s$i" "$BIN/hawthornseam-sidecar" --settings "$RUN/s$i.yaml"
+}
+
+# sidecar_run NODE: starts a node with these settings.
+sidecar_run() {
+  sidecar_settings "$1"
+  start "s$1" "$BIN/hawthornseam-sidecar" --settings "$RUN/s$1.yaml"
 }
 
 # report NODE STATE: sends a heartbeat of the node's target; prints the status.
@@ -69,10 +75,13 @@
 answers() { [[ "$(ask "$1" "$2")" = $3* ]]; }
 expect() { [[ "$2" = $3 ]] || fail "$1: got '$2', expected '$3'"; }
 
-# Starts the stand-in of the platform and waits until it answers.
-sidecars_begin() {
+# platform_begin [PORT INSTANCE]...: starts the stand-in of the platform with these
+# targets and waits until its store answers.
+platform_begin() {
   STORE="http://127.0.0.1:$STORE_PORT"
-  start platform "$BIN/standin-platform" "$STORE_PORT" \
-    "$(port 0 4)" i-a "$(port 1 4)" i-b "$(port 2 4)" i-c
+  start platform "$BIN/standin-platform" "$STORE_PORT" "$@"
   wait_for "store answers" 10 curl -sf -o /dev/null "$STORE/control/runs"
 }
+
+# Starts the stand-in of the platform with the targets of all nodes.
+sidecars_begin() { platform_begin "$(port 0 4)" i-a "$(port 1 4)" i-b "$(port 2 4)" i-c; }
