Find accounts by name in a sorted table; keep one copy of the speed figure

client_account_by_name walked over all accounts for each message about quotas; with the planned 10,000 accounts that is most of its cost. The table is sorted by name once per configuration, as the keys are. platform_test has its cases, among them that the first of two accounts with one name is found, as before.

No change of behaviour.

--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -309,14 +309,12 @@
 link_wait_us (struct admission_queue *queue,
               const struct admission_queue_ticket *ticket, uint64_t now_us)
 {
-  const struct admission_queue_kind *kind
-      = admission_queue_find_kind (queue, ticket->work.kind);
   uint64_t ahead = 1;
   for (size_t i = 0; i < queue->queued; i++)
     ahead += queue->waiting[i]->work.kind == ticket->work.kind
              && queue->policy->precedes (queue, queue->waiting[i], ticket,
                                          now_us);
-  return ahead * admission_queue_kind_link_us (queue, kind);
+  return ahead * admission_queue_link_us (queue, ticket);
 }
 
 /// Gives back the slots of abandoned requests whose work has ended by now.
@@ -352,10 +350,7 @@
   release_abandoned (queue, now_us);
   ticket->work = *work;
   ticket->service_us = service_us (queue, work->kind, now_us);
-  ticket->link_limited
-      = admission_queue_kind_link_us (
-            queue, admission_queue_find_kind (queue, work->kind))
-        > 0;
+  ticket->link_limited = admission_queue_link_us (queue, ticket) > 0;
   ticket->state = ADMIT_OVER;
   if (queue->draining || queue->slots == 0)
     {
--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -34,6 +34,7 @@
 
 /// Long poll for changes of a node's view; the revision is appended.
 #define CALL_PATH_CHANGES "/_hawthornseam/changes?after="
+
 /// Age of the view that a relay sends: time since it was known to be that of
 /// the store, ms.
 #define CALL_HEADER_VIEW_AGE "Hawthornseam-View-Age-Ms"
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -85,9 +85,6 @@
   uint32_t cold_ms;            ///< warm-up time stated in the first report
   unsigned refusals;           ///< connections refused in a row
   struct cold_limit cold;      ///< rate of requests while it is cold
-  uint32_t speed_percent;      ///< newest speed figure of the target; 100: as
-                               ///< usual, 0: not reported
-  uint64_t speed_ms;           ///< time of the newest speed figure
   struct link_load link;       ///< bodies of requests for it
   struct target_speed speed;   ///< service time at the usual speed
 };
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -92,7 +92,7 @@
   add_gauge (text, "gate_running", sidecar->admission.running);
   add_gauge (text, "gate_waiting", sidecar->admission.queued);
   add_gauge (text, "gate_service_us", sidecar->admission.mean_us);
-  add_gauge (text, "target_speed_percent", sidecar->target.speed_percent);
+  add_gauge (text, "target_speed_percent", sidecar->target.speed.percent);
   add_gauge (text, "target_usual_service_us",
              sidecar->target.speed.service_us);
   sidecar_admission_add_metrics (sidecar, text);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -103,10 +103,8 @@
     }
   if (load.speed_percent == 0)
     return;
-  uint64_t now_us = clock_monotonic_us ();
-  sidecar->target.speed_percent = load.speed_percent;
-  sidecar->target.speed_ms = now_us / 1000;
-  target_speed_note (&sidecar->target.speed, load.speed_percent, now_us);
+  target_speed_note (&sidecar->target.speed, load.speed_percent,
+                     clock_monotonic_us ());
   sidecar->admission.speed = &sidecar->target.speed;
 }
 
--- a/src/sidecar/sidecar_target.c
+++ b/src/sidecar/sidecar_target.c
@@ -156,7 +156,6 @@
         sidecar_crash_confirmed (sidecar);
       target->draining = false;
       target->cold_ms = report->cold_ms;
-      target->speed_percent = 0;
       target->speed = (struct target_speed){ .percent = 0 };
     }
   bool changed = new_incarnation || target->gone
--- a/src/state/client_account.c
+++ b/src/state/client_account.c
@@ -1,4 +1,4 @@
-/// Sorted table of key hashes.
+/// Sorted tables of key hashes and of names.
 #include "state/client_account.h"
 
 #include <stdlib.h>
@@ -13,6 +13,16 @@
   return memcmp (left->hash.bytes, right->hash.bytes, CONTENT_HASH_SIZE);
 }
 
+static int
+compare_names (const void *a, const void *b)
+{
+  const struct client_account *left = *(const struct client_account *const *)a;
+  const struct client_account *right
+      = *(const struct client_account *const *)b;
+  int order = strcmp (left->name, right->name);
+  return order != 0 ? order : (left > right) - (left < right);
+}
+
 enum status
 client_account_add_key (struct client_account_table *table, void *arena,
                         const char *key, size_t size)
@@ -38,8 +48,16 @@
 }
 
 enum status
-client_account_prepare (struct client_account_table *table)
+client_account_prepare (struct client_account_table *table, void *arena)
 {
+  table->by_name = talloc_array (arena, const struct client_account *,
+                                 table->account_count + 1);
+  if (table->by_name == NULL)
+    return status_set (STATUS_NO_MEMORY, "out of memory for account names");
+  for (size_t i = 0; i < table->account_count; i++)
+    table->by_name[i] = &table->accounts[i];
+  qsort (table->by_name, table->account_count,
+         sizeof (const struct client_account *), compare_names);
   if (table->key_count > 0)
     qsort (table->keys, table->key_count, sizeof table->keys[0], compare_keys);
   for (size_t i = 1; i < table->key_count; i++)
@@ -72,8 +90,18 @@
 client_account_by_name (const struct client_account_table *table,
                         const char *name)
 {
-  for (size_t i = 0; i < table->account_count; i++)
-    if (strcmp (table->accounts[i].name, name) == 0)
-      return &table->accounts[i];
-  return NULL;
+  size_t first = 0;
+  size_t end = table->account_count;
+  while (first < end)
+    {
+      size_t middle = first + (end - first) / 2;
+      if (strcmp (table->by_name[middle]->name, name) < 0)
+        first = middle + 1;
+      else
+        end = middle;
+    }
+  return first < table->account_count
+                 && strcmp (table->by_name[first]->name, name) == 0
+             ? table->by_name[first]
+             : NULL;
 }
--- a/src/state/client_account.h
+++ b/src/state/client_account.h
@@ -37,6 +37,7 @@
   size_t account_count;
   struct client_account_key *keys; ///< sorted by hash after _prepare
   size_t key_count;
+  const struct client_account **by_name; ///< sorted by name after _prepare
 };
 
 /// Adds a key of the last account; the key itself is not kept.
@@ -45,9 +46,12 @@
 enum status client_account_add_key (struct client_account_table *table,
                                     void *arena, const char *key, size_t size);
 
-/// Sorts the keys. Called once, after all keys were added.
-/// @return STATUS_INVALID when two accounts have the same key
-enum status client_account_prepare (struct client_account_table *table);
+/// Sorts the keys and the names. Called once, after all keys were added.
+/// @param arena  talloc context of the configuration
+/// @return STATUS_INVALID when two accounts have the same key,
+///         STATUS_NO_MEMORY
+enum status client_account_prepare (struct client_account_table *table,
+                                    void *arena);
 
 /// Finds the account that holds a key. Only hashes are compared, so the time
 /// of a comparison tells nothing about the bytes of a key.
@@ -56,7 +60,8 @@
 client_account_find (const struct client_account_table *table,
                      const char *key);
 
-/// @return the account with a name, or NULL
+/// @return the account with a name, the first one if there are several, or
+/// NULL
 const struct client_account *
 client_account_by_name (const struct client_account_table *table,
                         const char *name);
--- a/src/state/mesh_config.c
+++ b/src/state/mesh_config.c
@@ -66,7 +66,7 @@
                            "routes %s and %s have the same host and prefix",
                            config->routes[i - 1].name, route->name);
     }
-  return client_account_prepare (&config->accounts);
+  return client_account_prepare (&config->accounts, config);
 }
 
 /// Compares a host name with the first bytes of a Host header, ignoring case.
--- a/test/unit/platform_test.c
+++ b/test/unit/platform_test.c
@@ -441,6 +441,36 @@
   talloc_free (config);
 }
 
+static void
+test_account_names (void)
+{
+  struct mesh_config *config;
+  const char *text = config_with_accounts (
+      "[{\"Name\":\"m\"},{\"Name\":\"c\"},{\"Name\":\"z\"},"
+      "{\"Name\":\"c\",\"RatePerS\":7},{\"Name\":\"a\"}]");
+  CU_ASSERT_EQUAL_FATAL (
+      platform_read_config ((const uint8_t *)text, strlen (text), &config),
+      STATUS_OK);
+  const struct client_account_table *table = &config->accounts;
+  const struct
+  {
+    const char *name;
+    const struct client_account *expected;
+  } cases[] = {
+    { "a", &table->accounts[4] },
+    { "c", &table->accounts[1] },
+    { "m", &table->accounts[0] },
+    { "z", &table->accounts[2] },
+    { "", NULL },
+    { "b", NULL },
+    { "zz", NULL },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_PTR_EQUAL (client_account_by_name (table, cases[i].name),
+                         cases[i].expected);
+  talloc_free (config);
+}
+
 int
 main (void)
 {
@@ -454,6 +484,8 @@
       "malformed account",
       test_accounts },
     { "an account loses its quota or priority", test_account_quota },
+    { "a name finds no account, or not the first one that has it",
+      test_account_names },
     { "a move order or its status is decoded or encoded wrongly",
       test_orders },
     { "a call to the node is classified wrongly", test_calls },
