--- a/test/functional/broken_pipeline_test.sh
+++ b/test/functional/broken_pipeline_test.sh
@@ -4,12 +4,10 @@
 # requests behind the broken response, which were passed on already, get no answer.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin broken-pipeline
-STORE="http://127.0.0.1:$STORE_PORT"
-start platform "$BIN/standin-platform" "$STORE_PORT" "$(port 0 4)" i-a
+platform_begin "$(port 0 4)" i-a
 for i in 1 2; do
   start "target$i" "$BIN/standin-breaking_target" "$(port $i 4)" "${INSTANCES[$i]}"
 done
-wait_for "store answers" 10 curl -sf -o /dev/null "$STORE/control/runs"
 for i in 0 1 2; do sidecar_run $i; done
 put_config 0000000a orders
 for i in 0 1 2; do wait_for "ready $i" 10 ready $i || fail "node $i is not ready"; done
--- a/test/functional/planned_stop_test.sh
+++ b/test/functional/planned_stop_test.sh
@@ -4,11 +4,9 @@
 # end, cut without an answer, among them requests that may not be repeated.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin planned-stop
-STORE="http://127.0.0.1:$STORE_PORT"
 SERVICES=(orders orders orders)
 CAPACITY=400
-start platform "$BIN/standin-platform" "$STORE_PORT"
-wait_for "store answers" 10 curl -sf -o /dev/null "$STORE/control/runs"
+platform_begin
 for i in 1 2; do sidecar_run $i; done
 TIMEOUT=30000ms put_config 0000000a orders
 for i in 1 2; do wait_for "ready $i" 10 ready $i || fail "node $i is not ready"; done
--- a/test/functional/slow_readers_test.sh
+++ b/test/functional/slow_readers_test.sh
@@ -5,11 +5,9 @@
 # has written, and that its reader would have had by the end of the grace, is cut.
 source "$(dirname "$0")/sidecars.sh"
 mesh_begin slow-readers
-STORE="http://127.0.0.1:$STORE_PORT"
 SERVICES=(orders orders orders)
 CAPACITY=400
-start platform "$BIN/standin-platform" "$STORE_PORT"
-wait_for "store answers" 10 curl -sf -o /dev/null "$STORE/control/runs"
+platform_begin
 for i in 1 2; do sidecar_run $i; done
 curl -s -X POST "$STORE/control/put?op/config" -d '{"Version":"0000000a","Routes":[{"Name":"files","Host":"a.example","Prefix":"/file/","RouteType":"download","Timeout":"30000ms","TargetLatency":"2000ms","Priority":1,"Service":"orders","MaxAttempts":2}],"Services":[{"Name":"orders"}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}'
 for i in 1 2; do wait_for "ready $i" 10 ready $i || fail "node $i is not ready"; done
