Refuse work that will be late and get no slot when it arrives

The queue only looked at the deadline when work arrived, as if all slots were for it.

Where the target states its speed, work whose start will be late is now counted as late on arrival, with the late work ahead of it, and refused at once if that leaves no slot before its deadline. Without the figure the order is unchanged, so earlier deployments are not affected.

The new case of admission_queue_test fails without the change: 36 of 40 requests are queued where 8 can be served.

--- a/src/coordination/admission_rank.c
+++ b/src/coordination/admission_rank.c
@@ -88,16 +88,6 @@
   return best;
 }
 
-static uint64_t
-rank_wait_us (struct admission_queue *queue,
-              struct admission_queue_ticket *ticket, uint64_t now_us)
-{
-  size_t ahead = 0;
-  for (size_t i = 0; i < queue->queued; i++)
-    ahead += precedes (queue->waiting[i], ticket, now_us);
-  return admission_queue_slot_wait_us (queue, ahead);
-}
-
 struct late_ticket
 {
   struct admission_queue_ticket *ticket;
@@ -134,6 +124,57 @@
   return rate->per_s > min_per_s ? rate->per_s : min_per_s;
 }
 
+/// @return number of tickets that may be ahead of one that is queued now and
+///         will not be late at its start
+static size_t
+places_in_time (const struct admission_queue *queue,
+                const struct admission_queue_ticket *ticket, uint64_t now_us)
+{
+  size_t places = 0;
+  while (
+      places < queue->queued
+      && !is_late (ticket,
+                   now_us + admission_queue_slot_wait_us (queue, places + 1)))
+    places++;
+  return places;
+}
+
+/// @return estimated time until late work of a kind gets a slot behind other
+///         late work, microseconds
+static uint64_t
+late_wait_us (struct admission_queue *queue, struct admission_queue_kind *kind,
+              size_t late_ahead, uint64_t now_us)
+{
+  double per_s = expected_late_rate (queue, kind, now_us);
+  return per_s > 0 ? (uint64_t)((double)(late_ahead + 1) / per_s * 1e6) : 0;
+}
+
+/// If the target states its speed, the estimate is good enough to count work
+/// as late before it has become so: it would wait for a slot that late work
+/// hardly gets, and be refused long after its arrival.
+static uint64_t
+rank_wait_us (struct admission_queue *queue,
+              struct admission_queue_ticket *ticket, uint64_t now_us)
+{
+  size_t ahead = 0;
+  size_t late = 0;
+  for (size_t i = 0; i < queue->queued; i++)
+    {
+      ahead += precedes (queue->waiting[i], ticket, now_us);
+      late += is_late (queue->waiting[i], now_us);
+    }
+  uint64_t wait_us = admission_queue_slot_wait_us (queue, ahead);
+  struct admission_queue_kind *kind
+      = admission_queue_find_kind (queue, ticket->work.kind);
+  if (queue->speed == NULL || kind == NULL
+      || !is_late (ticket, now_us + wait_us))
+    return wait_us;
+  size_t in_time = places_in_time (queue, ticket, now_us);
+  uint64_t late_us = late_wait_us (
+      queue, kind, late + (ahead > in_time ? ahead - in_time : 0), now_us);
+  return late_us > wait_us ? late_us : wait_us;
+}
+
 /// Refuses the late tickets that will not finish in time at the expected rate
 /// of late starts.
 static void
--- a/test/unit/admission_queue_test.c
+++ b/test/unit/admission_queue_test.c
@@ -509,6 +509,37 @@
   CU_ASSERT_EQUAL (queue.queued, ADMISSION_QUEUE_MAX);
 }
 
+/// Forty requests arrive at a target with four slots that takes 400 ms for
+/// each. Six of those that wait can meet the objective of 1,000 ms. Late work
+/// gets a twentieth of the slots, one request in two seconds, so that one more
+/// can end before the deadline of 4 s.
+static void
+test_late_work_is_refused_on_arrival (void)
+{
+  static const struct
+  {
+    bool speed;
+    size_t queued_most;
+  } cases[] = { { false, 36 }, { true, 8 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct target_speed speed = { 0 };
+      set_up (4);
+      record_service (400);
+      if (cases[i].speed)
+        {
+          target_speed_note (&speed, 100, 1000);
+          queue.speed = &speed;
+        }
+      for (size_t k = 0; k < 40; k++)
+        offer (k, 1, 1000 + k, 4000 + k, 1);
+      CU_ASSERT (queue.queued >= 6);
+      CU_ASSERT (queue.queued <= cases[i].queued_most);
+      CU_ASSERT_EQUAL (queue.queued == 36, !cases[i].speed);
+      CU_ASSERT_EQUAL (refused, 0); /* none was queued before */
+    }
+}
+
 int
 main (void)
 {
@@ -542,6 +573,8 @@
       test_abandoned_work_keeps_its_slot },
     { "queued work waits for a free slot after the policy has changed",
       test_kept_slot_is_used_after_a_change },
+    { "work that will be late and get no slot is queued until then",
+      test_late_work_is_refused_on_arrival },
     { "a full queue refuses work that costs more than what is queued",
       test_full_queue_keeps_the_best },
   };
