Send values of a view unquoted, and parse each configuration once

On a tenth of a core each parse stops the node for tens of milliseconds.

Views have a second format: a JSON header with the sizes of the values, and the values as they are. A node asks for it with Hawthornseam-View-Format; others get the format before. A configuration that was written at or before the revision of the one in force is not parsed.

--- a/src/protocol/call_headers.h
+++ b/src/protocol/call_headers.h
@@ -35,6 +35,10 @@
 /// Long poll for changes of a node's view; the revision is appended.
 #define CALL_PATH_CHANGES "/_hawthornseam/changes?after="
 
+/// Format (enum view_format) that a node accepts of another node's view;
+/// without it VIEW_JSON.
+#define CALL_HEADER_VIEW_FORMAT "Hawthornseam-View-Format"
+
 /// Age of the view that a relay sends: time since it was known to be that of
 /// the store, ms.
 #define CALL_HEADER_VIEW_AGE "Hawthornseam-View-Age-Ms"
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -101,6 +101,7 @@
   uint64_t epoch;             ///< start of the process, wall-clock ms
   struct mesh_config *config; ///< NULL until a configuration was read
   uint64_t config_ms;         ///< when `config` came into force
+  uint64_t config_revision;   ///< of the store, at which it was written
   struct directory directory;
   struct evacuation_set evacuations;
   struct retry_quota_table retry_quotas;
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -23,6 +23,10 @@
 apply_config (struct sidecar *sidecar, const struct store_key *key)
 {
   struct mesh_config *config;
+  /* The same configuration arrives again with a full read or from another
+     relay, and parsing a large one takes a small VM tens of milliseconds. */
+  if (sidecar->config != NULL && key->revision <= sidecar->config_revision)
+    return;
   if (sidecar->adapter->read_config (key->data, key->size, &config)
       != STATUS_OK)
     {
@@ -49,6 +53,7 @@
   talloc_free (sidecar->config);
   sidecar->config = config;
   sidecar->config_ms = clock_monotonic_ms ();
+  sidecar->config_revision = key->revision;
   sidecar_target_limit_cold (sidecar);
   uint64_t body_bytes = config->limits.body_bytes;
   sidecar->calls.limits = (struct http_server_limits){
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -44,8 +44,9 @@
 struct pending_poll
 {
   struct http_request *request;
-  uint64_t after;  ///< revision of the follower's view
-  uint64_t due_ms; ///< latest time of its response
+  uint64_t after;          ///< revision of the follower's view
+  enum view_format format; ///< that it accepts
+  uint64_t due_ms;         ///< latest time of its response
   TAILQ_ENTRY (pending_poll) link;
 };
 
@@ -68,6 +69,7 @@
   size_t cached_size;
   uint64_t cached_after;
   uint64_t cached_as_of;
+  enum view_format cached_format;
 };
 
 enum status
@@ -130,16 +132,17 @@
 
 static void
 send_changes (struct sidecar *sidecar, struct http_request *request,
-              uint64_t after)
+              uint64_t after, enum view_format format)
 {
   struct sidecar_store *store = sidecar->store;
   struct sidecar_relay *relay = store->relay;
   if (relay->cached == NULL || relay->cached_after != after
-      || relay->cached_as_of != store->as_of)
+      || relay->cached_as_of != store->as_of || relay->cached_format != format)
     {
       free (relay->cached);
-      relay->cached = view_write (&store->mirror, after, store->as_of,
+      relay->cached = view_write (&store->mirror, after, store->as_of, format,
                                   &relay->cached_size);
+      relay->cached_format = format;
       relay->cached_after = after;
       relay->cached_as_of = store->as_of;
     }
@@ -162,6 +165,7 @@
   uint64_t now = clock_monotonic_ms ();
   uint64_t after = strtoull (
       request->head->target + strlen (CALL_PATH_CHANGES), NULL, 10);
+  enum view_format format = sidecar_view_format (request);
   counter_add (&requests, 1);
   relay->last_poll_ms = now;
   if (!is_relay_ready (sidecar, now))
@@ -171,7 +175,7 @@
     }
   if (is_complete (sidecar->store) && sidecar->store->as_of > after)
     {
-      send_changes (sidecar, request, after);
+      send_changes (sidecar, request, after, format);
       return;
     }
   struct pending_poll *pending = calloc (1, sizeof *pending);
@@ -182,6 +186,7 @@
     }
   *pending = (struct pending_poll){ .request = request,
                                     .after = after,
+                                    .format = format,
                                     .due_ms = now + LONG_POLL_MS };
   TAILQ_INSERT_TAIL (&relay->polls, pending, link);
 }
@@ -217,10 +222,11 @@
         {
           struct http_request *request = pending->request;
           uint64_t after = pending->after;
+          enum view_format format = pending->format;
           TAILQ_REMOVE (&relay->polls, pending, link);
           free (pending);
           if (ready && complete)
-            send_changes (sidecar, request, after);
+            send_changes (sidecar, request, after, format);
           else
             refuse (request);
         }
@@ -399,10 +405,11 @@
     return false;
   const struct directory_record *record = &sidecar->directory.records[handle];
   struct evbuffer *request = evbuffer_new ();
-  evbuffer_add_printf (request,
-                       "GET " CALL_PATH_CHANGES "%" PRIu64
-                       " HTTP/1.1\r\nHost: view\r\n\r\n",
-                       store->caught_up ? store->as_of : store->as_of - 1);
+  evbuffer_add_printf (
+      request,
+      "GET " CALL_PATH_CHANGES "%" PRIu64
+      " HTTP/1.1\r\nHost: view\r\n" CALL_HEADER_VIEW_FORMAT ": %d\r\n\r\n",
+      store->caught_up ? store->as_of : store->as_of - 1, VIEW_SPLIT);
   evbuffer_drain (relay->response, evbuffer_get_length (relay->response));
   relay->status = 0;
   relay->relay_serial = record->serial;
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -8,6 +8,7 @@
 #include "coordination/relay.h"
 #include "coordination/store_pace.h"
 #include "protocol/entry_record.h"
+#include "protocol/view.h"
 #include "sidecar/sidecar.h"
 #include "state/mirror.h"
 
@@ -108,4 +109,7 @@
 bool sidecar_relay_has_followers (const struct sidecar *sidecar,
                                   uint64_t now_ms);
 
+/// @return the format of a view that the sender of a request accepts
+enum view_format sidecar_view_format (const struct http_request *request);
+
 #endif
--- a/src/sidecar/sidecar_view.c
+++ b/src/sidecar/sidecar_view.c
@@ -15,6 +15,13 @@
 /// response is cancelled when the next one is sent.
 #define REQUEST_INTERVAL_MS 400
 
+enum view_format
+sidecar_view_format (const struct http_request *request)
+{
+  const char *text = http_head_find (request->head, CALL_HEADER_VIEW_FORMAT);
+  return text != NULL && atoi (text) == VIEW_SPLIT ? VIEW_SPLIT : VIEW_JSON;
+}
+
 void
 sidecar_store_serve_view (struct sidecar *sidecar,
                           struct http_request *request)
@@ -23,7 +30,8 @@
   size_t size = 0;
   char *text = sidecar->config == NULL
                    ? NULL
-                   : view_write (&store->mirror, 0, store->as_of, &size);
+                   : view_write (&store->mirror, 0, store->as_of,
+                                 sidecar_view_format (request), &size);
   http_reply (request, text == NULL ? 503 : 200, NULL, text, size);
   free (text);
 }
@@ -94,8 +102,11 @@
     http_exchange_cancel (store->view_exchange);
   store->view_requested_ms = now;
   struct evbuffer *request = evbuffer_new ();
-  evbuffer_add_printf (request, "GET %s HTTP/1.1\r\nHost: view\r\n\r\n",
-                       CALL_PATH_VIEW);
+  evbuffer_add_printf (
+      request,
+      "GET %s HTTP/1.1\r\nHost: view\r\n" CALL_HEADER_VIEW_FORMAT
+      ": %d\r\n\r\n",
+      CALL_PATH_VIEW, VIEW_SPLIT);
   evbuffer_drain (store->view_body, evbuffer_get_length (store->view_body));
   struct http_send send = { .address = address,
                             .port = port,
--- a/test/fuzz/platform_fuzz.c
+++ b/test/fuzz/platform_fuzz.c
@@ -69,8 +69,20 @@
       == STATUS_OK)
     {
       size_t written;
-      char *text = view_write (&mirror, whole ? 0 : 1, as_of, &written);
+      struct mirror again;
+      uint64_t as_of_again;
+      bool whole_again;
+      mirror_init (&again);
+      char *text
+          = view_write (&mirror, whole ? 0 : 1, as_of, VIEW_SPLIT, &written);
+      assert (
+          text != NULL
+          && (written > VIEW_BYTES_MAX
+              || view_read (text, written, &again, &as_of_again, &whole_again)
+                     == STATUS_OK));
       free (text);
+      mirror_finish (&again);
+      free (view_write (&mirror, whole ? 0 : 1, as_of, VIEW_JSON, &written));
     }
   mirror_finish (&mirror);
 }
--- a/test/unit/codec_test.c
+++ b/test/unit/codec_test.c
@@ -281,8 +281,11 @@
                      STATUS_INVALID);
 }
 
+static const enum view_format view_formats[] = { VIEW_JSON, VIEW_SPLIT };
+#define VIEW_FORMATS (sizeof view_formats / sizeof view_formats[0])
+
 static void
-test_view (void)
+check_view (enum view_format format)
 {
   struct mirror mirror;
   struct mirror read;
@@ -297,7 +300,7 @@
   mirror_remove (&mirror, "c", 6); /* older than the kept value */
   mirror_put (&mirror, "d", 7, (const uint8_t *)"gone", 4);
   mirror_remove (&mirror, "d", 8);
-  char *text = view_write (&mirror, 0, 9, &size);
+  char *text = view_write (&mirror, 0, 9, format, &size);
   bool whole = false;
   CU_ASSERT_FATAL (text != NULL);
   CU_ASSERT_EQUAL (view_read (text, size, &read, &as_of, &whole), STATUS_OK);
@@ -313,8 +316,43 @@
   mirror_finish (&read);
 }
 
+static void
+test_view (void)
+{
+  for (size_t i = 0; i < VIEW_FORMATS; i++)
+    check_view (view_formats[i]);
+}
+
+static void
+test_malformed_split_views (void)
+{
+  static const char *const texts[] = {
+    "#",
+    "#{}\n",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",5,3]]}one",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",5,4]]}\none",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",5,2]]}\none",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",5,-1]]}\none",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",0,3]]}\none",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",5,\"one\"]]}\none",
+    "#{\"as_of\":9,\"whole\":true,\"items\":[[\"a\",5,3],[\"b\",6,"
+    "9223372036854775807]]}\none",
+  };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      struct mirror read;
+      uint64_t as_of;
+      bool whole;
+      mirror_init (&read);
+      CU_ASSERT_EQUAL (
+          view_read (texts[i], strlen (texts[i]), &read, &as_of, &whole),
+          STATUS_INVALID);
+      mirror_finish (&read);
+    }
+}
+
 /// A value of any bytes leaves the other keys of the view readable; one that
-/// JSON cannot hold is passed on without its bytes.
+/// JSON cannot hold is passed on in JSON without its bytes.
 static void
 test_view_with_odd_values (void)
 {
@@ -334,8 +372,12 @@
     { "quotes", "\"}]\\", 4, 4 },
     { "empty", "", 0, 0 },
   };
-  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+  for (size_t k = 0; k < VIEW_FORMATS * sizeof rows / sizeof rows[0]; k++)
     {
+      size_t i = k / VIEW_FORMATS;
+      enum view_format format = view_formats[k % VIEW_FORMATS];
+      size_t size_read
+          = format == VIEW_JSON ? rows[i].size_read : rows[i].size;
       struct mirror mirror, read;
       uint64_t as_of = 0;
       size_t size;
@@ -346,17 +388,17 @@
       mirror_put (&mirror, "odd", 6, (const uint8_t *)rows[i].value,
                   rows[i].size);
       mirror_put (&mirror, "z", 7, (const uint8_t *)"two", 3);
-      char *text = view_write (&mirror, 0, 9, &size);
+      char *text = view_write (&mirror, 0, 9, format, &size);
       CU_ASSERT_FATAL (text != NULL);
       bool correct
           = view_read (text, size, &read, &as_of, &whole) == STATUS_OK
             && read.count == 3 && read.items[1].revision == 6
-            && read.items[1].size == rows[i].size_read
-            && memcmp (read.items[1].data, rows[i].value, rows[i].size_read)
-                   == 0
+            && read.items[1].size == size_read
+            && memcmp (read.items[1].data, rows[i].value, size_read) == 0
             && memcmp (read.items[2].data, "two", 3) == 0;
       if (!correct)
-        printf ("  %s: %zu keys\n", rows[i].what, read.count);
+        printf ("  %s, format %d: %zu keys\n", rows[i].what, format,
+                read.count);
       CU_ASSERT (correct);
       free (text);
       mirror_finish (&mirror);
@@ -365,15 +407,16 @@
 }
 
 static void
-check_changes (const struct mirror *mirror, uint64_t after, bool want_whole,
-               size_t want_items, size_t want_removed)
+check_changes_in (enum view_format format, const struct mirror *mirror,
+                  uint64_t after, bool want_whole, size_t want_items,
+                  size_t want_removed)
 {
   struct mirror read;
   uint64_t as_of = 0;
   bool whole = !want_whole;
   size_t size;
   mirror_init (&read);
-  char *bytes = view_write (mirror, after, 20, &size);
+  char *bytes = view_write (mirror, after, 20, format, &size);
   CU_ASSERT_FATAL (bytes != NULL);
   CU_ASSERT_EQUAL (view_read (bytes, size, &read, &as_of, &whole), STATUS_OK);
   CU_ASSERT_EQUAL (whole, want_whole);
@@ -384,6 +427,15 @@
   mirror_finish (&read);
 }
 
+static void
+check_changes (const struct mirror *mirror, uint64_t after, bool want_whole,
+               size_t want_items, size_t want_removed)
+{
+  for (size_t i = 0; i < VIEW_FORMATS; i++)
+    check_changes_in (view_formats[i], mirror, after, want_whole, want_items,
+                      want_removed);
+}
+
 static void
 test_changes (void)
 {
@@ -413,7 +465,7 @@
 }
 
 static void
-test_large_view (void)
+check_large_view (enum view_format format)
 {
   struct mirror mirror;
   struct mirror read;
@@ -426,7 +478,7 @@
   mirror_init (&mirror);
   mirror_init (&read);
   mirror_put (&mirror, "config", 5, (const uint8_t *)value, sizeof value);
-  char *bytes = view_write (&mirror, 0, 9, &size);
+  char *bytes = view_write (&mirror, 0, 9, format, &size);
   CU_ASSERT_FATAL (bytes != NULL);
   CU_ASSERT (size < sizeof value / 10);
   CU_ASSERT_EQUAL (view_read (bytes, size, &read, &as_of, &whole), STATUS_OK);
@@ -440,6 +492,13 @@
   mirror_finish (&read);
 }
 
+static void
+test_large_view (void)
+{
+  for (size_t i = 0; i < VIEW_FORMATS; i++)
+    check_large_view (view_formats[i]);
+}
+
 #define SETTINGS_HEAD                                                         \
   "format: 1\nnode: n1\navailability_zone: z1\nservice: orders\n"             \
   "calls: 127.0.0.1:7001\npeers: 127.0.0.1:7002\nready: 127.0.0.1:7003\n"     \
@@ -514,6 +573,7 @@
     { "a view loses keys or restores removed ones", test_view },
     { "an odd value hides the other keys of a view",
       test_view_with_odd_values },
+    { "a malformed view is read in part", test_malformed_split_views },
     { "changes lack a removal, or are read as a whole view", test_changes },
     { "a compressed view differs after decoding or is accepted when truncated",
       test_large_view },
