Let placement, admission and retries state what they would do

Operators cannot see why a request was sent to a node, since the estimates and the reasons that exclude a node exist only inside the decision.

Placement now makes its choice in placement_decide, which states the candidates, what their estimates are relative to and the best one; placement_obstacle and placement_estimate give the reason or the parts of an estimate, and the decision uses both, so there is one computation. admission_queue_preview offers work to a copy of the queue, so the functions that decide answer and the queue stays as it is. The retry budget, the rotation of a traffic split and the objective that is left get read-only functions that the deciding ones share. explain_query reads and writes the question.

placement_test: 197 assertions pass, among them the hash of 5,000 choices and the next random number.

--- a/Makefile
+++ b/Makefile
@@ -42,12 +42,14 @@
   target_history.c) \
   $(addprefix src/coordination/, \
   admission_cost.c \
+  admission_preview.c \
   admission_queue.c \
   admission_rank.c \
   cold_limit.c \
   leave_holders.c \
   link_load.c \
   placement.c \
+  placement_estimate.c \
   placement_speed.c \
   quota_lease.c \
   quota_owner.c \
@@ -69,6 +71,7 @@
   crash_record.c \
   document.c \
   entry_record.c \
+  explain_query.c \
   hop.c \
   json_text.c \
   move_record.c \
--- a/src/coordination/admission_queue.c
+++ b/src/coordination/admission_queue.c
@@ -371,6 +371,7 @@
   uint64_t wait = at_link_limit
                       ? link_wait_us (queue, ticket, now_us)
                       : queue->policy->wait_us (queue, ticket, now_us);
+  ticket->wait_us = wait;
   if (queue->queued < ADMISSION_QUEUE_MAX
       && !admission_queue_finishes_before (ticket, work->deadline_ms,
                                            now_us + wait))
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -52,6 +52,8 @@
   enum admit_state state;
   struct admission_queue_work work;
   uint32_t service_us; ///< expected service time
+  uint64_t wait_us;    ///< expected time in the queue when it was offered; 0:
+                       ///< it was not compared with the queue
   uint64_t started_us;
   uint64_t head_us;   ///< arrival of the response head; 0: not yet
   uint64_t bytes;     ///< size of the response body so far
@@ -157,6 +159,25 @@
                                    const struct admission_queue_work *work,
                                    uint64_t now_us, enum admit_refusal *why);
 
+/// What admission_queue_offer would do.
+struct admission_preview
+{
+  enum admit_state state; ///< ADMIT_RUNNING, ADMIT_QUEUED, or ADMIT_OVER when
+                          ///< it would be refused
+  enum admit_refusal why; ///< of a refusal
+  uint32_t service_us;    ///< expected service time
+  uint64_t wait_us;       ///< expected time in the queue
+  bool over_share;        ///< beyond the usual share of its account
+};
+
+/// Finds out what would happen to work that is offered now; changes nothing.
+/// Takes some microseconds and about 100 kB: it offers the work to a copy.
+/// @return STATUS_NO_MEMORY without memory for the copy
+enum status admission_queue_preview (const struct admission_queue *queue,
+                                     const struct admission_queue_work *work,
+                                     uint64_t now_us,
+                                     struct admission_preview *preview);
+
 /// Ends a running ticket and starts queued ones.
 /// @param served  true when the elapsed time is a valid sample of the target's
 ///                service time
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -12,6 +12,9 @@
 /// Maximum number of tried nodes that are recorded for one request.
 #define PLACEMENT_TRIED_MAX 8
 
+/// Largest number of nodes that are compared for one request.
+#define PLACEMENT_COMPARED_MAX 5
+
 /// Versions of a service that may get a request.
 struct placement_version
 {
@@ -36,6 +39,74 @@
   size_t tried_count;
 };
 
+/// Why a node may not get a request, in the order in which it is checked.
+enum placement_obstacle
+{
+  PLACEMENT_ELIGIBLE,
+  PLACEMENT_OTHER_SERVICE, ///< not in use, or of another service
+  PLACEMENT_TARGET_ABSENT,
+  PLACEMENT_TARGET_DRAINING,
+  PLACEMENT_NODE_LEAVING,
+  PLACEMENT_ZONE_EVACUATED,
+  PLACEMENT_OTHER_VERSION,
+  PLACEMENT_TRIED,        ///< the request was offered to it before
+  PLACEMENT_FAILED_LATELY ///< eligible only if all others have an obstacle
+};
+
+/// What is assumed of a target without reports.
+struct placement_speed_typical
+{
+  uint64_t service_us; ///< at 100 percent
+  double busy;         ///< running and queued requests per slot
+};
+
+/// What the estimates of one decision are relative to.
+struct placement_basis
+{
+  bool with_speed; ///< one of the eligible targets reports its speed
+  struct placement_speed_typical typical; ///< of the candidates
+};
+
+/// Expected time until the response of a node, by cause, microseconds.
+struct placement_estimate
+{
+  uint64_t service_us; ///< in the target, at the speed that is expected of it
+  uint64_t queue_us;   ///< waiting for a slot
+  uint64_t zone_us;    ///< cost of another zone
+  uint64_t body_us;    ///< transfer of the request's body
+  uint64_t failure_us; ///< cost of the failures to be expected
+};
+
+/// A choice and what it is based on.
+struct placement_decision
+{
+  size_t best; ///< handle of the chosen node, or SIZE_MAX
+  size_t compared[PLACEMENT_COMPARED_MAX]; ///< handles of the candidates
+  size_t compared_count;
+  bool with_failed; ///< nodes that failed lately were eligible, too
+  struct placement_basis basis;
+};
+
+/// Draws candidates and chooses one of them.
+void placement_decide (const struct directory *directory,
+                       const struct placement_request *request,
+                       struct rng *rng, uint64_t now_ms,
+                       struct placement_decision *decision);
+
+/// @return why the node with a handle may not get the request
+enum placement_obstacle
+placement_obstacle (const struct directory *directory,
+                    const struct placement_request *request, size_t handle,
+                    uint64_t now_ms);
+
+struct placement_estimate
+placement_estimate (const struct directory_record *record,
+                    const struct placement_request *request,
+                    const struct placement_basis *basis, uint64_t now_ms);
+
+/// @return sum of the parts, by which candidates are compared, microseconds
+uint64_t placement_estimate_us (const struct placement_estimate *estimate);
+
 /// @return handle of the chosen node, or SIZE_MAX when none is eligible
 size_t placement_choose (const struct directory *directory,
                          const struct placement_request *request,
--- a/src/coordination/placement_speed.c
+++ b/src/coordination/placement_speed.c
@@ -158,10 +158,10 @@
   return busy > in_flight ? busy : in_flight;
 }
 
-uint64_t
-placement_speed_response_us (const struct directory_record *record,
-                             const struct placement_speed_typical *typical,
-                             uint64_t now_ms)
+void
+placement_speed_estimate (const struct directory_record *record,
+                          const struct placement_speed_typical *typical,
+                          uint64_t now_ms, struct placement_estimate *estimate)
 {
   const struct directory_load *load = &record->load;
   double age_ms = (double)(now_ms - load->reported_ms);
@@ -183,8 +183,10 @@
   if (now_ms < record->seen_ms + record->entry.cold_ms)
     service_us *= 2;
   service_us += (typical_us - service_us) * TYPICAL_SHARE;
-  return (uint64_t)(service_us * percent / TARGET_SPEED_USUAL_PERCENT
-                    * (1 + queue));
+  double at_speed_us = service_us * percent / TARGET_SPEED_USUAL_PERCENT;
+  estimate->service_us = (uint64_t)at_speed_us;
+  estimate->queue_us
+      = (uint64_t)(at_speed_us * (1 + queue)) - estimate->service_us;
 }
 
 uint64_t
--- a/src/coordination/placement_speed.h
+++ b/src/coordination/placement_speed.h
@@ -7,24 +7,17 @@
 
 #include "coordination/placement.h"
 
-/// What is assumed of a target without reports.
-struct placement_speed_typical
-{
-  uint64_t service_us; ///< at 100 percent
-  double busy;         ///< running and queued requests per slot
-};
-
 /// @param handles  of candidates
 /// @return means over the candidates that have reported
 struct placement_speed_typical
 placement_speed_typical (const struct directory *directory,
                          const size_t *handles, size_t count);
 
-/// @return expected time in the queue and in the target, microseconds
-uint64_t
-placement_speed_response_us (const struct directory_record *record,
-                             const struct placement_speed_typical *typical,
-                             uint64_t now_ms);
+/// Sets the expected times in the target and in its queue.
+void placement_speed_estimate (const struct directory_record *record,
+                               const struct placement_speed_typical *typical,
+                               uint64_t now_ms,
+                               struct placement_estimate *estimate);
 
 /// @param record  node to which the request would go; NULL: any
 /// @return time that the request's body takes on the slower of this VM's link
--- a/src/coordination/retry_quota.c
+++ b/src/coordination/retry_quota.c
@@ -69,6 +69,33 @@
   return oldest;
 }
 
+/// @return tokens after the first send of a request, in thousandths
+static uint32_t
+after_request (const struct retry_quota_table *table, uint32_t millitokens)
+{
+  uint32_t sum = millitokens + table->ratio_permille;
+  uint32_t most = table->burst_tokens * TOKEN;
+  return sum < most ? sum : most;
+}
+
+uint32_t
+retry_quota_millitokens (const struct retry_quota_table *table,
+                         const char *service)
+{
+  for (size_t i = 0; i < table->count; i++)
+    if (strcmp (table->items[i].service, service) == 0)
+      return table->items[i].millitokens;
+  return TOKEN;
+}
+
+bool
+retry_quota_would_allow (const struct retry_quota_table *table,
+                         const char *service)
+{
+  return after_request (table, retry_quota_millitokens (table, service))
+         >= TOKEN;
+}
+
 void
 retry_quota_count_request (struct retry_quota_table *table,
                            const char *service, uint64_t now_ms)
@@ -77,9 +104,7 @@
   if (retry_quota == NULL)
     return;
   retry_quota->used_ms = now_ms;
-  retry_quota->millitokens += table->ratio_permille;
-  if (retry_quota->millitokens > table->burst_tokens * TOKEN)
-    retry_quota->millitokens = table->burst_tokens * TOKEN;
+  retry_quota->millitokens = after_request (table, retry_quota->millitokens);
 }
 
 bool
--- a/src/coordination/retry_quota.h
+++ b/src/coordination/retry_quota.h
@@ -48,4 +48,13 @@
 bool retry_quota_take (struct retry_quota_table *table, const char *service,
                        uint64_t now_ms);
 
+/// @return true when a request that is sent for the first time now would find
+///         a token for a retry; changes nothing
+bool retry_quota_would_allow (const struct retry_quota_table *table,
+                              const char *service);
+
+/// @return thousandths of a token that a service has
+uint32_t retry_quota_millitokens (const struct retry_quota_table *table,
+                                  const char *service);
+
 #endif
--- a/src/state/mesh_config.c
+++ b/src/state/mesh_config.c
@@ -79,11 +79,11 @@
   return host[header_size] == '\0' ? 0 : 1;
 }
 
-struct mesh_route *
-mesh_config_find (const struct mesh_config *config, const char *host,
-                  const char *path)
+/// @return index of the first route of a host
+static size_t
+first_of_host (const struct mesh_config *config, const char *host,
+               size_t host_size)
 {
-  size_t host_size = strcspn (host, ":");
   size_t low = 0;
   size_t high = config->route_count;
   while (low < high)
@@ -94,17 +94,40 @@
       else
         high = middle;
     }
-  for (; low < config->route_count
-         && compare_host (config->routes[low].host, host, host_size) == 0;
-       low++)
+  return low;
+}
+
+struct mesh_route *
+mesh_config_find (const struct mesh_config *config, const char *host,
+                  const char *path)
+{
+  size_t host_size = strcspn (host, ":");
+  for (size_t i = first_of_host (config, host, host_size);
+       i < config->route_count
+       && compare_host (config->routes[i].host, host, host_size) == 0;
+       i++)
     {
-      struct mesh_route *route = &config->routes[low];
+      struct mesh_route *route = &config->routes[i];
       if (strncmp (path, route->prefix, route->prefix_size) == 0)
         return route;
     }
   return NULL;
 }
 
+const struct mesh_route *
+mesh_config_host (const struct mesh_config *config, const char *host,
+                  size_t *count)
+{
+  size_t host_size = strcspn (host, ":");
+  size_t first = first_of_host (config, host, host_size);
+  size_t end = first;
+  while (end < config->route_count
+         && compare_host (config->routes[end].host, host, host_size) == 0)
+    end++;
+  *count = end - first;
+  return config->routes + first;
+}
+
 const struct mesh_service *
 mesh_config_service (const struct mesh_config *config, const char *name)
 {
@@ -114,21 +137,50 @@
   return NULL;
 }
 
-const char *
-mesh_route_choose (struct mesh_route *route)
+uint32_t
+mesh_route_objective_ms (const struct mesh_route *route, uint32_t deadline_ms)
+{
+  uint32_t elapsed_ms = route->deadline_seen_ms > deadline_ms
+                            ? route->deadline_seen_ms - deadline_ms
+                            : 0;
+  return route->objective_ms > elapsed_ms ? route->objective_ms - elapsed_ms
+                                          : 0;
+}
+
+/// @return the service whose turn it is in the rotation
+static struct mesh_weighted_service *
+next_in_rotation (const struct mesh_route *route)
 {
   struct mesh_weighted_service *best = NULL;
-  int64_t total = 0;
   for (size_t i = 0; i < route->split_count; i++)
     {
       struct mesh_weighted_service *part = &route->split[i];
-      part->credit += part->weight;
-      total += part->weight;
-      if (part->weight > 0 && (best == NULL || part->credit > best->credit))
+      if (part->weight > 0
+          && (best == NULL
+              || part->credit + part->weight > best->credit + best->weight))
         best = part;
     }
   /* mesh_config_prepare refuses routes without weights. */
   assert (best != NULL);
-  best->credit -= total;
-  return best->service;
+  return best;
+}
+
+const char *
+mesh_route_next (const struct mesh_route *route)
+{
+  return next_in_rotation (route)->service;
+}
+
+const char *
+mesh_route_choose (struct mesh_route *route)
+{
+  struct mesh_weighted_service *chosen = next_in_rotation (route);
+  int64_t total = 0;
+  for (size_t i = 0; i < route->split_count; i++)
+    {
+      route->split[i].credit += route->split[i].weight;
+      total += route->split[i].weight;
+    }
+  chosen->credit -= total;
+  return chosen->service;
 }
--- a/src/state/mesh_config.h
+++ b/src/state/mesh_config.h
@@ -96,10 +96,24 @@
 struct mesh_route *mesh_config_find (const struct mesh_config *config,
                                      const char *host, const char *path);
 
+/// Finds the routes of a host, which follow each other in the configuration.
+/// @param count  set to their number
+/// @return the first one
+const struct mesh_route *mesh_config_host (const struct mesh_config *config,
+                                           const char *host, size_t *count);
+
 /// @return the service with a name, or NULL
 const struct mesh_service *
 mesh_config_service (const struct mesh_config *config, const char *name);
 
+/// @param deadline_ms  that a caller has given
+/// @return time left until the latency objective; see deadline_seen_ms
+uint32_t mesh_route_objective_ms (const struct mesh_route *route,
+                                  uint32_t deadline_ms);
+
+/// @return name of the service that mesh_route_choose would choose
+const char *mesh_route_next (const struct mesh_route *route);
+
 /// Chooses a service of the route's traffic split by smooth weighted
 /// round-robin, which keeps the shares exact over short spans.
 /// @return name of the service
