Explain at the metrics address where a request would be sent, and why

When a caller complained, operators could only read the log lines of requests that had already ended; nothing told where the next one would go, which nodes were left out for what reason, or what the estimates consisted of.

GET /explain at a sidecar's metrics address now answers that as JSON, and hawthornseam-ctl route prints it as a table: view, route, version of a move, rank, account and quota, retry budget, the nodes of the service with their reports and the parts of their estimates or the reason why they get nothing, the compared nodes, the best one, and what admission would do beside this node. The functions that decide compute it; what they change (random numbers, the rotation of a move, the queue) is a copy. The decision on a quota is not part of it: the answer has the node that decides, the rate and burst, and the counts of the metrics.

An explanation changes nothing but the counter `explanations`, which shows that the path is used. Keys are not accepted; an account is named.

--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -28,8 +28,11 @@
   int count;     ///< versions that history and audit list
   const char *author;
   const char *note;
-  uint64_t nonce;   ///< makes repeated attempts of a change idempotent
-  const char *base; ///< expected version in force, NULL for any
+  uint64_t nonce;       ///< makes repeated attempts of a change idempotent
+  const char *base;     ///< expected version in force, NULL for any
+  const char *account;  ///< of the request to explain; "" without one
+  uint64_t body_bytes;  ///< of the request to explain
+  uint32_t deadline_ms; ///< of the request to explain; 0: none
   const char **arguments;
   int argument_count;
 };
@@ -90,5 +93,6 @@
 int ctl_status (const struct ctl *ctl);
 int ctl_move_status (const struct ctl *ctl);
 int ctl_move_cancel (const struct ctl *ctl);
+int ctl_route (const struct ctl *ctl);
 
 #endif
--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -3,6 +3,7 @@
 #include "ctl/ctl.h"
 
 #include "base/rng.h"
+#include "protocol/explain_query.h"
 
 #include <argtable2.h>
 #include <sodium.h>
@@ -38,11 +39,15 @@
   { "status", NULL, 0, 0, ctl_status, "show the mesh as the node sees it" },
   { "move", "status", 0, 1, ctl_move_status, "[NAME]  show moves" },
   { "move", "cancel", 1, 1, ctl_move_cancel, "NAME  end a running move" },
+  { "route", NULL, 2, 2, ctl_route,
+    "HOST PATH --sidecar=host:port  show where a sidecar would send a "
+    "request" },
 };
 
 static struct arg_str *node_option, *author_option, *note_option,
-    *nonce_option, *base_option, *words;
-static struct arg_int *timeout_option, *count_option;
+    *nonce_option, *base_option, *sidecar_option, *account_option,
+    *body_option, *words;
+static struct arg_int *timeout_option, *count_option, *deadline_option;
 static struct arg_lit *json_option, *wait_option, *help_option,
     *version_option;
 static struct arg_end *end;
@@ -125,6 +130,41 @@
   return *nonce != 0;
 }
 
+/// Sets the size of the body from --body-bytes.
+/// @return false when it is malformed or out of range
+static bool
+read_body_bytes (uint64_t *bytes)
+{
+  *bytes = 0;
+  if (body_option->count == 0)
+    return true;
+  const char *value = body_option->sval[0];
+  size_t size = strlen (value);
+  if (size == 0 || size > 13 || strspn (value, "0123456789") != size)
+    return false;
+  *bytes = strtoull (value, NULL, 10);
+  return *bytes <= EXPLAIN_BODY_BYTES_MAX;
+}
+
+/// Sets the address that the command asks.
+/// @return false after a usage error, which has been printed
+static bool
+read_address (const struct command *command, char host[256], uint16_t *port)
+{
+  bool asks_sidecar = command->run == ctl_route;
+  const struct arg_str *option = asks_sidecar ? sidecar_option : node_option;
+  if (asks_sidecar && option->count == 0)
+    {
+      usage_error ("route needs --sidecar", "");
+      return false;
+    }
+  if (parse_node (option->count > 0 ? option->sval[0] : NODE_DEFAULT, host,
+                  port))
+    return true;
+  usage_error (asks_sidecar ? "--sidecar" : "--node", " takes host:port");
+  return false;
+}
+
 /// @param word_count  set to the number of words in the command's name, 1 or 2
 /// @return the command that the words name, NULL when there is none
 static const struct command *
@@ -155,6 +195,7 @@
     = author_option->count > 0 ? author_option->sval[0] : default_author (),
     .note = note_option->count > 0 ? note_option->sval[0] : "",
     .base = base_option->count > 0 ? base_option->sval[0] : NULL,
+    .account = account_option->count > 0 ? account_option->sval[0] : "",
   };
   int word_count;
   const struct command *command
@@ -167,10 +208,15 @@
       || ctl.argument_count > command->max_arguments)
     return usage_error ("wrong number of arguments for ", command->name);
   ctl.host = host;
-  if (!parse_node (node_option->count > 0 ? node_option->sval[0]
-                                          : NODE_DEFAULT,
-                   host, &ctl.port))
-    return usage_error ("--node takes host:port", "");
+  if (!read_address (command, host, &ctl.port))
+    return CTL_USAGE;
+  int deadline_ms = deadline_option->count > 0 ? deadline_option->ival[0] : 0;
+  if (deadline_ms < 0 || (deadline_option->count > 0 && deadline_ms == 0)
+      || !read_body_bytes (&ctl.body_bytes))
+    return usage_error ("--deadline-ms must be at least 1, --body-bytes a "
+                        "number of at most 13 digits",
+                        "");
+  ctl.deadline_ms = (uint32_t)deadline_ms;
   if (ctl.timeout_s < 1 || ctl.count < 1 || ctl.count > 4096)
     return usage_error ("--timeout must be at least 1, --count from 1 to 4096",
                         "");
@@ -199,6 +245,14 @@
                             "reject unless this version is in force"),
     nonce_option = arg_str0 (NULL, "nonce", "hex",
                              "of an earlier attempt, to retry it safely"),
+    sidecar_option = arg_str0 (NULL, "sidecar", "host:port",
+                               "route: metrics address of the sidecar to ask"),
+    account_option
+    = arg_str0 (NULL, "account", "name", "route: account of the request"),
+    body_option
+    = arg_str0 (NULL, "body-bytes", "n", "route: size of the request's body"),
+    deadline_option
+    = arg_int0 (NULL, "deadline-ms", "ms", "route: the caller's deadline"),
     help_option = arg_lit0 (NULL, "help", "print this help"),
     version_option = arg_lit0 (NULL, "version", "print the version"),
     words = arg_strn (NULL, NULL, "command", 0, ARGUMENTS_MAX, ""),
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -1,9 +1,12 @@
-/// Owns no state; serves the readiness probe and the metrics.
+/// Owns no state; serves the readiness probe, the metrics and, at their
+/// address, explanations.
 #include "sidecar/sidecar_admission.h"
+#include "sidecar/sidecar_explain.h"
 #include "sidecar/sidecar_quota.h"
 
 #include "base/counter.h"
 #include "base/histogram.h"
+#include "protocol/explain_query.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -73,6 +76,11 @@
 on_metrics (void *arg, struct http_request *request)
 {
   struct sidecar *sidecar = arg;
+  if (explain_query_is (request->head->target))
+    {
+      sidecar_explain_serve (sidecar, request);
+      return;
+    }
   struct evbuffer *text = evbuffer_new ();
   for (const struct counter *counter = counter_first (); counter != NULL;
        counter = counter->next)
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -470,10 +470,9 @@
   return target->draining && now_ms >= target->draining_ms + accept_ms;
 }
 
-/// @return a reason why the local target must not receive a request, or NULL
-static const char *
-refusal_reason (const struct sidecar *sidecar, const struct hop *hop,
-                uint64_t now_ms)
+const char *
+sidecar_inbound_refusal (const struct sidecar *sidecar, const struct hop *hop,
+                         uint64_t now_ms)
 {
   const struct sidecar_target *target = &sidecar->target;
   /* Only the view tells whether an earlier process of this node acknowledged
@@ -552,7 +551,7 @@
     sidecar_store_request_view (sidecar, hop.address, hop.port);
   link_load_add (&sidecar->target.link, evbuffer_get_length (request->body),
                  now_us);
-  const char *reason = refusal_reason (sidecar, &hop, now_us / 1000);
+  const char *reason = sidecar_inbound_refusal (sidecar, &hop, now_us / 1000);
   struct sidecar_inbound *inbound
       = reason == NULL ? calloc (1, sizeof *inbound) : NULL;
   if (inbound == NULL)
--- a/src/sidecar/sidecar_inbound.h
+++ b/src/sidecar/sidecar_inbound.h
@@ -27,4 +27,8 @@
   uint64_t fingerprint; ///< identifies the request in crash records
 };
 
+/// @return a reason why the local target must not receive a request, or NULL
+const char *sidecar_inbound_refusal (const struct sidecar *sidecar,
+                                     const struct hop *hop, uint64_t now_ms);
+
 #endif
--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -97,7 +97,7 @@
   move->order_ms = clock_monotonic_ms ();
   move->tripped = false;
   move->status_known = false;
-  move->credit_count = 0;
+  move->rotation.credit_count = 0;
   log_event (LOG_LEVEL_INFO, "move_ordered",
              "service=%s to=%s duration_ms=%u revision=%" PRIu64, service,
              order.to_version, order.duration_ms, key->revision);
@@ -141,24 +141,25 @@
 /// its share.
 /// @return true when the next request goes to the new version
 static bool
-select_new_version (struct service_move *move, uint32_t kind)
+select_new_version (const struct move_record *record,
+                    struct move_rotation *rotation, struct rng *rng,
+                    uint32_t kind)
 {
   struct move_credit *credit = NULL;
-  for (size_t i = 0; i < move->credit_count; i++)
-    if (move->credits[i].kind == kind)
-      credit = &move->credits[i];
+  for (size_t i = 0; i < rotation->credit_count; i++)
+    if (rotation->credits[i].kind == kind)
+      credit = &rotation->credits[i];
   if (credit == NULL)
     {
-      if (move->credit_count < ROLLOUT_KINDS)
-        move->credit_count++;
-      credit = &move->credits[move->credit_count - 1];
+      if (rotation->credit_count < ROLLOUT_KINDS)
+        rotation->credit_count++;
+      credit = &rotation->credits[rotation->credit_count - 1];
       /* Nodes start at random points of the rotation, otherwise all would send
          to the new version at the same time. */
       credit->kind = kind;
-      credit->credit_bp
-          = (uint32_t)rng_below (&move->sidecar->rng, FULL_SHARE_BP);
+      credit->credit_bp = (uint32_t)rng_below (rng, FULL_SHARE_BP);
     }
-  credit->credit_bp += kind_share_bp (&move->record, kind);
+  credit->credit_bp += kind_share_bp (record, kind);
   if (credit->credit_bp < FULL_SHARE_BP)
     return false;
   credit->credit_bp -= FULL_SHARE_BP;
@@ -237,12 +238,15 @@
   return false;
 }
 
-void
-sidecar_moves_choose (struct sidecar *sidecar, const char *service,
-                      uint32_t kind, bool repeated,
-                      struct placement_version *version)
+/// Chooses the versions for a request.
+/// @param rotation  of the move, or a copy
+/// @param rng       for the start of a rotation
+static void
+choose_version (struct sidecar *sidecar, const char *service,
+                const struct service_move *move,
+                struct move_rotation *rotation, struct rng *rng, uint32_t kind,
+                bool repeated, struct placement_version *version)
 {
-  struct service_move *move = find_move (sidecar, service);
   *version = (struct placement_version){ .name = NULL };
   if (move == NULL || !move->has_record)
     {
@@ -258,7 +262,7 @@
     {
     case MOVE_PHASE_RUNNING:
       version->exclude = (repeated && record->share_bp < FULL_SHARE_BP)
-                         || !select_new_version (move, kind);
+                         || !select_new_version (record, rotation, rng, kind);
       /* Once more than half of the requests go to the new version, a version
          without a ready target is replaced by the other one. */
       if (!has_target (sidecar, service, version)
@@ -283,6 +287,36 @@
     }
 }
 
+void
+sidecar_moves_choose (struct sidecar *sidecar, const char *service,
+                      uint32_t kind, bool repeated,
+                      struct placement_version *version)
+{
+  struct service_move *move = find_move (sidecar, service);
+  choose_version (sidecar, service, move,
+                  move == NULL ? NULL : &move->rotation, &sidecar->rng, kind,
+                  repeated, version);
+}
+
+const struct service_move *
+sidecar_move_find (const struct sidecar *sidecar, const char *service)
+{
+  return find_move (sidecar, service);
+}
+
+void
+sidecar_move_preview (struct sidecar *sidecar, const char *service,
+                      uint32_t kind, struct rng *rng,
+                      struct placement_version *version)
+{
+  const struct service_move *move = find_move (sidecar, service);
+  struct move_rotation rotation = { .credit_count = 0 };
+  if (move != NULL)
+    rotation = move->rotation;
+  choose_version (sidecar, service, move, &rotation, rng, kind, false,
+                  version);
+}
+
 bool
 sidecar_moves_blocks_target (const struct sidecar *sidecar)
 {
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -17,6 +17,12 @@
   uint32_t credit_bp;
 };
 
+struct move_rotation
+{
+  size_t credit_count;
+  struct move_credit credits[ROLLOUT_KINDS];
+};
+
 /// Evidence (counts of calls, failures and latencies) of one node's target as
 /// of its last response.
 struct evidence_source
@@ -43,8 +49,7 @@
   struct move_record record;
   uint64_t record_revision; ///< 0: none
   bool tripped;             ///< this node's target failed too often
-  size_t credit_count;
-  struct move_credit credits[ROLLOUT_KINDS];
+  struct move_rotation rotation;
   /* Used by the driver and the standby driver only */
   struct rollout *rollout; ///< NULL while this node does not drive
   struct evidence_source *sources;
@@ -82,6 +87,17 @@
                               const struct move_record *record,
                               uint64_t revision);
 
+/// @return the move of a service that this node follows, or NULL
+const struct service_move *sidecar_move_find (const struct sidecar *sidecar,
+                                              const char *service);
+
+/// Finds the version that sidecar_moves_choose would choose for a first
+/// attempt; the rotation between the versions stays as it is.
+/// @param rng  copy of the node's random numbers
+void sidecar_move_preview (struct sidecar *sidecar, const char *service,
+                           uint32_t kind, struct rng *rng,
+                           struct placement_version *version);
+
 /// @return true when the record belongs to the current order
 bool sidecar_move_is_current (const struct service_move *move);
 
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -355,24 +355,37 @@
   outbound->reported = false;
 }
 
-/// @return handle of the node for the next attempt, or SIZE_MAX for none
-static size_t
-choose_node (struct sidecar_outbound *outbound, uint64_t now_ms)
+void
+sidecar_outbound_describe (const struct sidecar *sidecar, const char *service,
+                           enum mesh_retry_class retry_class,
+                           uint32_t objective_ms, uint64_t body_bytes,
+                           struct placement_request *request)
 {
-  struct sidecar *sidecar = outbound->sidecar;
-  struct placement_request request = {
-    .service = outbound->service,
+  *request = (struct placement_request){
+    .service = service,
     .availability_zone = sidecar->settings.availability_zone,
     .evacuations = &sidecar->evacuations,
-    .large_response = outbound->retry.retry_class == MESH_DOWNLOAD,
-    .objective_ms = outbound->objective_ms > now_ms
-                        ? (uint32_t)(outbound->objective_ms - now_ms)
-                        : 1,
-    .body_bytes = evbuffer_get_length (outbound->request->body),
+    .large_response = retry_class == MESH_DOWNLOAD,
+    .objective_ms = objective_ms > 0 ? objective_ms : 1,
+    .body_bytes = body_bytes,
     .link_bytes_per_s = sidecar->admission.link_bytes_per_s,
     .own_node = sidecar->settings.node,
-    .tried_count = outbound->tried_count,
   };
+}
+
+/// @return handle of the node for the next attempt, or SIZE_MAX for none
+static size_t
+choose_node (struct sidecar_outbound *outbound, uint64_t now_ms)
+{
+  struct sidecar *sidecar = outbound->sidecar;
+  struct placement_request request;
+  sidecar_outbound_describe (
+      sidecar, outbound->service, outbound->retry.retry_class,
+      outbound->objective_ms > now_ms
+          ? (uint32_t)(outbound->objective_ms - now_ms)
+          : 0,
+      evbuffer_get_length (outbound->request->body), &request);
+  request.tried_count = outbound->tried_count;
   memcpy (request.tried, outbound->tried, sizeof request.tried);
   sidecar_moves_choose (sidecar, outbound->service, outbound->kind,
                         outbound->retry.offers > 0, &request.version);
@@ -620,11 +633,8 @@
   outbound->kind = (uint32_t)hash_placement_string (route->name);
   if (deadline_ms > route->deadline_seen_ms)
     route->deadline_seen_ms = deadline_ms;
-  uint32_t elapsed_ms = route->deadline_seen_ms - deadline_ms;
   outbound->objective_ms
-      = outbound->arrived_ms
-        + (route->objective_ms > elapsed_ms ? route->objective_ms - elapsed_ms
-                                            : 0);
+      = outbound->arrived_ms + mesh_route_objective_ms (route, deadline_ms);
   outbound->deadline_ms = outbound->arrived_ms + deadline_ms;
   outbound->respond_by_ms = outbound->deadline_ms;
   outbound->body_by_ms = outbound->deadline_ms;
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -77,6 +77,15 @@
 
 /* sidecar_outbound.c */
 
+/// Describes a request of a caller to placement, except for the version and
+/// the nodes that were tried.
+/// @param objective_ms  time left until the latency objective
+void sidecar_outbound_describe (const struct sidecar *sidecar,
+                                const char *service,
+                                enum mesh_retry_class retry_class,
+                                uint32_t objective_ms, uint64_t body_bytes,
+                                struct placement_request *request);
+
 /// @return the directory record of the current attempt's node, or NULL when it
 ///         is no longer in the directory
 struct directory_record *
