Limit heads and trailers by their bytes, not by their lines

A head with more than 96 lines got 431 although the configuration limits only its size, and the table of its fields took 1.5 KiB for any head. Fields are now found by walking through the block of their strings, which is never longer than the lines. Trailers have the same limit, also those of requests, which had none. The copy of a response's head at the entry node is one block and is charged to the budget. A node accepts 4 KiB more of other nodes than they accept, for the fields that they add.

--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,7 @@
   target_load.c \
   view.c) \
   $(addprefix src/transport/, \
+  http_head.c \
   http_head_check.c \
   http_pool.c \
   http_server.c \
--- a/src/sidecar/sidecar_account.c
+++ b/src/sidecar/sidecar_account.c
@@ -14,13 +14,14 @@
 find_only (const struct http_head *head, const char *name)
 {
   const char *value = NULL;
-  for (size_t i = 0; i < head->field_count; i++)
+  struct http_field field = { 0 };
+  while (http_head_next (head, &field))
     {
-      if (strcasecmp (head->fields[i].name, name) != 0)
+      if (strcasecmp (field.name, name) != 0)
         continue;
       if (value != NULL)
         return NULL;
-      value = head->fields[i].value;
+      value = field.value;
     }
   return value;
 }
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -58,6 +58,10 @@
     .receive_ms = config->limits.head_ms,
     .idle_ms = config->limits.idle_ms,
   };
+  /* What an entry node accepted and added its fields to. */
+  size_t head_bytes = config->limits.head_bytes + HTTP_HEAD_ADDED_BYTES_MAX;
+  sidecar->peers.limits.head_bytes
+      = head_bytes > HTTP_HEAD_BYTES_MAX ? head_bytes : HTTP_HEAD_BYTES_MAX;
 }
 
 /// Announces the entry of this node again when another writer has replaced it.
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -323,9 +323,11 @@
 start (struct sidecar *sidecar)
 {
   const struct sidecar_settings *settings = &sidecar->settings;
-  const struct http_pool_options peer = { .idle_ms = PEER_IDLE_MS,
-                                          .connect_ms = PEER_CONNECT_MS,
-                                          .budget = &sidecar->budget };
+  const struct http_pool_options peer
+      = { .idle_ms = PEER_IDLE_MS,
+          .connect_ms = PEER_CONNECT_MS,
+          .head_bytes = HTTP_HEAD_BYTES_MAX + HTTP_HEAD_ADDED_BYTES_MAX,
+          .budget = &sidecar->budget };
   const struct http_pool_options target
       = { .idle_ms = TARGET_IDLE_MS,
           .connect_ms = TARGET_CONNECT_MS,
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -345,6 +345,7 @@
 reset_response (struct sidecar_outbound *outbound)
 {
   TALLOC_FREE (outbound->response);
+  outbound->request->response_head_bytes = 0;
   if (outbound->buffered != NULL)
     evbuffer_drain (outbound->buffered,
                     evbuffer_get_length (outbound->buffered));
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -129,16 +129,15 @@
   if (call_outcome_parse (http_head_find (head, CALL_HEADER_OUTCOME), &outcome)
       != STATUS_OK)
     outcome = CALL_UNKNOWN;
-  outbound->response
-      = talloc_zero (outbound->request->arena, struct http_head);
-  *outbound->response = *head;
-  for (size_t i = 0; i < head->field_count; i++)
+  outbound->response = http_head_copy (outbound->request->arena, head);
+  if (outbound->response == NULL)
     {
-      outbound->response->fields[i].name
-          = talloc_strdup (outbound->response, head->fields[i].name);
-      outbound->response->fields[i].value
-          = talloc_strdup (outbound->response, head->fields[i].value);
+      outbound->not_run = outbound->target_failed = false;
+      outbound->unusable = true;
+      stop_reading (outbound);
+      return;
     }
+  outbound->request->response_head_bytes = http_head_memory (head);
   outbound->discarded = 0;
   outbound->not_run = outcome == CALL_NOT_RUN;
   outbound->unusable
@@ -284,8 +283,10 @@
       sidecar_outbound_report_result (outbound, PLACEMENT_FAILED);
       sidecar_outbound_retry_or_end (
           outbound, RESEND_LOST,
-          known_reason (
-              http_head_find (outbound->response, CALL_HEADER_REASON)));
+          outbound->response == NULL
+              ? "unstated"
+              : known_reason (
+                  http_head_find (outbound->response, CALL_HEADER_REASON)));
     }
   else if (outbound->target_failed && !outbound->forwarding)
     {
--- a/src/transport/http_head_check.c
+++ b/src/transport/http_head_check.c
@@ -119,8 +119,9 @@
 count_fields (const struct http_head *head, const char *name)
 {
   size_t count = 0;
-  for (size_t i = 0; i < head->field_count; i++)
-    count += strcasecmp (head->fields[i].name, name) == 0;
+  struct http_field field = { 0 };
+  while (http_head_next (head, &field))
+    count += strcasecmp (field.name, name) == 0;
   return count;
 }
 
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -296,6 +296,8 @@
       free (connection);
       return NULL;
     }
+  if (pool->options.head_bytes > 0)
+    connection->stream->head_bytes_max = pool->options.head_bytes;
   connection->next = endpoint->first;
   endpoint->first = connection;
   pool->connections++;
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -35,6 +35,7 @@
   const char *id_header; ///< name of the id field: a response whose value
                          ///< differs from the request's id is dropped, also
                          ///< if the request has none; NULL: not compared
+  size_t head_bytes;     ///< limit of a response's head; 0: default
   struct memory_budget *budget; ///< counts the descriptors; NULL: no limit
 };
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -108,13 +108,15 @@
 }
 
 /// @return memory of a request, bytes. Its head and body are kept for another
-///         attempt; the head is also copied into what is sent on.
+///         attempt; the head is also copied into what is sent on, with two
+///         more bytes for each field.
 static size_t
 request_memory (const struct http_request *request)
 {
   size_t body = evbuffer_get_length (request->body);
-  size_t size = REQUEST_BYTES + sizeof *request->head
-                + 2 * request->head->text_size
+  size_t size = REQUEST_BYTES + http_head_memory (request->head)
+                + request->head->text_size + 2 * request->head->field_count
+                + request->response_head_bytes
                 + (body > request->body_size ? body : request->body_size);
   return request->output == NULL
              ? size
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -35,7 +35,9 @@
   size_t body_size;     ///< bytes of the body when the request was complete
   uint64_t received_us; ///< when the request was complete, monotonic
   void *context;        ///< pointer of the handler
-  unsigned status;      ///< of the response; 0: not started
+  size_t response_head_bytes; ///< memory of a response's head that the handler
+                              ///< keeps in the arena
+  unsigned status;            ///< of the response; 0: not started
   char framing[HTTP_FRAMING_SIZE_MAX]; ///< its framing field, or ""
   bool handed_over;                    ///< the handler has received it
   bool blocks_next;                    ///< see http_request_block_next
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -8,7 +8,6 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -38,6 +37,20 @@
   return parser->data;
 }
 
+/// Bytes of a field's line beside its name and value, at least: colon and line
+/// end. The text has a zero after each, so it is never longer than the lines.
+#define FIELD_LINE_BYTES 3u
+
+/// Counts bytes of a head or trailer.
+/// @return false when it is too large
+static bool
+count_head_bytes (struct http_stream *stream, size_t size)
+{
+  stream->head_bytes += size;
+  stream->head_too_large = stream->head_bytes > stream->head_bytes_max;
+  return !stream->head_too_large;
+}
+
 /// Adds bytes to the text of the head. They start a new string or continue the
 /// last one.
 /// @return false when the head is too large, malformed, or memory is exhausted
@@ -45,12 +58,8 @@
 append_text (struct http_stream *stream, const char *data, size_t size,
              bool starts_string)
 {
-  stream->head_bytes += size;
-  if (stream->head_bytes > stream->head_bytes_max)
-    {
-      stream->head_too_large = true;
-      return false;
-    }
+  if (!count_head_bytes (stream, size))
+    return false;
   size_t needed = stream->text_size + size + 2;
   if (needed > stream->text_capacity)
     {
@@ -78,7 +87,7 @@
   stream->text_capacity = 0;
 }
 
-/// Ends the text of a complete head and points its fields to their strings.
+/// Ends the text of a complete head.
 /// @return false when memory is exhausted
 static bool
 finish_text (struct http_stream *stream)
@@ -89,17 +98,10 @@
   char *text = talloc_realloc (head, stream->text, char, stream->text_size);
   if (text == NULL)
     return false;
-  char *next = text;
-  if (stream->parser.type == HTTP_REQUEST)
-    head->target = next;
-  for (size_t i = 0; i < head->field_count; i++)
-    {
-      next += strlen (next) + 1;
-      head->fields[i].name = next;
-      next += strlen (next) + 1;
-      head->fields[i].value = next;
-    }
+  head->text = text;
   head->text_size = stream->text_size;
+  if (stream->parser.type == HTTP_REQUEST)
+    head->target = text;
   reset_text (stream);
   return true;
 }
@@ -113,7 +115,6 @@
   stream->head_bytes = 0;
   stream->head_too_large = false;
   stream->head_complete = false;
-  stream->trailer_count = 0;
   stream->completed = false;
   stream->in_value = false;
   stream->started = true;
@@ -127,34 +128,18 @@
   return append_text (stream_of (parser), data, size, false) ? 0 : 1;
 }
 
-/// Counts a part of a trailer field, which is not kept.
-static int
-skip_trailer (struct http_stream *stream, size_t size, bool new_field)
-{
-  stream->head_bytes += size;
-  stream->trailer_count += new_field;
-  stream->head_too_large
-      = stream->head_bytes > stream->head_bytes_max
-        || stream->head->field_count + stream->trailer_count > HTTP_FIELDS_MAX;
-  return stream->head_too_large;
-}
-
 static int
 on_field_name (http_parser *parser, const char *data, size_t size)
 {
   struct http_stream *stream = stream_of (parser);
   struct http_head *head = stream->head;
-  if (head == NULL)
-    return 0; /* trailer fields; the owner has taken the head over */
-  bool new_field = stream->in_value || head->field_count == 0;
+  bool new_field
+      = stream->in_value || (!stream->head_complete && head->field_count == 0);
   stream->in_value = false;
-  if (stream->head_complete)
-    return skip_trailer (stream, size, new_field);
-  if (new_field && head->field_count == HTTP_FIELDS_MAX)
-    {
-      stream->head_too_large = true;
-      return 1;
-    }
+  if (new_field && !count_head_bytes (stream, FIELD_LINE_BYTES))
+    return 1;
+  if (stream->head_complete) /* a trailer is not kept */
+    return count_head_bytes (stream, size) ? 0 : 1;
   head->field_count += new_field;
   return append_text (stream, data, size, new_field) ? 0 : 1;
 }
@@ -163,13 +148,12 @@
 on_field_value (http_parser *parser, const char *data, size_t size)
 {
   struct http_stream *stream = stream_of (parser);
-  struct http_head *head = stream->head;
-  if (head == NULL || head->field_count == 0)
-    return 0;
   bool new_value = !stream->in_value;
   stream->in_value = true;
   if (stream->head_complete)
-    return skip_trailer (stream, size, false);
+    return count_head_bytes (stream, size) ? 0 : 1;
+  if (stream->head->field_count == 0)
+    return 0;
   return append_text (stream, data, size, new_value) ? 0 : 1;
 }
 
@@ -186,6 +170,7 @@
   if (!finish_text (stream))
     return -1;
   stream->head_complete = true;
+  stream->head_bytes = 0;  /* from here on those of the trailer */
   stream->in_value = true; /* the next field starts a trailer */
   if (!http_head_is_strict (head, parser))
     return -1;
@@ -436,8 +421,7 @@
   size_t size = evbuffer_get_length (bufferevent_get_input (stream->bev))
                 + evbuffer_get_length (bufferevent_get_output (stream->bev));
   if (stream->head != NULL)
-    size += sizeof *stream->head + stream->text_capacity
-            + stream->head->text_size;
+    size += http_head_memory (stream->head) + stream->text_capacity;
   return size;
 }
 
@@ -484,69 +468,6 @@
   return evbuffer_get_length (bufferevent_get_input (stream->bev));
 }
 
-const char *
-http_head_find (const struct http_head *head, const char *name)
-{
-  for (size_t i = 0; i < head->field_count; i++)
-    if (strcasecmp (head->fields[i].name, name) == 0)
-      return head->fields[i].value;
-  return NULL;
-}
-
-static bool
-list_contains (const char *list, const char *name)
-{
-  size_t size = strlen (name);
-  while (list != NULL && *list != '\0')
-    {
-      list += strspn (list, " \t,");
-      size_t token_size = strcspn (list, " \t,");
-      if (token_size == size && strncasecmp (list, name, size) == 0)
-        return true;
-      list += token_size;
-    }
-  return false;
-}
-
-bool
-http_field_is_hop_by_hop (const char *name, const char *connection)
-{
-  static const char *const names[] = { "Connection",
-                                       "Keep-Alive",
-                                       "Proxy-Connection",
-                                       "TE",
-                                       "Trailer",
-                                       "Upgrade",
-                                       "Transfer-Encoding",
-                                       "Proxy-Authenticate",
-                                       "Proxy-Authorization" };
-  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
-    if (strcasecmp (name, names[i]) == 0)
-      return true;
-  return connection != NULL && list_contains (connection, name);
-}
-
-void
-http_write_fields (struct evbuffer *buffer, const struct http_head *head,
-                   const char *const *skip)
-{
-  const char *connection = http_head_find (head, "Connection");
-  for (size_t i = 0; i < head->field_count; i++)
-    {
-      const struct http_field *field = &head->fields[i];
-      bool skip_field = strcasecmp (field->name, "Content-Length") == 0
-                        || http_field_is_hop_by_hop (field->name, connection);
-      for (size_t k = 0; !skip_field && skip != NULL && skip[k] != NULL; k++)
-        skip_field = strcasecmp (field->name, skip[k]) == 0;
-      if (skip_field)
-        continue;
-      evbuffer_add (buffer, field->name, strlen (field->name));
-      evbuffer_add (buffer, ": ", 2);
-      evbuffer_add (buffer, field->value, strlen (field->value));
-      evbuffer_add (buffer, "\r\n", 2);
-    }
-}
-
 static void
 set_option (evutil_socket_t fd, int level, int option, int value)
 {
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -4,6 +4,7 @@
 #ifndef HAWTHORNSEAM_TRANSPORT_HTTP_STREAM_H
 #define HAWTHORNSEAM_TRANSPORT_HTTP_STREAM_H
 
+#include "transport/http_head.h"
 #include "transport/http_head_check.h"
 #include "transport/http_socket.h"
 
@@ -15,34 +16,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/// Maximum number of header fields of a message; more are a protocol error.
-#define HTTP_FIELDS_MAX 96
-
 /// Default limit of a message head, bytes; the owner may set another one.
 #define HTTP_HEAD_BYTES_MAX (32u * 1024)
 
-struct http_field
-{
-  const char *name;
-  const char *value;
-};
-
-/// Head of a request or response. Its strings are parts of one block in the
-/// head's talloc context: an allocation for each of many short lines would
-/// take many times their bytes.
-struct http_head
-{
-  enum http_method method; ///< of a request
-  const char *target;      ///< path and query of a request
-  unsigned status;         ///< of a response
-  struct http_field fields[HTTP_FIELDS_MAX];
-  size_t field_count;
-  size_t text_size; ///< bytes of all strings
-  bool keep_alive;  ///< the connection can carry another message
-  bool chunked;     ///< the body has chunked coding
-  bool has_length;  ///< Content-Length is present
-  uint64_t length;  ///< bytes of the body
-};
+/// Bytes that nodes add to a head at most: routing, account, load and reason
+/// fields, names of up to 255 bytes. A receiver that adds this to the limit of
+/// the node in front accepts whatever that node accepted.
+#define HTTP_HEAD_ADDED_BYTES_MAX (4u * 1024)
 
 enum http_close
 {
@@ -79,14 +59,13 @@
   /// Head and talloc context of the current message; an owner that takes it
   /// over sets this to NULL.
   struct http_head *head;
-  size_t head_bytes;
-  size_t head_bytes_max;
+  size_t head_bytes;     ///< of the current head, or of the trailer
+  size_t head_bytes_max; ///< limit of a head, and of a trailer
   char *text; ///< target, names and values, in the head's context; each ends
               ///< with a zero
   size_t text_size;
   size_t text_capacity;
   uint64_t received_bytes; ///< parsed so far, of all messages
-  size_t trailer_count;    ///< fields after the body of a kept head
   bool head_complete;
   bool in_value;
   bool head_too_large;
@@ -139,20 +118,6 @@
 /// @return bytes received and not yet parsed
 size_t http_stream_unread (const struct http_stream *stream);
 
-/// @return the value of the first field with this name (case-insensitive), or
-/// NULL
-const char *http_head_find (const struct http_head *head, const char *name);
-
-/// @return true for hop-by-hop fields, which must not be forwarded
-/// @param connection  value of the message's Connection field, or NULL
-bool http_field_is_hop_by_hop (const char *name, const char *connection);
-
-/// Appends the end-to-end fields of a head to a buffer, without the fields
-/// that state the length and framing of the body.
-/// @param skip  NULL-terminated names to leave out, or NULL
-void http_write_fields (struct evbuffer *buffer, const struct http_head *head,
-                        const char *const *skip);
-
 /// Sets the socket options of a connection: no delay of small writes, and
 /// keep-alive probes that detect a vanished peer of an idle connection.
 void http_set_socket_options (evutil_socket_t fd);
