--- a/Makefile
+++ b/Makefile
@@ -81,9 +81,11 @@
   http_head.c \
   http_head_check.c \
   http_pool.c \
+  http_request_body.c \
   http_server.c \
   http_socket.c \
   http_stream.c \
+  http_upload.c \
   memory_budget.c \
   store_client.c \
   timer.c))
--- a/src/coordination/resend.c
+++ b/src/coordination/resend.c
@@ -11,7 +11,7 @@
 static bool
 may_offer (const struct resend *resend, uint64_t left_ms, uint64_t needed_ms)
 {
-  return resend->load_refusals < RESEND_LOAD_REFUSALS_MAX
+  return !resend->continued && resend->load_refusals < RESEND_LOAD_REFUSALS_MAX
          && resend->offers < RESEND_OFFERS_MAX && left_ms > needed_ms
          && (resend->runs == 0
              || (resend->retry_class != MESH_NON_IDEMPOTENT
--- a/src/coordination/resend.h
+++ b/src/coordination/resend.h
@@ -3,14 +3,17 @@
 /// give.
 ///
 /// A request that must run at most once is offered again only while it
-/// certainly has not started to run. Offering a request again after it reached
-/// a target takes a token from the retry budget that all nodes share. A
-/// refusal by a node does not reach the target and takes none.
+/// certainly has not started to run. One whose body is streamed is offered
+/// again only before a node has asked for the body. Offering a request again
+/// after it reached a target takes a token from the retry budget that all
+/// nodes share. A refusal by a node does not reach the target and takes none.
 #ifndef HAWTHORNSEAM_COORDINATION_RESEND_H
 #define HAWTHORNSEAM_COORDINATION_RESEND_H
 
 #include "state/mesh_config.h"
 
+#include <stdbool.h>
+
 /// Maximum number of nodes that one request is offered to.
 #define RESEND_OFFERS_MAX 5
 
@@ -45,6 +48,7 @@
   uint32_t attempts_max;  ///< maximum number of targets that run it
   uint32_t offers;        ///< nodes that it was offered to
   uint32_t runs;          ///< targets that ran it or may have run it
+  bool continued;         ///< a node has begun to pass its body to a target
   uint32_t load_refusals; ///< nodes that refused it because of load
 };
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -40,10 +40,18 @@
 #define MOVE_KEY_PREFIX "move/"
 #define CRASH_KEY_PREFIX "crash/"
 
-/// Largest request body that is buffered, bytes; the configuration may set a
-/// lower limit.
+/// Largest request body at the addresses other than `calls`, bytes, and at
+/// `peers` before the configuration states a larger one.
 #define SIDECAR_BODY_BYTES_MAX (8u * 1024 * 1024)
 
+/// Request body up to which it is buffered whole, bytes, so that the request
+/// can be offered to another node. Larger ones are streamed.
+#define SIDECAR_BUFFERED_BODY_BYTES_MAX (1024u * 1024)
+
+/// First bytes of a streamed body that identify its request in crash records.
+/// Enough to tell uploads with the same kind of header apart.
+#define SIDECAR_FINGERPRINT_BYTES_MAX 4096u
+
 /// Unsent response bytes of one request above which reading from the upstream
 /// connection is paused.
 #define SIDECAR_BACKLOG_BYTES_MAX (64u * 1024)
@@ -289,12 +297,17 @@
 enum status sidecar_crash_start (struct sidecar *sidecar);
 void sidecar_crash_stop (struct sidecar *sidecar);
 
+/// Reads the body; of a streamed one the first bytes, which must be in its
+/// buffer.
 /// @param caller  service on whose VM the request originated
-/// @param target  path and query
 /// @return hash that a request shares with its retries; 0, as improbable as
 ///         any other value, is never taken for a suspect
-uint64_t sidecar_crash_fingerprint (const char *caller, const char *method,
-                                    const char *target, struct evbuffer *body);
+uint64_t sidecar_crash_fingerprint (const char *caller,
+                                    const struct http_request *request);
+
+/// @return true when requests are suspected, so that the first bytes of a
+///         streamed one are needed
+bool sidecar_crash_has_suspects (const struct sidecar *sidecar);
 
 /// Remembers a request whose connection to the local target broke before a
 /// response: it may have crashed the target.
@@ -315,8 +328,11 @@
 
 /// Removes a caller's request from the suspects after it succeeded, unless it
 /// is already refused.
+/// @param streamed_fingerprint  used for a streamed request, whose body is
+/// gone
 void sidecar_crash_succeeded (struct sidecar *sidecar,
-                              struct http_request *request);
+                              struct http_request *request,
+                              uint64_t streamed_fingerprint);
 
 /* sidecar_admin.c */
 extern const struct http_server_ops sidecar_ready_ops;
--- a/src/sidecar/sidecar_crash.c
+++ b/src/sidecar/sidecar_crash.c
@@ -73,13 +73,30 @@
   return hash;
 }
 
+/// @return hash of the first bytes of a streamed body
+static uint64_t
+hash_first_bytes (struct evbuffer *body)
+{
+  char first[SIDECAR_FINGERPRINT_BYTES_MAX];
+  ev_ssize_t size = evbuffer_copyout (body, first, sizeof first);
+  return size <= 0 ? 0 : hash_placement (first, (size_t)size);
+}
+
 uint64_t
-sidecar_crash_fingerprint (const char *caller, const char *method,
-                           const char *target, struct evbuffer *body)
+sidecar_crash_fingerprint (const char *caller,
+                           const struct http_request *request)
+{
+  uint64_t body = request->streamed ? hash_first_bytes (request->body)
+                                    : hash_body (request->body);
+  uint64_t fingerprint = suspect_fingerprint_hashed (
+      http_method_str (request->head->method), request->head->target, body);
+  return hash_placement_pair (fingerprint, hash_placement_string (caller));
+}
+
+bool
+sidecar_crash_has_suspects (const struct sidecar *sidecar)
 {
-  uint64_t request
-      = suspect_fingerprint_hashed (method, target, hash_body (body));
-  return hash_placement_pair (request, hash_placement_string (caller));
+  return sidecar->crashes->suspects.count > 0;
 }
 
 void
@@ -163,9 +180,8 @@
   struct suspect_table *suspects = &sidecar->crashes->suspects;
   if (suspects->count == 0)
     return false;
-  uint64_t fingerprint = sidecar_crash_fingerprint (
-      sidecar->settings.service, http_method_str (request->head->method),
-      request->head->target, request->body);
+  uint64_t fingerprint
+      = sidecar_crash_fingerprint (sidecar->settings.service, request);
   if (suspect_check (suspects, fingerprint, clock_monotonic_ms ())
       != SUSPECT_REFUSED)
     return false;
@@ -174,14 +190,15 @@
 }
 
 void
-sidecar_crash_succeeded (struct sidecar *sidecar, struct http_request *request)
+sidecar_crash_succeeded (struct sidecar *sidecar, struct http_request *request,
+                         uint64_t streamed_fingerprint)
 {
   struct suspect_table *suspects = &sidecar->crashes->suspects;
   if (suspects->count > 0)
-    suspect_clear (suspects, sidecar_crash_fingerprint (
-                                 sidecar->settings.service,
-                                 http_method_str (request->head->method),
-                                 request->head->target, request->body));
+    suspect_clear (suspects, request->streamed
+                                 ? streamed_fingerprint
+                                 : sidecar_crash_fingerprint (
+                                     sidecar->settings.service, request));
 }
 
 enum status
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -120,6 +120,7 @@
     evbuffer_add_printf (fields, "Retry-After: %" PRIu64 ".%03u\r\n",
                          retry_after_ms / 1000,
                          (unsigned)(retry_after_ms % 1000));
+  http_request_close_body (request);
   http_reply_start (request, status, fields, 0);
   http_reply_finish (request);
   evbuffer_free (fields);
@@ -217,7 +218,9 @@
 end_request (struct sidecar_inbound *inbound, bool served)
 {
   struct sidecar *sidecar = inbound->sidecar;
-  bool timed = served && !was_paused (inbound, clock_monotonic_ms ());
+  /* A streamed body takes as long as its caller does. */
+  bool timed = served && !inbound->streamed
+               && !was_paused (inbound, clock_monotonic_ms ());
   /* A target that refuses requests at once must not look fast. */
   if (timed && !inbound->not_run)
     target_speed_sample (&sidecar->target.speed, inbound->sent_us,
@@ -343,6 +346,25 @@
     http_exchange_pause (inbound->exchange);
 }
 
+/// Ends a response whose body is complete.
+static void
+finish_response (struct sidecar_inbound *inbound)
+{
+  histogram_add (&target_times, clock_monotonic_us () - inbound->sent_us);
+  if (inbound->held_fields != NULL)
+    start_held_response (inbound, true);
+  http_reply_finish (inbound->request);
+}
+
+/// The response is complete before the streamed body was sent to its end.
+static void
+on_answered (void *arg)
+{
+  struct sidecar_inbound *inbound = arg;
+  inbound->answered = true;
+  finish_response (inbound);
+}
+
 static void
 on_response_end (void *arg, enum http_end end)
 {
@@ -350,12 +372,17 @@
   struct sidecar *sidecar = inbound->sidecar;
   struct http_request *request = inbound->request;
   inbound->exchange = NULL;
+  if (inbound->answered)
+    {
+      request->context = NULL;
+      http_request_close_body (request);
+      end_request (inbound, true);
+      return;
+    }
   if (end == HTTP_END_COMPLETE)
     {
-      histogram_add (&target_times, clock_monotonic_us () - inbound->sent_us);
-      if (inbound->held_fields != NULL)
-        start_held_response (inbound, true);
-      http_reply_finish (request);
+      http_request_close_body (request);
+      finish_response (inbound);
       end_request (inbound, true);
       return;
     }
@@ -378,7 +405,9 @@
     {
       counter_add (&lost, 1);
       if (end == HTTP_END_LOST)
-        sidecar_crash_lost (sidecar, inbound->fingerprint);
+        sidecar_crash_lost (sidecar, inbound->streamed
+                                         ? inbound->upload.fingerprint
+                                         : inbound->fingerprint);
       count_outcome (inbound, true);
       send_local_reply (sidecar, request, 502, CALL_UNKNOWN,
                         CALL_REASON_CONNECTION_LOST, 0);
@@ -386,9 +415,13 @@
   end_request (inbound, false);
 }
 
-static const struct http_exchange_ops exchange_ops = {
-  .head = on_response_head, .body = on_response_body, .end = on_response_end
-};
+static const struct http_exchange_ops exchange_ops
+    = { .head = on_response_head,
+        .body = on_response_body,
+        .end = on_response_end,
+        .connected = sidecar_inbound_connected,
+        .sent = sidecar_inbound_forward,
+        .answered = on_answered };
 
 /// Serializes the request for the target.
 static struct evbuffer *
@@ -406,11 +439,9 @@
   evbuffer_add_printf (bytes, "%s: %" PRIu64 "\r\n%s: %s\r\n",
                        names->deadline_ms, left_ms, names->expected_instance,
                        sidecar->target.report.instance);
-  size_t size = evbuffer_get_length (inbound->request->body);
-  if (size > 0 || head->has_length || head->chunked)
-    evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
-  evbuffer_add (bytes, "\r\n", 2);
-  evbuffer_add_buffer (bytes, inbound->request->body);
+  sidecar_upload_write_framing (bytes, inbound->request);
+  if (!inbound->streamed)
+    evbuffer_add_buffer (bytes, inbound->request->body);
   return bytes;
 }
 
@@ -441,6 +472,8 @@
     .id = inbound->id,
     .max_idle_ms = TARGET_IDLE_MS_MAX,
     .no_body = inbound->request->head->method == HTTP_HEAD,
+    .upload = inbound->streamed,
+    .chunked = inbound->request->head->chunked,
   };
   inbound->sent_us = clock_monotonic_us ();
   inbound->speed_integral
@@ -510,6 +543,14 @@
   uint64_t now_us = request->received_us;
   const char *id = http_head_find (request->head, names->request_id);
   struct hop hop;
+  if (request->streamed
+      && strncmp (request->head->target, CALL_OWN_PREFIX,
+                  strlen (CALL_OWN_PREFIX))
+             == 0)
+    {
+      http_reply (request, 413, NULL, "", 0);
+      return;
+    }
   if (strcmp (request->head->target, CALL_PATH_VIEW) == 0)
     {
       sidecar_store_serve_view (sidecar, request);
@@ -550,8 +591,7 @@
     id = "";
   if (!sidecar_store_has_view (sidecar))
     sidecar_store_request_view (sidecar, hop.address, hop.port);
-  link_load_add (&sidecar->target.link, evbuffer_get_length (request->body),
-                 now_us);
+  link_load_add (&sidecar->target.link, sidecar_upload_size (request), now_us);
   const char *reason = refusal_reason (sidecar, &hop, now_us / 1000);
   struct sidecar_inbound *inbound
       = reason == NULL ? calloc (1, sizeof *inbound) : NULL;
@@ -572,12 +612,13 @@
                                   .request = request,
                                   .hop = hop,
                                   .id = id,
+                                  .streamed = request->streamed,
                                   .arrived_ms = now_us / 1000,
                                   .deadline_ms = now_us / 1000 + left_ms };
   const char *caller = http_head_find (request->head, names->caller_service);
-  inbound->fingerprint = sidecar_crash_fingerprint (
-      caller == NULL ? "" : caller, http_method_str (request->head->method),
-      request->head->target, request->body);
+  if (!request->streamed)
+    inbound->fingerprint
+        = sidecar_crash_fingerprint (caller == NULL ? "" : caller, request);
   request->context = inbound;
   struct admission_queue_work work = {
     .kind = hop.kind,
@@ -640,6 +681,7 @@
 const struct http_server_ops sidecar_inbound_ops
     = { .request = on_request,
         .disconnected = on_disconnected,
+        .body = sidecar_inbound_body,
         .writable = on_writable };
 
 void
--- a/src/sidecar/sidecar_inbound.h
+++ b/src/sidecar/sidecar_inbound.h
@@ -4,7 +4,7 @@
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_INBOUND_H
 
 #include "protocol/hop.h"
-#include "sidecar/sidecar.h"
+#include "sidecar/sidecar_upload.h"
 
 struct sidecar_inbound
 {
@@ -24,7 +24,23 @@
   uint64_t sent_us;        ///< when it was sent to the target
   uint64_t speed_integral; ///< target_speed_integral at that time
   bool not_run; ///< the target states that it did not execute the request
-  uint64_t fingerprint; ///< identifies the request in crash records
+  struct sidecar_upload upload; ///< of a streamed body
+  bool streamed;                ///< the request's body is streamed
+  bool connected;               ///< its body is forwarded
+  bool answered;                ///< the response is complete; the rest of the
+                                ///< body is still forwarded
+  uint64_t fingerprint;         ///< identifies the request in crash records
 };
 
+/* sidecar_inbound_upload.c */
+
+/// Forwards what has arrived of a streamed body.
+void sidecar_inbound_forward (void *arg);
+
+/// The target can take the body: the sending node gets 100 Continue.
+void sidecar_inbound_connected (void *arg);
+
+/// More of a streamed body has arrived.
+void sidecar_inbound_body (void *arg, struct http_request *request);
+
 #endif
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -50,11 +50,10 @@
   sidecar->config = config;
   sidecar->config_ms = clock_monotonic_ms ();
   sidecar_target_limit_cold (sidecar);
-  uint64_t body_bytes = config->limits.body_bytes;
   sidecar->calls.limits = (struct http_server_limits){
     .head_bytes = config->limits.head_bytes,
-    .body_bytes = body_bytes < SIDECAR_BODY_BYTES_MAX ? body_bytes
-                                                      : SIDECAR_BODY_BYTES_MAX,
+    .body_bytes = config->limits.body_bytes,
+    .stream_bytes = SIDECAR_BUFFERED_BODY_BYTES_MAX,
     .receive_ms = config->limits.head_ms,
     .idle_ms = config->limits.idle_ms,
   };
@@ -62,6 +61,12 @@
   size_t head_bytes = config->limits.head_bytes + HTTP_HEAD_ADDED_BYTES_MAX;
   sidecar->peers.limits.head_bytes
       = head_bytes > HTTP_HEAD_BYTES_MAX ? head_bytes : HTTP_HEAD_BYTES_MAX;
+  sidecar->peers.limits.body_bytes
+      = config->limits.body_bytes > SIDECAR_BODY_BYTES_MAX
+            ? config->limits.body_bytes
+            : SIDECAR_BODY_BYTES_MAX;
+  sidecar->peers.limits.stream_bytes = SIDECAR_BUFFERED_BODY_BYTES_MAX;
+  sidecar->peers.limits.streams_chunked = true;
 }
 
 /// Announces the entry of this node again when another writer has replaced it.
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -78,8 +78,8 @@
   placement_end (record, result, clock_monotonic_ms ());
 }
 
-static void
-release (struct sidecar_outbound *outbound)
+void
+sidecar_outbound_release (struct sidecar_outbound *outbound)
 {
   sidecar_quota_release (outbound->sidecar, &outbound->quota, true);
   event_del (&outbound->timer);
@@ -150,7 +150,7 @@
   send_local_reply (outbound->request, 503, call_outcome_name (CALL_NOT_RUN),
                     reason, retry_ms);
   sidecar_quota_release (sidecar, &outbound->quota, false);
-  release (outbound);
+  sidecar_outbound_release (outbound);
 }
 
 bool
@@ -175,7 +175,7 @@
   else
     send_local_reply (outbound->request, status,
                       call_outcome_name (CALL_UNKNOWN), reason, 0);
-  release (outbound);
+  sidecar_outbound_release (outbound);
 }
 
 static void
@@ -221,11 +221,21 @@
     log_end (outbound, &answered_log_limit, LOG_LEVEL_INFO, "request_answered",
              outbound->response->status, "-");
   if (!outbound->target_failed)
-    sidecar_crash_succeeded (outbound->sidecar, outbound->request);
+    sidecar_crash_succeeded (outbound->sidecar, outbound->request,
+                             outbound->upload.fingerprint);
   if (!outbound->forwarding)
     sidecar_outbound_start_forwarding (outbound);
+  if (outbound->exchange != NULL)
+    {
+      /* The target reads the rest of the body. */
+      outbound->answered = true;
+      timer_start_at (&outbound->timer, outbound->deadline_ms);
+      http_reply_finish (outbound->request);
+      return;
+    }
+  http_request_close_body (outbound->request);
   http_reply_finish (outbound->request);
-  release (outbound);
+  sidecar_outbound_release (outbound);
 }
 
 /// Takes a retry from the service's retry budget. After a failed response no
@@ -279,73 +289,12 @@
     }
 }
 
-/// Serializes the request for the node of the chosen target.
-/// @return NULL if memory is exhausted
-static struct evbuffer *
-build_request (struct sidecar_outbound *outbound,
-               const struct directory_record *record, uint64_t now_ms)
-{
-  struct sidecar *sidecar = outbound->sidecar;
-  const struct adapter_headers *names = &sidecar->adapter->headers;
-  const struct http_head *head = outbound->request->head;
-  const char *skip[]
-      = { CALL_HEADER_HOP,
-          CALL_HEADER_OUTCOME,
-          CALL_HEADER_REASON,
-          names->deadline_ms,
-          names->caller_service,
-          names->expected_instance,
-          "Expect",
-          names->account,
-          sidecar->config->accounts.required ? names->api_key : NULL,
-          NULL };
-  struct hop hop = {
-    .retry_class = outbound->retry.retry_class,
-    .rank = outbound->rank,
-    .kind = outbound->kind,
-    .objective_ms = outbound->objective_ms > now_ms
-                        ? (uint32_t)(outbound->objective_ms - now_ms)
-                        : 0,
-    .is_retry = outbound->retry.runs > 0,
-    .address = sidecar->settings.announced.address,
-    .port = sidecar->settings.announced.port,
-    .account = sidecar_account_hash (outbound->account),
-  };
-  strcpy (hop.service, outbound->service);
-  strcpy (hop.version, record->entry.version);
-  char hop_text[HOP_SIZE_MAX];
-  hop_write (&hop, hop_text);
-  struct evbuffer *bytes = evbuffer_new ();
-  evbuffer_add_printf (bytes, "%s %s HTTP/1.1\r\n",
-                       http_method_str (head->method), head->target);
-  http_write_fields (bytes, head, skip);
-  evbuffer_add_printf (bytes, "%s: %s\r\n%s: %" PRIu64 "\r\n%s: %s\r\n",
-                       CALL_HEADER_HOP, hop_text, names->deadline_ms,
-                       outbound->run_by_ms - now_ms, names->caller_service,
-                       sidecar->settings.service);
-  if (outbound->account != NULL)
-    evbuffer_add_printf (bytes, "%s: %s\r\n", names->account,
-                         outbound->account);
-  size_t size = evbuffer_get_length (outbound->request->body);
-  if (size > 0 || head->has_length || head->chunked)
-    evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
-  evbuffer_add (bytes, "\r\n", 2);
-  /* The body stays with the request for another attempt and is not copied. */
-  if (size > 0
-      && evbuffer_add_buffer_reference (bytes, outbound->request->body) != 0)
-    {
-      evbuffer_free (bytes);
-      return NULL;
-    }
-  return bytes;
-}
-
 /// Discards the response to the previous attempt.
 static void
 reset_response (struct sidecar_outbound *outbound)
 {
   TALLOC_FREE (outbound->response);
-  outbound->request->response_head_bytes = 0;
+  outbound->request->handler_bytes = 0;
   if (outbound->buffered != NULL)
     evbuffer_drain (outbound->buffered,
                     evbuffer_get_length (outbound->buffered));
@@ -369,7 +318,7 @@
     .objective_ms = outbound->objective_ms > now_ms
                         ? (uint32_t)(outbound->objective_ms - now_ms)
                         : 1,
-    .body_bytes = evbuffer_get_length (outbound->request->body),
+    .body_bytes = sidecar_upload_size (outbound->request),
     .link_bytes_per_s = sidecar->admission.link_bytes_per_s,
     .own_node = sidecar->settings.node,
     .tried_count = outbound->tried_count,
@@ -427,7 +376,7 @@
       refuse_key (outbound->request, outbound->id, outbound->route,
                   ACCOUNT_KEY_UNKNOWN);
       sidecar_quota_release (outbound->sidecar, &outbound->quota, false);
-      release (outbound);
+      sidecar_outbound_release (outbound);
     }
 }
 
@@ -463,13 +412,16 @@
     outbound->tried[outbound->tried_count++] = node;
   outbound->retry.offers++;
   outbound->sent_us = clock_monotonic_us ();
-  struct evbuffer *bytes = build_request (outbound, record, now);
+  struct evbuffer *bytes
+      = sidecar_outbound_build_request (outbound, record, now);
   struct http_send send = {
     .address = record->entry.address,
     .port = record->entry.port,
     .request = bytes,
     .max_idle_ms = PEER_IDLE_MS_MAX,
     .no_body = outbound->request->head->method == HTTP_HEAD,
+    .upload = outbound->request->streamed,
+    .chunked = outbound->request->head->chunked,
   };
   placement_begin (record);
   if (strcmp (record->entry.availability_zone,
@@ -517,7 +469,7 @@
   send_local_reply (outbound->request, 429, call_outcome_name (CALL_NOT_RUN),
                     CALL_REASON_QUOTA,
                     quota_retry_after_ms (outbound->sidecar, retry_ms));
-  release (outbound);
+  sidecar_outbound_release (outbound);
 }
 
 /// The request timed out: the route's timeout, the caller's deadline, a
@@ -531,6 +483,12 @@
       end_without_token (outbound, QUOTA_UNAVAILABLE, 0);
       return;
     }
+  if (outbound->answered)
+    {
+      http_exchange_cancel (outbound->exchange);
+      sidecar_outbound_end_upload (outbound);
+      return;
+    }
   /* A stopping node gives up what has not begun. A response that was held back
      may have begun since the timer was set. */
   if (http_reply_is_begun (outbound->request)
@@ -543,7 +501,7 @@
     http_exchange_cancel (outbound->exchange);
   outbound->exchange = NULL;
   sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
-  if (outbound->not_run && outbound->retry.runs == 0)
+  if (sidecar_outbound_is_not_run (outbound))
     end_not_run (outbound);
   else
     sidecar_outbound_end_failed (outbound, 504, CALL_REASON_TIMEOUT);
@@ -653,6 +611,12 @@
   const struct adapter_headers *names = &sidecar->adapter->headers;
   const char *id = http_head_find (request->head, names->request_id);
   const char *host = http_head_find (request->head, "Host");
+  if (request->streamed && sidecar_crash_has_suspects (sidecar)
+      && !sidecar_upload_has_first_bytes (request))
+    {
+      http_request_read_body (request); /* on_body continues */
+      return;
+    }
   counter_add (&requests, 1);
   bool refusing
       = sidecar->stopping
@@ -744,6 +708,16 @@
   start_request (outbound, route, account, deadline_ms);
 }
 
+static void
+on_body (void *arg, struct http_request *request)
+{
+  struct sidecar_outbound *outbound = request->context;
+  if (outbound == NULL)
+    on_request (arg, request);
+  else if (outbound->exchange != NULL && outbound->retry.continued)
+    sidecar_outbound_forward (outbound);
+}
+
 static void
 on_disconnected (void *arg, struct http_request *request)
 {
@@ -756,7 +730,7 @@
   if (outbound->exchange != NULL)
     http_exchange_cancel (outbound->exchange);
   sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
-  release (outbound);
+  sidecar_outbound_release (outbound);
 }
 
 static void
@@ -770,4 +744,5 @@
 const struct http_server_ops sidecar_outbound_ops
     = { .request = on_request,
         .disconnected = on_disconnected,
+        .body = on_body,
         .writable = on_writable };
--- a/src/sidecar/sidecar_outbound.h
+++ b/src/sidecar/sidecar_outbound.h
@@ -8,6 +8,7 @@
 #include "sidecar/sidecar.h"
 #include "sidecar/sidecar_account.h"
 #include "sidecar/sidecar_quota.h"
+#include "sidecar/sidecar_upload.h"
 
 /// Largest response, bytes, that is buffered until it is complete, so that the
 /// request can be retried when the response is cut short. Larger ones and
@@ -68,7 +69,10 @@
   struct evbuffer *buffered;  ///< buffered body, NULL until needed
   size_t discarded;           ///< bytes of a body that is not passed on
   size_t forwarded;           ///< bytes of a body that is passed on
-  struct quota_waiter quota;  ///< token of the account's quota
+  struct sidecar_upload upload; ///< of a streamed body
+  bool answered;                ///< the response is complete; the rest of the
+                                ///< body is still forwarded
+  struct quota_waiter quota;    ///< token of the account's quota
 };
 
 /// Once the head of a response was forwarded, its body may take this much
@@ -111,6 +115,31 @@
                                     enum resend_event event,
                                     const char *reason);
 
+/* sidecar_outbound_request.c */
+
+/// Serializes the request for the node of the chosen target, without a body
+/// that is streamed.
+/// @return NULL if memory is exhausted
+struct evbuffer *
+sidecar_outbound_build_request (struct sidecar_outbound *outbound,
+                                const struct directory_record *record,
+                                uint64_t now_ms);
+
+/* sidecar_outbound_upload.c */
+
+/// Callbacks of an attempt whose body is streamed.
+void sidecar_outbound_proceed (void *arg);
+void sidecar_outbound_forward (void *arg);
+
+/// Ends a request that was answered before its body was read.
+void sidecar_outbound_end_upload (struct sidecar_outbound *outbound);
+
+/// @return true when a timed out request certainly has not run
+bool sidecar_outbound_is_not_run (const struct sidecar_outbound *outbound);
+
+/* sidecar_outbound.c */
+void sidecar_outbound_release (struct sidecar_outbound *outbound);
+
 /* sidecar_outbound_response.c */
 extern const struct http_exchange_ops sidecar_outbound_exchange_ops;
 
--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -137,7 +137,7 @@
       stop_reading (outbound);
       return;
     }
-  outbound->request->response_head_bytes = http_head_memory (head);
+  outbound->request->handler_bytes += http_head_memory (head);
   outbound->discarded = 0;
   outbound->not_run = outcome == CALL_NOT_RUN;
   outbound->unusable
@@ -254,6 +254,11 @@
 on_response_end (void *arg, enum http_end end)
 {
   struct sidecar_outbound *outbound = arg;
+  if (outbound->answered)
+    {
+      sidecar_outbound_end_upload (outbound);
+      return;
+    }
   outbound->exchange = NULL;
   if (end == HTTP_END_NOT_CONNECTED)
     {
@@ -302,6 +307,25 @@
     }
 }
 
-const struct http_exchange_ops sidecar_outbound_exchange_ops = {
-  .head = on_response_head, .body = on_response_body, .end = on_response_end
-};
+/// The response is complete before the streamed body was sent to its end.
+static void
+on_answered (void *arg)
+{
+  struct sidecar_outbound *outbound = arg;
+  if (outbound->not_run || !outbound->retry.continued)
+    {
+      stop_reading (outbound);
+      return;
+    }
+  if (outbound->target_failed)
+    sidecar_outbound_report_result (outbound, PLACEMENT_FAILED);
+  sidecar_outbound_end_answered (outbound);
+}
+
+const struct http_exchange_ops sidecar_outbound_exchange_ops
+    = { .head = on_response_head,
+        .body = on_response_body,
+        .end = on_response_end,
+        .proceed = sidecar_outbound_proceed,
+        .sent = sidecar_outbound_forward,
+        .answered = on_answered };
--- a/src/transport/http_head.c
+++ b/src/transport/http_head.c
@@ -94,34 +94,53 @@
   return strncasecmp (left->text, right->text, left->size);
 }
 
-/// Reads the names in a Connection field.
-/// @param names  sorted if there are many; NULL: they are only counted
-/// @return their number
-static size_t
-read_names (const char *list, struct name *names)
+/// Moves to the next name in a Connection field.
+/// @param name  its text is the field's value and its size 0 before the first
+///              one
+/// @return false when there is none left
+static bool
+next_name (struct name *name)
 {
-  size_t count = 0;
-  while (list != NULL && *(list += strspn (list, " \t,")) != '\0')
-    {
-      size_t size = strcspn (list, " \t,");
-      if (names != NULL)
-        names[count] = (struct name){ .text = list, .size = size };
-      count++;
-      list += size;
-    }
-  if (names != NULL && count > NAMES_COMPARED_MAX)
-    qsort (names, count, sizeof *names, compare_names);
-  return count;
+  const char *text = name->text + name->size;
+  name->text = text + strspn (text, " \t,");
+  name->size = strcspn (name->text, " \t,");
+  return name->size > 0;
+}
+
+/// Sorts the names in a Connection field.
+/// @param count  set to their number
+/// @return NULL if they are few, or memory is exhausted
+static struct name *
+sort_names (const char *list, size_t *count)
+{
+  struct name name = { .text = list };
+  *count = 0;
+  while (next_name (&name))
+    ++*count;
+  if (*count <= NAMES_COMPARED_MAX)
+    return NULL;
+  struct name *names = calloc (*count, sizeof *names);
+  if (names == NULL)
+    return NULL;
+  name = (struct name){ .text = list };
+  for (size_t i = 0; i < *count && next_name (&name); i++)
+    names[i] = name;
+  qsort (names, *count, sizeof *names, compare_names);
+  return names;
 }
 
+/// @param names  sorted names of the list, or NULL
 static bool
-contains_name (const struct name *names, size_t count, const char *text)
+contains_name (const char *list, const struct name *names, size_t count,
+               const char *text)
 {
-  struct name name = { .text = text, .size = strlen (text) };
-  if (count > NAMES_COMPARED_MAX)
-    return bsearch (&name, names, count, sizeof name, compare_names) != NULL;
-  for (size_t i = 0; i < count; i++)
-    if (compare_names (&name, &names[i]) == 0)
+  struct name wanted = { .text = text, .size = strlen (text) };
+  if (names != NULL)
+    return bsearch (&wanted, names, count, sizeof wanted, compare_names)
+           != NULL;
+  struct name name = { .text = list };
+  while (next_name (&name))
+    if (compare_names (&wanted, &name) == 0)
       return true;
   return false;
 }
@@ -130,20 +149,18 @@
 http_write_fields (struct evbuffer *buffer, const struct http_head *head,
                    const char *const *skip)
 {
-  struct name few[NAMES_COMPARED_MAX];
   const char *connection = http_head_find (head, "Connection");
-  size_t count = read_names (connection, NULL);
-  struct name *names
-      = count <= NAMES_COMPARED_MAX ? few : calloc (count, sizeof *names);
-  if (names == NULL)
-    return;
-  read_names (connection, names);
+  if (connection == NULL)
+    connection = "";
+  size_t count;
+  struct name *names = sort_names (connection, &count);
   struct http_field field = { 0 };
   while (http_head_next (head, &field))
     {
-      bool skip_field = strcasecmp (field.name, "Content-Length") == 0
-                        || http_field_is_hop_by_hop (field.name)
-                        || contains_name (names, count, field.name);
+      bool skip_field
+          = strcasecmp (field.name, "Content-Length") == 0
+            || http_field_is_hop_by_hop (field.name)
+            || contains_name (connection, names, count, field.name);
       for (size_t k = 0; !skip_field && skip != NULL && skip[k] != NULL; k++)
         skip_field = strcasecmp (field.name, skip[k]) == 0;
       if (skip_field)
@@ -153,6 +170,5 @@
       evbuffer_add (buffer, field.value, strlen (field.value));
       evbuffer_add (buffer, "\r\n", 2);
     }
-  if (names != few)
-    free (names);
+  free (names);
 }
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -1,5 +1,5 @@
 /// Owns the endpoints, their connections and the exchanges in progress.
-#include "transport/http_pool.h"
+#include "transport/http_pool_internal.h"
 
 #include "base/clock.h"
 #include "base/counter.h"
@@ -25,41 +25,6 @@
 static struct counter unsolicited = COUNTER (
     "http_bytes_unasked", "connections closed: bytes without a request");
 
-struct http_connection
-{
-  struct http_pool *pool;
-  struct http_endpoint *endpoint;
-  struct http_stream *stream;
-  struct http_exchange *exchange; ///< NULL while idle
-  uint64_t idle_since_ms;
-  uint64_t idle_limit_ms; ///< timeout in the server's Keep-Alive field
-  char *id;               ///< of the current or last request; "" for none
-  bool echoes_id;         ///< a response named the id of its request
-  bool established;
-  struct http_connection *next; ///< list of the endpoint's connections
-};
-
-struct http_endpoint
-{
-  uint32_t address;
-  uint16_t port;
-  struct http_connection *first;
-  struct http_endpoint *next;
-};
-
-struct http_exchange
-{
-  struct http_connection *connection;
-  const struct http_exchange_ops *ops;
-  void *arg;
-  struct event timer; ///< connect timeout, then deferred call of `end`
-  enum http_end end;
-  bool skipping_response; ///< the current response has another id
-  bool head_delivered;    ///< the head callback was called
-  bool ended;             ///< `end` is set, its callback is still to be called
-  unsigned skipped_responses;
-};
-
 static struct http_endpoint *
 find_endpoint (struct http_pool *pool, uint32_t address, uint16_t port,
                bool create)
@@ -80,8 +45,8 @@
   return endpoint;
 }
 
-static void
-close_connection (struct http_connection *connection)
+void
+http_pool_close_connection (struct http_connection *connection)
 {
   struct http_connection **link = &connection->endpoint->first;
   while (*link != connection)
@@ -106,7 +71,7 @@
   exchange->end = end;
   event_active (&exchange->timer, EV_TIMEOUT, 0);
   if (connection != NULL)
-    close_connection (connection);
+    http_pool_close_connection (connection);
 }
 
 static void
@@ -131,8 +96,22 @@
 {
   struct http_connection *connection = stream->owner;
   connection->established = true;
-  if (connection->exchange != NULL)
-    event_del (&connection->exchange->timer);
+  struct http_exchange *exchange = connection->exchange;
+  if (exchange == NULL)
+    return;
+  event_del (&exchange->timer);
+  if (exchange->upload && exchange->ops->connected != NULL)
+    exchange->ops->connected (exchange->arg);
+}
+
+void
+http_pool_complete (struct http_exchange *exchange)
+{
+  exchange->connection->exchange = NULL;
+  exchange->connection = NULL;
+  exchange->ended = true;
+  exchange->end = HTTP_END_COMPLETE;
+  event_active (&exchange->timer, EV_TIMEOUT, 0);
 }
 
 static void
@@ -144,7 +123,7 @@
     {
       /* A second copy of an earlier response. */
       counter_add (&late_copies, 1);
-      close_connection (connection);
+      http_pool_close_connection (connection);
       return;
     }
   const char *header = connection->pool->options.id_header;
@@ -223,16 +202,19 @@
         http_stream_next (stream);
       return;
     }
-  bool reuse = can_reuse (connection, exchange);
+  if (exchange->upload
+      && (!exchange->body_ended || http_exchange_unsent (exchange) > 0))
+    {
+      exchange->answered = true;
+      exchange->ops->answered (exchange->arg);
+      return;
+    }
+  bool reuse = !exchange->upload && can_reuse (connection, exchange);
   uint64_t idle_ms = server_idle_timeout_ms (stream->head);
-  connection->exchange = NULL;
-  exchange->connection = NULL;
-  exchange->ended = true;
-  exchange->end = HTTP_END_COMPLETE;
-  event_active (&exchange->timer, EV_TIMEOUT, 0);
+  http_pool_complete (exchange);
   if (!reuse)
     {
-      close_connection (connection);
+      http_pool_close_connection (connection);
       return;
     }
   connection->idle_since_ms = clock_monotonic_ms ();
@@ -250,12 +232,14 @@
     {
       if (reason == HTTP_CLOSE_PROTOCOL)
         counter_add (&unsolicited, 1);
-      close_connection (connection);
+      http_pool_close_connection (connection);
       return;
     }
   connection->exchange = NULL;
   enum http_end end = HTTP_END_LOST;
-  if (!connection->established)
+  if (exchange->answered)
+    end = HTTP_END_COMPLETE;
+  else if (!connection->established)
     end = HTTP_END_NOT_CONNECTED;
   else if (reason == HTTP_CLOSE_PROTOCOL)
     end = HTTP_END_MALFORMED;
@@ -267,6 +251,8 @@
   .body = on_body,
   .complete = on_complete,
   .closed = on_closed,
+  .drained = http_upload_drained,
+  .informational = http_upload_informational,
   .connected = on_connected,
 };
 
@@ -360,8 +346,11 @@
       free (exchange);
       return NULL;
     }
+  /* What is lost with a connection that the server had closed could not be
+     sent again, and an old 100 Continue must not start a body. */
   struct http_connection *connection
-      = take_idle (pool, endpoint, send->max_idle_ms, id);
+      = send->upload ? NULL
+                     : take_idle (pool, endpoint, send->max_idle_ms, id);
   bool reused = connection != NULL;
   if (connection == NULL)
     connection = open_connection (pool, endpoint);
@@ -374,11 +363,14 @@
   exchange->connection = connection;
   exchange->ops = ops;
   exchange->arg = arg;
+  exchange->upload = send->upload;
+  exchange->chunked = send->chunked;
   free (connection->id);
   connection->id = id;
   evtimer_assign (&exchange->timer, pool->base, on_timer, exchange);
   connection->exchange = exchange;
   connection->stream->no_body = send->no_body;
+  connection->stream->reads_after_write_error = send->upload;
   evbuffer_add_buffer (http_stream_output (connection->stream), send->request);
   if (!reused)
     start_connect (connection);
@@ -394,7 +386,7 @@
   if (connection == NULL)
     return;
   connection->exchange = NULL;
-  close_connection (connection);
+  http_pool_close_connection (connection);
 }
 
 void
@@ -428,7 +420,7 @@
             http_stream_check_peer (c->stream, now);
           if (c->exchange == NULL
               && now - c->idle_since_ms > pool->options.idle_ms)
-            close_connection (c);
+            http_pool_close_connection (c);
         }
       if (endpoint->first != NULL)
         {
@@ -465,7 +457,7 @@
           next = c->next;
           if (c->exchange != NULL)
             c->exchange->connection = NULL;
-          close_connection (c);
+          http_pool_close_connection (c);
         }
       free (endpoint);
     }
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -26,6 +26,13 @@
   void (*body) (void *arg, const char *data, size_t size);
   /// Called once; no other callback of the exchange follows.
   void (*end) (void *arg, enum http_end end);
+  /* Only for uploads. */
+  void (*connected) (void *arg); ///< may be NULL
+  void (*proceed) (void *arg);   ///< 100 Continue arrived; may be NULL
+  void (*sent) (void *arg);      ///< the kernel has taken all bytes so far
+  /// The response is complete, but the body is not sent to its end. `end`
+  /// follows when it is, or when it cannot be sent.
+  void (*answered) (void *arg);
 };
 
 struct http_pool_options
@@ -58,6 +65,9 @@
   const char *id;           ///< expected value of the id field, of any
                             ///< length; NULL or "": the request has none
   uint32_t max_idle_ms;     ///< connections idle for longer are not reused
+  bool upload;              ///< the body follows with http_exchange_write, on
+                            ///< a new connection that is not reused
+  bool chunked;             ///< that body is sent in chunks
   bool no_body;             ///< the response has no body (HEAD)
 };
 
@@ -76,6 +86,18 @@
                                       const struct http_exchange_ops *ops,
                                       void *arg);
 
+/// Sends a part of an upload's body.
+/// @param data  the bytes are removed from it
+void http_exchange_write (struct http_exchange *exchange,
+                          struct evbuffer *data, size_t size);
+
+/// Ends an upload's body.
+void http_exchange_end_body (struct http_exchange *exchange);
+
+/// @return bytes that the kernel has not taken yet; SIZE_MAX when the
+///         connection is lost
+size_t http_exchange_unsent (const struct http_exchange *exchange);
+
 /// Cancels an exchange without a callback and closes its connection.
 void http_exchange_cancel (struct http_exchange *exchange);
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,5 +1,5 @@
 /// Owns the listener, the connections and the requests in progress.
-#include "transport/http_server.h"
+#include "transport/http_server_internal.h"
 
 #include "base/clock.h"
 #include "base/counter.h"
@@ -12,7 +12,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -21,9 +20,6 @@
 
 #define SWEEP_MS 250
 
-/// Maximum number of pipelined requests of a connection in progress.
-#define PIPELINE_MAX 8
-
 /// Time for which a connection that is shut down for writing waits for the
 /// caller's close once it has acknowledged the last byte. Closing the socket
 /// with unread bytes would reset the connection, and the caller could lose the
@@ -54,10 +50,6 @@
 /// in each direction.
 #define REQUEST_BYTES 12288u
 
-/// Minimum rate of a body, bytes per second. A hundred uploads that share a
-/// link of 10 Mbit/s have 12,500 each.
-#define BODY_RATE_MIN 4096u
-
 /// Maximum size of a status line with the framing fields, bytes.
 #define STATUS_LINE_BYTES_MAX 160
 
@@ -72,35 +64,6 @@
 static struct counter too_large = COUNTER (
     "http_requests_too_large", "requests refused: head or body too large");
 
-struct http_server_connection
-{
-  struct http_server *server;
-  struct http_stream *stream;
-  struct http_request *request; ///< oldest request without a complete response
-  size_t pending; ///< number of requests without a complete response
-  struct http_request *receiving_request; ///< request that is being received
-  uint64_t timeout_start_ms; ///< start of the running timeout: accept, end of
-                             ///< the last response, or begin of closing
-  uint64_t shut_down_ms;     ///< begin of lingering
-  struct memory_account account;
-  uint64_t message_start_ms; ///< start of the message that is being received,
-                             ///< as seen by the sweep; 0: none
-  uint64_t window_start_ms;  ///< start of the interval in which the body must
-                             ///< reach the minimum rate; 0: no body
-  size_t window_size;        ///< bytes of the body at that time
-  unsigned rejected;  ///< status for what follows the requests that are in
-                      ///< progress and is rejected; 0: nothing
-  bool handing_over;  ///< requests are being handed over
-  bool freed;         ///< freed while requests are handed over
-  bool served;        ///< a request was received on it
-  bool last_response; ///< the head of a response that closes the connection
-                      ///< was sent; later requests are not started
-  bool closing;       ///< shut down once the output is sent
-  bool lingering;     ///< shut down, waits for the caller's close
-  struct http_server_connection *next;
-  struct http_server_connection *previous;
-};
-
 static evutil_socket_t
 socket_of (const struct http_server_connection *connection)
 {
@@ -116,21 +79,13 @@
   size_t body = evbuffer_get_length (request->body);
   size_t size = REQUEST_BYTES + http_head_memory (request->head)
                 + request->head->text_size + 2 * request->head->field_count
-                + request->response_head_bytes
+                + request->handler_bytes
                 + (body > request->body_size ? body : request->body_size);
   return request->output == NULL
              ? size
              : size + evbuffer_get_length (request->output);
 }
 
-/// @return true when no further request of the connection is started
-static bool
-ignores_input (const struct http_server_connection *connection)
-{
-  return connection->closing || connection->last_response
-         || connection->rejected != 0;
-}
-
 /// Updates what is charged for a connection.
 static void
 charge (struct http_server_connection *connection)
@@ -142,16 +97,17 @@
   for (const struct http_request *r = connection->request; r != NULL;
        r = r->next)
     size += request_memory (r);
-  if (connection->receiving_request != NULL)
-    size += request_memory (connection->receiving_request);
-  bool receiving = !ignores_input (connection)
+  const struct http_request *receiving_request = connection->receiving_request;
+  if (receiving_request != NULL && !receiving_request->streamed)
+    size += request_memory (receiving_request);
+  bool receiving = !http_server_ignores_input (connection)
                    && (connection->receiving_request != NULL || stream->started
                        || http_stream_unread (stream) > 0);
   memory_account_charge (&connection->account, size, receiving);
 }
 
-static void
-free_request (struct http_request *request)
+void
+http_server_free_request (struct http_request *request)
 {
   evbuffer_free (request->body);
   if (request->output != NULL)
@@ -172,9 +128,12 @@
       connection->request = request->next;
       connection->pending--;
       server->in_progress--;
-      if (notify && request->handed_over && !request->response_complete)
+      if (connection->receiving_request == request)
+        connection->receiving_request = NULL;
+      if (notify && request->handed_over
+          && (!request->response_complete || request->body_open))
         server->ops->disconnected (server->arg, request);
-      free_request (request);
+      http_server_free_request (request);
     }
 }
 
@@ -189,7 +148,7 @@
   if (connection->next != NULL)
     connection->next->previous = connection->previous;
   if (connection->receiving_request != NULL)
-    free_request (connection->receiving_request);
+    http_server_free_request (connection->receiving_request);
   server->connections--;
   if (server->budget != NULL)
     {
@@ -233,19 +192,20 @@
   evbuffer_add (output, line, (size_t)size);
 }
 
-/// Rejects a request that was not handed over, and closes the connection, once
-/// the requests before it have their responses. Its memory is freed at once.
-static void
-reject (struct http_server_connection *connection, unsigned status)
+void
+http_server_reject (struct http_server_connection *connection, unsigned status)
 {
   connection->rejected = status;
-  if (connection->receiving_request != NULL)
-    free_request (connection->receiving_request);
-  connection->receiving_request = NULL;
+  http_body_withdraw (connection, status);
   http_stream_discard (connection->stream);
   charge (connection);
   if (connection->request != NULL)
     return;
+  if (connection->cut)
+    {
+      close_when_sent (connection);
+      return;
+    }
   struct evbuffer *output = http_stream_output (connection->stream);
   write_status_line (output, status, true, "Content-Length: 0\r\n");
   if (status == 503 && connection->server->not_run_fields != NULL)
@@ -258,14 +218,15 @@
 on_head (struct http_stream *stream, struct http_head *head)
 {
   struct http_server_connection *connection = stream->owner;
-  if (ignores_input (connection) || connection->receiving_request != NULL)
+  if (http_server_ignores_input (connection)
+      || connection->receiving_request != NULL)
     return;
   void *arena = talloc_new (NULL);
   struct http_request *request = talloc_zero (arena, struct http_request);
   if (request == NULL || (request->body = evbuffer_new ()) == NULL)
     {
       talloc_free (arena);
-      reject (connection, 503);
+      http_server_reject (connection, 503);
       return;
     }
   request->server = connection->server;
@@ -277,13 +238,10 @@
   if (head->has_length && head->length > connection->server->limits.body_bytes)
     {
       counter_add (&too_large, 1);
-      reject (connection, 413);
+      http_server_reject (connection, 413);
       return;
     }
-  const char *expect = http_head_find (head, "Expect");
-  if (expect != NULL && strcasecmp (expect, "100-continue") == 0)
-    evbuffer_add_printf (http_stream_output (stream),
-                         "HTTP/1.1 100 Continue\r\n\r\n");
+  http_body_begin (connection);
 }
 
 /// Sheds connections while the budget is exhausted, after this one has grown.
@@ -295,7 +253,8 @@
     return true;
   charge (connection);
   if (!memory_account_settle (&connection->account)
-      && !ignores_input (connection) && connection->account.receiving)
+      && !http_server_ignores_input (connection)
+      && connection->account.receiving)
     http_server_shed (connection);
   return connection->rejected == 0;
 }
@@ -305,16 +264,15 @@
 {
   struct http_server_connection *connection = stream->owner;
   struct http_request *request = connection->receiving_request;
-  if (request == NULL || ignores_input (connection))
+  if (request == NULL || http_server_ignores_input (connection))
     return;
-  if (evbuffer_get_length (request->body) + size
-      > connection->server->limits.body_bytes)
+  if (request->received + size > connection->server->limits.body_bytes)
     {
       counter_add (&too_large, 1);
-      reject (connection, 413);
+      http_server_reject (connection, 413);
       return;
     }
-  evbuffer_add (request->body, data, size);
+  http_body_add (connection, data, size);
 }
 
 /// @return true when later requests of the connection must wait: their
@@ -334,13 +292,14 @@
   struct http_request *request = connection->request;
   while (request != NULL && request->handed_over)
     request = blocks_later_requests (request) ? NULL : request->next;
+  /* A streamed body would hold up the responses before it. */
+  if (request != NULL && request->streamed && request != connection->request)
+    return NULL;
   return request;
 }
 
-/// Hands the requests that need not wait to the handler, which may end them or
-/// the connection at once.
-static void
-hand_over_requests (struct http_server_connection *connection)
+void
+http_server_hand_over (struct http_server_connection *connection)
 {
   struct http_server *server = connection->server;
   struct http_request *request;
@@ -358,21 +317,6 @@
     free (connection);
 }
 
-/// Holds back the response to a request that arrived behind others, and the
-/// oldest one if nothing of it was sent.
-/// @return false without memory
-static bool
-hold_responses (struct http_server_connection *connection,
-                struct http_request *later)
-{
-  struct http_request *oldest = connection->request;
-  later->output = evbuffer_new ();
-  if (oldest->output == NULL && oldest->status == 0)
-    oldest->output = evbuffer_new ();
-  return later->output != NULL
-         && (oldest->output != NULL || oldest->status != 0);
-}
-
 static void
 on_complete (struct http_stream *stream)
 {
@@ -380,35 +324,33 @@
   struct http_request *request = connection->receiving_request;
   connection->message_start_ms = 0;
   connection->window_start_ms = 0;
-  if (request == NULL || ignores_input (connection))
+  if (request == NULL || http_server_ignores_input (connection))
     return;
+  if (request->streamed)
+    {
+      http_body_complete (connection);
+      return;
+    }
   request->body_size = evbuffer_get_length (request->body);
   if (!settle (connection))
     return;
   connection->receiving_request = NULL;
   connection->served = true;
-  struct http_request **last = &connection->request;
-  while (*last != NULL)
-    last = &(*last)->next;
-  if (last != &connection->request && !hold_responses (connection, request))
+  if (!http_server_append (connection, request))
     {
-      free_request (request);
-      reject (connection, 503);
+      http_server_free_request (request);
+      http_server_reject (connection, 503);
       return;
     }
-  *last = request;
-  connection->pending++;
-  connection->server->in_progress++;
-  request->received_us = clock_monotonic_us ();
-  if (request->head->keep_alive && connection->pending < PIPELINE_MAX)
-    http_stream_next (stream);
-  hand_over_requests (connection);
+  http_server_read_next (connection);
+  http_server_hand_over (connection);
 }
 
 static void
 on_received (struct http_stream *stream)
 {
-  settle (stream->owner);
+  if (settle (stream->owner))
+    http_body_deliver (stream->owner);
 }
 
 static void
@@ -422,7 +364,7 @@
       return;
     }
   counter_add (stream->head_too_large ? &too_large : &malformed, 1);
-  reject (connection, stream->head_too_large ? 431 : 400);
+  http_server_reject (connection, stream->head_too_large ? 431 : 400);
 }
 
 static void
@@ -512,33 +454,6 @@
   evconnlistener_enable (server->listener);
 }
 
-/// @return true when a message behind requests in progress arrives too slowly,
-///         or a body below the minimum rate
-static bool
-is_too_slow (struct http_server_connection *connection, uint64_t now_ms)
-{
-  uint32_t limit_ms = connection->server->limits.receive_ms;
-  if (!connection->stream->started || ignores_input (connection))
-    return false;
-  if (connection->message_start_ms == 0)
-    connection->message_start_ms = now_ms;
-  const struct http_request *request = connection->receiving_request;
-  if (request == NULL)
-    return now_ms - connection->message_start_ms > limit_ms;
-  size_t size = evbuffer_get_length (request->body);
-  bool ends = connection->window_start_ms != 0
-              && now_ms - connection->window_start_ms > limit_ms;
-  bool below = ends
-               && (size - connection->window_size) * 1000ull
-                      < (uint64_t)BODY_RATE_MIN * limit_ms;
-  if (ends || connection->window_start_ms == 0)
-    {
-      connection->window_start_ms = now_ms;
-      connection->window_size = size;
-    }
-  return below;
-}
-
 /// @return time for which a connection waits for its caller's close, ms
 static uint32_t
 linger_ms (const struct http_server *server)
@@ -551,7 +466,7 @@
 reject_slow (struct http_server_connection *connection)
 {
   counter_add (&slow, 1);
-  reject (connection, 408);
+  http_server_reject (connection, 408);
 }
 
 static void
@@ -571,7 +486,7 @@
           if (memory_account_blocks_others (&c->account))
             http_server_shed (c);
         }
-      if (is_too_slow (c, now))
+      if (http_body_is_too_slow (c, now))
         {
           reject_slow (c);
           continue;
@@ -604,7 +519,7 @@
 http_server_shed (void *arg)
 {
   counter_add (&shed, 1);
-  reject (arg, 503);
+  http_server_reject (arg, 503);
 }
 
 enum status
@@ -816,9 +731,8 @@
   request->output = NULL;
 }
 
-/// Sends the responses that are next in order and frees their requests.
-static void
-send_finished_responses (struct http_server_connection *connection)
+void
+http_server_send_finished (struct http_server_connection *connection)
 {
   while (connection->request != NULL)
     {
@@ -826,13 +740,13 @@
       if (request->output != NULL
           && (request->response_complete || request->next == NULL))
         send_held_response (request);
-      if (!request->response_complete)
+      if (!request->response_complete || request->body_open)
         {
           if (request->output != NULL
               && connection->server->ops->writable != NULL)
             connection->server->ops->writable (connection->server->arg,
                                                request);
-          hand_over_requests (connection);
+          http_server_hand_over (connection);
           return;
         }
       bool close = !request->head->keep_alive;
@@ -840,7 +754,7 @@
       connection->pending--;
       connection->server->in_progress--;
       connection->timeout_start_ms = clock_monotonic_ms ();
-      free_request (request);
+      http_server_free_request (request);
       if (close)
         {
           drop_requests (connection, true);
@@ -849,7 +763,7 @@
         }
       if (connection->rejected != 0 && connection->request == NULL)
         {
-          reject (connection, connection->rejected);
+          http_server_reject (connection, connection->rejected);
           return;
         }
       if (connection->rejected == 0)
@@ -863,15 +777,16 @@
   struct http_server_connection *connection = request->connection;
   request->response_complete = true;
   if (connection->request == request)
-    send_finished_responses (connection);
+    http_server_send_finished (connection);
   else
-    hand_over_requests (connection);
+    http_server_hand_over (connection);
 }
 
 void
 http_reply (struct http_request *request, unsigned status, const char *fields,
             const void *body, size_t size)
 {
+  http_request_close_body (request);
   struct evbuffer *output = response_output (request);
   char framing[HTTP_FRAMING_SIZE_MAX];
   snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", size);
@@ -967,6 +882,7 @@
 http_reply_abort (struct http_request *request)
 {
   struct http_server_connection *connection = request->connection;
+  http_request_close_body (request);
   request->response_complete = true; /* its handler is not notified */
   drop_requests (connection, true);
   close_when_sent (connection);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,5 +1,6 @@
 /// HTTP/1.1 server: a listener, its connections and their requests. Request
-/// bodies are buffered completely; responses are streamed. Pipelined requests
+/// bodies are buffered completely up to a size; larger ones are streamed, see
+/// http_request_body.c. Responses are streamed. Pipelined requests
 /// are handled concurrently; their responses are sent in order.
 ///
 /// Only the close of a connection shows that a response is truncated, and it
@@ -35,12 +36,18 @@
   size_t body_size;     ///< bytes of the body when the request was complete
   uint64_t received_us; ///< when the request was complete, monotonic
   void *context;        ///< pointer of the handler
-  size_t response_head_bytes; ///< memory of a response's head that the handler
-                              ///< keeps in the arena
-  unsigned status;            ///< of the response; 0: not started
+  size_t handler_bytes; ///< memory that the handler keeps for it: a response's
+                        ///< head, and what was sent on but not yet taken
+  uint64_t received;    ///< bytes of the body so far
+  unsigned status;      ///< of the response; 0: not started
   char framing[HTTP_FRAMING_SIZE_MAX]; ///< its framing field, or ""
   bool handed_over;                    ///< the handler has received it
-  bool blocks_next;                    ///< see http_request_block_next
+  bool streamed;         ///< handed over before its body was complete
+  bool body_open;        ///< streamed; the handler has not closed the body
+  bool body_complete;    ///< streamed; the whole body was received
+  bool body_read;        ///< streamed; the handler has asked for the body
+  bool expects_continue; ///< its caller waits for 100 Continue
+  bool blocks_next;      ///< see http_request_block_next
   bool response_chunked;
   bool response_complete;    ///< the complete response was written
   struct evbuffer *output;   ///< holds the response back; NULL: it is sent as
@@ -58,15 +65,21 @@
   /// More of the response may be written: all bytes so far were handed to the
   /// kernel, or the earlier responses have ended; may be NULL.
   void (*writable) (void *arg, struct http_request *request);
+  /// More bytes of a streamed request's body are in its buffer, or the body is
+  /// complete. The handler removes them and calls http_request_read_body; may
+  /// be NULL if nothing is streamed.
+  void (*body) (void *arg, struct http_request *request);
 };
 
 struct http_server_limits
 {
   uint32_t head_bytes;
   uint64_t body_bytes;
-  uint32_t receive_ms; ///< time limit for a head to arrive, and interval in
-                       ///< which a body must reach the minimum rate
-  uint32_t idle_ms;    ///< time limit of an idle connection
+  uint64_t stream_bytes; ///< larger bodies are streamed; 0: none
+  bool streams_chunked;  ///< chunked bodies are streamed whatever their size
+  uint32_t receive_ms;   ///< time limit for a head to arrive, and interval in
+                         ///< which a body must reach the minimum rate
+  uint32_t idle_ms;      ///< time limit of an idle connection
 };
 
 struct http_server
@@ -178,6 +191,17 @@
 /// http_reply_retract.
 void http_reply_abort (struct http_request *request);
 
+/// Reads more of a streamed body, also after the response; the first call
+/// answers an expectation of 100 Continue. Has no effect on other requests.
+void http_request_read_body (struct http_request *request);
+
+/// Ends the handler's use of a streamed body, after all of it was taken or
+/// when the rest is not wanted; then the connection is closed after the
+/// response and the rest is dropped. The request is freed once its body is
+/// closed and its response is complete. http_reply and http_reply_abort close
+/// it.
+void http_request_close_body (struct http_request *request);
+
 /// Hands no later request of the connection over before the response is
 /// complete. Called by the handler for a response that is too large to hold.
 void http_request_block_next (struct http_request *request);
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -181,7 +181,11 @@
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
   if (head->status >= 100 && head->status < 200)
-    return 0;
+    {
+      if (stream->ops->informational != NULL)
+        stream->ops->informational (stream, head->status);
+      return 0;
+    }
   stream->ops->head (stream, head);
   return stream->no_body ? 1 : 0;
 }
@@ -351,6 +355,10 @@
       parse_end (stream);
       return;
     }
+  bool write_error
+      = (what & BEV_EVENT_WRITING) != 0 && (what & BEV_EVENT_ERROR) != 0;
+  if (write_error && stream->reads_after_write_error)
+    return; /* reading ends with the same error, after what has arrived */
   if (EVUTIL_SOCKET_ERROR () == ETIMEDOUT)
     counter_add (&timed_out, 1);
   stream->parsing = true;
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -45,6 +45,8 @@
   void (*received) (struct http_stream *stream);
   /// The output buffer is empty; may be NULL.
   void (*drained) (struct http_stream *stream);
+  /// The head of an informational response (1xx) arrived; may be NULL.
+  void (*informational) (struct http_stream *stream, unsigned status);
   /// A client's connection was established; may be NULL.
   void (*connected) (struct http_stream *stream);
 };
@@ -74,7 +76,8 @@
   bool waiting_for_next; ///< parsing is stopped until http_stream_next
   bool paused;           ///< parsing is stopped until http_stream_resume
   bool no_body;          ///< the next response has no body (HEAD)
-  bool discarding;       ///< all further input is dropped
+  bool reads_after_write_error; ///< a response may have come before it
+  bool discarding;              ///< all further input is dropped
   bool parsing;
   struct http_peer_watch peer_watch;
   bool ended;        ///< `closed` was called
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -11,12 +11,17 @@
 ///   POST /control/put?KEY   sets a key to the request body, as an operator
 ///   POST /control/remove?KEY removes a key, as an operator
 ///   GET /control/watches    number of open watches
+///   GET /control/upload     "FRAMING BYTES SHA256" of the last body over 1
+///   MiB
+///                           that a target received whole; a target answers
+///                           it after its end, with "early" in the path before
 ///   GET /control/runs       "RUNS TWICE CRASHES": requests that ran, those
 ///                           below /seal/ that ran again, and crashes caused
 ///                           by requests with "crash" in their path
 #include "platform_store.h"
 
 #include <signal.h>
+#include <sodium.h>
 #include <sys/queue.h>
 
 #define RUNS_MAX 65536
@@ -43,6 +48,7 @@
 };
 
 static struct target targets[TARGETS_MAX];
+static char last_upload[128] = "none\n";
 static char *run_ids[RUNS_MAX];
 static size_t run_count;
 static size_t repeat_count;
@@ -99,6 +105,8 @@
       int size = snprintf (text, sizeof text, "%zu\n", waiting);
       http_reply (request, 200, NULL, text, (size_t)size);
     }
+  else if (strcmp (target, "/control/upload") == 0)
+    http_reply (request, 200, NULL, last_upload, strlen (last_upload));
   else
     {
       int size = snprintf (text, sizeof text, "%zu %zu %zu\n", run_count,
@@ -126,6 +134,7 @@
   struct target *target;
   struct http_request *request;
   struct event timer;
+  crypto_hash_sha256_state hash; ///< of a streamed body
   TAILQ_ENTRY (run) link;
 };
 
@@ -245,6 +254,62 @@
   timer_start (&run->timer, BREAK_OFF_MS);
 }
 
+/// Hashes what has arrived of a streamed body, and answers after its end.
+static void
+on_upload (void *arg, struct http_request *request)
+{
+  struct run *run = request->context;
+  struct evbuffer *body = request->body;
+  if (run == NULL)
+    return; /* the target crashes */
+  size_t size = evbuffer_get_length (body);
+  crypto_hash_sha256_update (&run->hash, evbuffer_pullup (body, -1), size);
+  evbuffer_drain (body, size);
+  if (!request->body_complete)
+    {
+      http_request_read_body (request);
+      return;
+    }
+  unsigned char hash[crypto_hash_sha256_BYTES];
+  char text[2 * sizeof hash + 1];
+  crypto_hash_sha256_final (&run->hash, hash);
+  sodium_bin2hex (text, sizeof text, hash, sizeof hash);
+  snprintf (last_upload, sizeof last_upload, "%s %llu %s\n",
+            request->head->chunked ? "chunked" : "length",
+            (unsigned long long)request->received, text);
+  if (!request->response_complete)
+    {
+      answer_run (run);
+      return;
+    }
+  free_run (run);
+  request->context = NULL;
+  http_request_close_body (request);
+}
+
+/// Starts to read a streamed body.
+static void
+start_upload (struct run *run)
+{
+  struct http_request *request = run->request;
+  crypto_hash_sha256_init (&run->hash);
+  if (strstr (request->head->target, "early") != NULL)
+    {
+      const char *id
+          = http_head_find (request->head, "Hawthornseam-Request-Id");
+      struct evbuffer *fields = evbuffer_new ();
+      evbuffer_add_printf (fields,
+                           "Hawthornseam-Request-Id: %s\r\n"
+                           "Hawthornseam-Response-Seal: x\r\n",
+                           id == NULL ? "" : id);
+      http_reply_start (request, 200, fields, 5);
+      evbuffer_free (fields);
+      http_reply_write (request, "early", 5);
+      http_reply_finish (request);
+    }
+  on_upload (run->target, request);
+}
+
 static void
 on_run_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -268,6 +333,14 @@
 
 static void on_crash_timer (evutil_socket_t fd, short what, void *arg);
 
+/// Targets stream bodies over 1 MiB and accept more than any configuration.
+static const struct http_server_limits target_limits
+    = { .head_bytes = 65536,
+        .body_bytes = 256 * 1024 * 1024,
+        .stream_bytes = 1024 * 1024,
+        .receive_ms = 60000,
+        .idle_ms = 60000 };
+
 static void
 on_target_request (void *arg, struct http_request *request)
 {
@@ -295,7 +368,9 @@
   request->context = run;
   TAILQ_INSERT_TAIL (&runs, run, link);
   evtimer_assign (&run->timer, base, on_run_timer, run);
-  if (strstr (request->head->target, "endless") != NULL)
+  if (request->streamed)
+    start_upload (run);
+  else if (strstr (request->head->target, "endless") != NULL)
     start_endless (run);
   else if (strstr (request->head->target, "break") != NULL)
     break_off (run);
@@ -317,6 +392,7 @@
 
 static const struct http_server_ops target_ops
     = { .request = on_target_request,
+        .body = on_upload,
         .disconnected = on_target_request_closed };
 
 /// Closes the server and all requests of a target, as the death of its process
@@ -341,7 +417,7 @@
     }
   else
     http_server_start (&target->server, base, LOOPBACK, target->port,
-                       &standin_limits, &target_ops, target);
+                       &target_limits, &target_ops, target);
 }
 
 static void
@@ -381,7 +457,7 @@
       target->instance = argv[i + 1];
       target->port = (uint16_t)atoi (argv[i]);
       if (http_server_start (&target->server, base, LOOPBACK, target->port,
-                             &standin_limits, &target_ops, target)
+                             &target_limits, &target_ops, target)
           != STATUS_OK)
         return 1;
     }
--- a/test/unit/resend_test.c
+++ b/test/unit/resend_test.c
@@ -95,6 +95,38 @@
   CU_ASSERT_EQUAL (asked, 0);
 }
 
+/// A target may have a part of a streamed body, which is gone: the request is
+/// sent to no other node, whatever its class.
+static void
+test_streamed_body (void)
+{
+  static const struct
+  {
+    enum resend_event event;
+    bool continued;
+    enum resend_step expected;
+  } rows[] = {
+    { RESEND_LOST, false, RESEND_AGAIN },
+    { RESEND_REFUSED, false, RESEND_AGAIN },
+    { RESEND_LOST, true, RESEND_RESPOND_UNKNOWN },
+    { RESEND_FAILED, true, RESEND_FORWARD },
+    /* The node or the target says that it has not run. */
+    { RESEND_SHED, true, RESEND_RESPOND_NOT_RUN },
+    { RESEND_REFUSED, true, RESEND_RESPOND_NOT_RUN },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      unsigned asked = 0;
+      struct resend resend = { .retry_class = MESH_IDEMPOTENT,
+                               .attempts_max = 2,
+                               .offers = 1,
+                               .continued = rows[i].continued };
+      CU_ASSERT_EQUAL (
+          resend_decide (&resend, rows[i].event, 500, 20, budget_left, &asked),
+          rows[i].expected);
+    }
+}
+
 /// The bound must hold for the sum over all nodes in any window.
 static void
 test_budget_of_all_nodes (void)
@@ -146,6 +178,7 @@
       test_decisions },
     { "a request that is refused because of load is offered to every node",
       test_load_refusals },
+    { "a streamed body is sent to a second node", test_streamed_body },
     { "all nodes together retry more than the budget",
       test_budget_of_all_nodes },
     { "one service spends the budget of another",
