Send an upload's head to the target with the first bytes of its body

The target's node sent the head as soon as it was connected, together with 100 Continue to the entry node. An entry node whose time ended before it had read that 100 answered 503, which says that the request has not run, while the target had its head. The pool now holds such a request until its body begins, and the target's node reports one that ended before that as not run.

--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -395,11 +395,13 @@
       request->status != 0, (clock_monotonic_us () - inbound->sent_us) / 1000);
   if (request->status != 0)
     http_reply_abort (request);
-  else if (end == HTTP_END_NOT_CONNECTED)
+  else if (end == HTTP_END_NOT_CONNECTED
+           || (inbound->streamed && !inbound->upload.begun))
     {
       send_local_reply (sidecar, request, 503, CALL_NOT_RUN,
                         CALL_REASON_NOT_CONNECTED, RETRY_AFTER_MS_MIN);
-      sidecar_target_refused (sidecar);
+      if (end == HTTP_END_NOT_CONNECTED)
+        sidecar_target_refused (sidecar);
     }
   else
     {
@@ -473,6 +475,7 @@
     .max_idle_ms = TARGET_IDLE_MS_MAX,
     .no_body = inbound->request->head->method == HTTP_HEAD,
     .upload = inbound->streamed,
+    .holds_request = inbound->streamed,
     .chunked = inbound->request->head->chunked,
   };
   inbound->sent_us = clock_monotonic_us ();
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -87,7 +87,7 @@
   void *ops_arg = exchange->arg;
   enum http_end end = exchange->end;
   event_del (&exchange->timer);
-  free (exchange);
+  http_upload_free (exchange);
   ops->end (ops_arg, end);
 }
 
@@ -371,7 +371,9 @@
   connection->exchange = exchange;
   connection->stream->no_body = send->no_body;
   connection->stream->reads_after_write_error = send->upload;
-  evbuffer_add_buffer (http_stream_output (connection->stream), send->request);
+  if (!send->holds_request || !http_upload_hold (exchange, send->request))
+    evbuffer_add_buffer (http_stream_output (connection->stream),
+                         send->request);
   if (!reused)
     start_connect (connection);
   return exchange;
@@ -382,7 +384,7 @@
 {
   struct http_connection *connection = exchange->connection;
   event_del (&exchange->timer);
-  free (exchange);
+  http_upload_free (exchange);
   if (connection == NULL)
     return;
   connection->exchange = NULL;
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -67,8 +67,10 @@
   uint32_t max_idle_ms;     ///< connections idle for longer are not reused
   bool upload;              ///< the body follows with http_exchange_write, on
                             ///< a new connection that is not reused
-  bool chunked;             ///< that body is sent in chunks
-  bool no_body;             ///< the response has no body (HEAD)
+  bool holds_request; ///< the request is sent with the first bytes of the
+                      ///< upload's body
+  bool chunked;       ///< that body is sent in chunks
+  bool no_body;       ///< the response has no body (HEAD)
 };
 
 void http_pool_init (struct http_pool *pool, struct event_base *base,
--- a/src/transport/http_pool_internal.h
+++ b/src/transport/http_pool_internal.h
@@ -37,6 +37,7 @@
   bool head_delivered;    ///< the head callback was called
   bool upload;            ///< see http_send
   bool chunked;           ///< the upload's body is sent in chunks
+  struct evbuffer *held;  ///< request that waits for its body, or NULL
   bool body_ended;        ///< the upload's body was written to its end
   bool answered;          ///< the response to an unfinished upload is complete
   bool ended;             ///< `end` is set, its callback is still to be called
@@ -52,6 +53,14 @@
 
 /* http_upload.c */
 
+/// Keeps the request until the first bytes of its body are sent.
+/// @return false without memory
+bool http_upload_hold (struct http_exchange *exchange,
+                       struct evbuffer *request);
+
+/// Frees an exchange that is over.
+void http_upload_free (struct http_exchange *exchange);
+
 /// Callbacks of a connection's stream.
 void http_upload_informational (struct http_stream *stream, unsigned status);
 void http_upload_drained (struct http_stream *stream);
--- a/src/transport/http_upload.c
+++ b/src/transport/http_upload.c
@@ -1,6 +1,38 @@
 /// Owns no state; sends the bodies of uploads on their connections.
 #include "transport/http_pool_internal.h"
 
+#include <stdlib.h>
+
+bool
+http_upload_hold (struct http_exchange *exchange, struct evbuffer *request)
+{
+  exchange->held = evbuffer_new ();
+  return exchange->held != NULL
+         && evbuffer_add_buffer (exchange->held, request) == 0;
+}
+
+void
+http_upload_free (struct http_exchange *exchange)
+{
+  if (exchange->held != NULL)
+    evbuffer_free (exchange->held);
+  free (exchange);
+}
+
+/// @return the buffer for bytes of the body, behind the request
+static struct evbuffer *
+body_output (struct http_exchange *exchange)
+{
+  struct evbuffer *output = http_stream_output (exchange->connection->stream);
+  if (exchange->held != NULL)
+    {
+      evbuffer_add_buffer (output, exchange->held);
+      evbuffer_free (exchange->held);
+      exchange->held = NULL;
+    }
+  return output;
+}
+
 void
 http_upload_informational (struct http_stream *stream, unsigned status)
 {
@@ -42,7 +74,7 @@
 {
   if (exchange->connection == NULL || size == 0)
     return;
-  struct evbuffer *output = http_stream_output (exchange->connection->stream);
+  struct evbuffer *output = body_output (exchange);
   if (exchange->chunked)
     evbuffer_add_printf (output, "%zx\r\n", size);
   evbuffer_remove_buffer (data, output, size);
@@ -56,9 +88,9 @@
   if (exchange->connection == NULL)
     return;
   exchange->body_ended = true;
+  struct evbuffer *output = body_output (exchange);
   if (exchange->chunked)
-    evbuffer_add (http_stream_output (exchange->connection->stream),
-                  "0\r\n\r\n", 5);
+    evbuffer_add (output, "0\r\n\r\n", 5);
   end_answered_upload (exchange);
 }
 
--- a/test/unit/http_upload_test.c
+++ b/test/unit/http_upload_test.c
@@ -254,6 +254,7 @@
 };
 
 static struct upload upload;
+static bool holds_request;
 
 static void
 upload_connected (void *arg)
@@ -299,6 +300,7 @@
                             .id = "a",
                             .max_idle_ms = 4000,
                             .upload = true,
+                            .holds_request = holds_request,
                             .chunked = chunked };
   memset (&upload, 0, sizeof upload);
   struct http_exchange *pending
@@ -387,6 +389,27 @@
     }
 }
 
+/// A request that ends before its body begins must not have run.
+static void
+test_exchange_holds_request (void)
+{
+  struct script responses = { .responses = { OK_RESPONSE } };
+  uint16_t port = pool_set_up (&responses);
+  holds_request = true;
+  struct http_exchange *exchange_ = start_upload (port, false);
+  holds_request = false;
+  CU_ASSERT_EQUAL (upload.connected, 1);
+  CU_ASSERT_EQUAL (script.connections, 1);
+  CU_ASSERT_EQUAL (script.next, 0); /* the target has received nothing */
+  write_upload (exchange_, 100);
+  http_exchange_end_body (exchange_);
+  run_ms (50);
+  CU_ASSERT_EQUAL (script.next, 1);
+  CU_ASSERT (upload.result.ended);
+  CU_ASSERT_EQUAL (upload.result.end, HTTP_END_COMPLETE);
+  pool_tear_down ();
+}
+
 static void
 test_exchange_lost (void)
 {
@@ -418,6 +441,8 @@
       test_exchange_proceeds },
     { "a response before the end of the body is lost, or cuts the body",
       test_exchange_answered_early },
+    { "a target gets a request whose body is never sent",
+      test_exchange_holds_request },
     { "an upload whose connection is lost passes for answered",
       test_exchange_lost },
   };
