--- a/src/sidecar/sidecar_outbound_response.c
+++ b/src/sidecar/sidecar_outbound_response.c
@@ -129,16 +129,15 @@
   if (call_outcome_parse (http_head_find (head, CALL_HEADER_OUTCOME), &outcome)
       != STATUS_OK)
     outcome = CALL_UNKNOWN;
-  outbound->response
-      = talloc_zero (outbound->request->arena, struct http_head);
-  *outbound->response = *head;
-  for (size_t i = 0; i < head->field_count; i++)
+  outbound->response = http_head_copy (outbound->request->arena, head);
+  if (outbound->response == NULL)
     {
-      outbound->response->fields[i].name
-          = talloc_strdup (outbound->response, head->fields[i].name);
-      outbound->response->fields[i].value
-          = talloc_strdup (outbound->response, head->fields[i].value);
+      outbound->not_run = outbound->target_failed = false;
+      outbound->unusable = true;
+      stop_reading (outbound);
+      return;
     }
+  outbound->request->handler_bytes += http_head_memory (head);
   outbound->discarded = 0;
   outbound->not_run = outcome == CALL_NOT_RUN;
   outbound->unusable
@@ -255,6 +254,11 @@
 on_response_end (void *arg, enum http_end end)
 {
   struct sidecar_outbound *outbound = arg;
+  if (outbound->answered)
+    {
+      sidecar_outbound_end_upload (outbound);
+      return;
+    }
   outbound->exchange = NULL;
   if (end == HTTP_END_NOT_CONNECTED)
     {
@@ -284,8 +288,10 @@
       sidecar_outbound_report_result (outbound, PLACEMENT_FAILED);
       sidecar_outbound_retry_or_end (
           outbound, RESEND_LOST,
-          known_reason (
-              http_head_find (outbound->response, CALL_HEADER_REASON)));
+          outbound->response == NULL
+              ? "unstated"
+              : known_reason (
+                  http_head_find (outbound->response, CALL_HEADER_REASON)));
     }
   else if (outbound->target_failed && !outbound->forwarding)
     {
@@ -301,6 +307,25 @@
     }
 }
 
-const struct http_exchange_ops sidecar_outbound_exchange_ops = {
-  .head = on_response_head, .body = on_response_body, .end = on_response_end
-};
+/// The response is complete before the streamed body was sent to its end.
+static void
+on_answered (void *arg)
+{
+  struct sidecar_outbound *outbound = arg;
+  if (outbound->not_run || !outbound->retry.continued)
+    {
+      stop_reading (outbound);
+      return;
+    }
+  if (outbound->target_failed)
+    sidecar_outbound_report_result (outbound, PLACEMENT_FAILED);
+  sidecar_outbound_end_answered (outbound);
+}
+
+const struct http_exchange_ops sidecar_outbound_exchange_ops
+    = { .head = on_response_head,
+        .body = on_response_body,
+        .end = on_response_end,
+        .proceed = sidecar_outbound_proceed,
+        .sent = sidecar_outbound_forward,
+        .answered = on_answered };
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -26,6 +26,13 @@
   void (*body) (void *arg, const char *data, size_t size);
   /// Called once; no other callback of the exchange follows.
   void (*end) (void *arg, enum http_end end);
+  /* Only for uploads. */
+  void (*connected) (void *arg); ///< may be NULL
+  void (*proceed) (void *arg);   ///< 100 Continue arrived; may be NULL
+  void (*sent) (void *arg);      ///< the kernel has taken all bytes so far
+  /// The response is complete, but the body is not sent to its end. `end`
+  /// follows when it is, or when it cannot be sent.
+  void (*answered) (void *arg);
 };
 
 struct http_pool_options
@@ -35,6 +42,7 @@
   const char *id_header; ///< name of the id field: a response whose value
                          ///< differs from the request's id is dropped, also
                          ///< if the request has none; NULL: not compared
+  size_t head_bytes;     ///< limit of a response's head; 0: default
   struct memory_budget *budget; ///< counts the descriptors; NULL: no limit
 };
 
@@ -57,7 +65,12 @@
   const char *id;           ///< expected value of the id field, of any
                             ///< length; NULL or "": the request has none
   uint32_t max_idle_ms;     ///< connections idle for longer are not reused
-  bool no_body;             ///< the response has no body (HEAD)
+  bool upload;              ///< the body follows with http_exchange_write, on
+                            ///< a new connection that is not reused
+  bool holds_request; ///< the request is sent with the first bytes of the
+                      ///< upload's body
+  bool chunked;       ///< that body is sent in chunks
+  bool no_body;       ///< the response has no body (HEAD)
 };
 
 void http_pool_init (struct http_pool *pool, struct event_base *base,
@@ -75,6 +88,18 @@
                                       const struct http_exchange_ops *ops,
                                       void *arg);
 
+/// Sends a part of an upload's body.
+/// @param data  the bytes are removed from it
+void http_exchange_write (struct http_exchange *exchange,
+                          struct evbuffer *data, size_t size);
+
+/// Ends an upload's body.
+void http_exchange_end_body (struct http_exchange *exchange);
+
+/// @return bytes that the kernel has not taken yet; SIZE_MAX when the
+///         connection is lost
+size_t http_exchange_unsent (const struct http_exchange *exchange);
+
 /// Cancels an exchange without a callback and closes its connection.
 void http_exchange_cancel (struct http_exchange *exchange);
 
