Cancel the soak's heartbeats and polls that are in flight at its end

Cause: the heartbeat pool was closed at the end, which leaves the exchanges in flight to their owner (http_pool_finish), and the soak kept no reference to them. The readiness polls had the same fault. Calls that the store delays were not freed either; their pending timers hid them from the leak checker.

The heartbeats are in a list, in a file of their own, and each node has at most one readiness poll; both are cancelled at the end, before their pools are closed. A delayed call of the store is in a list too. The event base is freed, so that what still belongs to a timer is reported. Each run now ends with all nodes paused for 0.9 s, so that heartbeats are in flight in every run and not only beside load.

Run: sanitizer build, 3 nodes paused for 2.5 s, then SIGINT: before, 10 exchanges leaked (6 polls, 4 heartbeats); after, none. With the cancellation of heartbeats taken out, a run of 21 s reports a leak of 168 bytes.

--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -17,6 +17,10 @@
 #define SOAK_LOOPBACK 0x7f000001u
 #define SOAK_NODES_MAX 320
 #define SOAK_SERVICES 3
+#define SOAK_ZONES 3
+
+/// Slots of each target.
+#define SOAK_SLOTS 8
 
 /// Settings of the platform and bounds that follow from them, milliseconds.
 #define SOAK_STABLE_MS 3000
@@ -91,6 +95,7 @@
   uint64_t faulty_until_ms; ///< end of the last unplanned fault on it
   uint64_t planned_until_ms;
   bool ready;
+  struct http_exchange *ready_poll; ///< in flight, or NULL
   unsigned newest_version;  ///< newest that this process has shown in force
   struct event send_timer;  ///< next request of its callers
   struct http_pool callers; ///< persistent connections of its callers
@@ -205,6 +210,15 @@
 void soak_target_stop (struct soak_node *node);
 void soak_target_crash (struct soak_node *node, uint32_t down_ms);
 void soak_target_leave (struct soak_node *node);
+/// Its node has acknowledged that a target leaves.
+void soak_target_leave_acknowledged (struct soak_target *target);
+
+/* soak_heartbeat.c */
+void soak_heartbeat_start (struct soak_target *target);
+/// Cancels the heartbeats of a target that are in flight.
+void soak_heartbeat_stop (struct soak_target *target);
+/// Closes the connections after the heartbeats of all targets have stopped.
+void soak_heartbeat_finish (void);
 
 /* soak_ledger.c: a record of every request and its outcome. */
 struct soak_request
@@ -256,6 +270,7 @@
 /* soak_faults.c */
 void soak_faults_start (struct soak *soak);
 void soak_faults_end (struct soak *soak);
+void soak_faults_stop (void);
 
 extern const char *const soak_services[SOAK_SERVICES];
 extern const char *const soak_paths[SOAK_KINDS];
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -372,6 +372,12 @@
   timer_start (&fault_timer, 2000);
 }
 
+void
+soak_faults_stop (void)
+{
+  event_del (&fault_timer);
+}
+
 void
 soak_faults_end (struct soak *soak)
 {
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -27,6 +27,10 @@
 
 #define READY_POLL_MS 1000
 
+/// The nodes are paused for this long at the end, in which most targets send a
+/// heartbeat.
+#define LAST_PAUSE_MS 900
+
 /// Time without faults at the end of a run: recovery, then measurement.
 #define FAULT_FREE_MS (SOAK_RECOVERY_MS + 4000)
 
@@ -117,6 +121,7 @@
 on_ready_end (void *arg, enum http_end end)
 {
   struct soak_node *node = arg;
+  node->ready_poll = NULL;
   if (end != HTTP_END_COMPLETE)
     node->ready = false;
 }
@@ -137,13 +142,17 @@
   for (size_t i = 0; i < soak->node_count; i++)
     {
       struct soak_node *node = &soak->nodes[i];
+      /* A paused node answers when it resumes. */
+      if (node->ready_poll != NULL)
+        continue;
       struct evbuffer *bytes = evbuffer_new ();
       evbuffer_add_printf (bytes,
                            "GET /api/readyz HTTP/1.1\r\nHost: node\r\n\r\n");
       struct http_send send = { .address = SOAK_LOOPBACK,
                                 .port = soak_port (node, SOAK_PORT_READY),
                                 .request = bytes };
-      if (http_pool_send (&ready_pool, &send, &ready_ops, node) == NULL)
+      node->ready_poll = http_pool_send (&ready_pool, &send, &ready_ops, node);
+      if (node->ready_poll == NULL)
         node->ready = false;
       evbuffer_free (bytes);
     }
@@ -170,7 +179,7 @@
       soak_log (soak, "no more faults");
       soak_faults_end (soak);
     }
-  if (now >= soak->faults_end_ms + FAULT_FREE_MS)
+  if (!soak->stopping && now >= soak->faults_end_ms + FAULT_FREE_MS)
     event_base_loopbreak (soak->base);
 }
 
@@ -251,10 +260,24 @@
   return STATUS_OK;
 }
 
+/// Pauses all nodes, so that every run ends with exchanges in flight. The
+/// leak checker reports those that are not cancelled.
+static void
+pause_all (struct soak *soak)
+{
+  soak->stopping = true;
+  for (size_t i = 0; i < soak->node_count; i++)
+    soak_process_signal (&soak->nodes[i], SIGSTOP);
+  event_base_loopexit (soak->base,
+                       &(struct timeval){ 0, 1000 * LAST_PAUSE_MS });
+  event_base_dispatch (soak->base);
+}
+
 static void
 stop_all (struct soak *soak)
 {
   soak->stopping = true;
+  soak_faults_stop ();
   for (size_t i = 0; i < soak->node_count; i++)
     soak_callers_stop (&soak->nodes[i]);
   soak_process_kill_all (soak);
@@ -262,9 +285,12 @@
     {
       struct soak_node *node = &soak->nodes[i];
       soak_target_stop (node);
+      if (node->ready_poll != NULL)
+        http_exchange_cancel (node->ready_poll);
       for (int side = 0; side < PROXY_SIDES; side++)
         soak_proxy_free (node->proxies[side]);
     }
+  soak_heartbeat_finish ();
   http_pool_finish (&ready_pool);
   soak_store_stop (soak);
 }
@@ -318,7 +344,6 @@
     }
   soak_store_next_version (&soak);
   soak_faults_start (&soak);
-  evtimer_assign (&soak.tick, soak.base, on_tick, &soak);
   event_assign (&soak.tick, soak.base, -1, EV_PERSIST, on_tick, &soak);
   event_add (&soak.tick, &(struct timeval){ 0, TICK_MS * 1000 });
   struct event *interrupt
@@ -329,10 +354,14 @@
   event_add (terminate, NULL);
   event_base_dispatch (soak.base);
   soak_ledger_check (&soak);
+  pause_all (&soak);
   stop_all (&soak);
   soak_ledger_finish ();
   event_free (interrupt);
   event_free (terminate);
+  event_del (&soak.tick);
+  /* What still belongs to a timer or connection here is a leak. */
+  event_base_free (soak.base);
   fclose (log_file);
   return soak.violations > 0 ? 1 : 0;
 }
--- a/test/soak/soak_store.c
+++ b/test/soak/soak_store.c
@@ -45,6 +45,8 @@
 void
 soak_store_stop (struct soak *soak)
 {
+  abort_watches ();
+  cancel_delayed_calls ();
   http_server_stop (&server);
   event_del (&lease_tick);
   for (size_t i = 0; i < item_count; i++)
--- a/test/soak/soak_target.c
+++ b/test/soak/soak_target.c
@@ -11,9 +11,7 @@
 #include <sys/queue.h>
 #include <talloc.h>
 
-#define SLOTS 8
 #define QUEUE_MAX 16
-#define HEARTBEAT_MS 1500
 #define WORK_MS_MIN 3
 #define WORK_MS_SPREAD 30
 
@@ -41,8 +39,6 @@
 
 static TAILQ_HEAD (runs, run) runs = TAILQ_HEAD_INITIALIZER (runs);
 
-static struct http_pool heartbeat_pool;
-static bool heartbeat_pool_ready;
 static unsigned long long incarnations;
 static size_t late_cancellations;
 
@@ -73,7 +69,7 @@
             "Hawthornseam-Instance-Id: %s\r\n"
             "Hawthornseam-Server-Load: %zu,0,%d\r\n",
             text, run->sent->id, run->target->instance, run->target->running,
-            SLOTS);
+            SOAK_SLOTS);
 }
 
 /// Sends the response that belongs to a request.
@@ -254,7 +250,7 @@
                     "r-%08" PRIx64 " reached %s %" PRIu64
                     " ms after its leaving was acknowledged",
                     sent->id, target->instance, now - target->acknowledged_ms);
-  if (target->running >= SLOTS + QUEUE_MAX
+  if (target->running >= SOAK_SLOTS + QUEUE_MAX
       || with_probability (target, target->shed_permille))
     {
       refuse (request, 503);
@@ -290,84 +286,6 @@
 static const struct http_server_ops ops
     = { .request = on_request, .disconnected = on_request_closed };
 
-struct heartbeat
-{
-  struct soak_target *target;
-  unsigned incarnation;
-  bool leaving;
-  unsigned status;
-};
-
-static void
-on_heartbeat_head (void *arg, struct http_head *head)
-{
-  ((struct heartbeat *)arg)->status = head->status;
-}
-
-static void
-on_heartbeat_end (void *arg, enum http_end end)
-{
-  struct heartbeat *heartbeat = arg;
-  struct soak_target *target = heartbeat->target;
-  if (end == HTTP_END_COMPLETE && heartbeat->status == 200
-      && heartbeat->leaving && heartbeat->incarnation == target->incarnation
-      && !target->leave_acknowledged)
-    {
-      target->leave_acknowledged = true;
-      target->acknowledged_ms = clock_monotonic_ms ();
-      timer_start (&target->change, LEAVE_SERVE_MS);
-    }
-  free (heartbeat);
-}
-
-static const struct http_exchange_ops heartbeat_ops = {
-  .head = on_heartbeat_head, .body = soak_ignore_body, .end = on_heartbeat_end
-};
-
-static void
-send_heartbeat (struct soak_target *target)
-{
-  char body[512];
-  int size = snprintf (
-      body, sizeof body,
-      "{\"Address\":\"127.0.0.1:%u\",\"Info\":{\"Service\":\"%s\","
-      "\"Version\":\"v1\",\"Zone\":\"z%zu\",\"Capacity\":%d},"
-      "\"Status\":{\"State\":\"%s\",\"SeqNo\":%" PRIu64
-      ",\"ColdLeft\":\"0ms\"},\"born\":%u}",
-      soak_port (target->node, SOAK_PORT_TARGET),
-      soak_services[target->node->service], target->node->index % 3, SLOTS,
-      target->leaving ? "draining" : "ready", ++target->sequence,
-      1000 + target->incarnation);
-  struct evbuffer *bytes = evbuffer_new ();
-  evbuffer_add_printf (bytes,
-                       "POST /api/instances/%s/heartbeat HTTP/1.1\r\n"
-                       "Host: node\r\nContent-Type: application/json\r\n"
-                       "Content-Length: %d\r\n\r\n%s",
-                       target->instance, size, body);
-  struct heartbeat *heartbeat = calloc (1, sizeof *heartbeat);
-  *heartbeat = (struct heartbeat){ .target = target,
-                                   .incarnation = target->incarnation,
-                                   .leaving = target->leaving };
-  struct http_send send
-      = { .address = SOAK_LOOPBACK,
-          .port = soak_port (target->node, SOAK_PORT_REPORTS),
-          .request = bytes,
-          .max_idle_ms = 1000 };
-  if (http_pool_send (&heartbeat_pool, &send, &heartbeat_ops, heartbeat)
-      == NULL)
-    free (heartbeat);
-  evbuffer_free (bytes);
-}
-
-static void
-on_heartbeat_timer (evutil_socket_t fd, short what, void *arg)
-{
-  struct soak_target *target = arg;
-  timer_start (&target->heartbeat, HEARTBEAT_MS);
-  if (target->up)
-    send_heartbeat (target);
-}
-
 static void
 bring_up (struct soak_target *target)
 {
@@ -438,6 +356,16 @@
   timer_start (&target->heartbeat, 0);
 }
 
+void
+soak_target_leave_acknowledged (struct soak_target *target)
+{
+  if (target->leave_acknowledged)
+    return;
+  target->leave_acknowledged = true;
+  target->acknowledged_ms = clock_monotonic_ms ();
+  timer_start (&target->change, LEAVE_SERVE_MS);
+}
+
 enum status
 soak_target_start (struct soak_node *node)
 {
@@ -445,15 +373,7 @@
   target->soak = node->soak;
   target->node = node;
   target->slow_factor = 1;
-  if (!heartbeat_pool_ready)
-    {
-      static const struct http_pool_options options
-          = { .idle_ms = 1000, .connect_ms = 1000 };
-      http_pool_init (&heartbeat_pool, node->soak->base, &options);
-      heartbeat_pool_ready = true;
-    }
-  evtimer_assign (&target->heartbeat, node->soak->base, on_heartbeat_timer,
-                  target);
+  soak_heartbeat_start (target);
   evtimer_assign (&target->change, node->soak->base, on_change, target);
   bring_up (target);
   return target->server.listener == NULL ? STATUS_UNAVAILABLE : STATUS_OK;
@@ -463,12 +383,9 @@
 soak_target_stop (struct soak_node *node)
 {
   struct soak_target *target = &node->target;
-  event_del (&target->heartbeat);
+  soak_heartbeat_stop (target);
   event_del (&target->change);
   if (target->up)
     close_server (target);
   target->up = false;
-  if (heartbeat_pool_ready)
-    http_pool_finish (&heartbeat_pool);
-  heartbeat_pool_ready = false;
 }
--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -15,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <talloc.h>
 
 #define ITEMS_MAX 4096
@@ -381,15 +382,35 @@
 {
   struct http_request *request;
   struct event timer;
+  TAILQ_ENTRY (delayed_call) link;
 };
 
+static TAILQ_HEAD (, delayed_call)
+    delayed_calls = TAILQ_HEAD_INITIALIZER (delayed_calls);
+
+static void
+free_delayed_call (struct delayed_call *call)
+{
+  event_del (&call->timer);
+  TAILQ_REMOVE (&delayed_calls, call, link);
+  free (call);
+}
+
+/// Before the server stops, which does not report the calls in progress.
+static inline void
+cancel_delayed_calls (void)
+{
+  while (!TAILQ_EMPTY (&delayed_calls))
+    free_delayed_call (TAILQ_FIRST (&delayed_calls));
+}
+
 static void
 on_delayed_call (evutil_socket_t fd, short what, void *arg)
 {
   struct delayed_call *call = arg;
   struct http_request *request = call->request;
   request->context = NULL;
-  free (call);
+  free_delayed_call (call);
   perform_call (request);
 }
 
@@ -416,6 +437,7 @@
       struct delayed_call *call = calloc (1, sizeof *call);
       call->request = request;
       request->context = call;
+      TAILQ_INSERT_TAIL (&delayed_calls, call, link);
       evtimer_assign (&call->timer, base, on_delayed_call, call);
       timer_start (&call->timer, store_faults.slow_ms);
     }
@@ -437,9 +459,7 @@
       event_del (&watch->timer);
       return;
     }
-  struct delayed_call *call = request->context;
-  event_del (&call->timer);
-  free (call);
+  free_delayed_call (request->context);
 }
 
 static void
