--- a/test/soak/soak_accounts.c
+++ b/test/soak/soak_accounts.c
@@ -194,14 +194,15 @@
   size_t names = 0;
   const char *name = NULL;
   bool leaked = strstr (head->target, KEY_MARK) != NULL;
-  for (size_t i = 0; i < head->field_count; i++)
+  struct http_field field = { 0 };
+  while (http_head_next (head, &field))
     {
-      leaked |= strcasecmp (head->fields[i].name, "Api-Key") == 0
-                || strstr (head->fields[i].value, KEY_MARK) != NULL;
-      if (strcasecmp (head->fields[i].name, "Hawthornseam-Tenant") != 0)
+      leaked |= strcasecmp (field.name, "Api-Key") == 0
+                || strstr (field.value, KEY_MARK) != NULL;
+      if (strcasecmp (field.name, "Hawthornseam-Tenant") != 0)
         continue;
       names++;
-      name = head->fields[i].value;
+      name = field.value;
     }
   if (leaked)
     soak_violation (soak, "KEY", "r-%08" PRIx64 " reached a target with a key",
