Load few targets of a new version fully before the large shares

rollout_spread ranks the new version's targets by a hash of the service, the order and the node, and gives a share to as many of them as have share x slots of the larger version. None gets more requests per slot than at the end of the move. Targets that are gone, draining, evacuated, full, cold or avoided are replaced or joined by the next ones. Nothing is added to what is stored or sent; without a running move, placement is unchanged. The driver plans one long step at the share that just loads the first target (33% with 3 targets), sized to expose at most 6.8% of the service's requests.

A suspicion held a good version at this step until its deadline in up to 5 of 100 moves: a test takes no evidence away while neither version fails. It now ends after 30 further requests without evidence, holds the end of the move too, and evidence of 10 at the deadline rolls back.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
   retry.c \
   retry_quota.c \
   rollout.c \
+  rollout_spread.c \
   seqtest.c \
   shed_cost.c \
   stop_plan.c \
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -58,9 +58,10 @@
 #define ERROR_SMOOTHING_DIVISOR 10
 
 static bool
-is_allowed (const struct directory_record *record,
+is_allowed (const struct directory *directory, size_t handle,
             const struct placement_request *request)
 {
+  const struct directory_record *record = &directory->records[handle];
   const struct directory_entry *entry = &record->entry;
   if (!record->used || entry->state != DIRECTORY_READY
       || strcmp (entry->service, request->service) != 0)
@@ -68,6 +69,8 @@
   if (request->evacuations != NULL && request->evacuations->count > 0
       && evacuation_contains (request->evacuations, entry->availability_zone))
     return false;
+  if (request->version.only != NULL && !request->version.only[handle])
+    return false;
   if (request->version.name == NULL)
     return true;
   bool same = strcmp (entry->version, request->version.name) == 0;
@@ -287,7 +290,7 @@
   for (size_t i = 0; i < directory->count; i++)
     {
       const struct directory_record *record = &directory->records[i];
-      if (!is_allowed (record, request) || was_tried (request, i)
+      if (!is_allowed (directory, i, request) || was_tried (request, i)
           || (!with_failed && now_ms < record->load.down_until_ms))
         continue;
       if (!with_speed && record->load.speed_percent > 0)
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -17,6 +17,7 @@
 {
   const char *name; ///< NULL: any version
   bool exclude;     ///< true: any version but this one
+  const bool *only; ///< by handle, the targets that may get it; NULL: all
 };
 
 struct placement_request
--- a/src/coordination/rollout.c
+++ b/src/coordination/rollout.c
@@ -5,18 +5,41 @@
 #include <stdio.h>
 #include <string.h>
 
-/// Shares of the steps, and the earliest start of each as a fraction of the
-/// move's duration. They keep the requests that reach a faulty version, until
-/// a fault under load is detected, below a tenth of the service's requests.
-static const struct
+#define FULL_SHARE_BP 10000
+
+struct step
 {
   uint32_t share_bp;
-  uint32_t at_permille;
-} steps[] = {
+  uint32_t at_permille; ///< earliest start, of the move's duration
+};
+
+#define STEP_COUNT 5
+
+/// Plan of a move whose targets get no known load from a small share. The
+/// shares and times keep the requests that reach a faulty version, until a
+/// fault under load is detected, below a tenth of the service's requests.
+static const struct step default_steps[STEP_COUNT] = {
   { 300, 0 }, { 1000, 500 }, { 2200, 575 }, { 4000, 640 }, { 10000, 710 },
 };
 
-#define STEP_COUNT (sizeof steps / sizeof steps[0])
+/// Step in which the first targets have their load of the end of the move.
+#define LOAD_STEP 2
+
+/// Largest share of that step; with fewer than two targets there is none.
+#define LOAD_SHARE_BP_MAX 5000
+
+/// Part of the service's requests that the load step may expose, permille. It
+/// leaves a tenth of all requests with the first steps and the time until all
+/// nodes have the rollback.
+#define LOAD_EXPOSURE_PERMILLE 68
+
+/// Earliest start of the load step, permille of the duration: the rare kinds
+/// are measured before.
+#define LOAD_AT_PERMILLE_MIN 400
+
+/// Time of the step before the load step, permille of the duration. It limits
+/// what a version meets that fails at a tenth of the requests.
+#define BEFORE_LOAD_PERMILLE 60
 
 /// Requests that the new version must have served in a step.
 #define STEP_CALLS 10
@@ -54,11 +77,24 @@
 /// a move of seconds cannot wait for more evidence.
 #define GROWTH_MAX_PER_S 1e9
 
-/// Evidence from which on the share is not raised, not even for the deadline:
-/// a fault that a small share shows only weakly is tested further before the
-/// next step. The evidence against a sound version stays below or falls again.
+/// Evidence from which on the share is not raised and the move is not done: a
+/// fault that a small share shows only weakly is tested further first.
 #define SUSPICION 0.5
 
+/// Requests of the kind without further evidence that end a suspicion. A
+/// single failure while the old version has none gives up to 0.7, and
+/// responses without failures take none of it away: one good move in twenty
+/// was held until its deadline.
+#define CLEAN_CALLS 30
+
+/// The same for a weak suspicion when the step is late: a rare kind does not
+/// get more requests before the deadline.
+#define SUSPICION_WEAK 2.0
+#define CLEAN_CALLS_LATE 15
+
+/// Suspicion that lasts, also at the deadline.
+#define SUSPICION_STRONG 10.0
+
 /// Decay of the old version's counts at each evaluation. A rare kind has too
 /// few requests between two evaluations; the memory is still short enough for
 /// a fault that hits both versions to show in these counts soon.
@@ -83,21 +119,66 @@
   rollout->started_ms = now_ms;
   rollout->deadline_ms = now_ms + duration_ms;
   rollout->step_ms = now_ms;
+  rollout->share_bp = default_steps[0].share_bp;
 }
 
 void
 rollout_resume (struct rollout *rollout, uint32_t share_bp, uint64_t now_ms)
 {
-  while (rollout->step + 1 < STEP_COUNT
-         && steps[rollout->step].share_bp < share_bp)
+  while (rollout->step + 2 < STEP_COUNT
+         && default_steps[rollout->step].share_bp < share_bp)
     rollout->step++;
+  if (share_bp >= FULL_SHARE_BP)
+    rollout->step = STEP_COUNT - 1;
   rollout->step_ms = now_ms;
+  if (rollout->share_bp < share_bp)
+    rollout->share_bp = share_bp;
 }
 
 uint32_t
 rollout_share (const struct rollout *rollout)
 {
-  return steps[rollout->step].share_bp;
+  return rollout->share_bp;
+}
+
+/// @return the part of a share that loads whole targets
+static uint32_t
+whole_targets_bp (uint32_t share_bp, uint32_t load_share_bp)
+{
+  return share_bp < load_share_bp ? load_share_bp
+                                  : share_bp / load_share_bp * load_share_bp;
+}
+
+/// Makes the plan of a move whose first target has its later load at
+/// `load_share_bp` basis points, 0 if unknown.
+static void
+make_plan (uint32_t load_share_bp, struct step plan[STEP_COUNT])
+{
+  memcpy (plan, default_steps, sizeof default_steps);
+  if (load_share_bp == 0 || load_share_bp > LOAD_SHARE_BP_MAX)
+    return;
+  struct step *load = &plan[LOAD_STEP];
+  uint32_t end = plan[STEP_COUNT - 1].at_permille;
+  load->share_bp = whole_targets_bp (1000, load_share_bp);
+  uint32_t length = LOAD_EXPOSURE_PERMILLE * FULL_SHARE_BP / load->share_bp;
+  load->at_permille = end > LOAD_AT_PERMILLE_MIN + length
+                          ? end - length
+                          : LOAD_AT_PERMILLE_MIN;
+  plan[LOAD_STEP - 1].at_permille = load->at_permille - BEFORE_LOAD_PERMILLE;
+  if (plan[LOAD_STEP - 1].share_bp > load->share_bp)
+    plan[LOAD_STEP - 1].share_bp = load->share_bp;
+  plan[LOAD_STEP + 1].share_bp
+      = whole_targets_bp (plan[LOAD_STEP + 1].share_bp, load_share_bp);
+}
+
+/// @return the next step of the plan with a larger share
+static size_t
+next_step (const struct rollout *rollout, const struct step plan[STEP_COUNT])
+{
+  size_t next = rollout->step + 1;
+  while (next + 1 < STEP_COUNT && plan[next].share_bp <= rollout->share_bp)
+    next++;
+  return next;
 }
 
 size_t
@@ -123,7 +204,7 @@
     return &rollout->kinds[ROLLOUT_KINDS - 1];
   struct rollout_kind *entry = &rollout->kinds[rollout->kind_count++];
   entry->kind = kind;
-  entry->share_bp = steps[0].share_bp;
+  entry->share_bp = default_steps[0].share_bp;
   seqtest_init (&entry->failures);
   seqtest_init (&entry->slow);
   seqtest_start (&entry->failures, 1.0 / TEST_COUNT);
@@ -249,11 +330,12 @@
 /// @return true when a share rose by more than a quarter and should be
 ///         published
 static bool
-set_kind_shares (struct rollout *rollout, uint64_t now_ms)
+set_kind_shares (struct rollout *rollout, uint32_t first_step_permille,
+                 uint64_t now_ms)
 {
   uint64_t elapsed_ms = now_ms - rollout->started_ms;
   uint64_t first_step_ms = (rollout->deadline_ms - rollout->started_ms)
-                           * steps[1].at_permille / 1000;
+                           * first_step_permille / 1000;
   bool changed = false;
   if (elapsed_ms < KINDS_MEASURE_MS || rollout->kind_shares_ms != 0
       || elapsed_ms >= first_step_ms)
@@ -266,8 +348,8 @@
                           * (first_step_ms - elapsed_ms) / elapsed_ms;
       uint64_t share
           = expected == 0 ? KIND_SHARE_BP_MAX : KIND_CALLS * 10000 / expected;
-      if (share < steps[0].share_bp)
-        share = steps[0].share_bp;
+      if (share < default_steps[0].share_bp)
+        share = default_steps[0].share_bp;
       if (share > KIND_SHARE_BP_MAX)
         share = KIND_SHARE_BP_MAX;
       changed = changed || share > kind->share_bp + kind->share_bp / 4;
@@ -292,21 +374,37 @@
   return rollout->kind_count > 0;
 }
 
-/// @param evidence  strongest evidence against the new version
+/// @return true while more requests are needed to tell a weak fault from
+/// chance
+static bool
+is_suspicious (const struct rollout *rollout, bool late)
+{
+  for (size_t i = 0; i < rollout->kind_count; i++)
+    {
+      const struct rollout_kind *kind = &rollout->kinds[i];
+      uint32_t needed = late && kind->evidence < SUSPICION_WEAK
+                            ? CLEAN_CALLS_LATE
+                            : CLEAN_CALLS;
+      bool clean = kind->all[ROLLOUT_NEW].calls - kind->clean_from >= needed;
+      if (kind->evidence >= SUSPICION_STRONG
+          || (kind->evidence >= SUSPICION && !clean))
+        return true;
+    }
+  return false;
+}
+
 static bool
-may_step (const struct rollout *rollout, double evidence, uint64_t now_ms)
+may_step (const struct rollout *rollout, const struct step plan[STEP_COUNT],
+          uint64_t now_ms)
 {
+  uint32_t at = plan[next_step (rollout, plan)].at_permille;
   uint64_t duration = rollout->deadline_ms - rollout->started_ms;
   uint64_t permille = (now_ms - rollout->started_ms) * 1000 / duration;
-  uint64_t dwell_ms = duration
-                      * (steps[rollout->step + 1].at_permille
-                         - steps[rollout->step].at_permille)
-                      / 2000;
-  if (evidence >= SUSPICION || permille < steps[rollout->step + 1].at_permille
-      || now_ms - rollout->step_ms < dwell_ms)
+  uint64_t dwell_ms = duration * (at - plan[rollout->step].at_permille) / 2000;
+  bool late = permille >= at + WAIT_MAX_PERMILLE;
+  if (permille < at || now_ms - rollout->step_ms < dwell_ms
+      || is_suspicious (rollout, late))
     return false;
-  bool late
-      = permille >= steps[rollout->step + 1].at_permille + WAIT_MAX_PERMILLE;
   return late
          || (new_version_calls (rollout) - rollout->step_calls >= STEP_CALLS
              && kinds_served (rollout));
@@ -317,12 +415,17 @@
                 uint64_t now_ms)
 {
   double strongest = 0;
+  struct step plan[STEP_COUNT];
+  make_plan (view->load_share_bp, plan);
   for (size_t i = 0; i < rollout->kind_count; i++)
     {
       const char *measure;
       struct rollout_kind *kind = &rollout->kinds[i];
       double evidence = update_tests (kind, now_ms, &measure);
       strongest = fmax (strongest, evidence);
+      if (evidence > kind->evidence)
+        kind->clean_from = kind->all[ROLLOUT_NEW].calls;
+      kind->evidence = evidence;
       if (evidence < 1 / FALSE_ALARM)
         continue;
       snprintf (rollout->reason, sizeof rollout->reason,
@@ -336,28 +439,32 @@
     {
       snprintf (rollout->reason, sizeof rollout->reason, "%s",
                 last ? "deadline" : "not done in time");
-      return last && view->new_targets > 0 ? ROLLOUT_FINISH
-                                           : ROLLOUT_ROLL_BACK;
+      return last && view->new_targets > 0 && strongest < SUSPICION_STRONG
+                 ? ROLLOUT_FINISH
+                 : ROLLOUT_ROLL_BACK;
     }
   if (view->new_targets == 0 || !view->evidence_fresh)
     return ROLLOUT_WAIT;
   if (last)
     return now_ms - rollout->step_ms >= SETTLE_MS && !view->old_busy
+                   && !is_suspicious (rollout, false)
                ? ROLLOUT_FINISH
                : ROLLOUT_WAIT;
-  if (rollout->step == 0 && set_kind_shares (rollout, now_ms))
+  if (rollout->step == 0
+      && set_kind_shares (rollout, plan[1].at_permille, now_ms))
     {
       snprintf (rollout->reason, sizeof rollout->reason, "shares of kinds");
       return ROLLOUT_SHARE;
     }
-  if (!may_step (rollout, strongest, now_ms))
+  if (!may_step (rollout, plan, now_ms))
     return ROLLOUT_WAIT;
-  rollout->step++;
+  rollout->step = next_step (rollout, plan);
+  rollout->share_bp = plan[rollout->step].share_bp;
   rollout->step_ms = now_ms;
   rollout->step_calls = new_version_calls (rollout);
   for (size_t i = 0; i < rollout->kind_count; i++)
-    if (rollout->kinds[i].share_bp < steps[rollout->step].share_bp)
-      rollout->kinds[i].share_bp = steps[rollout->step].share_bp;
+    if (rollout->kinds[i].share_bp < rollout->share_bp)
+      rollout->kinds[i].share_bp = rollout->share_bp;
   snprintf (rollout->reason, sizeof rollout->reason, "step %zu",
             rollout->step);
   return ROLLOUT_SHARE;
--- a/src/coordination/rollout.h
+++ b/src/coordination/rollout.h
@@ -3,10 +3,11 @@
 ///
 /// The share stays small until the new version has served enough requests of
 /// each kind, since a fault may lie on one route only. It then rises in steps,
-/// because some faults only show under load. The versions are compared by
-/// sequential tests of failures and of slow responses. The tests are tuned to
-/// detect faults early: a false alarm costs a repeated move, but a missed
-/// fault reaches every caller.
+/// because some faults only show under load. The share of the longest of these
+/// steps is just enough to load few targets as at the end (rollout_spread).
+/// The versions are compared by sequential tests of failures and of slow
+/// responses. The tests are tuned to detect faults early: a false alarm costs
+/// a repeated move, but a missed fault reaches every caller.
 #ifndef HAWTHORNSEAM_COORDINATION_ROLLOUT_H
 #define HAWTHORNSEAM_COORDINATION_ROLLOUT_H
 
@@ -49,6 +50,8 @@
   double old_slow;
   struct seqtest failures;
   struct seqtest slow;
+  double evidence;     ///< the stronger of the two tests, at the last decision
+  uint32_t clean_from; ///< requests at the new version when it last rose
   uint32_t share_bp;
 };
 
@@ -65,6 +68,7 @@
   uint64_t started_ms;
   uint64_t deadline_ms;
   size_t step;
+  uint32_t share_bp;   ///< of the current step
   uint64_t step_ms;    ///< when the step began
   uint32_t step_calls; ///< requests at the new version before the step
   /// When the shares of the kinds were set; 0: not yet.
@@ -77,6 +81,9 @@
 /// State of the targets of a service, as the driver sees it.
 struct rollout_view
 {
+  /// Share at which the first target of the new version has its load of the
+  /// end of the move, basis points; 0: unknown.
+  uint32_t load_share_bp;
   uint32_t new_targets; ///< ready targets of the new version
   bool old_busy;        ///< targets of the old version have requests that run
                         ///< or wait
--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -237,6 +237,26 @@
   return false;
 }
 
+bool
+sidecar_move_rank_targets (struct service_move *move)
+{
+  const struct sidecar *sidecar = move->sidecar;
+  return rollout_spread_rank (&move->spread, &sidecar->directory,
+                              &sidecar->evacuations, move->service,
+                              move->record.to_version, move->record.order);
+}
+
+/// @return the targets that serve the new version's share of a kind; NULL: all
+static const bool *
+choose_targets (struct service_move *move, uint32_t kind)
+{
+  if (!sidecar_move_rank_targets (move))
+    return NULL;
+  return rollout_spread_choose (&move->spread, &move->sidecar->directory,
+                                kind_share_bp (&move->record, kind),
+                                clock_monotonic_ms ());
+}
+
 void
 sidecar_moves_choose (struct sidecar *sidecar, const char *service,
                       uint32_t kind, bool repeated,
@@ -264,6 +284,8 @@
       if (!has_target (sidecar, service, version)
           && record->share_bp > FULL_SHARE_BP / 2)
         version->exclude = !version->exclude;
+      if (!version->exclude)
+        version->only = choose_targets (move, kind);
       break;
     case MOVE_PHASE_DONE:
       version->exclude = false;
@@ -420,7 +442,10 @@
 sidecar_moves_stop (struct sidecar *sidecar)
 {
   for (size_t i = 0; i < MOVES_MAX; i++)
-    sidecar_move_stop_driving (&sidecar->moves->items[i]);
+    {
+      sidecar_move_stop_driving (&sidecar->moves->items[i]);
+      rollout_spread_finish (&sidecar->moves->items[i].spread);
+    }
   free (sidecar->moves);
   sidecar->moves = NULL;
 }
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_MOVE_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_MOVE_H
 
+#include "coordination/rollout_spread.h"
 #include "protocol/move_record.h"
 #include "sidecar/sidecar.h"
 
@@ -45,6 +46,7 @@
   bool tripped;             ///< this node's target failed too often
   size_t credit_count;
   struct move_credit credits[ROLLOUT_KINDS];
+  struct rollout_spread spread;
   /* Used by the driver and the standby driver only */
   struct rollout *rollout; ///< NULL while this node does not drive
   struct evidence_source *sources;
@@ -85,6 +87,10 @@
 /// @return true when the record belongs to the current order
 bool sidecar_move_is_current (const struct service_move *move);
 
+/// Ranks the new version's targets by the current directory.
+/// @return false without memory
+bool sidecar_move_rank_targets (struct service_move *move);
+
 /// Advances a move when this node is its driver or standby driver. On any
 /// node, rolls the move back when the own target tripped.
 void sidecar_move_drive (struct service_move *move, uint64_t now_ms);
--- a/src/sidecar/sidecar_move_driver.c
+++ b/src/sidecar/sidecar_move_driver.c
@@ -222,6 +222,9 @@
 collect_evidence (struct service_move *move, uint64_t now_ms)
 {
   struct rollout_view view = { .evidence_fresh = true };
+  if (sidecar_move_rank_targets (move))
+    view.load_share_bp
+        = rollout_spread_load_share (&move->spread, &move->sidecar->directory);
   const struct directory *directory = &move->sidecar->directory;
   for (size_t i = 0; i < directory->count; i++)
     {
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -96,7 +96,8 @@
     {
       struct placement_request request = request_from ("z1");
       request.version
-          = (struct placement_version){ rows[i].version, rows[i].exclude };
+          = (struct placement_version){ .name = rows[i].version,
+                                        .exclude = rows[i].exclude };
       CU_ASSERT_EQUAL (placement_choose (&directory, &request, &rng, 10),
                        rows[i].expected);
     }
