--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -74,6 +74,8 @@
       && (strcmp (entry->version, request->version.name) == 0)
              == request->version.exclude)
     return PLACEMENT_OTHER_VERSION;
+  if (request->version.only != NULL && !request->version.only[handle])
+    return PLACEMENT_LATER_IN_MOVE;
   if (was_tried (request, handle))
     return PLACEMENT_TRIED;
   return now_ms < record->load.down_until_ms ? PLACEMENT_FAILED_LATELY
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -20,6 +20,7 @@
 {
   const char *name; ///< NULL: any version
   bool exclude;     ///< true: any version but this one
+  const bool *only; ///< by handle, the targets that may get it; NULL: all
 };
 
 struct placement_request
@@ -49,8 +50,9 @@
   PLACEMENT_NODE_LEAVING,
   PLACEMENT_ZONE_EVACUATED,
   PLACEMENT_OTHER_VERSION,
-  PLACEMENT_TRIED,        ///< the request was offered to it before
-  PLACEMENT_FAILED_LATELY ///< eligible only if all others have an obstacle
+  PLACEMENT_LATER_IN_MOVE, ///< gets its share of the new version later
+  PLACEMENT_TRIED,         ///< the request was offered to it before
+  PLACEMENT_FAILED_LATELY  ///< eligible only if all others have an obstacle
 };
 
 /// What is assumed of a target without reports.
--- a/src/sidecar/sidecar_explain_nodes.c
+++ b/src/sidecar/sidecar_explain_nodes.c
@@ -26,6 +26,8 @@
       return "zone-evacuated";
     case PLACEMENT_OTHER_VERSION:
       return "other-version";
+    case PLACEMENT_LATER_IN_MOVE:
+      return "later-in-move";
     case PLACEMENT_TRIED:
       return "tried";
     case PLACEMENT_FAILED_LATELY:
--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -238,14 +238,34 @@
   return false;
 }
 
+bool
+sidecar_move_rank_targets (struct service_move *move)
+{
+  const struct sidecar *sidecar = move->sidecar;
+  return rollout_spread_rank (&move->spread, &sidecar->directory,
+                              &sidecar->evacuations, move->service,
+                              move->record.to_version, move->record.order);
+}
+
+/// @return the targets that serve the new version's share of a kind; NULL: all
+static const bool *
+choose_targets (struct service_move *move, uint32_t kind)
+{
+  if (!sidecar_move_rank_targets (move))
+    return NULL;
+  return rollout_spread_choose (&move->spread, &move->sidecar->directory,
+                                kind_share_bp (&move->record, kind),
+                                clock_monotonic_ms ());
+}
+
 /// Chooses the versions for a request.
 /// @param rotation  of the move, or a copy
 /// @param rng       for the start of a rotation
 static void
 choose_version (struct sidecar *sidecar, const char *service,
-                const struct service_move *move,
-                struct move_rotation *rotation, struct rng *rng, uint32_t kind,
-                bool repeated, struct placement_version *version)
+                struct service_move *move, struct move_rotation *rotation,
+                struct rng *rng, uint32_t kind, bool repeated,
+                struct placement_version *version)
 {
   *version = (struct placement_version){ .name = NULL };
   if (move == NULL || !move->has_record)
@@ -268,6 +288,8 @@
       if (!has_target (sidecar, service, version)
           && record->share_bp > FULL_SHARE_BP / 2)
         version->exclude = !version->exclude;
+      if (!version->exclude)
+        version->only = choose_targets (move, kind);
       break;
     case MOVE_PHASE_DONE:
       version->exclude = false;
@@ -309,7 +331,7 @@
                       uint32_t kind, struct rng *rng,
                       struct placement_version *version)
 {
-  const struct service_move *move = find_move (sidecar, service);
+  struct service_move *move = find_move (sidecar, service);
   struct move_rotation rotation = { .credit_count = 0 };
   if (move != NULL)
     rotation = move->rotation;
@@ -454,7 +476,10 @@
 sidecar_moves_stop (struct sidecar *sidecar)
 {
   for (size_t i = 0; i < MOVES_MAX; i++)
-    sidecar_move_stop_driving (&sidecar->moves->items[i]);
+    {
+      sidecar_move_stop_driving (&sidecar->moves->items[i]);
+      rollout_spread_finish (&sidecar->moves->items[i].spread);
+    }
   free (sidecar->moves);
   sidecar->moves = NULL;
 }
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_MOVE_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_MOVE_H
 
+#include "coordination/rollout_spread.h"
 #include "protocol/move_record.h"
 #include "sidecar/sidecar.h"
 
@@ -50,6 +51,7 @@
   uint64_t record_revision; ///< 0: none
   bool tripped;             ///< this node's target failed too often
   struct move_rotation rotation;
+  struct rollout_spread spread; ///< which targets of the new version are used
   /* Used by the driver and the standby driver only */
   struct rollout *rollout; ///< NULL while this node does not drive
   struct evidence_source *sources;
@@ -101,6 +103,10 @@
 /// @return true when the record belongs to the current order
 bool sidecar_move_is_current (const struct service_move *move);
 
+/// Ranks the new version's targets by the current directory.
+/// @return false without memory
+bool sidecar_move_rank_targets (struct service_move *move);
+
 /// Advances a move when this node is its driver or standby driver. On any
 /// node, rolls the move back when the own target tripped.
 void sidecar_move_drive (struct service_move *move, uint64_t now_ms);
