Soak accounts with keys and quotas, and uploads

Missing: the soak had no accounts, so nothing checked keys, account names and quotas while faults overlap, and its largest request body was 30 kB.

The configuration of the soak has four accounts now. Each has a permanent key and one that only two versions have; callers send valid, temporary, unknown and no keys. The soak checks that no request with an unknown or removed key runs (AUTH), that no key reaches a target (KEY), that the target gets the account of the key (ACCOUNT), the bound of each quota in every window of 5 s over all targets (QUOTA), that a valid key is not denied (DENIED), and that an upload runs at most once (TWICE) and arrives unchanged and whole (UNASKED). The check of recovery also asks for 200 from the accounts within their quotas.

--- a/test/soak/run.sh
+++ b/test/soak/run.sh
@@ -2,9 +2,10 @@
 # Runs the soak. Usage: test/soak/run.sh [SEED...]
 # Environment variables, with defaults: SECONDS_EACH (45), PROCESSES (9 sidecars),
 # CALLS (150 requests a second), JOBS (1 run at a time), VARIANT (opt; or san),
-# PROGRAM (executable of the sidecar). Without seeds, COUNT (1) random ones are
-# used, or with SEEDS=kept those of seeds.txt. The logs of a failed run are kept
-# in build/soak-SEED.
+# PROGRAM (executable of the sidecar), LARGE_UPLOADS (1: some uploads of 2 MiB),
+# KEEP (1: also keeps the logs of runs that passed). Without seeds, COUNT (1)
+# random ones are used, or with SEEDS=kept those of seeds.txt. The logs of a
+# failed run are kept in build/soak-SEED.
 set -u
 cd "$(dirname "$0")/../.."
 bin="build/${VARIANT:-opt}"
@@ -13,6 +14,7 @@
 calls=${CALLS:-150}
 jobs=${JOBS:-1}
 program=${PROGRAM:-$bin/hawthornseam-sidecar}
+large=${LARGE_UPLOADS:+--large-uploads}
 if [ $# -eq 0 ] && [ "${SEEDS:-}" = kept ]; then
   set -- $(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' test/soak/seeds.txt)
 elif [ $# -eq 0 ]; then
@@ -42,8 +44,9 @@
   if timeout $((seconds + 30)) "$bin/soak" --seed "$1" --seconds "$seconds" \
     --nodes "$nodes" --calls "$calls" --port "$port" \
     --program "$program" --directory "$directory" \
+    $large \
     {lock}>&-; then
-    rm -rf "$directory"
+    [ -n "${KEEP:-}" ] || rm -rf "$directory"
     return 0
   fi
   echo "FAILED seed $1 nodes $nodes seconds $seconds, logs in $directory"
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -34,14 +34,26 @@
 
 enum soak_kind
 {
-  SOAK_READ,  ///< safe: may run more than once
-  SOAK_SEAL,  ///< unsafe: runs at most once
-  SOAK_SHEET, ///< download: large response
-  SOAK_TURN,  ///< safe; its route alternates between two services
-  SOAK_ADDED, ///< safe; to a route that some version has added
+  SOAK_READ,   ///< safe: may run more than once
+  SOAK_SEAL,   ///< unsafe: runs at most once
+  SOAK_SHEET,  ///< download: large response
+  SOAK_TURN,   ///< safe; its route alternates between two services
+  SOAK_ADDED,  ///< safe; to a route that some version has added
+  SOAK_UPLOAD, ///< upload: runs at most once; large body, also chunked
   SOAK_KINDS
 };
 
+#define SOAK_ACCOUNTS 4
+#define SOAK_HOT_ACCOUNT 3 ///< sends many times its usual rate
+
+enum soak_key
+{
+  SOAK_KEY_NONE,
+  SOAK_KEY_PERMANENT, ///< of every version
+  SOAK_KEY_TEMPORARY, ///< of the two versions of a generation
+  SOAK_KEY_UNKNOWN    ///< of no version
+};
+
 enum proxy_side
 {
   PROXY_PEERS,  ///< other nodes to the node
@@ -108,6 +120,7 @@
   unsigned nodes;
   unsigned base_port;
   unsigned calls_per_s;  ///< through all nodes together
+  bool large_uploads;    ///< some uploads are larger than 1 MiB
   const char *program;   ///< executable of the sidecar
   const char *directory; ///< settings and logs of the processes
 };
@@ -124,6 +137,7 @@
   uint64_t faulty_until_ms;       ///< end of the last unplanned fault
   uint64_t store_faulty_until_ms; ///< end of the last fault of the store
   uint64_t stalled_until_ms;      ///< end of the last stall of the soak itself
+  struct event hot_timer;         ///< next request of the hot account
   struct event tick;
   uint64_t tick_ms;
   bool stopping;
@@ -227,6 +241,13 @@
   enum soak_kind kind;
   size_t node;      ///< index of the node that it was sent to
   unsigned version; ///< of the route, for SOAK_ADDED
+  size_t account;   ///< that the key belongs to
+  enum soak_key key;
+  unsigned key_generation; ///< of a temporary key
+  size_t body_size;
+  bool chunked;
+  bool truncated; ///< its caller sends a part of the body only
+  uint64_t first_run_ms;
   uint64_t sent_ms;
   uint64_t cancelled_ms; ///< when the caller cancelled it; 0: it did not
   uint64_t ended_ms;
@@ -236,6 +257,9 @@
   unsigned process_start; ///< `starts` of the node when it was sent
 };
 
+/// @return true if requests of a kind run at most once
+bool soak_runs_once (enum soak_kind kind);
+
 void soak_ledger_init (void);
 void soak_ledger_finish (void);
 struct soak_request *soak_ledger_add (enum soak_kind kind, size_t node,
@@ -244,6 +268,9 @@
 /// @param text  id as on the wire, or NULL
 /// @return NULL if no caller sent this id
 struct soak_request *soak_ledger_find (const char *text);
+
+/// @return the request with this number, or NULL behind the last one
+const struct soak_request *soak_ledger_at (size_t index);
 void soak_ledger_id (const struct soak_request *request, char text[32]);
 
 /// Counts a repeated send: a later arrival of a request at a target.
@@ -262,11 +289,53 @@
 /// @return size of the response in bytes, a function of the request's id and
 ///         kind
 size_t soak_answer_size (const struct soak_request *request);
-size_t soak_body_size (const struct soak_request *request);
 
 /// Generates the bytes at an offset of the body that belongs to an id.
 void soak_fill_body (uint64_t id, size_t offset, char *bytes, size_t size);
 
+/// Starts the additional requests of the hot account, through all nodes.
+void soak_callers_start_hot (struct soak *soak);
+void soak_callers_stop_hot (struct soak *soak);
+
+/* soak_accounts.c */
+
+/// Appends the accounts of a version to the text of its configuration.
+void soak_accounts_write (const struct soak *soak, unsigned version,
+                          struct evbuffer *text);
+
+/// @return true if the route of a kind of requests needs a key
+bool soak_needs_key (enum soak_kind kind);
+
+/// Chooses the account and key of a request.
+/// @param hot  true: the hot account, with its permanent key
+void soak_accounts_choose (struct soak *soak, struct soak_request *request,
+                           bool hot);
+
+/// Appends the header lines of a request's key, some with a forged account.
+void soak_accounts_write_fields (const struct soak_request *request,
+                                 struct evbuffer *bytes);
+
+/// Checks key and account of a request that a target runs.
+void soak_accounts_check_run (struct soak *soak, const struct http_head *head,
+                              const struct soak_request *request);
+
+/// Checks that a request which got 401 may have had no valid key.
+void soak_accounts_check_denied (struct soak *soak,
+                                 const struct soak_request *request);
+
+/// @return true if a request sent without faults and changes of the
+///         configuration got the response that its key and account call for
+bool soak_accounts_is_expected (const struct soak_request *request);
+
+/// @return requests per second that the hot account adds to its usual ones
+unsigned soak_accounts_hot_rate (const struct soak *soak);
+
+/// @return node that it sends the next of them through, or NULL now
+struct soak_node *soak_accounts_hot_node (struct soak *soak);
+
+/// Checks the bounds of the quotas, and logs what the accounts sent and got.
+void soak_accounts_check (struct soak *soak);
+
 /* soak_faults.c */
 void soak_faults_start (struct soak *soak);
 void soak_faults_end (struct soak *soak);
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -19,6 +19,12 @@
 /// A caller without a response gives up after this time.
 #define CALL_TIMEOUT_MS 8000
 
+#define LARGE_UPLOAD_BYTES (2 * 1024 * 1024)
+
+/// Size of the chunks of a chunked body. Not a divisor of the sizes at which
+/// nodes cut their buffers.
+#define CHUNK_BYTES 5000
+
 /// A request that is older than this counts as read by the node.
 #define READ_SLACK_MS 200
 
@@ -52,11 +58,19 @@
                                      : 50 + mixed % 4000;
 }
 
-size_t
-soak_body_size (const struct soak_request *request)
+static void
+choose_body (const struct soak *soak, struct soak_request *request)
 {
   uint64_t mixed = hash_placement_pair (request->id, 23);
-  return request->kind == SOAK_SEAL ? 20 + mixed % 30000 : 0;
+  if (request->kind == SOAK_SEAL)
+    request->body_size = 20 + mixed % 30000;
+  if (request->kind != SOAK_UPLOAD)
+    return;
+  request->body_size = 2000 + mixed % 298000;
+  if (soak->options.large_uploads && mixed / 298000 % 8 == 0)
+    request->body_size = LARGE_UPLOAD_BYTES;
+  request->chunked = mixed / 2384000 % 2 == 0;
+  request->truncated = mixed / 4768000 % 8 == 0;
 }
 
 void
@@ -159,7 +173,9 @@
                     "%zu of %zu bytes, runs %u",
                     request->id, call->sealed, call->received,
                     soak_answer_size (request), request->runs);
-  if (status == 404)
+  if (status == 401)
+    soak_accounts_check_denied (soak, request);
+  else if (status == 404)
     check_not_found (call);
   else if (status >= 300 && status < 500 && status != 408 && status != 421
            && status != 429)
@@ -246,17 +262,43 @@
 choose_kind (struct rng *rng)
 {
   static const enum soak_kind kinds[]
-      = { SOAK_READ, SOAK_READ, SOAK_READ,  SOAK_SEAL, SOAK_SEAL,
-          SOAK_SEAL, SOAK_TURN, SOAK_SHEET, SOAK_TURN, SOAK_ADDED };
+      = { SOAK_READ, SOAK_READ,  SOAK_READ, SOAK_SEAL,  SOAK_SEAL,  SOAK_SEAL,
+          SOAK_TURN, SOAK_SHEET, SOAK_TURN, SOAK_ADDED, SOAK_UPLOAD };
   return kinds[rng_below (rng, sizeof kinds / sizeof kinds[0])];
 }
 
+/// Appends the body of a request, or the part of it that its caller sends.
+static void
+write_body (const struct soak_request *request, struct evbuffer *bytes)
+{
+  size_t size
+      = request->truncated ? request->body_size / 2 : request->body_size;
+  char *body = malloc (size + 1);
+  soak_fill_body (request->id, 0, body, size);
+  if (!request->chunked)
+    evbuffer_add (bytes, body, size);
+  for (size_t done = 0; request->chunked && done < size;)
+    {
+      size_t chunk = size - done < CHUNK_BYTES ? size - done : CHUNK_BYTES;
+      evbuffer_add_printf (bytes, "%zx\r\n", chunk);
+      evbuffer_add (bytes, body + done, chunk);
+      evbuffer_add (bytes, "\r\n", 2);
+      done += chunk;
+    }
+  if (request->chunked && !request->truncated)
+    evbuffer_add_printf (bytes, "0\r\nHawthornseam-Tenant: forged\r\n\r\n");
+  free (body);
+}
+
+/// @param hot  true: one of the additional requests of the hot account
 static void
-send_call (struct soak_node *node)
+send_call (struct soak_node *node, bool hot)
 {
   struct soak *soak = node->soak;
   uint64_t now = clock_monotonic_ms ();
   enum soak_kind kind = choose_kind (&soak->rng);
+  if (hot)
+    kind = rng_below (&soak->rng, 2) == 0 ? SOAK_READ : SOAK_SEAL;
   /* Half of the requests use the route of a version that is old enough to be
      in force on every node. */
   unsigned newest = soak_store_version_at (
@@ -276,27 +318,30 @@
   else
     snprintf (path, sizeof path, "%s%" PRIx64, soak_paths[kind],
               call->request->id);
-  size_t size = soak_body_size (call->request);
+  choose_body (soak, call->request);
+  soak_accounts_choose (soak, call->request, hot);
   struct evbuffer *bytes = evbuffer_new ();
   evbuffer_add_printf (bytes,
                        "%s %s HTTP/1.1\r\nHost: a.example\r\n"
                        "Hawthornseam-Request-Id: %s\r\n"
                        "Hawthornseam-Deadline-Ms: %d\r\n"
                        "Hawthornseam-Caller-Service: forged\r\n",
-                       kind == SOAK_SEAL ? "POST" : "GET", path, id,
+                       soak_runs_once (kind) ? "POST" : "GET", path, id,
                        DEADLINE_MS);
-  if (size > 0)
-    evbuffer_add_printf (bytes, "Content-Length: %zu\r\n", size);
+  soak_accounts_write_fields (call->request, bytes);
+  if (call->request->chunked)
+    evbuffer_add_printf (bytes, "Transfer-Encoding: chunked\r\n");
+  else if (call->request->body_size > 0)
+    evbuffer_add_printf (bytes, "Content-Length: %zu\r\n",
+                         call->request->body_size);
   evbuffer_add (bytes, "\r\n", 2);
-  char *body = malloc (size + 1);
-  soak_fill_body (call->request->id, 0, body, size);
-  evbuffer_add (bytes, body, size);
-  free (body);
+  write_body (call->request, bytes);
   struct http_send send = { .address = SOAK_LOOPBACK,
                             .port = soak_port (node, SOAK_PORT_CALLS),
                             .request = bytes,
                             .max_idle_ms = 10000 };
-  call->cancels = rng_below (&soak->rng, CANCEL_ONE_IN) == 0;
+  call->cancels
+      = rng_below (&soak->rng, CANCEL_ONE_IN) == 0 || call->request->truncated;
   call->next = calls;
   if (calls != NULL)
     calls->previous = call;
@@ -319,7 +364,32 @@
   uint64_t mean_ms = 1000 * soak->node_count / soak->options.calls_per_s;
   timer_start (&node->send_timer, 1 + rng_below (&soak->rng, 2 * mean_ms + 1));
   if (node->ready && soak_store_version_at (clock_monotonic_ms ()) > 0)
-    send_call (node);
+    send_call (node, false);
+}
+
+static void
+on_hot_timer (evutil_socket_t fd, short what, void *arg)
+{
+  struct soak *soak = arg;
+  struct soak_node *node = soak_accounts_hot_node (soak);
+  uint64_t mean_ms = 1000 / soak_accounts_hot_rate (soak);
+  timer_start (&soak->hot_timer, 1 + rng_below (&soak->rng, 2 * mean_ms + 1));
+  if (node != NULL && node->ready
+      && soak_store_version_at (clock_monotonic_ms ()) > 0)
+    send_call (node, true);
+}
+
+void
+soak_callers_start_hot (struct soak *soak)
+{
+  evtimer_assign (&soak->hot_timer, soak->base, on_hot_timer, soak);
+  timer_start (&soak->hot_timer, 500);
+}
+
+void
+soak_callers_stop_hot (struct soak *soak)
+{
+  event_del (&soak->hot_timer);
 }
 
 void
--- a/test/soak/soak_ledger.c
+++ b/test/soak/soak_ledger.c
@@ -45,6 +45,12 @@
   timestamps->at_ms[timestamps->count++] = now_ms;
 }
 
+bool
+soak_runs_once (enum soak_kind kind)
+{
+  return kind == SOAK_SEAL || kind == SOAK_UPLOAD;
+}
+
 void
 soak_ledger_init (void)
 {
@@ -67,7 +73,7 @@
 struct soak_request *
 soak_ledger_add (enum soak_kind kind, size_t node, uint64_t now_ms)
 {
-  static const size_t usual_service[SOAK_KINDS] = { 0, 1, 2, 0, 0 };
+  static const size_t usual_service[SOAK_KINDS] = { 0, 1, 2, 0, 0, 1 };
   if (request_count == request_capacity)
     {
       request_capacity = request_capacity == 0 ? 4096 : 2 * request_capacity;
@@ -105,6 +111,12 @@
   return *end != '\0' || id >= request_count ? NULL : requests[id];
 }
 
+const struct soak_request *
+soak_ledger_at (size_t index)
+{
+  return index < request_count ? requests[index] : NULL;
+}
+
 void
 soak_ledger_count_repeat (size_t service, uint64_t now_ms)
 {
@@ -162,31 +174,49 @@
   for (size_t i = 0; i < request_count; i++)
     {
       const struct soak_request *request = requests[i];
-      if (request->kind == SOAK_SEAL && means_not_run (request->status)
+      if (soak_runs_once (request->kind) && means_not_run (request->status)
           && request->runs > 0)
         soak_violation (soak, "REFUSED", "r-%08zx got %u but has run", i,
                         request->status);
       if (request->sent_ms >= from_ms && request->ended_ms != 0
-          && request->cancelled_ms == 0)
+          && request->cancelled_ms == 0 && !request->truncated)
         {
           expected++;
-          served += request->status == 200;
+          if (soak_accounts_is_expected (request))
+            served++;
+          else
+            soak_log (soak,
+                      "not served after recovery: r-%08zx by node-%zu status "
+                      "%u kind %d account %zu key %d, ended after %" PRIu64
+                      " ms",
+                      i, request->node, request->status, (int)request->kind,
+                      request->account, (int)request->key,
+                      request->ended_ms - request->sent_ms);
         }
     }
   for (size_t i = 0; i < SOAK_SERVICES; i++)
     check_budget (soak, i);
+  soak_accounts_check (soak);
   if (expected - served > expected / UNSERVED_ONE_IN + UNSERVED_SLACK)
-    soak_violation (soak, "RECOVER",
-                    "%zu of %zu requests served %d ms after the last fault",
-                    served, expected, SOAK_RECOVERY_MS);
+    soak_violation (
+        soak, "RECOVER",
+        "%zu of %zu requests served as expected %d ms after the last fault",
+        served, expected, SOAK_RECOVERY_MS);
   size_t all = 0;
   size_t all_served = 0;
+  size_t uploads_run = 0;
+  size_t large_run = 0;
   for (size_t i = 0; i < request_count; i++)
     {
       all += requests[i]->cancelled_ms == 0;
+      uploads_run += requests[i]->kind == SOAK_UPLOAD && requests[i]->runs > 0;
+      large_run
+          += requests[i]->body_size > 1024 * 1024 && requests[i]->runs > 0;
       all_served
           += requests[i]->cancelled_ms == 0 && requests[i]->status == 200;
     }
+  soak_log (soak, "uploads run: %zu, of these over 1 MiB: %zu", uploads_run,
+            large_run);
   printf ("seed=%" PRIu64 " requests=%zu served=%zu after_recovery=%zu/%zu "
           "repeats=%zu store_calls=%" PRIu64 " violations=%zu\n",
           soak->options.seed, all, all_served, served, expected,
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -1,7 +1,7 @@
 /// Main program of the soak: starts its parts, runs the event loop and prints
 /// the result.
 ///   soak [--seed N] [--seconds N] [--nodes N] [--calls N] [--port N]
-///        --program SIDECAR --directory DIR
+///        [--large-uploads] --program SIDECAR --directory DIR
 /// Exit codes: 0 every guarantee held, 1 one was violated, 2 usage or start-up
 /// error.
 #include "soak.h"
@@ -37,7 +37,7 @@
 const char *const soak_services[SOAK_SERVICES]
     = { "menu", "orders", "sheets" };
 const char *const soak_paths[SOAK_KINDS]
-    = { "/read/", "/seal/", "/sheet/", "/turn/", "" };
+    = { "/read/", "/seal/", "/sheet/", "/turn/", "", "/upload/" };
 
 static FILE *log_file;
 
@@ -192,6 +192,7 @@
           { "nodes", required_argument, NULL, 'n' },
           { "calls", required_argument, NULL, 'c' },
           { "port", required_argument, NULL, 'p' },
+          { "large-uploads", no_argument, NULL, 'l' },
           { "program", required_argument, NULL, 'x' },
           { "directory", required_argument, NULL, 'd' },
           { NULL, 0, NULL, 0 } };
@@ -219,6 +220,9 @@
       case 'p':
         options->base_port = (unsigned)atoi (optarg);
         break;
+      case 'l':
+        options->large_uploads = true;
+        break;
       case 'x':
         options->program = optarg;
         break;
@@ -278,6 +282,7 @@
 {
   soak->stopping = true;
   soak_faults_stop ();
+  soak_callers_stop_hot (soak);
   for (size_t i = 0; i < soak->node_count; i++)
     soak_callers_stop (&soak->nodes[i]);
   soak_process_kill_all (soak);
@@ -309,7 +314,7 @@
     {
       fprintf (stderr, "usage: soak --program SIDECAR --directory DIR "
                        "[--seed N] [--seconds N (20 or more)] [--nodes N] "
-                       "[--calls N] [--port N]\n");
+                       "[--calls N] [--port N] [--large-uploads]\n");
       return 2;
     }
   char path[512];
@@ -344,6 +349,7 @@
     }
   soak_store_next_version (&soak);
   soak_faults_start (&soak);
+  soak_callers_start_hot (&soak);
   event_assign (&soak.tick, soak.base, -1, EV_PERSIST, on_tick, &soak);
   event_add (&soak.tick, &(struct timeval){ 0, TICK_MS * 1000 });
   struct event *interrupt
--- a/test/soak/soak_process.c
+++ b/test/soak/soak_process.c
@@ -43,6 +43,9 @@
   for (size_t i = 0; i < sizeof ports / sizeof ports[0]; i++)
     fprintf (file, "%s: 127.0.0.1:%u\n", ports[i].name,
              soak_port (node, ports[i].use));
+  /* With accounts the default is the order by cost. */
+  if (node->soak->options.seed % 4 == 3)
+    fprintf (file, "admission: rank\n");
   fprintf (file, "heartbeat: 1500ms\ndrain: %dms\ngrace: %dms\n",
            SOAK_DRAIN_MS, (int)node->grace_ms);
   fclose (file);
--- a/test/soak/soak_store.c
+++ b/test/soak/soak_store.c
@@ -4,6 +4,9 @@
 
 #include "../standin/platform_store.h"
 
+/// Of a body; the large uploads have 2 MiB.
+#define BODY_BYTES_MAX (4 * 1024 * 1024)
+
 #define VERSIONS_MAX 512
 
 /// Version numbers have gaps, as those of the platform's operators have.
@@ -114,9 +117,10 @@
       text,
       "%s{\"Name\":\"%s\",\"Host\":\"a.example\",\"Prefix\":\"%s\","
       "\"RouteType\":\"%s\",\"Timeout\":\"%dms\",\"TargetLatency\":\"300ms\","
-      "\"Priority\":1,\"Service\":\"%s\",\"MaxAttempts\":2}",
+      "\"Priority\":1,\"Service\":\"%s\",\"MaxAttempts\":2%s}",
       strcmp (name, "read") == 0 ? "" : ",", name, prefix, type,
-      SOAK_TIMEOUT_MS, service);
+      SOAK_TIMEOUT_MS, service,
+      strcmp (name, "turn") == 0 ? ",\"NoAuth\":true" : "");
 }
 
 void
@@ -130,6 +134,7 @@
                        VERSION_FIRST + VERSION_STEP * number);
   write_route (text, "read", "/read/", "safe", soak_services[0]);
   write_route (text, "seal", "/seal/", "unsafe", soak_services[1]);
+  write_route (text, "upload", "/upload/", "upload", soak_services[1]);
   write_route (text, "sheet", "/sheet/", "download", soak_services[2]);
   write_route (text, "turn", "/turn/", "safe",
                soak_services[soak_store_turn_service (number)]);
@@ -145,9 +150,11 @@
       text,
       "],\"Services\":[{\"Name\":\"%s\"},{\"Name\":\"%s\"},"
       "{\"Name\":\"%s\"}],\"Limits\":{\"MaxHeaderBytes\":16384,"
-      "\"MaxBodyBytes\":1048576,\"HeaderTimeout\":\"3000ms\","
-      "\"IdleTimeout\":\"15000ms\"}}",
-      soak_services[0], soak_services[1], soak_services[2]);
+      "\"MaxBodyBytes\":%d,\"HeaderTimeout\":\"3000ms\","
+      "\"IdleTimeout\":\"15000ms\"},",
+      soak_services[0], soak_services[1], soak_services[2], BODY_BYTES_MAX);
+  soak_accounts_write (soak, number, text);
+  evbuffer_add (text, "}", 1);
   put_text ("op/config", evbuffer_pullup (text, -1),
             evbuffer_get_length (text));
   evbuffer_free (text);
--- a/test/soak/soak_target.c
+++ b/test/soak/soak_target.c
@@ -160,11 +160,11 @@
   else
     snprintf (path, sizeof path, "%s%" PRIx64, soak_paths[sent->kind],
               sent->id);
-  size_t size = soak_body_size (sent);
+  size_t size = sent->body_size;
   char *expected = malloc (size + 1);
   soak_fill_body (sent->id, 0, expected, size);
   if (strcmp (path, request->head->target) != 0
-      || (request->head->method == HTTP_POST) != (sent->kind == SOAK_SEAL)
+      || (request->head->method == HTTP_POST) != soak_runs_once (sent->kind)
       || evbuffer_get_length (request->body) != size
       || (size > 0
           && memcmp (evbuffer_pullup (request->body, -1), expected, size)
@@ -179,7 +179,7 @@
     soak_violation (soak, "UNASKED",
                     "r-%08" PRIx64 " names the caller %s instead of %s",
                     sent->id, caller == NULL ? "-" : caller, expected_caller);
-  static const size_t services[SOAK_KINDS] = { 0, 1, 2, 0, 0 };
+  static const size_t services[SOAK_KINDS] = { 0, 1, 2, 0, 0, 1 };
   size_t service = target->node->service;
   bool allowed = sent->kind == SOAK_TURN ? service <= 1
                                          : service == services[sent->kind];
@@ -258,7 +258,15 @@
     }
   check_request (target, request, sent);
   check_version (target, sent);
-  if (++sent->runs > 1 && sent->kind == SOAK_SEAL)
+  soak_accounts_check_run (soak, request->head, sent);
+  if (sent->truncated)
+    soak_violation (soak, "UNASKED",
+                    "r-%08" PRIx64 " runs with %zu of %zu bytes; its caller "
+                    "has sent less",
+                    sent->id, request->body_size, sent->body_size);
+  if (sent->runs == 0)
+    sent->first_run_ms = now;
+  if (++sent->runs > 1 && soak_runs_once (sent->kind))
     soak_violation (soak, "TWICE", "r-%08" PRIx64 " ran %u times", sent->id,
                     sent->runs);
   struct run *run = calloc (1, sizeof *run);
