Close idle pool connections while a listener waits for descriptors

hostile_heads_test, row heads-pipelined, took 40 s or timed out ("the clients do not settle", "no ordinary request is answered") where it had taken 7 s.

The row takes 9, 13 and 13 s in three runs and passes; before 2 of 4 timed out. Its clients and bounds are unchanged.

--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -405,6 +405,14 @@
     http_stream_resume (exchange->connection->stream);
 }
 
+/// @return true when idle connections are closed at once: a listener waits for
+///         descriptors, and its callers for their connections
+static bool
+gives_way (const struct http_pool *pool)
+{
+  return pool->options.budget != NULL && pool->options.budget->paused_uses > 0;
+}
+
 static void
 on_sweep (evutil_socket_t fd, short what, void *arg)
 {
@@ -421,7 +429,8 @@
           if (c->exchange != NULL && c->established)
             http_stream_check_peer (c->stream, now);
           if (c->exchange == NULL
-              && now - c->idle_since_ms > pool->options.idle_ms)
+              && (now - c->idle_since_ms > pool->options.idle_ms
+                  || gives_way (pool)))
             http_pool_close_connection (c);
         }
       if (endpoint->first != NULL)
