--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,10 @@
   link_load.c \
   placement.c \
   placement_speed.c \
-  quota_lease.c \
   quota_owner.c \
   quota_rank.c \
+  quota_share.c \
+  quota_tenure.c \
   relay.c \
   rendezvous.c \
   resend.c \
@@ -73,6 +74,7 @@
   json_text.c \
   move_record.c \
   quota_message.c \
+  quota_transfer.c \
   scalar.c \
   store_api.c \
   target_load.c \
--- a/src/coordination/quota_owner.c
+++ b/src/coordination/quota_owner.c
@@ -1,50 +1,48 @@
-/// Owns the token bucket of one account at its owner or standby.
+/// Owns the table of shares and the token bucket of one account at its owner.
 #include "coordination/quota_owner.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-/// Share of the rate for each of two nodes that cannot reach each other.
-#define PAIR_SHARE 0.5
+/// Interval of removing shares that have ended, and of summing up the demand.
+#define SWEEP_MS 100
 
-/// Share of the rate that silent nodes may use on their own (quota_lease.h).
-#define SILENT_SHARE 0.5
+/// A share with less than one token could never be used.
+#define TOKENS_MIN 1.0
 
-/// Requests of silent nodes within a window that need no reserve: half of the
-/// constant part of the tolerance.
-#define SILENT_FREE 10.0
+/// Smaller changes of a rate are not worth a message.
+#define CHANGE_MIN 0.05
 
-/// Interval of computing the reserve.
-#define RESERVE_MS 250
-
-/// Expected requests of one node get at most this share of the tokens.
-#define EXPECTED_SHARE 0.25
-
-/// Largest debt, as time at the rate.
+/// Largest debt, as time at the rate, and its decay relative to the rate:
+/// requests that found no token are rejected or come back, so it must not
+/// outlive them.
 #define DEBT_S_MAX 1.0
-
-/// Decay of the debt relative to the rate: requests that found no token are
-/// rejected or come back, so it must not outlive them.
 #define DEBT_DECAY 2.0
 
 #define WAIT_MS_MAX 5000u
 
+/// Part of the owner's tokens that fills a share which becomes larger, and the
+/// time at the node's demand for which they last.
+#define FILL_SHARE 0.5
+#define FILL_S 1.0
+
+/// Largest rate of a share, relative to the demand. The usual demand is 1 / 1.6
+/// of the quota, and all of the rate is divided then. Of an account that is
+/// used less, more stays here for nodes that begin to use it.
+#define HEADROOM 1.4
+
 void
 quota_owner_init (struct quota_owner *owner)
 {
   memset (owner, 0, sizeof *owner);
-  owner->rank = QUOTA_RANKS;
-  owner->promised_to = SIZE_MAX;
-  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
-    owner->votes[i].voter = SIZE_MAX;
 }
 
 void
 quota_owner_finish (struct quota_owner *owner)
 {
-  free (owner->heard_ms);
-  owner->heard_ms = NULL;
+  free (owner->holders);
+  owner->holders = NULL;
 }
 
 void
@@ -52,362 +50,338 @@
                        const struct quota_limit *limit)
 {
   owner->limit = *limit;
-  if (owner->tokens > limit->burst)
-    owner->tokens = limit->burst;
+  owner->tokens = fmin (owner->tokens, quota_plan_burst (limit));
 }
 
-bool
-quota_owner_is_settled (const struct quota_owner *owner, uint64_t now_ms)
-{
-  return owner->rank < QUOTA_RANKS
-         && now_ms - owner->ranked_since_ms >= QUOTA_SETTLE_MS;
-}
-
-void
-quota_owner_set_rank (struct quota_owner *owner, const struct quota_rank *rank,
-                      size_t own, uint64_t now_ms)
-{
-  struct quota_vote votes[QUOTA_RANKS - 1];
-  size_t count = 0;
-  unsigned place = quota_rank_of (rank, own);
-  for (unsigned i = 0; i < QUOTA_RANKS && count < QUOTA_RANKS - 1; i++)
-    {
-      if (i == place)
-        continue;
-      struct quota_vote vote = { .voter = rank->handles[i] };
-      for (size_t k = 0; k < QUOTA_RANKS - 1; k++)
-        if (vote.voter != SIZE_MAX && owner->votes[k].voter == vote.voter)
-          vote = owner->votes[k];
-      votes[count++] = vote;
-    }
-  memcpy (owner->votes, votes, sizeof votes);
-  if (owner->rank == QUOTA_RANKS)
-    owner->ranked_since_ms = now_ms;
-  owner->rank = place;
-}
-
-static bool
-is_majority (const struct quota_owner *owner, bool settled, uint64_t now_ms)
+/// Removes ended shares and computes the sums.
+static void
+sum_up (struct quota_owner *owner, uint64_t now_ms)
 {
-  bool any_settled = false;
-  bool all = true;
-  bool alone = true;
-  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+  size_t kept = 0;
+  owner->booked_rate_ppm = 0;
+  owner->booked_burst_ppm = 0;
+  owner->demand_per_s = 0;
+  for (size_t i = 0; i < owner->count; i++)
     {
-      const struct quota_vote *vote = &owner->votes[i];
-      bool valid = now_ms < vote->until_ms;
-      if (vote->voter == SIZE_MAX)
+      struct quota_holder *holder = &owner->holders[i];
+      if (now_ms >= holder->until_ms)
         continue;
-      alone = false;
-      all = all && valid;
-      any_settled = any_settled || (valid && vote->settled);
+      owner->booked_rate_ppm += holder->part.rate_ppm;
+      owner->booked_burst_ppm += holder->part.burst_ppm;
+      owner->demand_per_s += holder->demand_per_s;
+      owner->holders[kept++] = *holder;
     }
-  /* At its start, a node's directory may lack all others. */
-  return alone ? settled : all || (settled && any_settled);
+  owner->count = kept;
+  owner->swept_ms = now_ms;
 }
 
-bool
-quota_owner_is_held (const struct quota_owner *owner, uint64_t now_ms)
+void
+quota_owner_sweep (struct quota_owner *owner, uint64_t now_ms)
 {
-  return owner->rank <= QUOTA_RANK_STANDBY && now_ms >= owner->promise_until_ms
-         && is_majority (owner, quota_owner_is_settled (owner, now_ms),
-                         now_ms);
+  if (now_ms - owner->swept_ms >= SWEEP_MS)
+    sum_up (owner, now_ms);
 }
 
-static bool
-is_candidate (const struct quota_owner *owner, uint64_t now_ms)
+/// Follows the tenure: a new one begins with an empty table; after a gap,
+/// another node may have renewed any share.
+static void
+follow (struct quota_owner *owner, const struct quota_tenure *tenure,
+        uint64_t now_ms)
 {
-  if (owner->rank > QUOTA_RANK_STANDBY || now_ms < owner->promise_until_ms)
-    return false;
-  return owner->rank == QUOTA_RANK_OWNER
-         || (owner->asked_ms != 0
-             && now_ms - owner->asked_ms < QUOTA_CANDIDATE_MS);
+  if (owner->serial != tenure->serial)
+    {
+      owner->serial = tenure->serial;
+      owner->count = 0;
+      owner->known = (struct quota_part){ 0 };
+      owner->refilled_ms = 0;
+      owner->resumed_ms = tenure->resumed_ms;
+      sum_up (owner, now_ms);
+    }
+  if (owner->resumed_ms != tenure->resumed_ms)
+    {
+      owner->resumed_ms = tenure->resumed_ms;
+      owner->refilled_ms = 0;
+      for (size_t i = 0; i < owner->count; i++)
+        owner->holders[i].until_ms
+            = tenure->resumed_ms + QUOTA_FRESH_MS + QUOTA_SHARE_MS;
+    }
+  quota_owner_sweep (owner, now_ms);
 }
 
-/// @return true when one vote suffices and will not expire soon
-static bool
-has_firm_vote (const struct quota_owner *owner, uint64_t now_ms)
+static struct quota_holder *
+find (struct quota_owner *owner, uint64_t node)
 {
-  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
-    if (owner->votes[i].settled
-        && owner->votes[i].until_ms > now_ms + QUOTA_HOLD_MS / 2)
-      return quota_owner_is_settled (owner, now_ms);
-  return false;
+  for (size_t i = 0; i < owner->count; i++)
+    if (owner->holders[i].node == node)
+      return &owner->holders[i];
+  return NULL;
 }
 
-size_t
-quota_owner_due_vote (struct quota_owner *owner, uint64_t now_ms)
+static struct quota_holder *
+append (struct quota_owner *owner)
 {
-  if (!is_candidate (owner, now_ms))
-    return SIZE_MAX;
-  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
+  if (owner->count == QUOTA_HOLDERS_MAX)
+    return NULL;
+  if (owner->count == owner->capacity)
     {
-      struct quota_vote *vote = &owner->votes[i];
-      if (vote->voter == SIZE_MAX || now_ms < vote->next_ms
-          || (i > 0 && has_firm_vote (owner, now_ms)))
-        continue;
-      /* The votes of all accounts are due at the same times, to go into the
-         same messages. */
-      vote->next_ms = (now_ms / QUOTA_RENEW_MS + 1) * QUOTA_RENEW_MS;
-      return vote->voter;
+      size_t capacity = owner->capacity == 0 ? 4 : 2 * owner->capacity;
+      struct quota_holder *holders
+          = realloc (owner->holders, capacity * sizeof *holders);
+      if (holders == NULL)
+        return NULL;
+      owner->holders = holders;
+      owner->capacity = capacity;
     }
-  return SIZE_MAX;
+  struct quota_holder *holder = &owner->holders[owner->count++];
+  *holder = (struct quota_holder){ 0 };
+  return holder;
 }
 
-/// Applies the number of nodes that asked the node which granted before.
-static void
-inherit (struct quota_owner *owner, uint32_t known, uint64_t now_ms)
+/* Bucket */
+
+/// @return part of the rate that fills the owner's bucket
+static double
+bucket_rate (const struct quota_owner *owner,
+             const struct quota_tenure *tenure)
 {
-  if (known == 0
-      || (owner->inherited_ms == now_ms && known < owner->inherited))
-    return;
-  owner->inherited = known;
-  owner->inherited_ms = now_ms;
+  double kept = 1 - (double)owner->booked_rate_ppm / QUOTA_PPM;
+  if (tenure->entitled)
+    return fmax (0, kept);
+  if (tenure->young)
+    return fmax (0, fmin (kept, QUOTA_YOUNG_RATE));
+  return 1 - (double)QUOTA_SHARES_PPM / QUOTA_PPM;
 }
 
-/// Empties the bucket after a time without a majority, in which another node
-/// may have granted.
 static void
-note_hold (struct quota_owner *owner, uint64_t now_ms)
+refill (struct quota_owner *owner, const struct quota_tenure *tenure,
+        uint64_t now_ms)
 {
-  bool held = quota_owner_is_held (owner, now_ms);
-  if (held && !owner->was_held)
+  double rate
+      = owner->limit.rate_per_s * bucket_rate (owner, tenure) / 1000;
+  if (owner->refilled_ms == 0)
     {
       owner->tokens = 0;
-      owner->refilled_ms = now_ms;
-      for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
-        inherit (owner, owner->votes[i].known, now_ms);
+      owner->refilled_ms = now_ms - quota_tenure_unused_ms (tenure, now_ms);
     }
-  owner->was_held = held;
+  double passed_ms = (double)(now_ms - owner->refilled_ms);
+  double most = quota_plan_burst (&owner->limit)
+                - quota_plan_shared_burst (&owner->limit)
+                      * fmin (1, (double)owner->booked_burst_ppm / QUOTA_PPM);
+  owner->tokens = fmin (most, owner->tokens + rate * passed_ms);
+  owner->refilled_ms = now_ms;
+  owner->debt
+      = fmax (0, owner->debt
+                     - DEBT_DECAY * owner->limit.rate_per_s
+                           * (double)(now_ms - owner->debt_ms) / 1000);
+  owner->debt_ms = now_ms;
 }
 
-void
-quota_owner_vote (struct quota_owner *owner, size_t voter, bool settled,
-                  uint32_t known, uint64_t sent_ms, uint64_t now_ms)
+/// Serves waiting requests from the bucket.
+static void
+grant (struct quota_owner *owner, const struct quota_tenure *tenure,
+       uint32_t pending, struct quota_answer *answer, uint64_t now_ms)
 {
-  note_hold (owner, now_ms);
-  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
-    {
-      struct quota_vote *vote = &owner->votes[i];
-      if (vote->voter != voter || voter == SIZE_MAX)
-        continue;
-      vote->settled = settled;
-      vote->known = known;
-      vote->until_ms = sent_ms + QUOTA_HOLD_MS;
-    }
-  note_hold (owner, now_ms);
+  double whole = floor (fmax (0, owner->tokens));
+  answer->verdict = QUOTA_DECIDED;
+  answer->tokens = whole < pending ? (uint32_t)whole : pending;
+  owner->tokens -= answer->tokens;
+  uint32_t missing = pending - answer->tokens;
+  if (missing == 0)
+    return;
+  double rate
+      = owner->limit.rate_per_s * bucket_rate (owner, tenure) / 1000;
+  owner->debt = fmin (owner->debt + missing,
+                      DEBT_S_MAX * owner->limit.rate_per_s + missing);
+  double wait = rate > 0 ? (1 + owner->debt - missing - owner->tokens) / rate
+                         : WAIT_MS_MAX;
+  answer->wait_ms = (uint32_t)fmin (WAIT_MS_MAX, fmax (1, wait));
 }
 
-bool
-quota_owner_promise (struct quota_owner *owner,
-                     const struct quota_candidate *candidate, bool *settled,
-                     uint64_t now_ms)
-{
-  if (candidate->rank > QUOTA_RANK_STANDBY || owner->rank >= QUOTA_RANKS
-      || owner->rank == candidate->rank || owner->rank == QUOTA_RANK_OWNER)
-    return false;
-  if (now_ms < owner->promise_until_ms
-      && owner->promised_to != candidate->node)
-    return false;
-  if (quota_owner_is_held (owner, now_ms)
-      && (owner->rank < candidate->rank || !candidate->settled))
-    return false;
-  for (size_t i = 0; i < QUOTA_RANKS - 1; i++)
-    owner->votes[i].until_ms = 0;
-  owner->was_held = false;
-  owner->promised_to = candidate->node;
-  owner->promise_until_ms = now_ms + QUOTA_HOLD_MS;
-  inherit (owner, candidate->known, now_ms);
-  *settled = quota_owner_is_settled (owner, now_ms);
-  return true;
-}
+/* Shares */
 
-/// @return rate at which this node may grant; 0: it may not decide
-static double
-granted_rate (const struct quota_owner *owner, bool current, uint64_t now_ms)
+static uint32_t
+unallocated (uint32_t most, uint64_t booked, uint32_t own)
 {
-  double rate = owner->limit.rate_per_s - owner->reserved;
-  if (quota_owner_is_held (owner, now_ms))
-    return rate;
-  /* Without contact to the store it is unknown whether there are others by
-     now. */
-  bool pair
-      = owner->votes[0].voter != SIZE_MAX && owner->votes[1].voter == SIZE_MAX;
-  return pair && current && owner->rank <= QUOTA_RANK_STANDBY
-                 && now_ms >= owner->promise_until_ms
-                 && quota_owner_is_settled (owner, now_ms)
-             ? rate * PAIR_SHARE
-             : 0;
+  uint64_t others = booked - own;
+  return most > others ? most - (uint32_t)others : 0;
 }
 
-static void
-note_heard (struct quota_owner *owner, size_t node, uint64_t now_ms)
+/// @return the part that the node is to have, as its demand requires and as
+///         the other shares allow
+static struct quota_part
+choose_part (const struct quota_owner *owner,
+             const struct quota_tenure *tenure,
+             const struct quota_holder *holder,
+             const struct quota_report *report)
 {
-  if (node >= DIRECTORY_RECORDS_MAX)
-    return;
-  if (node >= owner->heard_capacity)
-    {
-      size_t capacity = node < 64 ? 64 : 2 * node;
-      uint32_t *heard_ms
-          = realloc (owner->heard_ms, capacity * sizeof *heard_ms);
-      if (heard_ms == NULL)
-        return; /* the node counts as silent, which is the safe side */
-      memset (heard_ms + owner->heard_capacity, 0,
-              (capacity - owner->heard_capacity) * sizeof *heard_ms);
-      owner->heard_ms = heard_ms;
-      owner->heard_capacity = capacity;
-    }
-  owner->heard_ms[node] = (uint32_t)now_ms | 1;
+  struct quota_part most = { QUOTA_SHARES_PPM, QUOTA_PPM };
+  if (!tenure->entitled)
+    most = owner->known;
+  double weight = owner->demand_per_s > 0
+                      ? report->demand_per_s / owner->demand_per_s
+                      : 0;
+  double pool = quota_plan_pool (&owner->limit);
+  double least = ceil (TOKENS_MIN * QUOTA_PPM / pool);
+  double burst = weight * QUOTA_PPM;
+  /* With fewer tokens than holders, some get one each; the others ask for
+     each request, and their part of the rate stays here. */
+  if (weight > 0 && burst < least)
+    burst = least;
+  double available
+      = unallocated (most.burst_ppm, owner->booked_burst_ppm,
+                     holder->part.burst_ppm);
+  /* While not entitled, a share may always keep what it has. */
+  if (!tenure->entitled)
+    available = fmax (available, report->held.burst_ppm);
+  burst = fmin (burst, available);
+  if (burst < least)
+    return (struct quota_part){ 0 };
+  double rate = fmin (weight * QUOTA_SHARES_PPM,
+                      HEADROOM * report->demand_per_s * QUOTA_PPM
+                          / owner->limit.rate_per_s);
+  double held = report->held.rate_ppm;
+  if (fabs (rate - held) < CHANGE_MIN * held)
+    rate = held;
+  available = unallocated (most.rate_ppm, owner->booked_rate_ppm,
+                           holder->part.rate_ppm);
+  if (!tenure->entitled)
+    available = fmax (available, held);
+  return (struct quota_part){ (uint32_t)fmin (rate, available),
+                              (uint32_t)burst };
 }
 
-/// @return number of nodes that were last heard between `age_min_ms` and
-///         QUOTA_LOCAL_END_MS ago
-static size_t
-count_heard (const struct quota_owner *owner, uint32_t age_min_ms,
-             uint64_t now_ms)
+/// Counts the larger one of two parts: the answer may be lost.
+static void
+book (struct quota_owner *owner, struct quota_holder *holder,
+      struct quota_part held, struct quota_part part)
 {
-  size_t count = 0;
-  for (size_t i = 0; i < owner->heard_capacity; i++)
-    {
-      uint32_t age_ms = (uint32_t)now_ms - (owner->heard_ms[i] & ~1u);
-      count += owner->heard_ms[i] != 0 && age_ms >= age_min_ms
-               && age_ms < QUOTA_LOCAL_END_MS;
-    }
-  return count;
+  owner->booked_rate_ppm -= holder->part.rate_ppm;
+  owner->booked_burst_ppm -= holder->part.burst_ppm;
+  holder->part.rate_ppm
+      = held.rate_ppm > part.rate_ppm ? held.rate_ppm : part.rate_ppm;
+  holder->part.burst_ppm
+      = held.burst_ppm > part.burst_ppm ? held.burst_ppm : part.burst_ppm;
+  owner->booked_rate_ppm += holder->part.rate_ppm;
+  owner->booked_burst_ppm += holder->part.burst_ppm;
 }
 
-static bool
-has_inherited (const struct quota_owner *owner, uint64_t now_ms)
+/// A share that an earlier owner leased becomes known: while this node is not
+/// entitled, it divides what such shares had.
+static void
+learn (struct quota_owner *owner, const struct quota_part *held)
 {
-  return owner->inherited_ms != 0
-         && now_ms - owner->inherited_ms < QUOTA_LOCAL_END_MS;
+  owner->known.rate_ppm += held->rate_ppm;
+  owner->known.burst_ppm += held->burst_ppm;
+  if (owner->known.rate_ppm > QUOTA_SHARES_PPM)
+    owner->known.rate_ppm = QUOTA_SHARES_PPM;
+  if (owner->known.burst_ppm > QUOTA_PPM)
+    owner->known.burst_ppm = QUOTA_PPM;
 }
 
-uint32_t
-quota_owner_known (const struct quota_owner *owner, uint64_t now_ms)
+static void
+set_demand (struct quota_owner *owner, struct quota_holder *holder,
+            double demand_per_s)
 {
-  uint32_t heard = (uint32_t)count_heard (owner, 0, now_ms);
-  return has_inherited (owner, now_ms) && owner->inherited > heard
-             ? owner->inherited
-             : heard;
+  owner->demand_per_s += demand_per_s - holder->demand_per_s;
+  holder->demand_per_s = demand_per_s;
 }
 
-/// Computes the part of the rate that nodes which have fallen silent may use
-/// on their own.
+/// Removes the record of a node that holds nothing.
 static void
-update_reserve (struct quota_owner *owner, size_t nodes, uint64_t now_ms)
+remove_holder (struct quota_owner *owner, struct quota_holder *holder)
 {
-  if (owner->reserved_ms != 0 && now_ms - owner->reserved_ms < RESERVE_MS)
-    return;
-  size_t heard = count_heard (owner, 0, now_ms);
-  size_t silent = count_heard (owner, QUOTA_SILENCE_MS, now_ms);
-  /* Which nodes asked the one that granted before is not known, only their
-     number. */
-  size_t unheard = nodes > heard ? nodes - heard : 0;
-  if (has_inherited (owner, now_ms)
-      && now_ms - owner->inherited_ms >= QUOTA_SILENCE_MS - QUOTA_HOLD_MS)
-    silent += owner->inherited < unheard ? owner->inherited : unheard;
-  double use = nodes == 0 ? 0
-                          : SILENT_SHARE * owner->limit.rate_per_s
-                                * (double)silent / (double)nodes;
-  owner->reserved = fmax (0, use - SILENT_FREE * 1000 / QUOTA_SILENCE_MS);
-  owner->reserved_ms = now_ms;
+  set_demand (owner, holder, 0);
+  book (owner, holder, (struct quota_part){ 0 }, (struct quota_part){ 0 });
+  *holder = owner->holders[--owner->count];
 }
 
-/// @return tokens that may still be in use at other nodes
-static double
-outstanding (struct quota_owner *owner, uint64_t now_ms)
+/// @return the record of the reporting node, or NULL when the report is late,
+///         or finds no room
+static struct quota_holder *
+enter (struct quota_owner *owner, const struct quota_tenure *tenure,
+       const struct quota_report *report, uint64_t now_ms)
 {
-  uint64_t slot = now_ms / QUOTA_SLOT_MS;
-  if (slot - owner->slot >= QUOTA_SLOTS)
-    memset (owner->slots, 0, sizeof owner->slots);
-  else
-    for (uint64_t s = owner->slot + 1; s <= slot; s++)
-      owner->slots[s % QUOTA_SLOTS] = 0;
-  owner->slot = slot;
-  double sum = 0;
-  for (size_t i = 0; i < QUOTA_SLOTS; i++)
-    sum += owner->slots[i];
-  return sum;
+  struct quota_holder *holder = find (owner, report->node);
+  if (holder != NULL && holder->process == report->process)
+    return report->sequence > holder->sequence ? holder : NULL;
+  if (holder == NULL && !tenure->entitled && !tenure->young)
+    learn (owner, &report->held);
+  /* Another process of the node: the earlier one has ended, and its share. */
+  if (holder != NULL)
+    remove_holder (owner, holder);
+  holder = append (owner);
+  if (holder == NULL)
+    return NULL;
+  holder->node = report->node;
+  holder->process = report->process;
+  return holder;
 }
 
-/// Takes back unused tokens, from the oldest slots: those expire first, so the
-/// count of outstanding tokens is never too low. Tokens of expired leases come
-/// back too, of requests that were admitted and never ran.
-static void
-take_back (struct quota_owner *owner, uint32_t count)
+struct quota_answer
+quota_owner_report (struct quota_owner *owner,
+                    const struct quota_tenure *tenure,
+                    const struct quota_report *report, uint64_t now_ms)
 {
-  owner->tokens += count; /* refill limits it to the burst */
-  for (uint64_t i = 1; i <= QUOTA_SLOTS && count > 0; i++)
+  struct quota_answer answer = { .verdict = QUOTA_NOT_READY };
+  /* The earlier owner may still move rate between the shares. */
+  bool is_early = !tenure->entitled && !tenure->young
+                  && now_ms < tenure->ended_ms;
+  if (!quota_tenure_decides (tenure, now_ms) || is_early
+      || owner->limit.rate_per_s <= 0)
+    return answer;
+  follow (owner, tenure, now_ms);
+  refill (owner, tenure, now_ms);
+  struct quota_holder *holder = enter (owner, tenure, report, now_ms);
+  if (holder == NULL)
+    return answer;
+  holder->sequence = report->sequence;
+  holder->until_ms = now_ms + QUOTA_SHARE_MS;
+  set_demand (owner, holder, report->demand_per_s);
+  book (owner, holder, report->held, (struct quota_part){ 0 });
+  answer.part = choose_part (owner, tenure, holder, report);
+  book (owner, holder, report->held, answer.part);
+  grant (owner, tenure, report->pending, &answer, now_ms);
+  if (answer.part.burst_ppm > report->held.burst_ppm && answer.wait_ms == 0)
     {
-      uint32_t *slot = &owner->slots[(owner->slot + i) % QUOTA_SLOTS];
-      uint32_t taken = *slot < count ? *slot : count;
-      *slot -= taken;
-      count -= taken;
+      double room = (answer.part.burst_ppm - report->held.burst_ppm)
+                    * quota_plan_pool (&owner->limit) / QUOTA_PPM;
+      double fill
+          = floor (fmin (fmin (room, FILL_S * report->demand_per_s),
+                         FILL_SHARE * owner->tokens));
+      if (fill > 0)
+        {
+          answer.tokens += (uint32_t)fill;
+          owner->tokens -= fill;
+        }
     }
+  if (report->demand_per_s <= 0 && report->pending == 0
+      && report->held.rate_ppm == 0 && report->held.burst_ppm == 0)
+    remove_holder (owner, holder);
+  return answer;
 }
 
-static void
-refill (struct quota_owner *owner, double rate_per_s, double outside,
-        uint64_t now_ms)
+void
+quota_owner_accept (struct quota_owner *owner,
+                    const struct quota_tenure *tenure, double tokens,
+                    uint64_t now_ms)
 {
-  double passed_s = owner->refilled_ms == 0
-                        ? 0
-                        : (double)(now_ms - owner->refilled_ms) / 1000;
-  /* Tokens that come back and go out again would otherwise add up to more
-     than the burst. */
-  double room = owner->limit.burst
-                + owner->limit.rate_per_s * QUOTA_LEASE_MS / 1000 - outside;
-  double most = fmax (1, fmin (owner->limit.burst, room));
-  owner->tokens = fmin (most, owner->tokens + rate_per_s * passed_s);
-  owner->debt = fmax (
-      0, owner->debt - DEBT_DECAY * owner->limit.rate_per_s * passed_s);
+  follow (owner, tenure, now_ms);
+  owner->tokens = fmin (fmax (0, tokens), quota_plan_burst (&owner->limit));
   owner->refilled_ms = now_ms;
+  owner->debt_ms = now_ms;
 }
 
-/// @return time until the requests without a token could have one
-static uint32_t
-wait_ms (const struct quota_owner *owner, double rate_per_s)
-{
-  double missing = owner->debt + 1 - owner->tokens;
-  if (missing <= 0)
-    return 1;
-  double wait = rate_per_s > 0 ? missing / rate_per_s * 1000 : WAIT_MS_MAX;
-  return wait < WAIT_MS_MAX ? (uint32_t)ceil (wait) : WAIT_MS_MAX;
-}
-
-struct quota_grant
-quota_owner_ask (struct quota_owner *owner, size_t node, size_t nodes,
-                 bool current, uint32_t pending, uint32_t expected,
-                 uint32_t returned, uint64_t now_ms)
+bool
+quota_owner_accept_holder (struct quota_owner *owner,
+                           const struct quota_holder *added)
 {
-  struct quota_grant grant = { .verdict = QUOTA_NOT_READY };
-  owner->asked_ms = now_ms;
-  note_heard (owner, node, now_ms);
-  update_reserve (owner, nodes, now_ms);
-  note_hold (owner, now_ms);
-  double rate = granted_rate (owner, current, now_ms);
-  if (rate <= 0)
-    return grant;
-  outstanding (owner, now_ms);
-  take_back (owner, returned);
-  double outside = outstanding (owner, now_ms);
-  refill (owner, rate, outside, now_ms);
-  grant.verdict = QUOTA_DECIDED;
-  double whole = floor (owner->tokens);
-  grant.tokens = pending < whole ? pending : (uint32_t)whole;
-  if (grant.tokens < pending)
-    {
-      owner->debt = fmin (owner->debt + pending - grant.tokens,
-                          DEBT_S_MAX * owner->limit.rate_per_s);
-      grant.wait_ms = wait_ms (owner, rate);
-    }
-  else
-    {
-      double spare = floor ((whole - pending) * EXPECTED_SHARE);
-      grant.tokens += expected < spare ? expected : (uint32_t)spare;
-    }
-  owner->tokens -= grant.tokens;
-  owner->slots[owner->slot % QUOTA_SLOTS] += grant.tokens;
-  return grant;
+  struct quota_holder *holder
+      = find (owner, added->node) == NULL ? append (owner) : NULL;
+  if (holder == NULL)
+    return false;
+  *holder = *added;
+  owner->booked_rate_ppm += added->part.rate_ppm;
+  owner->booked_burst_ppm += added->part.burst_ppm;
+  owner->demand_per_s += added->demand_per_s;
+  return true;
 }
--- a/src/coordination/quota_owner.h
+++ b/src/coordination/quota_owner.h
@@ -1,172 +1,106 @@
-/// Tokens of one account at the nodes that may grant them: the owner, or the
-/// standby that replaces it. No I/O; times are monotonic milliseconds.
+/// Shares of one account at its owner, and the owner's token bucket. No I/O;
+/// monotonic milliseconds.
 ///
-/// The first three nodes of the account's ranking vote. A node grants only
-/// while it holds a majority: its own vote and that of one other node, which
-/// promises for QUOTA_HOLD_MS to vote for nobody else. So two nodes never
-/// grant at the same time while all three rank the same nodes.
-///
-/// Nodes learn of a change of the ranking at different times, within
-/// QUOTA_SETTLE_MS. A candidate or voter that was ranked less than this ago is
-/// unsettled. Votes of or for it count only if all three agree: every majority
-/// of the ranking before has a member among them, unless two nodes joined at
-/// once. This covers a restarted node too, which has forgotten its promises.
-/// So the nodes of a mesh that has just started grant as soon as they agree,
-/// and with empty buckets.
-///
-/// Where only two nodes exist, one without the other's vote grants at half of
-/// the rate.
+/// A share counts with its old value until the entry node has reported the
+/// lower one or the share has ended, so the sum of the shares in force is
+/// bounded also when messages are lost.
 #ifndef HAWTHORNSEAM_COORDINATION_QUOTA_OWNER_H
 #define HAWTHORNSEAM_COORDINATION_QUOTA_OWNER_H
 
-#include "coordination/quota_rank.h"
-
-#include <stdbool.h>
-#include <stdint.h>
-
-/// A token is used within this time of its grant. Rate x lease has to fit
-/// into the tolerance, which is half a second of the rate.
-#define QUOTA_LEASE_MS 400
-
-/// Length of a promised vote. After the owner's death the standby grants
-/// nothing for this time; leased tokens and the time that requests may wait
-/// (sidecar_quota.c) cover it. It spans three renewals, so that a process that
-/// is late by 250 ms keeps its votes.
-#define QUOTA_HOLD_MS 400
-#define QUOTA_RENEW_MS 120
+#include "coordination/quota_tenure.h"
 
-/// A standby asks for votes for this long after it was asked for tokens.
-#define QUOTA_CANDIDATE_MS 1000
+#include <stddef.h>
 
-/// Longest time until all nodes follow a change of the directory.
-#define QUOTA_SETTLE_MS 2000
+/// Nodes that hold shares of one account; more are served without a share.
+#define QUOTA_HOLDERS_MAX 8192
 
-/// A node that has not been heard for this long may admit requests on its own
-/// (quota_lease.h), and the owner reserves its share. It is the quota's
-/// window, so that a node cannot use both within one window. It ends after
-/// QUOTA_LOCAL_END_MS: the owner does not reserve for nodes without requests
-/// of the account forever.
-#define QUOTA_LOCAL_END_MS 60000
-#define QUOTA_SILENCE_MS 5000
-
-/// Slots in which outstanding tokens are counted until they expire.
-#define QUOTA_SLOT_MS 50
-#define QUOTA_SLOTS (QUOTA_LEASE_MS / QUOTA_SLOT_MS + 1)
+/// A part of the account's rate and of the burst pool.
+struct quota_part
+{
+  uint32_t rate_ppm;
+  uint32_t burst_ppm;
+};
 
-struct quota_limit
+/// An entry node, as the owner knows it.
+struct quota_holder
 {
-  double rate_per_s;
-  double burst;
+  uint64_t node;     ///< hash of its name
+  uint64_t process;  ///< id of its process
+  uint64_t sequence; ///< of its last report
+  struct quota_part part; ///< largest part that may be in force there
+  uint64_t until_ms;      ///< end of the part, and of this record
+  double demand_per_s;    ///< as last reported
 };
 
-enum quota_verdict
+/// What an entry node reports, and asks for.
+struct quota_report
 {
-  QUOTA_DECIDED,  ///< the grant is the decision, also when it is 0
-  QUOTA_NOT_READY ///< this node must not decide: ask the other one
+  uint64_t node;
+  uint64_t process;
+  uint64_t sequence; ///< grows with each report of the process
+  uint32_t pending;  ///< requests that wait for a token
+  double demand_per_s;
+  struct quota_part held; ///< part in force at the node
 };
 
-/// Vote of another node for this one.
-struct quota_vote
+enum quota_verdict
 {
-  size_t voter;      ///< directory handle; SIZE_MAX: none
-  bool settled;      ///< the voter has been ranked for long
-  uint64_t until_ms; ///< end of its promise
-  uint64_t next_ms;  ///< when to ask for it again
-  uint32_t known;    ///< nodes that the voter knows to have asked for tokens
+  QUOTA_NOT_READY, ///< nothing is decided, the share stays
+  QUOTA_DECIDED    ///< the tokens are a decision, also when they are 0
 };
 
-/// Another node that asks for a vote.
-struct quota_candidate
+struct quota_answer
 {
-  size_t node;    ///< directory handle
-  unsigned rank;  ///< in this node's directory
-  bool settled;   ///< it has been ranked for long
-  uint32_t known; ///< what quota_owner_known returned there
+  enum quota_verdict verdict;
+  uint32_t tokens;  ///< for waiting requests; more than those fill the share
+  uint32_t wait_ms; ///< until a token for the next request is expected
+  struct quota_part part; ///< in force from now on
 };
 
 struct quota_owner
 {
   struct quota_limit limit;
-  unsigned rank;            ///< of this node; QUOTA_RANKS: none
-  uint64_t ranked_since_ms; ///< since when this node has had any rank
-  struct quota_vote votes[QUOTA_RANKS - 1];
-  bool was_held;             ///< at the last look; the bucket is valid
-  size_t promised_to;        ///< directory handle
-  uint64_t promise_until_ms; ///< this node does not grant until then
-  uint64_t asked_ms;         ///< last request for tokens; 0: none
+  uint64_t serial;     ///< of the tenure in which the table was made
+  uint64_t resumed_ms; ///< of the tenure, as applied
+  struct quota_holder *holders;
+  size_t count;
+  size_t capacity;
+  uint64_t booked_rate_ppm; ///< sum of the holders
+  uint64_t booked_burst_ppm;
+  struct quota_part known;  ///< largest sum of shares that are known, while not
+                            ///< entitled
+  double demand_per_s;      ///< sum of the holders
+  uint64_t swept_ms;
   double tokens;
-  uint64_t refilled_ms;
-  double debt; ///< requests that found no token, not yet made up for
-  uint32_t slots[QUOTA_SLOTS]; ///< outstanding tokens by time of grant
-  uint64_t slot;               ///< number of the newest slot
-  uint32_t *heard_ms;          ///< by directory handle; 0: never
-  size_t heard_capacity;
-  uint64_t reserved_ms;  ///< when `reserved` was computed
-  double reserved;       ///< part of the rate kept for silent nodes
-  uint32_t inherited;    ///< nodes that asked the node that granted before
-  uint64_t inherited_ms; ///< when this was learned; 0: never
-};
-
-struct quota_grant
-{
-  enum quota_verdict verdict;
-  uint32_t tokens;
-  uint32_t wait_ms; ///< until a token for the next request is expected
+  uint64_t refilled_ms; ///< 0: the bucket is not in use
+  double debt;          ///< requests that found no token, not yet made up for
+  uint64_t debt_ms;
 };
 
 void quota_owner_init (struct quota_owner *owner);
 void quota_owner_finish (struct quota_owner *owner);
 
-/// Applies the limit of the configuration. A lowered burst is binding at once.
+/// Applies the limit of the configuration.
 void quota_owner_set_limit (struct quota_owner *owner,
                             const struct quota_limit *limit);
 
-/// Applies the account's ranking as this node's directory has it.
-/// @param own  directory handle of this node, or SIZE_MAX
-void quota_owner_set_rank (struct quota_owner *owner,
-                           const struct quota_rank *rank, size_t own,
-                           uint64_t now_ms);
-
-/// @return directory handle of a node to ask for its vote now, or SIZE_MAX.
-///         The caller asks it; the same one is returned again after
-///         QUOTA_RENEW_MS.
-size_t quota_owner_due_vote (struct quota_owner *owner, uint64_t now_ms);
-
-/// Applies a vote for this node.
-/// @param known    what quota_owner_known returned at the voter
-/// @param sent_ms  when the vote was asked for; the promise is counted from it
-void quota_owner_vote (struct quota_owner *owner, size_t voter, bool settled,
-                       uint32_t known, uint64_t sent_ms, uint64_t now_ms);
-
-/// @return number of nodes that asked for tokens within QUOTA_LOCAL_END_MS, as
-///         far as this node knows. It goes along with votes, so that the next
-///         node that grants can reserve for those that are cut off from it.
-uint32_t quota_owner_known (const struct quota_owner *owner, uint64_t now_ms);
-
-/// @return true while this node has a majority
-bool quota_owner_is_held (const struct quota_owner *owner, uint64_t now_ms);
-
-/// @return true when this node has been ranked for QUOTA_SETTLE_MS
-bool quota_owner_is_settled (const struct quota_owner *owner, uint64_t now_ms);
-
-/// Another node asks this one for its vote. A node that grants yields to a
-/// settled one that ranks above it; an unsettled one could not take over yet.
-/// @param settled  set when the vote is given: this node is settled
-/// @return true when this node has promised its vote
-bool quota_owner_promise (struct quota_owner *owner,
-                          const struct quota_candidate *candidate,
-                          bool *settled, uint64_t now_ms);
-
-/// Decides on a request of another node, or of this one.
-/// @param node      directory handle of the requesting node, or SIZE_MAX
-/// @param nodes     nodes in the directory
-/// @param current   the directory was compared with the store recently
-/// @param pending   requests that wait for a token
-/// @param expected  tokens wanted beyond those
-/// @param returned  unused tokens of this process that come back
-struct quota_grant quota_owner_ask (struct quota_owner *owner, size_t node,
-                                    size_t nodes, bool current,
-                                    uint32_t pending, uint32_t expected,
-                                    uint32_t returned, uint64_t now_ms);
+/// Decides on the report of an entry node, which may be this one.
+struct quota_answer quota_owner_report (struct quota_owner *owner,
+                                        const struct quota_tenure *tenure,
+                                        const struct quota_report *report,
+                                        uint64_t now_ms);
+
+/// Removes the shares that have ended.
+void quota_owner_sweep (struct quota_owner *owner, uint64_t now_ms);
+
+/// Takes over the table of the earlier owner, after quota_tenure_accept.
+void quota_owner_accept (struct quota_owner *owner,
+                         const struct quota_tenure *tenure, double tokens,
+                         uint64_t now_ms);
+
+/// Adds a share of the earlier owner's table.
+/// @return false when there are too many, or without memory
+bool quota_owner_accept_holder (struct quota_owner *owner,
+                                const struct quota_holder *holder);
 
 #endif
--- a/src/coordination/quota_rank.c
+++ b/src/coordination/quota_rank.c
@@ -20,13 +20,12 @@
   struct rendezvous choice;
   uint64_t role = hash_placement_pair (group, QUOTA_ROLE);
   rendezvous_init (&choice, role, QUOTA_RANKS);
-  *rank = (struct quota_rank){ .handles = { SIZE_MAX, SIZE_MAX, SIZE_MAX } };
+  *rank = (struct quota_rank){ .handles = { SIZE_MAX, SIZE_MAX } };
   for (size_t i = 0; i < directory->count; i++)
     {
       const struct directory_record *record = &directory->records[i];
-      /* A node whose entry is missing for a moment keeps its rank: a change
-         costs the quota some hundred milliseconds, and the votes show whether
-         the node is there. */
+      /* A node whose entry is missing for a moment keeps its rank; it does not
+         decide meanwhile (sidecar_quota_serve.c). */
       if (!record->used || record->entry.state == DIRECTORY_LEAVING)
         continue;
       rank->nodes++;
--- a/src/coordination/quota_rank.h
+++ b/src/coordination/quota_rank.h
@@ -1,6 +1,6 @@
-/// Choice of the nodes that decide on the quota of an account: the owner, its
-/// standby and a third one that only votes, by rendezvous hashing of the
-/// account's name over the directory. Each node computes the choice from its
+/// Choice of the node that decides on the quota of an account, and of the one
+/// that follows it, by rendezvous hashing of the account's name over the
+/// directory. Each node computes the choice from its
 /// own directory.
 #ifndef HAWTHORNSEAM_COORDINATION_QUOTA_RANK_H
 #define HAWTHORNSEAM_COORDINATION_QUOTA_RANK_H
@@ -8,17 +8,12 @@
 #include "coordination/rendezvous.h"
 #include "state/directory.h"
 
-/// Accounts are ranked in groups, so that a node which owns many of them asks
-/// few others for votes: 256 groups are less than one per node from 300 nodes
-/// on, and spread the load of 10,000 accounts over 256 owners.
+/// Accounts are ranked in groups: 256 groups spread the load of 10,000 accounts
+/// over 256 owners, and an entry node has few owners to report to.
 #define QUOTA_GROUPS 256
 
-/// Nodes that vote on who grants the tokens of an account.
-#define QUOTA_RANKS RENDEZVOUS_MAX
-
-/// Ranks of the nodes that may grant.
-#define QUOTA_RANK_OWNER 0u
-#define QUOTA_RANK_STANDBY 1u
+/// Nodes that are ranked: the owner and the next one.
+#define QUOTA_RANKS 2
 
 struct quota_rank
 {
--- a/src/protocol/quota_message.h
+++ b/src/protocol/quota_message.h
@@ -1,15 +1,14 @@
 /// JSON encoding of the messages between an entry node and the owner of a
-/// quota, and between the nodes that vote on the owner. A message is about
-/// several accounts; the response has one item for each, in the same order.
+/// quota. A message is about several accounts; the response has one item for
+/// each, in the same order.
 #ifndef HAWTHORNSEAM_PROTOCOL_QUOTA_MESSAGE_H
 #define HAWTHORNSEAM_PROTOCOL_QUOTA_MESSAGE_H
 
 #include "base/status.h"
+#include "coordination/quota_owner.h"
 #include "state/directory.h"
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
+#include <jansson.h>
 
 /// Accounts in one message; further ones go into the next message.
 #define QUOTA_MESSAGE_ACCOUNTS_MAX 256
@@ -18,7 +17,8 @@
 /// with a longer name cannot be distributed.
 #define QUOTA_MESSAGE_NAME_MAX 255
 
-/// Largest count in a message: far more than a node admits within a lease.
+/// Largest count in a message: far more than a node admits within a second.
+/// Demand is in thousandths of a request per second.
 #define QUOTA_MESSAGE_COUNT_MAX 1000000
 
 /// Bytes of the largest message: names may need six bytes for each of theirs.
@@ -27,32 +27,20 @@
 struct quota_ask
 {
   char account[QUOTA_MESSAGE_NAME_MAX + 1];
-  uint32_t pending;
-  uint32_t expected;
-  uint32_t returned;
+  struct quota_report report; ///< without node, process and sequence
 };
 
 struct quota_request
 {
   char node[DIRECTORY_NAME_MAX + 1]; ///< the sender
-  uint64_t lender; ///< process to which `returned` tokens belong
-  bool vote;       ///< asks for votes for the sender; `pending` is its number
-                   ///< of known nodes (quota_owner.h), `expected` is 1 when
-                   ///< it is settled
+  uint64_t process;                  ///< of the sender
+  uint64_t sequence;                 ///< of the message
   size_t count;
   struct quota_ask asks[QUOTA_MESSAGE_ACCOUNTS_MAX];
 };
 
-struct quota_answer
-{
-  bool ready;       ///< the tokens are a decision; for a vote: given
-  uint32_t tokens;  ///< for a vote: 1 when the voter is settled
-  uint32_t wait_ms; ///< for a vote: known nodes of the voter
-};
-
 struct quota_response
 {
-  uint64_t lender; ///< process that granted; never 0
   size_t count;
   struct quota_answer answers[QUOTA_MESSAGE_ACCOUNTS_MAX];
 };
@@ -72,4 +60,13 @@
 enum status quota_response_read (const char *data, size_t size,
                                  struct quota_response *response);
 
+/* For the other messages about quotas. */
+
+/// Reads an integer of an array, from 0 to a limit.
+bool quota_message_count (json_t *array, size_t index, uint32_t most,
+                          uint32_t *count);
+
+/// Reads an integer that is not negative.
+bool quota_message_number (json_t *value, uint64_t *number);
+
 #endif
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -234,6 +234,9 @@
 ///         that should be in force is known
 bool sidecar_store_is_current (const struct sidecar *sidecar);
 
+/// @return true when the view was so compared within a time
+bool sidecar_store_is_fresh (const struct sidecar *sidecar, uint64_t age_ms);
+
 /// @return true when the store has this node's current entry
 bool sidecar_store_is_announced (const struct sidecar *sidecar);
 
--- a/src/sidecar/sidecar_main.c
+++ b/src/sidecar/sidecar_main.c
@@ -195,6 +195,7 @@
              sidecar->settings.grace_ms);
   http_server_drain (&sidecar->calls);
   sidecar_outbound_stopping (sidecar);
+  sidecar_quota_stopping (sidecar);
   if (sidecar_moves_is_driving (sidecar))
     sidecar_store_announce (sidecar);
 }
--- a/src/sidecar/sidecar_quota.c
+++ b/src/sidecar/sidecar_quota.c
@@ -56,7 +56,7 @@
   strcpy (account->name, name);
   account->group = quota_rank_group (name);
   TAILQ_INIT (&account->waiters);
-  quota_lease_init (&account->lease);
+  quota_share_init (&account->share);
   quota_owner_init (&account->owner);
   account->next = *bucket;
   *bucket = account;
@@ -91,6 +91,7 @@
         = (struct quota_limit){ configured->rate_per_s, configured->burst };
   account->config_version = sidecar->config->version;
   quota_owner_set_limit (&account->owner, &account->limit);
+  quota_share_set_limit (&account->share, &account->limit);
 }
 
 /// @return shortest time between two rankings of a group: ranking all groups
@@ -102,7 +103,7 @@
   return interval_ms > RANK_MS_MIN ? interval_ms : RANK_MS_MIN;
 }
 
-const struct quota_group *
+struct quota_group *
 sidecar_quota_group (struct sidecar *sidecar, unsigned number, uint64_t now_ms)
 {
   struct sidecar_quota *quota = sidecar->quota;
@@ -144,14 +145,15 @@
     set_limit (
         sidecar, account,
         client_account_by_name (&sidecar->config->accounts, account->name));
-  const struct quota_group *group
+  struct quota_group *group
       = sidecar_quota_group (sidecar, account->group, now_ms);
+  sidecar_quota_observe (sidecar, group, now_ms);
   if (account->rank_serial == group->serial)
     return;
+  /* A new owner learns of the share at once. */
   account->rank_serial = group->serial;
-  account->lease.standby_until_ms = 0;
-  quota_owner_set_rank (&account->owner, &group->rank,
-                        sidecar->quota->own_handle, now_ms);
+  account->share.second_until_ms = 0;
+  account->share.next_report_ms = 0;
 }
 
 /* Requests of callers */
@@ -188,7 +190,7 @@
   waiter->on_decision (waiter, decision, retry_ms);
 }
 
-/// Gives the leased tokens to the waiting requests.
+/// Gives the share's tokens to the waiting requests.
 static void
 serve_waiting (struct sidecar *sidecar, struct quota_account *account,
                uint64_t now_ms)
@@ -196,7 +198,7 @@
   struct quota_waiter *waiter;
   while ((waiter = TAILQ_FIRST (&account->waiters)) != NULL
          && (account->limit.rate_per_s <= 0
-             || quota_lease_take (&account->lease, &waiter->token, now_ms)))
+             || quota_share_take (&account->share, &waiter->token, now_ms)))
     decide (sidecar, waiter, QUOTA_ADMIT, 0);
 }
 
@@ -218,10 +220,10 @@
 reject_late (struct sidecar *sidecar, struct quota_account *account,
              uint64_t now_ms)
 {
-  uint64_t before_ms = quota_lease_reject_before (&account->lease, now_ms);
+  uint64_t before_ms = quota_share_reject_before (&account->share, now_ms);
   struct quota_waiter *waiter;
   while ((waiter = first_before (account, before_ms)) != NULL)
-    decide (sidecar, waiter, QUOTA_REJECT, account->lease.over_wait_ms);
+    decide (sidecar, waiter, QUOTA_REJECT, account->share.over_wait_ms);
 }
 
 /// @return true when a request may be admitted without a decision of another
@@ -230,10 +232,8 @@
 may_admit_locally (struct sidecar *sidecar, struct quota_account *account,
                    uint64_t now_ms)
 {
-  return quota_lease_take_settling (&account->lease, now_ms)
-         || quota_lease_take_local (
-             &account->lease, &account->limit,
-             sidecar_quota_rank (sidecar, account)->nodes, now_ms);
+  return quota_share_take_local (
+      &account->share, sidecar_quota_rank (sidecar, account)->nodes, now_ms);
 }
 
 /// Serves waiting requests without a decision of another node.
@@ -252,39 +252,41 @@
 
 void
 sidecar_quota_apply (struct sidecar *sidecar, struct quota_account *account,
-                     const struct quota_answer *answer, uint64_t lender,
+                     const struct quota_answer *answer, uint32_t pending,
                      uint64_t sent_ms)
 {
   uint64_t now = clock_monotonic_ms ();
-  if (answer == NULL || !answer->ready)
+  if (answer == NULL || answer->verdict == QUOTA_NOT_READY)
     {
-      if (quota_lease_undecided (&account->lease, answer != NULL, now))
-        admit_locally (sidecar, account, now);
+      quota_share_undecided (&account->share, account->waiting > 0, now);
+      admit_locally (sidecar, account, now);
     }
   else
     {
-      quota_lease_decided (&account->lease, answer->tokens, answer->wait_ms,
-                           lender, sent_ms, now);
+      quota_share_decided (&account->share, answer, pending, sent_ms, now);
       serve_waiting (sidecar, account, now);
       reject_late (sidecar, account, now);
     }
-  sidecar_quota_pump (sidecar, account);
+  /* A report that was only due is not repeated at once. */
+  if (account->waiting > 0)
+    sidecar_quota_pump (sidecar, account);
 }
 
-/// Asks this node itself.
+/// Reports to this node itself.
 static void
 ask_here (struct sidecar *sidecar, struct quota_account *account,
           uint64_t now_ms)
 {
   struct sidecar_quota *quota = sidecar->quota;
-  struct quota_ask ask = {
-    .pending = account->waiting,
-    .expected = quota_lease_expected (&account->lease, now_ms),
-    .returned = quota_lease_give_back (&account->lease, quota->lender, now_ms),
-  };
-  struct quota_answer answer = sidecar_quota_decide (
-      sidecar, account, quota->own_handle, &ask, now_ms);
-  sidecar_quota_apply (sidecar, account, &answer, quota->lender, now_ms);
+  struct quota_report report = { 0 };
+  quota_share_report (&account->share, &report, now_ms);
+  report.node = quota->node;
+  report.process = quota->process;
+  report.sequence = ++quota->sequence;
+  report.pending = account->waiting;
+  struct quota_answer answer
+      = sidecar_quota_decide (sidecar, account, &report, now_ms);
+  sidecar_quota_apply (sidecar, account, &answer, report.pending, now_ms);
 }
 
 void
@@ -295,11 +297,14 @@
     return;
   sidecar_quota_refresh (sidecar, account, now);
   serve_waiting (sidecar, account, now);
-  if (account->waiting == 0 || account->call != NULL
-      || account->queued_at != NULL || now < account->lease.next_ask_ms)
+  if (account->limit.rate_per_s <= 0 || account->call != NULL
+      || account->queued_at != NULL)
     return;
-  bool standby = quota_lease_asks_standby (&account->lease, now);
-  size_t handle = sidecar_quota_rank (sidecar, account)->handles[standby];
+  bool asks = account->waiting > 0 && now >= account->share.next_ask_ms;
+  if (!asks && !quota_share_is_due (&account->share, now))
+    return;
+  bool second = asks && quota_share_asks_second (&account->share, now);
+  size_t handle = sidecar_quota_rank (sidecar, account)->handles[second];
   if (handle != SIZE_MAX && handle == sidecar->quota->own_handle)
     {
       ask_here (sidecar, account, now);
@@ -307,10 +312,10 @@
     }
   struct quota_peer *peer
       = handle == SIZE_MAX ? NULL : sidecar_quota_peer (sidecar, handle);
-  if (peer == NULL || now < peer->down_until_ms)
-    sidecar_quota_apply (sidecar, account, NULL, 0, now);
-  else
+  if (peer != NULL && now >= peer->down_until_ms)
     sidecar_quota_ask (sidecar, peer, account);
+  else if (asks)
+    sidecar_quota_apply (sidecar, account, NULL, 0, now);
 }
 
 /// Ends the requests whose time for a decision has passed.
@@ -318,7 +323,7 @@
 expire (struct sidecar *sidecar, struct quota_account *account,
         uint64_t now_ms)
 {
-  uint32_t wait_ms = account->lease.over_wait_ms;
+  uint32_t wait_ms = account->share.over_wait_ms;
   struct quota_waiter *waiter;
   while ((waiter = first_before (account, now_ms + 1)) != NULL)
     decide (sidecar, waiter, wait_ms > 0 ? QUOTA_REJECT : QUOTA_UNAVAILABLE,
@@ -357,22 +362,22 @@
   if (account->config_version != sidecar->config->version)
     set_limit (sidecar, account, configured);
   account->offered++;
-  quota_lease_arrive (&account->lease, now);
+  quota_share_arrive (&account->share, now);
   if (account->waiting == 0
-      && quota_lease_take (&account->lease, &waiter->token, now))
+      && quota_share_take (&account->share, &waiter->token, now))
     {
       account->admitted++;
       account->users++;
       waiter->account = account;
       return QUOTA_ADMIT;
     }
-  if (quota_lease_is_far_over (&account->lease, now))
+  if (quota_share_is_far_over (&account->share, now))
     {
       account->rejected++;
-      *retry_ms = account->lease.over_wait_ms;
+      *retry_ms = account->share.over_wait_ms;
       return QUOTA_REJECT;
     }
-  if (quota_lease_is_hopeless (&account->lease, account->waiting, now))
+  if (quota_share_is_hopeless (&account->share, account->waiting, now))
     {
       bool admitted = may_admit_locally (sidecar, account, now);
       account->admitted += admitted;
@@ -405,7 +410,7 @@
   if (waiter->waiting)
     leave_queue (sidecar, waiter);
   if (!ran)
-    quota_lease_put_back (&account->lease, &waiter->token,
+    quota_share_put_back (&account->share, &waiter->token,
                           clock_monotonic_ms ());
   account->users--;
   waiter->account = NULL;
@@ -421,7 +426,10 @@
     return status_set (STATUS_NO_MEMORY, "out of memory for the quotas");
   TAILQ_INIT (&quota->accounts);
   quota->own_handle = SIZE_MAX;
-  quota->lender = rng_u64 (&sidecar->rng) >> 1 | 1;
+  LIST_INIT (&quota->hand_overs);
+  quota->process = rng_u64 (&sidecar->rng) >> 1 | 1;
+  quota->node = hash_placement_string (sidecar->settings.node) & INT64_MAX;
+  quota->started_ms = clock_monotonic_ms ();
   evtimer_assign (&quota->timer, sidecar->base, on_timer, sidecar);
   sidecar->quota = quota;
   return STATUS_OK;
@@ -435,6 +443,7 @@
     return;
   event_del (&quota->timer);
   sidecar_quota_free_peers (sidecar);
+  sidecar_quota_free_hand_overs (sidecar);
   struct quota_account *account = TAILQ_FIRST (&quota->accounts);
   while (account != NULL)
     {
--- a/src/sidecar/sidecar_quota.h
+++ b/src/sidecar/sidecar_quota.h
@@ -1,10 +1,11 @@
-/// Quotas of client accounts over all nodes. The entry node of a request asks
-/// the owner of its account's quota for tokens; see coordination/quota_owner.h
-/// and coordination/quota_lease.h for the decisions.
+/// Quotas of client accounts over all nodes. The entry node of a request
+/// admits it from the share that the owner of its account's quota has leased to
+/// it, or asks the owner; see coordination/quota_owner.h and
+/// coordination/quota_share.h for the decisions.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_H
 
-#include "coordination/quota_lease.h"
+#include "coordination/quota_share.h"
 #include "sidecar/sidecar.h"
 #include "state/client_account.h"
 
@@ -61,9 +62,12 @@
 void sidecar_quota_serve (struct sidecar *sidecar,
                           struct http_request *request);
 
-/// Renews the votes for this node as owner.
+/// Reports to the owners, and hands over what this node no longer owns.
 void sidecar_quota_tick (struct sidecar *sidecar);
 
+/// Hands over all quotas that this node owns: it is shutting down.
+void sidecar_quota_stopping (struct sidecar *sidecar);
+
 /// Appends the counts of each account in the text format of the metrics.
 void sidecar_quota_metrics (const struct sidecar *sidecar,
                             struct evbuffer *text);
--- a/src/sidecar/sidecar_quota_call.c
+++ b/src/sidecar/sidecar_quota_call.c
@@ -1,6 +1,5 @@
-/// Owns the messages about quotas to other nodes. One request for tokens and
-/// one for votes is under way to each node; what is needed meanwhile goes into
-/// the next message.
+/// Owns the reports on quotas to other nodes. One is under way to each node;
+/// what is needed meanwhile goes into the next one.
 #include "sidecar/sidecar_quota_internal.h"
 
 #include "base/clock.h"
@@ -13,7 +12,7 @@
 #include <string.h>
 
 static struct counter messages = COUNTER (
-    "quota_messages", "messages to other nodes for tokens and votes");
+    "quota_messages", "reports to other nodes that own quotas");
 static struct counter message_bytes
     = COUNTER ("quota_message_bytes", "bytes of these messages' bodies");
 static struct counter failures
@@ -36,14 +35,9 @@
     return NULL;
   peer->handle = handle;
   peer->serial = record->serial;
-  struct quota_call *calls[] = { &peer->ask, &peer->vote };
-  for (size_t i = 0; i < 2; i++)
-    {
-      calls[i]->sidecar = sidecar;
-      calls[i]->peer = peer;
-      calls[i]->vote = i == 1;
-      calls[i]->body = evbuffer_new ();
-    }
+  peer->call.sidecar = sidecar;
+  peer->call.peer = peer;
+  peer->call.body = evbuffer_new ();
   peer->next = quota->peers;
   quota->peers = peer;
   return peer;
@@ -76,32 +70,14 @@
   *list = (struct quota_list){ 0 };
 }
 
-/// Applies the answer for one account.
-/// @param answer  NULL when there is none
-static void
-end_account (struct quota_call *call, struct quota_account *account,
-             const struct quota_answer *answer, uint64_t sent_ms)
-{
-  struct quota_peer *peer = call->peer;
-  if (!call->vote)
-    {
-      account->call = NULL;
-      sidecar_quota_apply (call->sidecar, account, answer, peer->lender,
-                           sent_ms);
-      return;
-    }
-  account->votes_asked--;
-  if (answer != NULL && answer->ready)
-    quota_owner_vote (&account->owner, peer->handle, answer->tokens > 0,
-                      answer->wait_ms, sent_ms, clock_monotonic_ms ());
-}
-
 static void
 end_call (struct quota_call *call, const struct quota_response *response)
 {
   struct quota_peer *peer = call->peer;
   /* Applying the answers may start the next call. */
   struct quota_list accounts = call->accounts;
+  uint32_t pending[QUOTA_MESSAGE_ACCOUNTS_MAX];
+  memcpy (pending, call->pending, accounts.count * sizeof pending[0]);
   uint64_t sent_ms = call->sent_ms;
   uint64_t now = clock_monotonic_ms ();
   event_del (&call->timer);
@@ -111,22 +87,20 @@
     {
       counter_add (&failures, 1);
       log_rate_limited (&failure_log_limit, LOG_LEVEL_WARNING, "quota_failed",
-                        "peer=%zu vote=%d status=%u after_ms=%" PRIu64,
-                        peer->handle, call->vote, call->status, now - sent_ms);
-      if (!call->vote)
-        peer->down_until_ms = now + QUOTA_DOWN_MS;
+                        "peer=%zu status=%u after_ms=%" PRIu64, peer->handle,
+                        call->status, now - sent_ms);
+      peer->down_until_ms = now + QUOTA_DOWN_MS;
     }
   else
-    {
-      peer->lender = response->lender;
-      peer->down_until_ms = 0;
-    }
+    peer->down_until_ms = 0;
   for (size_t i = 0; i < accounts.count; i++)
-    end_account (call, accounts.items[i],
-                 response == NULL ? NULL : &response->answers[i], sent_ms);
+    accounts.items[i]->call = NULL;
+  for (size_t i = 0; i < accounts.count; i++)
+    sidecar_quota_apply (call->sidecar, accounts.items[i],
+                         response == NULL ? NULL : &response->answers[i],
+                         pending[i], sent_ms);
   clear (&accounts);
-  if (!call->vote)
-    send_queued (call->sidecar, peer);
+  send_queued (call->sidecar, peer);
 }
 
 static void
@@ -186,8 +160,8 @@
       &sidecar->directory, call->peer->handle, call->peer->serial);
   struct quota_request *request = &sidecar->quota->request;
   strcpy (request->node, sidecar->settings.node);
-  request->lender = call->peer->lender;
-  request->vote = call->vote;
+  request->process = sidecar->quota->process;
+  request->sequence = ++sidecar->quota->sequence;
   request->count = call->accounts.count;
   char *text = record == NULL ? NULL : quota_request_write (request);
   call->sent_ms = clock_monotonic_ms ();
@@ -216,16 +190,10 @@
                call->exchange == NULL ? 0 : QUOTA_ASK_TIMEOUT_MS);
 }
 
-static uint32_t
-limited (uint32_t count)
-{
-  return count < QUOTA_MESSAGE_COUNT_MAX ? count : QUOTA_MESSAGE_COUNT_MAX;
-}
-
 static void
 send_queued (struct sidecar *sidecar, struct quota_peer *peer)
 {
-  struct quota_call *call = &peer->ask;
+  struct quota_call *call = &peer->call;
   struct quota_request *request = &sidecar->quota->request;
   uint64_t now = clock_monotonic_ms ();
   if (call->accounts.count > 0 || peer->queued.count == 0)
@@ -235,16 +203,19 @@
   for (size_t i = 0; i < queued.count; i++)
     {
       struct quota_account *account = queued.items[i];
-      struct quota_ask *ask = &request->asks[call->accounts.count];
+      size_t index = call->accounts.count;
+      struct quota_ask *ask = &request->asks[index];
       account->queued_at = NULL;
-      if (account->waiting == 0 || account->call != NULL
+      if (account->call != NULL
+          || (account->waiting == 0
+              && !quota_share_is_due (&account->share, now))
           || !append (&call->accounts, account))
         continue;
       strcpy (ask->account, account->name);
-      ask->pending = limited (account->waiting);
-      ask->expected = limited (quota_lease_expected (&account->lease, now));
-      ask->returned = limited (
-          quota_lease_give_back (&account->lease, peer->lender, now));
+      ask->report = (struct quota_report){ 0 };
+      quota_share_report (&account->share, &ask->report, now);
+      ask->report.pending = account->waiting;
+      call->pending[index] = account->waiting;
       account->call = call;
     }
   clear (&queued);
@@ -259,53 +230,16 @@
   if (account->queued_at != NULL || !append (&peer->queued, account))
     return;
   account->queued_at = peer;
-  send_queued (sidecar, peer);
+  if (!sidecar->quota->gathering)
+    send_queued (sidecar, peer);
 }
 
 void
-sidecar_quota_queue_vote (struct quota_peer *peer,
-                          struct quota_account *account)
-{
-  if (append (&peer->votes, account))
-    account->votes_asked++;
-}
-
-static void
-send_votes (struct sidecar *sidecar, struct quota_peer *peer)
-{
-  struct quota_call *call = &peer->vote;
-  struct quota_request *request = &sidecar->quota->request;
-  uint64_t now = clock_monotonic_ms ();
-  if (call->accounts.count > 0 || peer->votes.count == 0)
-    return;
-  call->accounts = peer->votes;
-  peer->votes = (struct quota_list){ 0 };
-  for (size_t i = 0; i < call->accounts.count; i++)
-    {
-      struct quota_account *account = call->accounts.items[i];
-      struct quota_ask *ask = &request->asks[i];
-      strcpy (ask->account, account->name);
-      ask->pending = quota_owner_known (&account->owner, now);
-      ask->expected = quota_owner_is_settled (&account->owner, now);
-      ask->returned = 0;
-    }
-  send_call (call);
-}
-
-void
-sidecar_quota_send_votes (struct sidecar *sidecar)
+sidecar_quota_send_queued (struct sidecar *sidecar)
 {
   for (struct quota_peer *peer = sidecar->quota->peers; peer != NULL;
        peer = peer->next)
-    send_votes (sidecar, peer);
-}
-
-void
-sidecar_quota_ask_vote (struct sidecar *sidecar, struct quota_peer *peer,
-                        struct quota_account *account)
-{
-  sidecar_quota_queue_vote (peer, account);
-  send_votes (sidecar, peer);
+    send_queued (sidecar, peer);
 }
 
 static void
@@ -322,10 +256,8 @@
 static void
 free_peer (struct quota_peer *peer)
 {
-  free_call (&peer->ask);
-  free_call (&peer->vote);
+  free_call (&peer->call);
   clear (&peer->queued);
-  clear (&peer->votes);
   free (peer);
 }
 
@@ -347,8 +279,7 @@
   while (*link != NULL)
     {
       struct quota_peer *peer = *link;
-      bool busy = peer->ask.accounts.count > 0 || peer->vote.accounts.count > 0
-                  || peer->queued.count > 0 || peer->votes.count > 0;
+      bool busy = peer->call.accounts.count > 0 || peer->queued.count > 0;
       if (busy
           || directory_get (&sidecar->directory, peer->handle, peer->serial)
                  != NULL)
--- a/src/sidecar/sidecar_quota_internal.h
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -1,9 +1,11 @@
 /// State shared by the files of the quota: accounts and their requests
 /// in sidecar_quota.c, decisions for other nodes in sidecar_quota_serve.c,
-/// messages to other nodes in sidecar_quota_call.c.
+/// reports to other nodes in sidecar_quota_call.c, tables that are handed over
+/// in sidecar_quota_transfer.c.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_INTERNAL_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_INTERNAL_H
 
+#include "coordination/quota_rank.h"
 #include "protocol/quota_message.h"
 #include "sidecar/sidecar_quota.h"
 
@@ -30,6 +32,7 @@
   uint64_t serial;     ///< grows with each change of the rank; 0: never ranked
   uint64_t generation; ///< of the directory
   uint64_t ranked_ms;
+  struct quota_tenure tenure; ///< this node's right to decide
 };
 
 /// A list of accounts that grows as needed.
@@ -50,13 +53,12 @@
   struct quota_limit limit;
   unsigned group;       ///< in which it is ranked
   uint64_t rank_serial; ///< of the group's rank that was applied; 0: none
-  struct quota_lease lease;
+  struct quota_share share;
   struct quota_owner owner;
   struct quota_waiters waiters;
   uint32_t waiting;
-  struct quota_call *call;      ///< asks for this account now, or NULL
+  struct quota_call *call;      ///< reports this account now, or NULL
   struct quota_peer *queued_at; ///< is part of the next message to it, or NULL
-  uint32_t votes_asked;         ///< messages that ask for a vote
   uint32_t users;               ///< requests in progress that point here
   uint64_t offered;
   uint64_t admitted;
@@ -72,10 +74,10 @@
   struct http_exchange *exchange; ///< NULL: unused
   struct evbuffer *body;
   struct event timer;
-  bool vote; ///< asks for votes, else for tokens
   unsigned status;
   uint64_t sent_ms;
   struct quota_list accounts; ///< empty: nothing is under way
+  uint32_t pending[QUOTA_MESSAGE_ACCOUNTS_MAX]; ///< as reported
 };
 
 /// Another node that was asked.
@@ -84,14 +86,14 @@
   struct quota_peer *next;
   size_t handle;
   uint64_t serial;
-  uint64_t lender; ///< its process, as of its last response; 0: unknown
   uint64_t down_until_ms;
-  struct quota_call ask;
-  struct quota_call vote;
-  struct quota_list queued; ///< for the next request for tokens
-  struct quota_list votes;  ///< for the next request for votes
+  struct quota_call call;
+  struct quota_list queued; ///< for the next report
 };
 
+struct quota_hand_over;
+LIST_HEAD (quota_hand_overs, quota_hand_over);
+
 struct sidecar_quota
 {
   struct quota_account *buckets[QUOTA_BUCKETS];
@@ -101,11 +103,16 @@
   struct quota_peer *peers;
   struct event timer;   ///< while requests wait
   size_t waiting;       ///< requests of all accounts
-  uint64_t lender;      ///< id of this process
+  uint64_t process;     ///< id of this process
+  uint64_t sequence;    ///< of the last report
+  uint64_t node;        ///< hash of this node's name, as others send it
+  uint64_t started_ms;
   size_t own_handle;    ///< in the directory
   uint64_t generation;  ///< of the directory, for own_handle
-  uint64_t prepared_ms; ///< when the accounts that this node ranks for were
-                        ///< created
+  uint64_t observed_ms; ///< when the groups were last looked at
+  bool all_young;       ///< no listed process is older
+  bool gathering;       ///< reports are queued before any is sent
+  struct quota_hand_overs hand_overs;
   struct quota_group groups[QUOTA_GROUPS];
   struct quota_request request;   ///< being written or read
   struct quota_response response; ///< being written or read
@@ -123,7 +130,7 @@
                            struct quota_account *account);
 
 /// @return the ranked nodes of a group, as the directory has them
-const struct quota_group *
+struct quota_group *
 sidecar_quota_group (struct sidecar *sidecar, unsigned group, uint64_t now_ms);
 
 /// @return the ranked nodes of an account, as last applied
@@ -132,29 +139,33 @@
                     const struct quota_account *account);
 
 /// Brings the account's limit and rank in step with the configuration and the
-/// directory.
+/// directory, and this node's right to decide with the view of the store.
 void sidecar_quota_refresh (struct sidecar *sidecar,
                             struct quota_account *account, uint64_t now_ms);
 
 /// Applies an answer and serves the waiting requests.
-/// @param answer  NULL when the node did not answer
+/// @param answer   NULL when the node did not answer
+/// @param pending  requests that the report was for
 void sidecar_quota_apply (struct sidecar *sidecar,
                           struct quota_account *account,
-                          const struct quota_answer *answer, uint64_t lender,
+                          const struct quota_answer *answer, uint32_t pending,
                           uint64_t sent_ms);
 
-/// Asks for tokens if requests wait.
+/// Serves waiting requests, and reports to the owner if that is due or if
+/// requests wait without a token.
 void sidecar_quota_pump (struct sidecar *sidecar,
                          struct quota_account *account);
 
 /* sidecar_quota_serve.c */
 
-/// Decides at this node, as owner or standby.
-/// @param node  directory handle of the node that asks
+/// Looks at this node's place in a group's ranking.
+void sidecar_quota_observe (struct sidecar *sidecar, struct quota_group *group,
+                            uint64_t now_ms);
+
+/// Decides at this node.
 struct quota_answer sidecar_quota_decide (struct sidecar *sidecar,
                                           struct quota_account *account,
-                                          size_t node,
-                                          const struct quota_ask *ask,
+                                          const struct quota_report *report,
                                           uint64_t now_ms);
 
 /* sidecar_quota_call.c */
@@ -162,25 +173,31 @@
 /// @return the peer with a directory handle, created if needed, or NULL
 struct quota_peer *sidecar_quota_peer (struct sidecar *sidecar, size_t handle);
 
-/// Includes an account in the next message to a peer, and sends it unless one
+/// Includes an account in the next report to a peer, and sends it unless one
 /// is under way.
 void sidecar_quota_ask (struct sidecar *sidecar, struct quota_peer *peer,
                         struct quota_account *account);
 
-/// Includes an account in the next request for votes to a peer.
-void sidecar_quota_queue_vote (struct quota_peer *peer,
-                               struct quota_account *account);
-
-/// Sends the requests for votes, unless one to the peer is under way.
-void sidecar_quota_send_votes (struct sidecar *sidecar);
-
-/// Asks for a vote at once.
-void sidecar_quota_ask_vote (struct sidecar *sidecar, struct quota_peer *peer,
-                             struct quota_account *account);
+/// Sends what is queued for any peer.
+void sidecar_quota_send_queued (struct sidecar *sidecar);
 
 void sidecar_quota_free_peers (struct sidecar *sidecar);
 
 /// Frees the peers that have left the directory.
 void sidecar_quota_sweep_peers (struct sidecar *sidecar);
 
+/* sidecar_quota_transfer.c */
+
+/// Hands the tables of a group over to the node that ranks first without this
+/// one. This node decides no more.
+void sidecar_quota_hand_over (struct sidecar *sidecar, unsigned group,
+                              uint64_t now_ms);
+
+/// Takes over the tables in a message.
+/// @return status of the response: 400 for a malformed message
+unsigned sidecar_quota_take_over (struct sidecar *sidecar, const char *data,
+                                  size_t size, uint64_t now_ms);
+
+void sidecar_quota_free_hand_overs (struct sidecar *sidecar);
+
 #endif
--- a/src/sidecar/sidecar_quota_serve.c
+++ b/src/sidecar/sidecar_quota_serve.c
@@ -1,5 +1,5 @@
-/// Owns no state; decides as the owner or standby of quotas, for this node and
-/// for others, and keeps the votes and ranks of all accounts up to date.
+/// Owns no state; decides as the owner of quotas, for this node and for others,
+/// and reports the demand of this node to the owners.
 #include "sidecar/sidecar_quota_internal.h"
 
 #include "base/clock.h"
@@ -10,68 +10,62 @@
 /// Accounts whose rank and limit are updated per tick without being used.
 #define REFRESH_COUNT 32
 
-/// Interval of creating the state of the accounts that this node ranks for:
-/// their buckets fill before the first request for tokens.
-#define PREPARE_MS 500
+/// Interval of looking at the rankings of all groups.
+#define OBSERVE_MS 200
 
-/// Asks for the votes of an account that are due, without waiting for the next
-/// tick.
-static void
-ask_votes (struct sidecar *sidecar, struct quota_account *account,
-           uint64_t now_ms)
+/// @return true when no listed process is older than this one
+static bool
+is_young (const struct sidecar *sidecar)
 {
-  size_t voter;
-  if (quota_owner_is_held (&account->owner, now_ms))
-    return;
-  while ((voter = quota_owner_due_vote (&account->owner, now_ms)) != SIZE_MAX)
-    {
-      struct quota_peer *peer = sidecar_quota_peer (sidecar, voter);
-      if (peer != NULL)
-        sidecar_quota_ask_vote (sidecar, peer, account);
-    }
+  const struct sidecar_quota *quota = sidecar->quota;
+  const struct directory *directory = &sidecar->directory;
+  if (quota->own_handle == SIZE_MAX)
+    return false;
+  uint64_t own_ms = directory->records[quota->own_handle].entry.epoch;
+  for (size_t i = 0; i < directory->count; i++)
+    if (directory->records[i].used
+        && directory->records[i].entry.epoch + QUOTA_SPREAD_MS < own_ms)
+      return false;
+  return true;
 }
 
-/// Renews the votes that are due, with one message to each node.
-static void
-renew_votes (struct sidecar *sidecar, uint64_t now_ms)
+void
+sidecar_quota_observe (struct sidecar *sidecar, struct quota_group *group,
+                       uint64_t now_ms)
 {
-  for (struct quota_account *account = TAILQ_FIRST (&sidecar->quota->accounts);
-       account != NULL; account = TAILQ_NEXT (account, link))
-    {
-      size_t voter;
-      if (account->limit.rate_per_s <= 0)
-        continue;
-      while ((voter = quota_owner_due_vote (&account->owner, now_ms))
-             != SIZE_MAX)
-        {
-          struct quota_peer *peer = sidecar_quota_peer (sidecar, voter);
-          if (peer != NULL)
-            sidecar_quota_queue_vote (peer, account);
-        }
-    }
-  sidecar_quota_send_votes (sidecar);
+  const struct sidecar_quota *quota = sidecar->quota;
+  const struct directory_record *own
+      = quota->own_handle == SIZE_MAX
+            ? NULL
+            : &sidecar->directory.records[quota->own_handle];
+  /* While its entry is missing from the store, other nodes may have dropped
+     this one. */
+  bool listed = own != NULL && own->used && own->missing_ms == 0;
+  struct quota_standing standing = {
+    .first = listed && group->rank.handles[0] == quota->own_handle
+             && !(sidecar->stopping && group->tenure.handed_over),
+    .fresh = listed && sidecar_store_is_fresh (sidecar, QUOTA_FRESH_MS),
+    .joined = listed && now_ms - own->seen_ms < QUOTA_JOIN_MS,
+    .young = quota->all_young,
+    .starting = now_ms - quota->started_ms < QUOTA_SPREAD_MS,
+  };
+  quota_tenure_observe (&group->tenure, &standing, now_ms);
 }
 
 struct quota_answer
 sidecar_quota_decide (struct sidecar *sidecar, struct quota_account *account,
-                      size_t node, const struct quota_ask *ask,
-                      uint64_t now_ms)
+                      const struct quota_report *report, uint64_t now_ms)
 {
-  struct quota_grant grant = quota_owner_ask (
-      &account->owner, node, sidecar_quota_rank (sidecar, account)->nodes,
-      sidecar_store_is_current (sidecar), ask->pending, ask->expected,
-      ask->returned, now_ms);
-  ask_votes (sidecar, account, now_ms);
-  return (struct quota_answer){ .ready = grant.verdict == QUOTA_DECIDED,
-                                .tokens = grant.tokens,
-                                .wait_ms = grant.wait_ms };
+  const struct quota_tenure *tenure
+      = &sidecar->quota->groups[account->group].tenure;
+  return quota_owner_report (&account->owner, tenure, report, now_ms);
 }
 
 static struct quota_answer
 answer_one (struct sidecar *sidecar, const struct quota_request *request,
-            size_t sender, const struct quota_ask *ask, uint64_t now_ms)
+            const struct quota_ask *ask, uint64_t now_ms)
 {
-  struct quota_answer answer = { 0 };
+  struct quota_answer answer = { .verdict = QUOTA_NOT_READY };
   struct quota_account *account
       = client_account_by_name (&sidecar->config->accounts, ask->account)
                 == NULL
@@ -80,25 +74,11 @@
   if (account == NULL)
     return answer;
   sidecar_quota_refresh (sidecar, account, now_ms);
-  if (request->vote)
-    {
-      bool settled = false;
-      struct quota_candidate candidate
-          = { .node = sender,
-              .rank
-              = quota_rank_of (sidecar_quota_rank (sidecar, account), sender),
-              .settled = ask->expected > 0,
-              .known = ask->pending };
-      answer.ready = quota_owner_promise (&account->owner, &candidate,
-                                          &settled, now_ms);
-      answer.tokens = settled;
-      answer.wait_ms = quota_owner_known (&account->owner, now_ms);
-      return answer;
-    }
-  struct quota_ask checked = *ask;
-  if (request->lender != sidecar->quota->lender)
-    checked.returned = 0;
-  return sidecar_quota_decide (sidecar, account, sender, &checked, now_ms);
+  struct quota_report report = ask->report;
+  report.node = hash_placement_string (request->node) & INT64_MAX;
+  report.process = request->process;
+  report.sequence = request->sequence;
+  return sidecar_quota_decide (sidecar, account, &report, now_ms);
 }
 
 void
@@ -106,24 +86,27 @@
 {
   struct quota_request *read = malloc (sizeof *read);
   size_t size = evbuffer_get_length (request->body);
-  if (read == NULL || sidecar->config == NULL || size == 0
-      || quota_request_read ((const char *)evbuffer_pullup (request->body, -1),
-                             size, read)
-             != STATUS_OK)
+  const char *data = size == 0
+                         ? ""
+                         : (const char *)evbuffer_pullup (request->body, -1);
+  uint64_t now = clock_monotonic_ms ();
+  if (read == NULL || sidecar->config == NULL)
     {
-      http_reply (request, read == NULL || sidecar->config == NULL ? 503 : 400,
-                  NULL, "", 0);
+      http_reply (request, 503, NULL, "", 0);
       free (read);
       return;
     }
-  uint64_t now = clock_monotonic_ms ();
-  size_t sender = directory_find (&sidecar->directory, read->node);
+  if (quota_request_read (data, size, read) != STATUS_OK)
+    {
+      free (read);
+      http_reply (request, sidecar_quota_take_over (sidecar, data, size, now),
+                  NULL, "", 0);
+      return;
+    }
   struct quota_response *response = &sidecar->quota->response;
-  response->lender = sidecar->quota->lender;
   response->count = read->count;
   for (size_t i = 0; i < read->count; i++)
-    response->answers[i]
-        = answer_one (sidecar, read, sender, &read->asks[i], now);
+    response->answers[i] = answer_one (sidecar, read, &read->asks[i], now);
   free (read);
   char *text = quota_response_write (response);
   http_reply (request, text == NULL ? 503 : 200, NULL,
@@ -131,40 +114,42 @@
   free (text);
 }
 
-/// Creates the state of the accounts that this node may have to grant or to
-/// vote for.
+/// Looks at all groups: a node may become the owner of accounts that it has
+/// not seen yet.
 static void
-prepare_accounts (struct sidecar *sidecar, uint64_t now_ms)
+observe_all (struct sidecar *sidecar, uint64_t now_ms)
 {
-  const struct client_account_table *table = &sidecar->config->accounts;
   struct sidecar_quota *quota = sidecar->quota;
-  if (now_ms - quota->prepared_ms < PREPARE_MS)
+  if (now_ms - quota->observed_ms < OBSERVE_MS)
     return;
-  quota->prepared_ms = now_ms;
-  for (size_t i = 0; i < table->account_count; i++)
+  quota->observed_ms = now_ms;
+  quota->all_young = is_young (sidecar);
+  for (unsigned i = 0; i < QUOTA_GROUPS; i++)
     {
-      const struct client_account *configured = &table->accounts[i];
-      if (configured->rate_per_s <= 0)
-        continue;
-      const struct quota_group *group = sidecar_quota_group (
-          sidecar, quota_rank_group (configured->name), now_ms);
-      struct quota_account *account
-          = quota_rank_of (&group->rank, quota->own_handle) < QUOTA_RANKS
-                ? sidecar_quota_find (sidecar, configured->name)
-                : NULL;
-      if (account != NULL)
-        sidecar_quota_refresh (sidecar, account, now_ms);
+      struct quota_group *group = sidecar_quota_group (sidecar, i, now_ms);
+      sidecar_quota_observe (sidecar, group, now_ms);
+      if (quota_tenure_hands_over (&group->tenure, sidecar->stopping, now_ms))
+        sidecar_quota_hand_over (sidecar, i, now_ms);
     }
 }
 
+void
+sidecar_quota_stopping (struct sidecar *sidecar)
+{
+  if (sidecar->quota == NULL || sidecar->config == NULL)
+    return;
+  sidecar->quota->observed_ms = 0;
+  observe_all (sidecar, clock_monotonic_ms ());
+}
+
 static bool
 is_in_use (const struct quota_account *account)
 {
   return account->users > 0 || account->waiting > 0 || account->call != NULL
-         || account->queued_at != NULL || account->votes_asked > 0;
+         || account->queued_at != NULL;
 }
 
-/// Updates the roles of some accounts, and frees those that are no longer in
+/// Updates the ranks of some accounts, and frees those that are no longer in
 /// the configuration.
 static void
 refresh_some (struct sidecar *sidecar, uint64_t now_ms)
@@ -179,19 +164,34 @@
         return;
       quota->cursor = TAILQ_NEXT (account, link);
       sidecar_quota_refresh (sidecar, account, now_ms);
+      quota_owner_sweep (&account->owner, now_ms);
       if (account->limit.rate_per_s <= 0 && !is_in_use (account))
         sidecar_quota_forget (sidecar, account);
     }
 }
 
+/// Sends the reports that are due. Those to one owner go into one message: the
+/// first is sent at once, so all are queued before.
+static void
+report_due (struct sidecar *sidecar, uint64_t now_ms)
+{
+  sidecar->quota->gathering = true;
+  for (struct quota_account *account = TAILQ_FIRST (&sidecar->quota->accounts);
+       account != NULL; account = TAILQ_NEXT (account, link))
+    if (quota_share_is_due (&account->share, now_ms))
+      sidecar_quota_pump (sidecar, account);
+  sidecar->quota->gathering = false;
+  sidecar_quota_send_queued (sidecar);
+}
+
 void
 sidecar_quota_tick (struct sidecar *sidecar)
 {
   if (sidecar->config == NULL)
     return;
   uint64_t now = clock_monotonic_ms ();
-  prepare_accounts (sidecar, now);
+  observe_all (sidecar, now);
   refresh_some (sidecar, now);
-  renew_votes (sidecar, now);
+  report_due (sidecar, now);
   sidecar_quota_sweep_peers (sidecar);
 }
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -457,12 +457,17 @@
 }
 
 bool
-sidecar_store_is_current (const struct sidecar *sidecar)
+sidecar_store_is_fresh (const struct sidecar *sidecar, uint64_t age_ms)
 {
   const struct sidecar_store *store = sidecar->store;
   return store->caught_up
-         && clock_monotonic_ms () - store->view_checked_ms
-                <= sidecar->settings.config_apply_ms;
+         && clock_monotonic_ms () - store->view_checked_ms <= age_ms;
+}
+
+bool
+sidecar_store_is_current (const struct sidecar *sidecar)
+{
+  return sidecar_store_is_fresh (sidecar, sidecar->settings.config_apply_ms);
 }
 
 bool
