--- a/src/coordination/quota_owner.c
+++ b/src/coordination/quota_owner.c
@@ -22,16 +22,30 @@
 
 #define WAIT_MS_MAX 5000u
 
-/// Part of the owner's tokens that fills a share which becomes larger, and the
-/// time at the node's demand for which they last.
-#define FILL_SHARE 0.5
+/// While its bucket is fuller than this, the owner fills the shares from it,
+/// for this time at the node's demand and one request more. So a node with few
+/// requests has a token for the next one, and a tenth of the requests asks
+/// less.
+#define FILL_ABOVE 0.4
 #define FILL_S 1.0
 
-/// Largest rate of a share, relative to the demand. The usual demand is 1 / 1.6
-/// of the quota, and all of the rate is divided then. Of an account that is
-/// used less, more stays here for nodes that begin to use it.
+/// Nodes with less demand get tokens only in this way: at so small a rate, a
+/// part of a token lies idle at each node.
+#define RATE_DEMAND_MIN 0.7
+
+/// Largest rate of a share, relative to the demand. The usual demand is 1
+/// / 1.6 of the quota, and all of the rate is divided then. Of an account that
+/// is used less, more stays here for nodes that begin to use it.
 #define HEADROOM 1.4
 
+double
+quota_part_burst (const struct quota_part *part,
+                  const struct quota_limit *limit)
+{
+  return quota_plan_pool (limit) * part->burst_ppm / QUOTA_PPM
+         + quota_plan_shared_burst (limit, part->rate_ppm);
+}
+
 void
 quota_owner_init (struct quota_owner *owner)
 {
@@ -152,27 +166,31 @@
   return 1 - (double)QUOTA_SHARES_PPM / QUOTA_PPM;
 }
 
+/// @return tokens that the bucket may hold
+static double
+bucket_most (const struct quota_owner *owner)
+{
+  return quota_plan_burst (&owner->limit)
+         - quota_plan_shared_burst (&owner->limit,
+                                    (double)owner->booked_rate_ppm);
+}
+
 static void
 refill (struct quota_owner *owner, const struct quota_tenure *tenure,
         uint64_t now_ms)
 {
-  double rate
-      = owner->limit.rate_per_s * bucket_rate (owner, tenure) / 1000;
+  double rate = owner->limit.rate_per_s * bucket_rate (owner, tenure) / 1000;
   if (owner->refilled_ms == 0)
     {
       owner->tokens = 0;
       owner->refilled_ms = now_ms - quota_tenure_unused_ms (tenure, now_ms);
     }
   double passed_ms = (double)(now_ms - owner->refilled_ms);
-  double most = quota_plan_burst (&owner->limit)
-                - quota_plan_shared_burst (&owner->limit)
-                      * fmin (1, (double)owner->booked_burst_ppm / QUOTA_PPM);
-  owner->tokens = fmin (most, owner->tokens + rate * passed_ms);
+  owner->tokens = fmin (bucket_most (owner), owner->tokens + rate * passed_ms);
   owner->refilled_ms = now_ms;
-  owner->debt
-      = fmax (0, owner->debt
-                     - DEBT_DECAY * owner->limit.rate_per_s
-                           * (double)(now_ms - owner->debt_ms) / 1000);
+  owner->debt = fmax (0, owner->debt
+                             - DEBT_DECAY * owner->limit.rate_per_s
+                                   * (double)(now_ms - owner->debt_ms) / 1000);
   owner->debt_ms = now_ms;
 }
 
@@ -188,8 +206,7 @@
   uint32_t missing = pending - answer->tokens;
   if (missing == 0)
     return;
-  double rate
-      = owner->limit.rate_per_s * bucket_rate (owner, tenure) / 1000;
+  double rate = owner->limit.rate_per_s * bucket_rate (owner, tenure) / 1000;
   owner->debt = fmin (owner->debt + missing,
                       DEBT_S_MAX * owner->limit.rate_per_s + missing);
   double wait = rate > 0 ? (1 + owner->debt - missing - owner->tokens) / rate
@@ -227,9 +244,8 @@
      each request, and their part of the rate stays here. */
   if (weight > 0 && burst < least)
     burst = least;
-  double available
-      = unallocated (most.burst_ppm, owner->booked_burst_ppm,
-                     holder->part.burst_ppm);
+  double available = unallocated (most.burst_ppm, owner->booked_burst_ppm,
+                                  holder->part.burst_ppm);
   /* While not entitled, a share may always keep what it has. */
   if (!tenure->entitled)
     available = fmax (available, report->held.burst_ppm);
@@ -239,6 +255,8 @@
   double rate = fmin (weight * QUOTA_SHARES_PPM,
                       HEADROOM * report->demand_per_s * QUOTA_PPM
                           / owner->limit.rate_per_s);
+  if (report->demand_per_s < RATE_DEMAND_MIN)
+    rate = 0;
   double held = report->held.rate_ppm;
   if (fabs (rate - held) < CHANGE_MIN * held)
     rate = held;
@@ -317,6 +335,22 @@
   return holder;
 }
 
+/// @return tokens of the owner's bucket that go into a share
+static uint32_t
+fill (struct quota_owner *owner, const struct quota_report *report,
+      const struct quota_part *part)
+{
+  double most = bucket_most (owner);
+  double wanted = fmin (FILL_S * report->demand_per_s + 1,
+                        quota_part_burst (part, &owner->limit))
+                  - report->tokens;
+  double count = floor (fmin (wanted, owner->tokens - FILL_ABOVE * most));
+  if (report->demand_per_s <= 0 || count < 1)
+    return 0;
+  owner->tokens -= count;
+  return (uint32_t)count;
+}
+
 struct quota_answer
 quota_owner_report (struct quota_owner *owner,
                     const struct quota_tenure *tenure,
@@ -324,8 +358,8 @@
 {
   struct quota_answer answer = { .verdict = QUOTA_NOT_READY };
   /* The earlier owner may still move rate between the shares. */
-  bool is_early = !tenure->entitled && !tenure->young
-                  && now_ms < tenure->ended_ms;
+  bool is_early
+      = !tenure->entitled && !tenure->young && now_ms < tenure->ended_ms;
   if (!quota_tenure_decides (tenure, now_ms) || is_early
       || owner->limit.rate_per_s <= 0)
     return answer;
@@ -341,19 +375,8 @@
   answer.part = choose_part (owner, tenure, holder, report);
   book (owner, holder, report->held, answer.part);
   grant (owner, tenure, report->pending, &answer, now_ms);
-  if (answer.part.burst_ppm > report->held.burst_ppm && answer.wait_ms == 0)
-    {
-      double room = (answer.part.burst_ppm - report->held.burst_ppm)
-                    * quota_plan_pool (&owner->limit) / QUOTA_PPM;
-      double fill
-          = floor (fmin (fmin (room, FILL_S * report->demand_per_s),
-                         FILL_SHARE * owner->tokens));
-      if (fill > 0)
-        {
-          answer.tokens += (uint32_t)fill;
-          owner->tokens -= fill;
-        }
-    }
+  if (answer.wait_ms == 0)
+    answer.tokens += fill (owner, report, &answer.part);
   if (report->demand_per_s <= 0 && report->pending == 0
       && report->held.rate_ppm == 0 && report->held.burst_ppm == 0)
     remove_holder (owner, holder);
--- a/src/coordination/quota_owner.h
+++ b/src/coordination/quota_owner.h
@@ -21,12 +21,16 @@
   uint32_t burst_ppm;
 };
 
+/// @return tokens that a share may hold
+double quota_part_burst (const struct quota_part *part,
+                         const struct quota_limit *limit);
+
 /// An entry node, as the owner knows it.
 struct quota_holder
 {
-  uint64_t node;     ///< hash of its name
-  uint64_t process;  ///< id of its process
-  uint64_t sequence; ///< of its last report
+  uint64_t node;          ///< hash of its name
+  uint64_t process;       ///< id of its process
+  uint64_t sequence;      ///< of its last report
   struct quota_part part; ///< largest part that may be in force there
   uint64_t until_ms;      ///< end of the part, and of this record
   double demand_per_s;    ///< as last reported
@@ -39,6 +43,7 @@
   uint64_t process;
   uint64_t sequence; ///< grows with each report of the process
   uint32_t pending;  ///< requests that wait for a token
+  uint32_t tokens;   ///< unused ones of the share
   double demand_per_s;
   struct quota_part held; ///< part in force at the node
 };
@@ -67,9 +72,9 @@
   size_t capacity;
   uint64_t booked_rate_ppm; ///< sum of the holders
   uint64_t booked_burst_ppm;
-  struct quota_part known;  ///< largest sum of shares that are known, while not
-                            ///< entitled
-  double demand_per_s;      ///< sum of the holders
+  struct quota_part known; ///< largest sum of shares that are known, while not
+                           ///< entitled
+  double demand_per_s;     ///< sum of the holders
   uint64_t swept_ms;
   double tokens;
   uint64_t refilled_ms; ///< 0: the bucket is not in use
--- a/src/coordination/quota_plan.h
+++ b/src/coordination/quota_plan.h
@@ -29,7 +29,7 @@
 
 /// A new owner that received no table is entitled to the whole quota once all
 /// shares of earlier owners have ended.
-#define QUOTA_ENTITLED_MS \
+#define QUOTA_ENTITLED_MS                                                     \
   (QUOTA_FRESH_MS + QUOTA_YIELD_MS + QUOTA_SHARE_MS + QUOTA_MARGIN_MS)
 
 /// An owner that lost its place or the store for less than this is still
@@ -41,8 +41,8 @@
 #define QUOTA_YOUNG_MS 3000
 
 /// Start times in such a mesh differ by less than this. It is longer than a
-/// node needs to be listed and entitled, so that one that starts later receives
-/// the tables.
+/// node needs to be listed and entitled, so that one that starts later
+/// receives the tables.
 #define QUOTA_SPREAD_MS 6000
 
 /// Fractions are in parts per million of the configured limit, so that a
@@ -73,20 +73,20 @@
   return limit->burst > 1 ? limit->burst : 1;
 }
 
-/// @return part of the burst that goes along with the shares
+/// @return part of the burst that goes along with shares of a rate
 static inline double
-quota_plan_shared_burst (const struct quota_limit *limit)
+quota_plan_shared_burst (const struct quota_limit *limit, double rate_ppm)
 {
-  return limit->burst > 2 ? limit->burst / 2 : 0;
+  double part = rate_ppm < QUOTA_SHARES_PPM ? rate_ppm / QUOTA_SHARES_PPM : 1;
+  return limit->burst > 2 ? part * limit->burst / 2 : 0;
 }
 
-/// @return tokens that all shares together may hold: their part of the burst
-///         and half of the tolerance
+/// @return tokens beyond the burst that all shares together may hold: half of
+///         the tolerance, less the one that an owner has without any burst
 static inline double
 quota_plan_pool (const struct quota_limit *limit)
 {
-  return quota_plan_shared_burst (limit) + 0.25 * limit->rate_per_s
-         + 0.05 * limit->burst + 9;
+  return 0.25 * limit->rate_per_s + 0.05 * limit->burst + 9;
 }
 
 #endif
--- a/src/coordination/quota_rank.h
+++ b/src/coordination/quota_rank.h
@@ -8,8 +8,8 @@
 #include "coordination/rendezvous.h"
 #include "state/directory.h"
 
-/// Accounts are ranked in groups: 256 groups spread the load of 10,000 accounts
-/// over 256 owners, and an entry node has few owners to report to.
+/// Accounts are ranked in groups: 256 groups spread the load of 10,000
+/// accounts over 256 owners, and an entry node has few owners to report to.
 #define QUOTA_GROUPS 256
 
 /// Nodes that are ranked: the owner and the next one.
--- a/src/coordination/quota_share.c
+++ b/src/coordination/quota_share.c
@@ -33,7 +33,7 @@
 #define LOCAL_DIVISOR 20.0
 
 /// Time that a request may be expected to wait for the share.
-#define SHARE_WAIT_S 0.3
+#define SHARE_WAIT_S 0.5
 
 void
 quota_share_init (struct quota_share *share)
@@ -51,15 +51,15 @@
 static double
 rate_of (const struct quota_share *share, uint64_t now_ms)
 {
-  return now_ms < share->until_ms ? share->limit.rate_per_s
-                                        * share->part.rate_ppm / QUOTA_PPM
-                                  : 0;
+  return now_ms < share->until_ms
+             ? share->limit.rate_per_s * share->part.rate_ppm / QUOTA_PPM
+             : 0;
 }
 
 static double
 burst_of (const struct quota_share *share)
 {
-  return quota_plan_pool (&share->limit) * share->part.burst_ppm / QUOTA_PPM;
+  return quota_part_burst (&share->part, &share->limit);
 }
 
 static void
@@ -130,12 +130,10 @@
   if (share->estimated_ms == 0 || passed_ms < SAMPLE_MS)
     return;
   double sample = share->arrived * 1000 / passed_ms;
-  share->fast_per_s = sample
-                      + (share->fast_per_s - sample)
-                            * exp (-passed_ms / FAST_MS);
-  share->slow_per_s = sample
-                      + (share->slow_per_s - sample)
-                            * exp (-passed_ms / SLOW_MS);
+  share->fast_per_s
+      = sample + (share->fast_per_s - sample) * exp (-passed_ms / FAST_MS);
+  share->slow_per_s
+      = sample + (share->slow_per_s - sample) * exp (-passed_ms / SLOW_MS);
   share->arrived = 0;
   share->estimated_ms = now_ms;
 }
@@ -170,6 +168,7 @@
   estimate (share, now_ms);
   report->demand_per_s = demand_of (share, now_ms);
   report->held = share->part;
+  report->tokens = (uint32_t)share->tokens;
   /* All accounts of a node are due at the same time, to go into one message
      to each owner. */
   if (now_ms >= share->next_report_ms)
--- a/src/coordination/quota_share.h
+++ b/src/coordination/quota_share.h
@@ -88,8 +88,8 @@
 void quota_share_report (struct quota_share *share,
                          struct quota_report *report, uint64_t now_ms);
 
-/// Gives up the share: this node is shutting down and its callers go to others.
-/// The next report tells the owner.
+/// Gives up the share: this node is shutting down and its callers go to
+/// others. The next report tells the owner.
 void quota_share_release (struct quota_share *share, uint64_t now_ms);
 
 /// @return true when the second-ranked node is to be asked, else the owner
--- a/src/coordination/quota_tenure.h
+++ b/src/coordination/quota_tenure.h
@@ -14,10 +14,10 @@
 /// What this node knows at one time.
 struct quota_standing
 {
-  bool first;  ///< ranked first, and its own entry is in the store
-  bool fresh;  ///< the view was compared with the store in QUOTA_FRESH_MS
-  bool joined; ///< its entry has been listed for less than QUOTA_JOIN_MS
-  bool young;  ///< no listed process is older by QUOTA_SPREAD_MS
+  bool first;    ///< ranked first, and its own entry is in the store
+  bool fresh;    ///< the view was compared with the store in QUOTA_FRESH_MS
+  bool joined;   ///< its entry has been listed for less than QUOTA_JOIN_MS
+  bool young;    ///< no listed process is older by QUOTA_SPREAD_MS
   bool starting; ///< this process is younger than QUOTA_SPREAD_MS
 };
 
@@ -26,13 +26,13 @@
 
 struct quota_tenure
 {
-  uint64_t since_ms; ///< first in the ranking since; 0: never
-  uint64_t seen_ms;  ///< last time at which it was first in a fresh view
-  uint64_t ended_ms; ///< from when on no earlier owner decides
-  uint64_t resumed_ms; ///< end of the last gap; what was leased before may have
-                       ///< been renewed by another node
-  uint64_t from_ms;    ///< the bucket of an account that was not used yet has
-                       ///< been filling since
+  uint64_t since_ms;   ///< first in the ranking since; 0: never
+  uint64_t seen_ms;    ///< last time at which it was first in a fresh view
+  uint64_t ended_ms;   ///< from when on no earlier owner decides
+  uint64_t resumed_ms; ///< end of the last gap; what was leased before may
+                       ///< have been renewed by another node
+  uint64_t from_ms; ///< the bucket of an account that was not used yet has
+                    ///< been filling since
   uint64_t yield_until_ms; ///< not first, but decides until then; 0: no
   uint64_t serial;         ///< grows when the shares are unknown again
   bool entitled;
@@ -62,7 +62,8 @@
 void quota_tenure_end (struct quota_tenure *tenure);
 
 /// Takes over from the earlier owner.
-/// @param unused_ms  for how long the buckets without a table have been filling
+/// @param unused_ms  for how long the buckets without a table have been
+/// filling
 /// @return false when its tables are not needed or too late
 bool quota_tenure_accept (struct quota_tenure *tenure, uint64_t unused_ms,
                           uint64_t now_ms);
--- a/src/protocol/quota_message.c
+++ b/src/protocol/quota_message.c
@@ -78,7 +78,8 @@
     {
       const struct quota_report *report = &request->asks[i].report;
       json_t *item = json_pack (
-          "[siiii]", request->asks[i].account, limited (report->pending),
+          "[siiiii]", request->asks[i].account, limited (report->pending),
+          limited (report->tokens),
           limited (round (report->demand_per_s * 1000)),
           limited (report->held.rate_ppm), limited (report->held.burst_ppm));
       if (item == NULL)
@@ -110,9 +111,11 @@
   ask->report = (struct quota_report){ 0 };
   if (!quota_message_count (item, 1, QUOTA_MESSAGE_COUNT_MAX,
                             &ask->report.pending)
-      || !quota_message_count (item, 2, QUOTA_MESSAGE_COUNT_MAX, &demand)
-      || !quota_message_count (item, 3, QUOTA_PPM, &ask->report.held.rate_ppm)
-      || !quota_message_count (item, 4, QUOTA_PPM,
+      || !quota_message_count (item, 2, QUOTA_MESSAGE_COUNT_MAX,
+                               &ask->report.tokens)
+      || !quota_message_count (item, 3, QUOTA_MESSAGE_COUNT_MAX, &demand)
+      || !quota_message_count (item, 4, QUOTA_PPM, &ask->report.held.rate_ppm)
+      || !quota_message_count (item, 5, QUOTA_PPM,
                                &ask->report.held.burst_ppm))
     return false;
   ask->report.demand_per_s = (double)demand / 1000;
@@ -154,11 +157,12 @@
   for (size_t i = 0; i < response->count; i++)
     {
       const struct quota_answer *answer = &response->answers[i];
-      json_array_append_new (
-          items, json_pack ("[iiiii]", (int)answer->verdict,
-                            limited (answer->tokens), limited (answer->wait_ms),
-                            limited (answer->part.rate_ppm),
-                            limited (answer->part.burst_ppm)));
+      json_array_append_new (items,
+                             json_pack ("[iiiii]", (int)answer->verdict,
+                                        limited (answer->tokens),
+                                        limited (answer->wait_ms),
+                                        limited (answer->part.rate_ppm),
+                                        limited (answer->part.burst_ppm)));
     }
   return write_object (json_object (), items);
 }
--- a/src/protocol/quota_transfer.c
+++ b/src/protocol/quota_transfer.c
@@ -17,11 +17,9 @@
 json_t *
 quota_transfer_begin (const char *node, uint32_t group, uint64_t unused_ms)
 {
-  return json_pack ("{sssisis[]}", "node", node, "group", (int)group,
-                    "unused_ms",
-                    (int)(unused_ms < UNUSED_MS_MAX ? unused_ms
-                                                    : UNUSED_MS_MAX),
-                    "tables");
+  return json_pack (
+      "{sssisis[]}", "node", node, "group", (int)group, "unused_ms",
+      (int)(unused_ms < UNUSED_MS_MAX ? unused_ms : UNUSED_MS_MAX), "tables");
 }
 
 bool
@@ -125,7 +123,8 @@
   transfer->unused_ms = (uint32_t)unused_ms;
   transfer->group = (uint32_t)group;
   for (size_t i = 0; i < count; i++)
-    holders += json_array_size (json_array_get (json_array_get (tables, i), 2));
+    holders
+        += json_array_size (json_array_get (json_array_get (tables, i), 2));
   transfer->accounts = calloc (count + 1, sizeof *transfer->accounts);
   transfer->holders = calloc (holders + 1, sizeof *transfer->holders);
   if (transfer->accounts == NULL || transfer->holders == NULL)
--- a/src/sidecar/sidecar_quota.h
+++ b/src/sidecar/sidecar_quota.h
@@ -1,6 +1,6 @@
 /// Quotas of client accounts over all nodes. The entry node of a request
-/// admits it from the share that the owner of its account's quota has leased to
-/// it, or asks the owner; see coordination/quota_owner.h and
+/// admits it from the share that the owner of its account's quota has leased
+/// to it, or asks the owner; see coordination/quota_owner.h and
 /// coordination/quota_share.h for the decisions.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_QUOTA_H
--- a/src/sidecar/sidecar_quota_call.c
+++ b/src/sidecar/sidecar_quota_call.c
@@ -11,8 +11,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-static struct counter messages = COUNTER (
-    "quota_messages", "reports to other nodes that own quotas");
+static struct counter messages
+    = COUNTER ("quota_messages", "reports to other nodes that own quotas");
 static struct counter message_bytes
     = COUNTER ("quota_message_bytes", "bytes of these messages' bodies");
 static struct counter failures
--- a/src/sidecar/sidecar_quota_internal.h
+++ b/src/sidecar/sidecar_quota_internal.h
@@ -101,16 +101,17 @@
   size_t account_count;
   struct quota_account *cursor; ///< of the periodic update
   struct quota_peer *peers;
-  struct event timer;   ///< while requests wait
-  size_t waiting;       ///< requests of all accounts
-  uint64_t process;     ///< id of this process
-  uint64_t sequence;    ///< of the last report
-  uint64_t node;        ///< hash of this node's name, as others send it
+  struct event timer; ///< while requests wait
+  size_t waiting;     ///< requests of all accounts
+  uint64_t process;   ///< id of this process
+  uint64_t sequence;  ///< of the last report
+  uint64_t node;      ///< hash of this node's name, as others send it
   uint64_t started_ms;
   size_t own_handle;    ///< in the directory
   uint64_t generation;  ///< of the directory, for own_handle
   uint64_t observed_ms; ///< when the groups were last looked at
   bool all_young;       ///< no listed process is older
+  bool released;        ///< the shares, as this node is shutting down
   bool gathering;       ///< reports are queued before any is sent
   struct quota_hand_overs hand_overs;
   struct quota_group groups[QUOTA_GROUPS];
@@ -130,8 +131,8 @@
                            struct quota_account *account);
 
 /// @return the ranked nodes of a group, as the directory has them
-struct quota_group *
-sidecar_quota_group (struct sidecar *sidecar, unsigned group, uint64_t now_ms);
+struct quota_group *sidecar_quota_group (struct sidecar *sidecar,
+                                         unsigned group, uint64_t now_ms);
 
 /// @return the ranked nodes of an account, as last applied
 const struct quota_rank *
--- a/src/sidecar/sidecar_quota_serve.c
+++ b/src/sidecar/sidecar_quota_serve.c
@@ -1,5 +1,5 @@
-/// Owns no state; decides as the owner of quotas, for this node and for others,
-/// and reports the demand of this node to the owners.
+/// Owns no state; decides as the owner of quotas, for this node and for
+/// others, and reports the demand of this node to the owners.
 #include "sidecar/sidecar_quota_internal.h"
 
 #include "base/clock.h"
@@ -86,9 +86,8 @@
 {
   struct quota_request *read = malloc (sizeof *read);
   size_t size = evbuffer_get_length (request->body);
-  const char *data = size == 0
-                         ? ""
-                         : (const char *)evbuffer_pullup (request->body, -1);
+  const char *data
+      = size == 0 ? "" : (const char *)evbuffer_pullup (request->body, -1);
   uint64_t now = clock_monotonic_ms ();
   if (read == NULL || sidecar->config == NULL)
     {
@@ -184,6 +183,20 @@
   sidecar_quota_send_queued (sidecar);
 }
 
+/// Gives the shares up when callers have had time to leave a node that is
+/// shutting down: they use the quota at other nodes then.
+static void
+release_shares (struct sidecar *sidecar, uint64_t now_ms)
+{
+  struct quota_account *account;
+  if (sidecar->quota->released
+      || now_ms < sidecar->stopping_ms + sidecar->stop_plan.accept_callers_ms)
+    return;
+  sidecar->quota->released = true;
+  TAILQ_FOREACH (account, &sidecar->quota->accounts, link)
+  quota_share_release (&account->share, now_ms);
+}
+
 void
 sidecar_quota_tick (struct sidecar *sidecar)
 {
@@ -192,6 +205,8 @@
   uint64_t now = clock_monotonic_ms ();
   observe_all (sidecar, now);
   refresh_some (sidecar, now);
+  if (sidecar->stopping)
+    release_shares (sidecar, now);
   report_due (sidecar, now);
   sidecar_quota_sweep_peers (sidecar);
 }
--- a/src/sidecar/sidecar_quota_transfer.c
+++ b/src/sidecar/sidecar_quota_transfer.c
@@ -120,11 +120,10 @@
   struct quota_account *account;
   TAILQ_FOREACH (account, &sidecar->quota->accounts, link)
   if (account->group == group && complete
-      && account->owner.serial
-             == sidecar->quota->groups[group].tenure.serial
+      && account->owner.serial == sidecar->quota->groups[group].tenure.serial
       && account->owner.refilled_ms != 0)
-    complete = quota_transfer_add (object, account->name, &account->owner,
-                                   now_ms);
+    complete
+        = quota_transfer_add (object, account->name, &account->owner, now_ms);
   if (!complete)
     {
       json_decref (object);
@@ -179,7 +178,8 @@
         && !sidecar->stopping
         && quota_rank_of (&group->rank, sidecar->quota->own_handle)
                < QUOTA_RANKS;
-  if (!is_expected || !quota_tenure_accept (&group->tenure, transfer.unused_ms, now_ms))
+  if (!is_expected
+      || !quota_tenure_accept (&group->tenure, transfer.unused_ms, now_ms))
     {
       quota_transfer_finish (&transfer);
       return is_expected ? 200 : 503;
