--- a/src/coordination/quota_tenure.h
+++ b/src/coordination/quota_tenure.h
@@ -26,13 +26,12 @@
 
 struct quota_tenure
 {
-  uint64_t since_ms;   ///< first in the ranking since; 0: never
-  uint64_t seen_ms;    ///< last time at which it was first in a fresh view
-  uint64_t ended_ms;   ///< from when on no earlier owner decides
-  uint64_t resumed_ms; ///< end of the last gap; what was leased before may
-                       ///< have been renewed by another node
-  uint64_t from_ms; ///< the bucket of an account that was not used yet has
-                    ///< been filling since
+  uint64_t since_ms;       ///< first in the ranking since; 0: never
+  uint64_t seen_ms;        ///< last time at which it was first in a fresh view
+  uint64_t ended_ms;       ///< from when on no earlier owner decides
+  uint64_t resumed_ms;     ///< end of the last gap; what was leased before may
+                           ///< have been renewed by another node
+  uint64_t from_ms;        ///< start of filling the buckets of unused accounts
   uint64_t yield_until_ms; ///< not first, but decides until then; 0: no
   uint64_t serial;         ///< grows when the shares are unknown again
   bool entitled;
--- a/src/sidecar/sidecar_quota_serve.c
+++ b/src/sidecar/sidecar_quota_serve.c
@@ -188,13 +188,13 @@
 static void
 release_shares (struct sidecar *sidecar, uint64_t now_ms)
 {
-  struct quota_account *account;
   if (sidecar->quota->released
       || now_ms < sidecar->stopping_ms + sidecar->stop_plan.accept_callers_ms)
     return;
   sidecar->quota->released = true;
-  TAILQ_FOREACH (account, &sidecar->quota->accounts, link)
-  quota_share_release (&account->share, now_ms);
+  for (struct quota_account *account = TAILQ_FIRST (&sidecar->quota->accounts);
+       account != NULL; account = TAILQ_NEXT (account, link))
+    quota_share_release (&account->share, now_ms);
 }
 
 void
--- a/src/sidecar/sidecar_quota_transfer.c
+++ b/src/sidecar/sidecar_quota_transfer.c
@@ -117,13 +117,14 @@
       sidecar->settings.node, group,
       quota_tenure_unused_ms (&sidecar->quota->groups[group].tenure, now_ms));
   bool complete = object != NULL;
-  struct quota_account *account;
-  TAILQ_FOREACH (account, &sidecar->quota->accounts, link)
-  if (account->group == group && complete
-      && account->owner.serial == sidecar->quota->groups[group].tenure.serial
-      && account->owner.refilled_ms != 0)
-    complete
-        = quota_transfer_add (object, account->name, &account->owner, now_ms);
+  for (const struct quota_account *account
+       = TAILQ_FIRST (&sidecar->quota->accounts);
+       account != NULL && complete; account = TAILQ_NEXT (account, link))
+    if (account->group == group && account->owner.refilled_ms != 0
+        && account->owner.serial
+               == sidecar->quota->groups[group].tenure.serial)
+      complete = quota_transfer_add (object, account->name, &account->owner,
+                                     now_ms);
   if (!complete)
     {
       json_decref (object);
@@ -214,6 +215,11 @@
 void
 sidecar_quota_free_hand_overs (struct sidecar *sidecar)
 {
-  while (!LIST_EMPTY (&sidecar->quota->hand_overs))
-    end_hand_over (LIST_FIRST (&sidecar->quota->hand_overs));
+  struct quota_hand_over *hand_over = LIST_FIRST (&sidecar->quota->hand_overs);
+  while (hand_over != NULL)
+    {
+      struct quota_hand_over *next = LIST_NEXT (hand_over, link);
+      end_hand_over (hand_over);
+      hand_over = next;
+    }
 }
