--- a/test/unit/quota_test.c
+++ b/test/unit/quota_test.c
@@ -545,6 +545,12 @@
   for (uint64_t t = 3; t < QUOTA_SHARE_MS + 5000; t++)
     taken += quota_share_take (&share, &token, now + t);
   CU_ASSERT (taken >= 698 && taken <= 701);
+  /* Unused tokens end with the share. */
+  quota_share_decided (&share, &answer, 0, now + 20000, now + 20000);
+  CU_ASSERT (quota_share_take (&share, &token, now + 19999 + QUOTA_SHARE_MS));
+  CU_ASSERT (!quota_share_take (&share, &token, now + 20000 + QUOTA_SHARE_MS));
+  quota_share_init (&share);
+  quota_share_set_limit (&share, &limit);
   quota_share_decided (&share, &answer, 4, now + 30000, now + 30000);
   for (unsigned i = 0; i < 100; i++)
     {
