--- a/test/unit/quota_test.c
+++ b/test/unit/quota_test.c
@@ -509,6 +509,11 @@
   CU_ASSERT_EQUAL (
       report_of (&owner, &tenure, 1, 1, 50, held, begin - 1).verdict,
       QUOTA_NOT_READY);
+  /* Its bucket starts empty. */
+  struct quota_report asking
+      = { .node = 3, .process = 1, .sequence = 1, .pending = 3 };
+  CU_ASSERT_EQUAL (quota_owner_report (&owner, &tenure, &asking, begin).tokens,
+                   0);
   struct quota_answer answer
       = report_of (&owner, &tenure, 2, 2, 50, none, begin);
   CU_ASSERT_EQUAL (answer.part.rate_ppm, 0);
