Refuse responses whose status line has no valid status

What callers saw: a target in trouble sent the status 000, and its callers got it as a response. So did 600, 999 and 099, and a status line that begins with HTXP/1.1, has two spaces or four digits, or follows an empty line, with a body that was taken for the target's.

Cause: http_parser as packaged by Debian takes any one to three digits up to 999, skips blanks and empty lines before the status, and does not compare the letters of the protocol's name. The check that runs before it looked only for control bytes in the status line of a response.

Why this works: the check follows the status line byte by byte: HTTP/1.0 or HTTP/1.1, one space, three digits from 100 to 599, and a space before the reason if there is one. It runs in http_stream, which reads every response of a target or of another node, and again behind each informational response. 101 is refused because no request asks for another protocol. A refused response ends its exchange as malformed: not run is never claimed, only a safe route tries again, and the connection is closed.

--- a/src/transport/http_head_check.c
+++ b/src/transport/http_head_check.c
@@ -6,6 +6,15 @@
 #include <string.h>
 #include <strings.h>
 
+/// Offsets in a status line, "HTTP/1.1 200 OK": of the minor version, of the
+/// first digit of the status, and behind its last one.
+#define VERSION_OFFSET 7
+#define STATUS_OFFSET 9
+#define STATUS_END 12
+
+/// Never valid: no request asks for another protocol.
+#define SWITCHING_PROTOCOLS 101
+
 void
 http_line_check_init (struct http_line_check *check,
                       enum http_parser_type type)
@@ -33,18 +42,45 @@
   return c < 0x20 || c == 0x7f;
 }
 
+static bool
+is_informational (const struct http_line_check *check)
+{
+  return check->status >= 100 && check->status < 200;
+}
+
+/// Handles a byte of a status line: HTTP/1.0 or HTTP/1.1, a space, the status,
+/// and a space before the reason, which may be missing.
+static bool
+check_status_line (struct http_line_check *check, unsigned char c)
+{
+  size_t offset = check->first_size;
+  if (offset < VERSION_OFFSET)
+    return c == "HTTP/1."[offset];
+  if (offset == VERSION_OFFSET)
+    return c == '0' || c == '1';
+  if (offset < STATUS_OFFSET || offset == STATUS_END)
+    return c == ' ';
+  if (offset > STATUS_END)
+    return true;
+  check->status = 10 * check->status + (unsigned)(c - '0');
+  if (offset == STATUS_OFFSET)
+    return c >= '1' && c <= '5';
+  return c >= '0' && c <= '9' && check->status != SWITCHING_PROTOCOLS;
+}
+
 /// Handles a byte of the first line.
 static bool
 check_first (struct http_line_check *check, unsigned char c)
 {
+  bool request = check->type == HTTP_REQUEST;
   if (c == '\r')
     {
       check->state = HTTP_LINE_CR;
-      return check->type != HTTP_REQUEST || check->spaces == 2;
+      return request ? check->spaces == 2 : check->first_size >= STATUS_END;
     }
+  if (!request && !check_status_line (check, c))
+    return false;
   check->spaces += c == ' ';
-  if (check->first_size == HTTP_STATUS_OFFSET)
-    check->informational = check->type == HTTP_RESPONSE && c == '1';
   check->first_size++;
   return !is_control (c);
 }
@@ -54,7 +90,7 @@
 static bool
 check_end (struct http_line_check *check)
 {
-  if (!check->informational)
+  if (!is_informational (check))
     {
       check->state = HTTP_LINE_COMPLETE;
       return true;
@@ -74,7 +110,7 @@
       if (c == '\r')
         {
           check->state = HTTP_LINE_START_CR;
-          return true;
+          return check->type == HTTP_REQUEST;
         }
       check->state = HTTP_LINE_FIRST;
       return check_first (check, c);
--- a/src/transport/http_head_check.h
+++ b/src/transport/http_head_check.h
@@ -1,7 +1,7 @@
 /// Strict check of the heads of HTTP/1.1 messages. The parser accepts forms
 /// that another implementation may read as another message: line ends without
-/// CR, folded fields, spaces before a colon, ambiguous lengths. Such a message
-/// is rejected.
+/// CR, folded fields, spaces before a colon, ambiguous lengths, status lines
+/// without a valid status. Such a message is rejected.
 #ifndef HAWTHORNSEAM_TRANSPORT_HTTP_HEAD_CHECK_H
 #define HAWTHORNSEAM_TRANSPORT_HTTP_HEAD_CHECK_H
 
@@ -25,9 +25,6 @@
   HTTP_LINE_COMPLETE  ///< after the head
 };
 
-/// Bytes of the status line up to the first digit of the status.
-#define HTTP_STATUS_OFFSET 9
-
 /// Informational responses that may precede a response.
 #define HTTP_INFORMATIONAL_MAX 8
 
@@ -36,9 +33,9 @@
 {
   enum http_parser_type type;
   enum http_line_state state;
-  size_t first_size;  ///< bytes of the first line so far
-  unsigned spaces;    ///< in the first line
-  bool informational; ///< response with a status of 1xx
+  size_t first_size; ///< bytes of the first line so far
+  unsigned spaces;   ///< in the first line
+  unsigned status;   ///< of a response, as far as it has been read
   unsigned informational_count;
 };
 
--- a/test/unit/http_peers.h
+++ b/test/unit/http_peers.h
@@ -154,6 +154,7 @@
 struct script
 {
   const char *responses[4];
+  size_t sizes[4];     ///< of the responses; 0: up to the first zero byte
   bool close_after[4]; ///< closes the connection after these bytes
   size_t next;
   size_t connections;
@@ -171,7 +172,9 @@
   size_t next = script.next++;
   if (next >= 4 || script.responses[next] == NULL)
     return;
-  size_t size = strlen (script.responses[next]);
+  size_t size = script.sizes[next];
+  if (size == 0)
+    size = strlen (script.responses[next]);
   if (size > 4096)
     bufferevent_write (bev, script.responses[next], size);
   else
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -1,3 +1,4 @@
+#include "../standin/malformed_responses.h"
 #include "http_peers.h"
 
 struct request_row
@@ -211,6 +212,49 @@
     }
 }
 
+/// Sends a response to a request with the id "a".
+static struct result
+exchange_response (const struct test_response *response)
+{
+  char bytes[MALFORMED_RESPONSE_MAX + 16];
+  size_t size = test_response_write (response, "X-Id: a\r\n", bytes);
+  struct script responses = { .responses = { bytes }, .sizes = { size } };
+  struct result result = exchange (pool_set_up (&responses), "a");
+  CU_ASSERT (result.ended);
+  return result;
+}
+
+/// The connection of a malformed response carries no other request.
+static void
+test_malformed_responses (void)
+{
+  for (size_t i = 0; i < RESPONSE_COUNT (malformed_responses); i++)
+    {
+      struct result result = exchange_response (&malformed_responses[i]);
+      if (result.end != HTTP_END_MALFORMED)
+        printf ("  %s: end %d, status %u\n", malformed_responses[i].name,
+                (int)result.end, result.status);
+      CU_ASSERT_EQUAL (result.end, HTTP_END_MALFORMED);
+      CU_ASSERT_EQUAL (pool.connections, 0);
+      pool_tear_down ();
+    }
+}
+
+static void
+test_unusual_responses (void)
+{
+  for (size_t i = 0; i < RESPONSE_COUNT (unusual_responses); i++)
+    {
+      struct result result = exchange_response (&unusual_responses[i]);
+      bool whole = result.end == HTTP_END_COMPLETE && result.size == 3
+                   && memcmp (result.body, "abc", 3) == 0;
+      if (!whole)
+        printf ("  %s: end %d\n", unusual_responses[i].name, (int)result.end);
+      CU_ASSERT (whole);
+      pool_tear_down ();
+    }
+}
+
 #define COPY_OF(ID, BODY)                                                     \
   "HTTP/1.1 200 OK\r\nX-Id: " ID "\r\nContent-Length: 3\r\n\r\n" BODY
 
@@ -531,6 +575,10 @@
       test_large_request_behind_a_good_one },
     { "a response that others may read differently is passed on",
       test_ambiguous_responses },
+    { "a malformed response passes for a proper one",
+      test_malformed_responses },
+    { "a proper response of an unusual form is refused",
+      test_unusual_responses },
     { "a late copy of a response is taken for the next one",
       test_late_copies },
     { "a late copy is taken for the response to a request with a long id",
