Refuse responses whose body contradicts their status or version

What callers saw: a 204 with a length or chunks was passed on, and its bytes were taken for a body by the node of the target. A response in HTTP/1.0 with chunks, which that version does not have, was passed on. A 304 that states the length of the representation was waited for until the request timed out.

Cause: http_parser reads a body wherever the fields announce one, whatever the status. The check of the fields that frame a body ran on the parsed head and did not know the status.

Why this works: the check of the bytes now reads Content-Length and Transfer-Encoding itself and decides at the end of the head, with the status, the version and the method of the request at hand. It refuses a body behind 1xx and 204 and chunks in HTTP/1.0, and tells http_parser to read none behind 204, 304 and the response to HEAD. All rules on these fields are in one place, so that other readers can use them. The file is renamed after what it checks.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
   view.c) \
   $(addprefix src/transport/, \
   http_head.c \
-  http_head_check.c \
+  http_message_check.c \
   http_pool.c \
   http_request_body.c \
   http_server.c \
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -250,8 +250,9 @@
 ends_with_connection (const struct sidecar_inbound *inbound,
                       const struct http_head *head)
 {
-  return !head->has_length && !head->chunked && head->status != 204
-         && head->status != 304 && inbound->request->head->method != HTTP_HEAD;
+  return !head->has_length && !head->chunked
+         && !http_status_has_no_body (head->status)
+         && inbound->request->head->method != HTTP_HEAD;
 }
 
 /// Starts a response that was held back.
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -369,7 +369,7 @@
   connection->id = id;
   evtimer_assign (&exchange->timer, pool->base, on_timer, exchange);
   connection->exchange = exchange;
-  connection->stream->no_body = send->no_body;
+  connection->stream->check.no_body = send->no_body;
   connection->stream->reads_after_write_error = send->upload;
   if (!send->holds_request || !http_upload_hold (exchange, send->request))
     evbuffer_add_buffer (http_stream_output (connection->stream),
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -805,7 +805,7 @@
 {
   struct evbuffer *output = response_output (request);
   char framing[HTTP_FRAMING_SIZE_MAX] = "Transfer-Encoding: chunked\r\n";
-  bool no_body = status == 204 || status == 304;
+  bool no_body = http_status_has_no_body (status);
   if (no_body)
     framing[0] = '\0';
   else if (length >= 0)
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -172,7 +172,8 @@
   stream->head_complete = true;
   stream->head_bytes = 0;  /* from here on those of the trailer */
   stream->in_value = true; /* the next field starts a trailer */
-  if (!http_head_is_strict (head, parser))
+  if (parser->type == HTTP_REQUEST
+      && !http_request_head_is_strict (head, parser))
     return -1;
   head->method = (enum http_method)parser->method;
   head->status = parser->status_code;
@@ -186,8 +187,10 @@
         stream->ops->informational (stream, head->status);
       return 0;
     }
-  stream->ops->head (stream, head);
-  return stream->no_body ? 1 : 0;
+  bool no_body
+      = stream->check.no_body || http_status_has_no_body (head->status);
+  stream->ops->head (stream, head); /* may free the head */
+  return no_body ? 1 : 0;
 }
 
 static int
@@ -246,7 +249,7 @@
 {
   stream->completed = false;
   stream->started = false;
-  http_line_check_next (&stream->line_check);
+  http_message_check_next (&stream->check);
   stream->ops->complete (stream);
 }
 
@@ -272,8 +275,8 @@
       struct evbuffer_iovec data;
       if (evbuffer_peek (input, -1, NULL, &data, 1) < 1)
         break;
-      if (!http_line_check_feed (&stream->line_check, data.iov_base,
-                                 data.iov_len))
+      if (!http_message_check_feed (&stream->check, data.iov_base,
+                                    data.iov_len))
         {
           report_close (stream, HTTP_CLOSE_PROTOCOL);
           break;
@@ -383,7 +386,7 @@
   stream->owner = owner;
   stream->head_bytes_max = HTTP_HEAD_BYTES_MAX;
   http_parser_init (&stream->parser, type);
-  http_line_check_init (&stream->line_check, type);
+  http_message_check_init (&stream->check, type);
   stream->parser.data = stream;
   bufferevent_setcb (bev, on_read, on_write, on_event, stream);
   bufferevent_setwatermark (bev, EV_READ, 0, INPUT_BYTES_MAX);
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -5,7 +5,7 @@
 #define HAWTHORNSEAM_TRANSPORT_HTTP_STREAM_H
 
 #include "transport/http_head.h"
-#include "transport/http_head_check.h"
+#include "transport/http_message_check.h"
 #include "transport/http_socket.h"
 
 #include <event2/buffer.h>
@@ -57,7 +57,7 @@
   const struct http_stream_ops *ops;
   void *owner;
   http_parser parser;
-  struct http_line_check line_check;
+  struct http_message_check check;
   /// Head and talloc context of the current message; an owner that takes it
   /// over sets this to NULL.
   struct http_head *head;
@@ -75,7 +75,6 @@
   bool completed;        ///< the current message has ended
   bool waiting_for_next; ///< parsing is stopped until http_stream_next
   bool paused;           ///< parsing is stopped until http_stream_resume
-  bool no_body;          ///< the next response has no body (HEAD)
   bool reads_after_write_error; ///< a response may have come before it
   bool discarding;              ///< all further input is dropped
   bool parsing;
--- a/test/standin/malformed_responses.h
+++ b/test/standin/malformed_responses.h
@@ -76,6 +76,11 @@
             "HTTP/1.1 600 OK\r\n@Content-Length: 3\r\n\r\nabc"),
   RESPONSE ("unrequested-switch-of-protocols",
             "HTTP/1.1 101 Switching Protocols\r\n\r\n" WHOLE),
+  RESPONSE ("informational-response-with-a-length",
+            "HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc" WHOLE),
+  RESPONSE ("informational-response-with-chunks",
+            "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\n" WHOLE),
 
   FIELD_RESPONSE ("blank-in-a-name", "A B: c"),
   FIELD_RESPONSE ("blank-behind-a-name", "A : c"),
@@ -116,6 +121,14 @@
   RESPONSE ("chunked-twice",
             "HTTP/1.1 200 OK\r\n@Transfer-Encoding: chunked\r\n"
             "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+  RESPONSE ("chunks-in-http-1.0",
+            "HTTP/1.0 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n0\r\n\r\n"),
+  RESPONSE ("status-204-with-a-body",
+            "HTTP/1.1 204 No Content\r\n@Content-Length: 3\r\n\r\nabc"),
+  RESPONSE ("status-204-with-chunks",
+            "HTTP/1.1 204 No Content\r\n@Transfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n0\r\n\r\n"),
 
   CHUNKED_RESPONSE ("chunk-size-that-is-no-number", "zz\r\nabc\r\n0\r\n\r\n"),
   CHUNKED_RESPONSE ("empty-chunk-size", "\r\nabc\r\n0\r\n\r\n"),
--- a/test/unit/http_peers.h
+++ b/test/unit/http_peers.h
@@ -265,16 +265,17 @@
 }
 
 static inline struct result
-exchange (uint16_t port, const char *id)
+exchange_method (uint16_t port, const char *method, const char *id)
 {
   static struct result result;
   struct evbuffer *bytes = evbuffer_new ();
-  evbuffer_add_printf (bytes, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  evbuffer_add_printf (bytes, "%s / HTTP/1.1\r\nHost: h\r\n\r\n", method);
   struct http_send send = { .address = LOOPBACK,
                             .port = port,
                             .request = bytes,
                             .id = id,
-                            .max_idle_ms = 4000 };
+                            .max_idle_ms = 4000,
+                            .no_body = strcmp (method, "HEAD") == 0 };
   memset (&result, 0, sizeof result);
   struct http_exchange *pending
       = http_pool_send (&pool, &send, &result_ops, &result);
@@ -286,4 +287,10 @@
   return result;
 }
 
+static inline struct result
+exchange (uint16_t port, const char *id)
+{
+  return exchange_method (port, "GET", id);
+}
+
 #endif
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -255,6 +255,50 @@
     }
 }
 
+/// A response that has no body whatever its fields state. The next response
+/// begins behind its head.
+static void
+test_responses_without_a_body (void)
+{
+#define NEXT "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 3\r\n\r\nnew"
+  static const struct
+  {
+    const char *what;
+    const char *method;
+    const char *bytes;
+  } rows[] = {
+    { "HEAD, length", "HEAD",
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 3\r\n\r\n" },
+    { "HEAD, chunks", "HEAD",
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n" },
+    { "304, length", "GET",
+      "HTTP/1.1 304 Not Modified\r\nX-Id: a\r\nContent-Length: 3\r\n\r\n" },
+    { "304, chunks", "GET",
+      "HTTP/1.1 304 Not Modified\r\nX-Id: a\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n" },
+    { "304", "GET", "HTTP/1.1 304 Not Modified\r\nX-Id: a\r\n\r\n" },
+    { "204, length of zero", "GET",
+      "HTTP/1.1 204 No Content\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n" },
+    { "204", "GET", "HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct script responses = { .responses = { rows[i].bytes, NEXT } };
+      uint16_t port = pool_set_up (&responses);
+      struct result first = exchange_method (port, rows[i].method, "a");
+      struct result second = exchange (port, "b");
+      bool correct = first.ended && first.end == HTTP_END_COMPLETE
+                     && first.size == 0 && second.end == HTTP_END_COMPLETE
+                     && second.size == 3
+                     && memcmp (second.body, "new", 3) == 0;
+      if (!correct)
+        printf ("  %s: ended %d, end %d, then end %d\n", rows[i].what,
+                first.ended, (int)first.end, (int)second.end);
+      CU_ASSERT (correct);
+      pool_tear_down ();
+    }
+}
+
 #define COPY_OF(ID, BODY)                                                     \
   "HTTP/1.1 200 OK\r\nX-Id: " ID "\r\nContent-Length: 3\r\n\r\n" BODY
 
@@ -579,6 +623,8 @@
       test_malformed_responses },
     { "a proper response of an unusual form is refused",
       test_unusual_responses },
+    { "the body of a response that has none is waited for",
+      test_responses_without_a_body },
     { "a late copy of a response is taken for the next one",
       test_late_copies },
     { "a late copy is taken for the response to a request with a long id",
