Refuse chunks and trailers that are not framed exactly

What callers saw: a response whose chunk was longer than its size reached them as a complete one, with a body that was not the target's. So did chunks without a line end behind them, sizes followed by a blank or a bare carriage return, control bytes and line feeds in chunk extensions, folded trailers, and trailers with a blank in a name or with fields that frame a body.

Cause: Debian builds http_parser without its strict mode, so it skips one byte behind a size and two behind a chunk's data without comparing them, and ignores what stands in an extension. The check of the bytes ended with the head.

Requests go through the same check.

A new case feeds all rows to the check in pieces of 1, 2, 3 and 7 bytes and whole, with the same result.

--- a/src/transport/http_message_check.c
+++ b/src/transport/http_message_check.c
@@ -173,7 +173,7 @@
 {
   if (check->framing == 0)
     return true;
-  if (check->value_size >= sizeof check->value)
+  if (check->in_trailer || check->value_size >= sizeof check->value)
     return false;
   check->value[check->value_size] = '\0';
   return check->framing == FRAMING_LENGTH ? read_length (check)
@@ -205,12 +205,15 @@
   return count <= HTTP_INFORMATIONAL_MAX;
 }
 
-/// Handles the end of a head.
+/// Handles the end of a head or trailer.
 static bool
 check_head (struct http_message_check *check)
 {
   bool has_body = check->chunked || check->length > 0;
-  check->state = HTTP_MESSAGE_CHECKED;
+  bool no_body = check->no_body || http_status_has_no_body (check->status);
+  check->state = check->chunked && !check->in_trailer && !no_body
+                     ? HTTP_MESSAGE_CHUNK
+                     : HTTP_MESSAGE_CHECKED;
   if (check->chunked && check->has_length)
     return false;
   if (check->type == HTTP_REQUEST)
@@ -222,6 +225,91 @@
   return check->status != NO_CONTENT || !has_body;
 }
 
+/// @return the value of a hexadecimal digit, or -1
+static int
+hex_digit (unsigned char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  c |= 0x20;
+  return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+/// Handles a byte of a chunk's size, or the one behind it.
+static bool
+check_chunk_size (struct http_message_check *check, unsigned char c)
+{
+  int digit = hex_digit (c);
+  if (check->state == HTTP_MESSAGE_CHUNK)
+    {
+      check->chunk_left = 0;
+      check->chunk_line_bytes = 0;
+      if (digit < 0)
+        return false;
+    }
+  check->state = HTTP_MESSAGE_CHUNK_SIZE;
+  if (digit >= 0)
+    {
+      if (check->chunk_left > UINT64_MAX >> 8)
+        return false;
+      check->chunk_left = check->chunk_left << 4 | (unsigned)digit;
+      return true;
+    }
+  if (c == '\r')
+    check->state = HTTP_MESSAGE_CHUNK_LINE_CR;
+  else if (c == ';')
+    check->state = HTTP_MESSAGE_CHUNK_EXTENSION;
+  else
+    check->state = HTTP_MESSAGE_CHUNK_BLANK;
+  return c == '\r' || c == ';' || c == ' ' || c == '\t';
+}
+
+/// Handles a byte of the line with a chunk's size.
+static bool
+check_chunk_line (struct http_message_check *check, unsigned char c)
+{
+  check->chunk_line_bytes++;
+  if (check->chunk_line_bytes > HTTP_CHUNK_LINE_MAX)
+    return false;
+  switch (check->state)
+    {
+    case HTTP_MESSAGE_CHUNK_BLANK:
+      if (c == ';')
+        check->state = HTTP_MESSAGE_CHUNK_EXTENSION;
+      return c == ';' || c == ' ' || c == '\t';
+    case HTTP_MESSAGE_CHUNK_EXTENSION:
+      if (c == '\r')
+        check->state = HTTP_MESSAGE_CHUNK_LINE_CR;
+      return c == '\r' || c == '\t' || !is_control (c);
+    default:
+      return check_chunk_size (check, c);
+    }
+}
+
+/// Handles the end of the line with a chunk's size; the last chunk is followed
+/// by the trailer.
+static void
+start_chunk_data (struct http_message_check *check)
+{
+  check->in_trailer = check->chunk_left == 0;
+  check->state
+      = check->in_trailer ? HTTP_MESSAGE_FIELD : HTTP_MESSAGE_CHUNK_DATA;
+}
+
+/// Skips data of a chunk.
+/// @return bytes skipped
+static size_t
+skip_chunk_data (struct http_message_check *check, size_t size)
+{
+  if (size >= check->chunk_left)
+    {
+      size = (size_t)check->chunk_left;
+      check->state = HTTP_MESSAGE_CHUNK_END;
+    }
+  check->chunk_left -= size;
+  return size;
+}
+
 static bool
 check_byte (struct http_message_check *check, unsigned char c)
 {
@@ -256,6 +344,21 @@
       return check_value (check, c);
     case HTTP_MESSAGE_LAST_CR:
       return c == '\n' && check_head (check);
+    case HTTP_MESSAGE_CHUNK:
+    case HTTP_MESSAGE_CHUNK_SIZE:
+    case HTTP_MESSAGE_CHUNK_BLANK:
+    case HTTP_MESSAGE_CHUNK_EXTENSION:
+      return check_chunk_line (check, c);
+    case HTTP_MESSAGE_CHUNK_LINE_CR:
+      start_chunk_data (check);
+      return c == '\n';
+    case HTTP_MESSAGE_CHUNK_END:
+      check->state = HTTP_MESSAGE_CHUNK_END_CR;
+      return c == '\r';
+    case HTTP_MESSAGE_CHUNK_END_CR:
+      check->state = HTTP_MESSAGE_CHUNK;
+      return c == '\n';
+    case HTTP_MESSAGE_CHUNK_DATA:
     case HTTP_MESSAGE_CHECKED:
       return true;
     }
@@ -266,8 +369,11 @@
 http_message_check_feed (struct http_message_check *check, const char *data,
                          size_t size)
 {
-  for (size_t i = 0; i < size && check->state != HTTP_MESSAGE_CHECKED; i++)
-    if (!check_byte (check, (unsigned char)data[i]))
+  size_t used = 0;
+  while (used < size && check->state != HTTP_MESSAGE_CHECKED)
+    if (check->state == HTTP_MESSAGE_CHUNK_DATA)
+      used += skip_chunk_data (check, size - used);
+    else if (!check_byte (check, (unsigned char)data[used++]))
       return false;
   return true;
 }
--- a/src/transport/http_message_check.h
+++ b/src/transport/http_message_check.h
@@ -15,20 +15,31 @@
 
 enum http_message_state
 {
-  HTTP_MESSAGE_START,      ///< before the first line
-  HTTP_MESSAGE_START_CR,   ///< after the CR of an empty line before it
-  HTTP_MESSAGE_FIRST_LINE, ///< in the request line or status line
-  HTTP_MESSAGE_FIELD,      ///< at the start of a field or of the empty line
-  HTTP_MESSAGE_NAME,       ///< in a field's name
-  HTTP_MESSAGE_VALUE,      ///< in a field's value
-  HTTP_MESSAGE_CR,         ///< after the CR of a line
-  HTTP_MESSAGE_LAST_CR,    ///< after the CR of the empty line
-  HTTP_MESSAGE_CHECKED     ///< no byte up to the next message is checked
+  HTTP_MESSAGE_START,       ///< before the first line
+  HTTP_MESSAGE_START_CR,    ///< after the CR of an empty line before it
+  HTTP_MESSAGE_FIRST_LINE,  ///< in the request line or status line
+  HTTP_MESSAGE_FIELD,       ///< at the start of a field or of the empty line
+  HTTP_MESSAGE_NAME,        ///< in a field's name
+  HTTP_MESSAGE_VALUE,       ///< in a field's value
+  HTTP_MESSAGE_CR,          ///< after the CR of a line
+  HTTP_MESSAGE_LAST_CR,     ///< after the CR of the empty line
+  HTTP_MESSAGE_CHUNK,       ///< before a chunk
+  HTTP_MESSAGE_CHUNK_SIZE,  ///< in the size of a chunk
+  HTTP_MESSAGE_CHUNK_BLANK, ///< in the blanks between size and extension
+  HTTP_MESSAGE_CHUNK_EXTENSION,
+  HTTP_MESSAGE_CHUNK_LINE_CR, ///< after the CR of the line with the size
+  HTTP_MESSAGE_CHUNK_DATA,
+  HTTP_MESSAGE_CHUNK_END,    ///< before the CR behind a chunk's data
+  HTTP_MESSAGE_CHUNK_END_CR, ///< after that CR
+  HTTP_MESSAGE_CHECKED       ///< no byte up to the next message is checked
 };
 
 /// Informational responses that may precede a response.
 #define HTTP_INFORMATIONAL_MAX 8
 
+/// Bytes of the line with a chunk's size and extension, at most.
+#define HTTP_CHUNK_LINE_MAX 4096
+
 /// Bytes of the value of a field that frames the body, at most.
 #define HTTP_FRAMING_VALUE_MAX 40
 
@@ -50,6 +61,9 @@
   bool has_length; ///< Content-Length is present
   uint64_t length;
   bool chunked; ///< Transfer-Encoding is present
+  bool in_trailer;
+  uint64_t chunk_left; ///< size of the current chunk, or what is left of it
+  size_t chunk_line_bytes; ///< of the line with its size so far
 };
 
 void http_message_check_init (struct http_message_check *check,
@@ -58,7 +72,8 @@
 /// Starts the check of the next message.
 void http_message_check_next (struct http_message_check *check);
 
-/// Checks the next bytes of the input. Those after the message are ignored.
+/// Checks the next bytes of the input. Those of a body that is not chunked and
+/// those after the message are ignored.
 /// @return false for a malformed message
 bool http_message_check_feed (struct http_message_check *check,
                               const char *data, size_t size);
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -255,6 +255,47 @@
     }
 }
 
+/// Feeds a response to the check in pieces of a size.
+/// @return true when it was accepted up to its end
+static bool
+is_accepted (const struct test_response *response, size_t piece)
+{
+  char bytes[MALFORMED_RESPONSE_MAX + 16];
+  size_t size = test_response_write (response, "X-Id: a\r\n", bytes);
+  struct http_message_check check;
+  http_message_check_init (&check, HTTP_RESPONSE);
+  for (size_t used = 0; used < size; used += piece)
+    if (!http_message_check_feed (&check, bytes + used,
+                                  piece < size - used ? piece : size - used))
+      return false;
+  return check.state == HTTP_MESSAGE_CHECKED;
+}
+
+/// The check alone decides, because other parsers run behind it too, and does
+/// so however the bytes arrive.
+static void
+test_responses_in_pieces (void)
+{
+  static const size_t pieces[] = { 1, 2, 3, 7, MALFORMED_RESPONSE_MAX + 16 };
+  for (size_t k = 0; k < sizeof pieces / sizeof pieces[0]; k++)
+    {
+      for (size_t i = 0; i < RESPONSE_COUNT (malformed_responses); i++)
+        if (is_accepted (&malformed_responses[i], pieces[k]))
+          {
+            printf ("  %s in pieces of %zu\n", malformed_responses[i].name,
+                    pieces[k]);
+            CU_FAIL ("a malformed response is accepted");
+          }
+      for (size_t i = 0; i < RESPONSE_COUNT (unusual_responses); i++)
+        if (!is_accepted (&unusual_responses[i], pieces[k]))
+          {
+            printf ("  %s in pieces of %zu\n", unusual_responses[i].name,
+                    pieces[k]);
+            CU_FAIL ("a proper response is refused");
+          }
+    }
+}
+
 /// A response that has no body whatever its fields state. The next response
 /// begins behind its head.
 static void
@@ -623,6 +664,8 @@
       test_malformed_responses },
     { "a proper response of an unusual form is refused",
       test_unusual_responses },
+    { "a malformed response passes when it arrives in pieces",
+      test_responses_in_pieces },
     { "the body of a response that has none is waited for",
       test_responses_without_a_body },
     { "a late copy of a response is taken for the next one",
