Test bytes behind a complete response

Each form of a response (length, chunks, 204, 304, HEAD) is followed by line ends, blanks, text, half a status line or another response, together with it or while its connection is idle. The next request must get its own response on a new connection.

--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -400,6 +400,64 @@
     }
 }
 
+/// Bytes behind a complete response, together with it or while the connection
+/// is idle. They belong to no request, and the connection carries no other.
+static void
+test_bytes_behind_a_response (void)
+{
+#define RESPONSE_TO(ID, STATUS, FIELDS)                                       \
+  "HTTP/1.1 " STATUS "\r\nX-Id: " ID "\r\n" FIELDS "\r\n"
+  static const struct
+  {
+    const char *what;
+    const char *method;
+    const char *response;
+  } responses[] = {
+    { "length", "GET", COPY_OF ("a", "abc") },
+    { "chunks", "GET",
+      RESPONSE_TO ("a", "200 OK", "Transfer-Encoding: chunked\r\n") "3\r\nabc"
+                                                                    "\r\n0\r\n"
+                                                                    "\r\n" },
+    { "204", "GET", RESPONSE_TO ("a", "204 No Content", "") },
+    { "304", "GET", RESPONSE_TO ("a", "304 Not Modified", "") },
+    { "HEAD", "HEAD", RESPONSE_TO ("a", "200 OK", "Content-Length: 3\r\n") },
+  };
+  static const char *const behind[] = { "\r\n",
+                                        "\n",
+                                        " ",
+                                        "abc",
+                                        "0\r\n\r\n",
+                                        "HTTP/1.1 ",
+                                        "HTTP/1.1 200 OK\r\n",
+                                        "\r\n" COPY_OF ("b", "old") };
+  for (size_t i = 0; i < sizeof responses / sizeof responses[0]; i++)
+    for (size_t k = 0; k < sizeof behind / sizeof behind[0]; k++)
+      for (int late = 0; late < 2; late++)
+        {
+          char bytes[512];
+          snprintf (bytes, sizeof bytes, "%s%s", responses[i].response,
+                    late ? "" : behind[k]);
+          struct script both
+              = { .responses = { bytes, COPY_OF ("b", "new") } };
+          uint16_t port = pool_set_up (&both);
+          struct result first
+              = exchange_method (port, responses[i].method, "a");
+          CU_ASSERT_EQUAL (first.end, HTTP_END_COMPLETE);
+          if (late)
+            send_late (behind[k]);
+          struct result second = exchange (port, "b");
+          bool correct = second.end == HTTP_END_COMPLETE && second.size == 3
+                         && memcmp (second.body, "new", 3) == 0
+                         && script.connections == 2;
+          if (!correct)
+            printf ("  %s, row %zu, late %d: end %d, %zu connections\n",
+                    responses[i].what, k, late, (int)second.end,
+                    script.connections);
+          CU_ASSERT (correct);
+          pool_tear_down ();
+        }
+}
+
 /// Ids of any length are compared, in full: the second request is answered
 /// with a late copy of the first response and then with its own.
 static void
@@ -670,6 +728,8 @@
       test_responses_without_a_body },
     { "a late copy of a response is taken for the next one",
       test_late_copies },
+    { "a connection is used again behind bytes of no response",
+      test_bytes_behind_a_response },
     { "a late copy is taken for the response to a request with a long id",
       test_late_copies_for_long_ids },
     { "a late copy is taken for the response to a request without an id",
