Refuse malformed responses in the call client of hawthornseam-node

What callers of hawthornseam-node saw: a target's status 600, 2000, +200 or 200OK as a response, a head with blanks, control bytes or nothing in the name of a field passed on as it was, and bodies whose chunks or lengths are not framed as stated.

Cause: the call client leaves responses to evhttp, which reads the status with atoi, takes any bytes before a colon as a name, joins folded lines and accepts signs and prefixes in sizes.

Evidence: response_guard_test sends each row of malformed_responses.h to the client.

Why this works: a guard on the input of the connection checks each byte with http_message_check before evhttp sees it, for the request at hand. A malformed response stops the reading and ends the exchange as lost, as those did that evhttp refused: the outcome is unknown, the connection is closed, and the call is sent again only where its route allows.

--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,7 @@
   http_message_check.c \
   http_pool.c \
   http_request_body.c \
+  http_response_guard.c \
   http_server.c \
   http_socket.c \
   http_stream.c \
--- a/src/transport/call_client.c
+++ b/src/transport/call_client.c
@@ -138,6 +138,14 @@
     }
 }
 
+void
+call_exchange_on_malformed (void *arg)
+{
+  struct call_connection *connection = arg;
+  if (connection->exchange != NULL)
+    end_exchange (connection->exchange, CALL_EXCHANGE_LOST);
+}
+
 /// @return true if the end of the response can be distinguished from a closed
 /// connection
 static bool
@@ -274,6 +282,8 @@
   if (new_connection && client->options.connect_ms < timeout_ms)
     timeout_ms = client->options.connect_ms;
   start_timer (exchange, timeout_ms);
+  http_response_guard_next (&connection->guard,
+                            send->method == EVHTTP_REQ_HEAD);
   if (evhttp_make_request (connection->http, request, send->method, send->uri)
       != 0)
     end_exchange (exchange, CALL_EXCHANGE_NOT_CONNECTED);
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -48,7 +48,8 @@
 {
   CALL_EXCHANGE_COMPLETE,      ///< the complete response was delivered
   CALL_EXCHANGE_NOT_CONNECTED, ///< no byte of the request was sent
-  CALL_EXCHANGE_LOST,          ///< connection closed after a byte was sent
+  CALL_EXCHANGE_LOST,          ///< connection closed after a byte was sent, by
+                               ///< this side if the response is malformed
   CALL_EXCHANGE_TIMED_OUT,     ///< no headers in time, or the body stalled
   CALL_EXCHANGE_UNFRAMED       ///< the end of the response cannot be verified
 };
--- a/src/transport/call_pool.c
+++ b/src/transport/call_pool.c
@@ -128,6 +128,8 @@
                    connection);
   evbuffer_add_cb (bufferevent_get_input (bev), call_exchange_on_input,
                    connection);
+  http_response_guard_init (&connection->guard, connection->http,
+                            call_exchange_on_malformed, connection);
   endpoint->open++;
   client->connections++;
   connection->older = client->newest;
--- a/src/transport/call_pool.h
+++ b/src/transport/call_pool.h
@@ -3,6 +3,7 @@
 #define HAWTHORNSEAM_TRANSPORT_CALL_POOL_H
 
 #include "transport/call_client.h"
+#include "transport/http_response_guard.h"
 
 #include <event2/bufferevent.h>
 
@@ -18,6 +19,7 @@
   struct call_connection *older;
   struct evhttp_connection *http;
   struct bufferevent *bev;
+  struct http_response_guard guard;
   struct call_exchange *exchange; ///< NULL while idle
   uint64_t idle_since_ms;
 };
@@ -37,6 +39,9 @@
 void call_exchange_on_input (struct evbuffer *buffer,
                              const struct evbuffer_cb_info *info, void *arg);
 
+/// Ends the exchange of a connection whose response is malformed.
+void call_exchange_on_malformed (void *arg);
+
 /// Returns an idle connection to an endpoint, or opens one.
 /// @param max_idle_ms     connections idle for longer are not reused
 /// @param new_connection  set to true if the connection was opened, else false
--- /dev/null
+++ b/test/unit/response_guard_test.c
@@ -0,0 +1,155 @@
+/// Runs the clients that use evhttp against responses that are malformed, or
+/// followed by bytes of no response.
+#include "../standin/malformed_responses.h"
+#include "http_peers.h"
+#include "transport/call_client.h"
+
+#include <event2/keyvalq_struct.h>
+
+#define STORE_FIELDS "X-Revision: 42\r\n"
+#define STORE_RESPONSE(BODY)                                                  \
+  "HTTP/1.1 200 OK\r\n" STORE_FIELDS "Content-Length: 3\r\n\r\n" BODY
+
+/* Responses to two requests in a row, from the scripted target. */
+
+struct two_responses
+{
+  const char *name;
+  const char *first;
+  size_t first_size;
+  bool first_is_proper;
+};
+
+static const char *const behind[]
+    = { "\r\n", "abc", "HTTP/1.1 200", STORE_RESPONSE ("old") };
+
+#define ROW_COUNT                                                             \
+  (RESPONSE_COUNT (malformed_responses) + sizeof behind / sizeof behind[0])
+
+/// Writes row i: a malformed response, or a proper one with bytes behind it.
+static struct two_responses
+get_row (size_t i, char *bytes)
+{
+  struct two_responses row = { .first = bytes };
+  if (i < RESPONSE_COUNT (malformed_responses))
+    {
+      row.name = malformed_responses[i].name;
+      row.first_size
+          = test_response_write (&malformed_responses[i], STORE_FIELDS, bytes);
+      return row;
+    }
+  row.name = "bytes behind a response";
+  row.first_is_proper = true;
+  strcpy (bytes, STORE_RESPONSE ("abc"));
+  strcat (bytes, behind[i - RESPONSE_COUNT (malformed_responses)]);
+  row.first_size = strlen (bytes);
+  return row;
+}
+
+static uint16_t
+start_target (const struct two_responses *row)
+{
+  struct script responses
+      = { .responses = { row->first, STORE_RESPONSE ("new") },
+          .sizes = { row->first_size } };
+  return pool_set_up (&responses);
+}
+
+/* The call client. */
+
+struct call_result
+{
+  bool done;
+  enum call_exchange_end end;
+  char data[8];
+  size_t size;
+};
+
+static void
+on_call_headers (void *arg, struct call_exchange *exchange, int status,
+                 const char *reason, struct evkeyvalq *headers)
+{
+}
+
+static void
+on_call_data (void *arg, struct call_exchange *exchange, struct evbuffer *data)
+{
+  struct call_result *result = arg;
+  int size = evbuffer_remove (data, result->data + result->size,
+                              sizeof result->data - result->size);
+  result->size += size > 0 ? (size_t)size : 0;
+}
+
+static void
+on_call_done (void *arg, struct call_exchange *exchange,
+              enum call_exchange_end end)
+{
+  struct call_result *result = arg;
+  result->done = true;
+  result->end = end;
+}
+
+static struct call_result
+call (struct call_client *client, uint16_t port)
+{
+  static const struct call_exchange_ops ops = { .headers = on_call_headers,
+                                                .data = on_call_data,
+                                                .done = on_call_done };
+  struct call_result result = { 0 };
+  struct evkeyvalq headers;
+  TAILQ_INIT (&headers);
+  const struct call_send request = { .address = LOOPBACK,
+                                     .port = port,
+                                     .method = EVHTTP_REQ_GET,
+                                     .uri = "/",
+                                     .headers = &headers,
+                                     .headers_ms = 400,
+                                     .max_idle_ms = 1000 };
+  CU_ASSERT_PTR_NOT_NULL (call_client_send (client, &request, &ops, &result));
+  for (int i = 0; i < 100 && !result.done; i++)
+    run_ms (10);
+  CU_ASSERT (result.done);
+  return result;
+}
+
+static void
+test_call_client (void)
+{
+  const struct call_client_options options = { .connect_ms = 300,
+                                               .idle_ms = 5000,
+                                               .stall_ms = 300,
+                                               .connections_max = 4,
+                                               .headers_max = 16384 };
+  for (size_t i = 0; i < ROW_COUNT; i++)
+    {
+      char bytes[MALFORMED_RESPONSE_MAX + 64];
+      struct two_responses row = get_row (i, bytes);
+      struct call_client client;
+      uint16_t port = start_target (&row);
+      call_client_init (&client, base, &options);
+      struct call_result first = call (&client, port);
+      struct call_result second = call (&client, port);
+      enum call_exchange_end expected
+          = row.first_is_proper ? CALL_EXCHANGE_COMPLETE : CALL_EXCHANGE_LOST;
+      bool correct = first.end == expected
+                     && second.end == CALL_EXCHANGE_COMPLETE
+                     && second.size == 3 && memcmp (second.data, "new", 3) == 0
+                     && script.connections == 2;
+      if (!correct)
+        printf ("  %s: end %d, then end %d, %zu connections\n", row.name,
+                (int)first.end, (int)second.end, script.connections);
+      CU_ASSERT (correct);
+      call_client_finish (&client);
+      pool_tear_down ();
+    }
+}
+
+int
+main (void)
+{
+  static const struct test_case cases[] = {
+    { "the call client takes a malformed response, or uses its connection",
+      test_call_client },
+  };
+  return testing_run ("response_guard", cases, sizeof cases / sizeof cases[0]);
+}
