Refuse malformed responses of the store

What nodes did: a response of the store with the status 2000 or +200, with malformed fields, chunks or lengths was taken as one, and bytes behind a complete response were taken for the response to the next call on its connection. Both programs use this client.

Cause: as in the call client, evhttp reads the responses; in addition it leaves unread input in place when a connection carries the next request.

Evidence: response_guard_test on: 59 of its rows failed for the store client, for instance "status-with-a-sign: 0, then 0 new, 1 connections" and "bytes behind a response: 0, then 0 old", the value of an unrequested response.

Why this works: the guard checks the input before evhttp. A malformed response ends its operation as unknown, from the event loop, and closes the connection; a connection with bytes behind a response is closed before it can carry another call.

Measured: response_guard_test and store_client_test pass under the sanitizers.

--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -28,6 +28,7 @@
                                 ///< connect; 0 once it runs
   bool sent;      ///< bytes of the request were handed to a connected socket
   bool abandoned; ///< by store_client_abandon
+  bool malformed; ///< the response is malformed
   enum status refused; ///< result if no call is made, or STATUS_OK
   struct event *timer;
   void (*done) (void *arg, const struct store_reply *reply);
@@ -139,12 +140,20 @@
     connection->operation->sent = true;
 }
 
+static void
+connection_close (struct store_connection *connection)
+{
+  if (connection->http != NULL)
+    evhttp_connection_free (connection->http);
+  connection->http = NULL;
+}
+
 static void
 on_response (struct evhttp_request *request, void *arg)
 {
   struct store_connection *connection = arg;
   struct store_operation *operation = connection->operation;
-  if (operation == NULL)
+  if (operation == NULL || operation->malformed)
     return;
   if (request == NULL || evhttp_request_get_response_code (request) == 0)
     {
@@ -161,10 +170,24 @@
       operation->call, evhttp_request_get_response_code (request), revision,
       evbuffer_pullup (input, -1), size, arena, &reply);
   set_reachable (connection->client, reply.status != STATUS_UNAVAILABLE);
+  if (http_response_guard_has_unread (&connection->guard))
+    connection_close (connection);
   operation_finish (operation, &reply);
   talloc_free (arena);
 }
 
+/// Ends an operation whose response is malformed, from the event loop.
+static void
+on_malformed (void *arg)
+{
+  struct store_connection *connection = arg;
+  struct store_operation *operation = connection->operation;
+  if (operation == NULL)
+    return;
+  operation->malformed = true;
+  event_active (operation->timer, EV_TIMEOUT, 0);
+}
+
 static bool
 connection_open (struct store_connection *connection)
 {
@@ -180,17 +203,11 @@
   struct bufferevent *bev
       = evhttp_connection_get_bufferevent (connection->http);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, connection);
+  http_response_guard_init (&connection->guard, connection->http, on_malformed,
+                            connection);
   return true;
 }
 
-static void
-connection_close (struct store_connection *connection)
-{
-  if (connection->http != NULL)
-    evhttp_connection_free (connection->http);
-  connection->http = NULL;
-}
-
 static const enum evhttp_cmd_type methods[] = {
   [STORE_METHOD_GET] = EVHTTP_REQ_GET,
   [STORE_METHOD_PUT] = EVHTTP_REQ_PUT,
@@ -224,6 +241,7 @@
     evbuffer_add (evhttp_request_get_output_buffer (request), wire->body,
                   wire->body_size);
   counter_add (&calls_total, 1);
+  http_response_guard_next (&connection->guard, false);
   bool watch = is_watch (operation);
   /* If the connection fails at once, on_response is called from here. */
   if (evhttp_make_request (connection->http, request, methods[wire->method],
@@ -284,8 +302,9 @@
     }
 }
 
-/// Ends an operation that was rejected before it was sent, was abandoned or
-/// has timed out; starts the response timeout after the connect timeout.
+/// Ends an operation that was rejected before it was sent, was abandoned, has
+/// timed out or got a malformed response; starts the response timeout after
+/// the connect timeout.
 static void
 on_timer (evutil_socket_t fd, short events, void *arg)
 {
@@ -297,6 +316,7 @@
       return;
     }
   if (operation->response_timeout_ms > 0 && !operation->abandoned
+      && !operation->malformed
       && (operation->connection == NULL || operation->sent))
     {
       start_timer (operation, operation->response_timeout_ms);
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -5,6 +5,7 @@
 #define HAWTHORNSEAM_TRANSPORT_STORE_CLIENT_H
 
 #include "coordination/store.h"
+#include "transport/http_response_guard.h"
 
 #include <event2/event.h>
 #include <stdbool.h>
@@ -30,7 +31,8 @@
 struct store_connection
 {
   struct store_client *client;
-  struct evhttp_connection *http;    ///< NULL until first used
+  struct evhttp_connection *http; ///< NULL until first used
+  struct http_response_guard guard;
   struct store_operation *operation; ///< NULL while idle
 };
 
--- a/test/unit/response_guard_test.c
+++ b/test/unit/response_guard_test.c
@@ -3,6 +3,7 @@
 #include "../standin/malformed_responses.h"
 #include "http_peers.h"
 #include "transport/call_client.h"
+#include "transport/store_client.h"
 
 #include <event2/keyvalq_struct.h>
 
@@ -55,6 +56,62 @@
   return pool_set_up (&responses);
 }
 
+/* The store client. */
+
+struct store_result
+{
+  int count;
+  enum status status;
+  char data[8];
+};
+
+static void
+on_store_done (void *arg, const struct store_reply *reply)
+{
+  struct store_result *result = arg;
+  result->count++;
+  result->status = reply->status;
+  if (reply->data != NULL && reply->size < sizeof result->data)
+    memcpy (result->data, reply->data, reply->size);
+}
+
+static struct store_result
+get (struct store_client *client)
+{
+  struct store_result result = { 0 };
+  store_client_ops.get (client, "k", on_store_done, &result);
+  for (int i = 0; i < 50 && result.count == 0; i++)
+    run_ms (10);
+  CU_ASSERT_EQUAL (result.count, 1);
+  return result;
+}
+
+static void
+test_store_client (void)
+{
+  for (size_t i = 0; i < ROW_COUNT; i++)
+    {
+      char bytes[MALFORMED_RESPONSE_MAX + 64];
+      struct two_responses row = get_row (i, bytes);
+      struct store_client client;
+      uint16_t port = start_target (&row);
+      store_client_init (&client, base, "127.0.0.1", port);
+      struct store_result first = get (&client);
+      struct store_result second = get (&client);
+      enum status expected = row.first_is_proper ? STATUS_OK : STATUS_UNKNOWN;
+      bool correct = first.status == expected && second.status == STATUS_OK
+                     && strcmp (second.data, "new") == 0
+                     && script.connections == 2;
+      if (!correct)
+        printf ("  %s: %d, then %d %s, %zu connections\n", row.name,
+                (int)first.status, (int)second.status, second.data,
+                script.connections);
+      CU_ASSERT (correct);
+      store_client_finish (&client);
+      pool_tear_down ();
+    }
+}
+
 /* The call client. */
 
 struct call_result
@@ -148,6 +205,8 @@
 main (void)
 {
   static const struct test_case cases[] = {
+    { "the store client takes a malformed response, or uses its connection",
+      test_store_client },
     { "the call client takes a malformed response, or uses its connection",
       test_call_client },
   };
