Refuse malformed responses in hawthornseam-ctl and the load generator

What operators saw: hawthornseam-ctl printed the body of a malformed response of a node as its answer. The load generator, which checks every response, counted a status 600 as a proper one.

Cause: both leave responses to evhttp and checked neither its status line nor its fields and framing.

Why this works: the same guard as in the other clients. ctl_request returns STATUS_UNKNOWN with "malformed answer from node", and limits heads to 16 KiB and bodies to 64 MiB; the load generator counts such a response as unframed, which fails the run, and opens a new connection.

--- a/src/ctl/ctl_http.c
+++ b/src/ctl/ctl_http.c
@@ -2,6 +2,8 @@
 /// of its own. Also the helpers for input files and JSON output.
 #include "ctl/ctl.h"
 
+#include "transport/http_response_guard.h"
+
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -15,19 +17,32 @@
 
 #define FILE_BYTES_MAX (1024 * 1024)
 
+/// Largest head and body of a response, bytes.
+#define HEAD_BYTES_MAX (16 * 1024)
+#define RESPONSE_BYTES_MAX (64 * 1024 * 1024)
+
 struct exchange
 {
   struct event_base *base;
   struct ctl_response *response;
+  struct http_response_guard guard;
   bool complete; ///< a response has arrived
 };
 
+static void
+on_malformed (void *arg)
+{
+  struct exchange *exchange = arg;
+  event_base_loopbreak (exchange->base);
+}
+
 static void
 on_response (struct evhttp_request *request, void *arg)
 {
   struct exchange *exchange = arg;
   event_base_loopbreak (exchange->base);
-  if (request == NULL || evhttp_request_get_response_code (request) == 0)
+  if (request == NULL || evhttp_request_get_response_code (request) == 0
+      || exchange->guard.malformed)
     return;
   struct evbuffer *buffer = evhttp_request_get_input_buffer (request);
   size_t size = evbuffer_get_length (buffer);
@@ -81,6 +96,10 @@
   else
     {
       evhttp_connection_set_timeout (connection, REQUEST_TIMEOUT_S);
+      evhttp_connection_set_max_headers_size (connection, HEAD_BYTES_MAX);
+      evhttp_connection_set_max_body_size (connection, RESPONSE_BYTES_MAX);
+      http_response_guard_init (&exchange.guard, connection, on_malformed,
+                                &exchange);
       if (size > 0)
         evbuffer_add (evhttp_request_get_output_buffer (request), body, size);
       if (evhttp_make_request (connection, request,
@@ -90,7 +109,8 @@
           == 0)
         event_base_dispatch (exchange.base);
       if (!exchange.complete)
-        status = status_set (STATUS_UNKNOWN, "no answer from node %s:%u",
+        status = status_set (STATUS_UNKNOWN, "%s answer from node %s:%u",
+                             exchange.guard.malformed ? "malformed" : "no",
                              ctl->host, ctl->port);
     }
   if (connection != NULL)
--- a/src/load/load_main.c
+++ b/src/load/load_main.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "transport/http_response_guard.h"
 
 #include <argtable2.h>
 #include <event2/buffer.h>
@@ -50,6 +51,7 @@
   struct load *load;
   struct event step; ///< starts the next call outside of evhttp callbacks
   struct evhttp_connection *connection;
+  struct http_response_guard guard;
   const struct endpoint *endpoint;
   bool busy;          ///< a call is in progress
   bool broken;        ///< the connection must not be reused
@@ -135,19 +137,13 @@
 }
 
 static void
-on_done (struct evhttp_request *response, void *arg)
+end_call (struct caller *caller, enum load_outcome call_outcome)
 {
-  struct caller *caller = arg;
   struct load *load = caller->load;
   uint64_t now = clock_monotonic_us ();
-  enum load_outcome call_outcome = LOAD_NO_ANSWER;
-  /* After a failed connect, evhttp passes a request without a status. */
-  if (response != NULL)
-    call_outcome = evhttp_request_get_response_code (response) == 0
-                       ? LOAD_NOT_CONNECTED
-                       : classify (caller, response);
   caller->broken = call_outcome == LOAD_NO_ANSWER
-                   || call_outcome == LOAD_NOT_CONNECTED || load->close_each;
+                   || call_outcome == LOAD_NOT_CONNECTED
+                   || caller->guard.malformed || load->close_each;
   load_report_add (&load->report, call_outcome, now - caller->due_us,
                    caller->bytes);
   if (caller->path->keyed && load->key_log != NULL)
@@ -157,6 +153,27 @@
   event_active (&caller->step, EV_TIMEOUT, 1);
 }
 
+static void
+on_done (struct evhttp_request *response, void *arg)
+{
+  struct caller *caller = arg;
+  if (caller->guard.malformed)
+    return;
+  /* After a failed connect, evhttp passes a request without a status. */
+  if (response == NULL)
+    end_call (caller, LOAD_NO_ANSWER);
+  else if (evhttp_request_get_response_code (response) == 0)
+    end_call (caller, LOAD_NOT_CONNECTED);
+  else
+    end_call (caller, classify (caller, response));
+}
+
+static void
+on_malformed (void *arg)
+{
+  end_call (arg, LOAD_UNFRAMED);
+}
+
 /// @return a random path, by weight
 static const struct path *
 choose_path (struct load *load)
@@ -185,6 +202,8 @@
   struct timeval timeout
       = { load->timeout_ms / 1000, load->timeout_ms % 1000 * 1000 };
   evhttp_connection_set_timeout_tv (caller->connection, &timeout);
+  http_response_guard_init (&caller->guard, caller->connection, on_malformed,
+                            caller);
 }
 
 /// Starts a call: the repetition of the last one or a new one.
@@ -236,6 +255,8 @@
                   "0123456789abcdef0123456789abcdef"
                   "0123456789abcdef0123456789abcdef",
                   remaining < 64 ? (size_t)remaining : 64);
+  http_response_guard_next (&caller->guard,
+                            caller->path->method == EVHTTP_REQ_HEAD);
   evhttp_make_request (caller->connection, request, caller->path->method,
                        caller->uri);
 }
--- a/src/load/load_report.h
+++ b/src/load/load_report.h
@@ -22,7 +22,8 @@
   LOAD_UNKNOWN,   ///< the node reports that the call may have run
   LOAD_NOT_CONNECTED, ///< connection failed, nothing was sent
   LOAD_NO_ANSWER,     ///< sent, then reset, closed early or timed out
-  LOAD_UNFRAMED,      ///< wrong: no framing that marks the end of the response
+  LOAD_UNFRAMED,      ///< wrong: malformed response, or no framing that marks
+                      ///< its end
   LOAD_TRUNCATED,     ///< wrong: taken for complete, but not of Content-Length
                       ///< bytes
   LOAD_WRONG_ID,      ///< wrong: response to another request
--- a/test/functional/malformed_responses_test.sh
+++ b/test/functional/malformed_responses_test.sh
@@ -60,5 +60,11 @@
   tried=$((tried + 1))
 done
 expect "afterwards" "$(get seal whole - last)" "200 0 abc"
+# The load generator reads the responses of a target directly.
+for name in $("$BIN/standin-malformed_target" list malformed); do
+  "$BIN/hawthornseam-load" --to "127.0.0.1:$(port 1 4)" --count 1 --timeout-ms 2000 \
+    --path "1:GET:/x/malformed/$name/load" >"$RUN/load" 2>&1
+  [ $? = 1 ] && grep -qx "unframed 1" "$RUN/load" || wrong "load $name: $(grep ' [1-9]' "$RUN/load" | head -n 3 | tr '\n' ' ')"
+done
 [ $broken = 0 ] || fail "$broken responses are handled wrongly"
 echo "passed: $tried responses"
--- a/test/unit/response_guard_test.c
+++ b/test/unit/response_guard_test.c
@@ -1,11 +1,15 @@
 /// Runs the clients that use evhttp against responses that are malformed, or
 /// followed by bytes of no response.
 #include "../standin/malformed_responses.h"
+#include "ctl/ctl.h"
 #include "http_peers.h"
 #include "transport/call_client.h"
 #include "transport/store_client.h"
 
 #include <event2/keyvalq_struct.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
 
 #define STORE_FIELDS "X-Revision: 42\r\n"
 #define STORE_RESPONSE(BODY)                                                  \
@@ -201,6 +205,60 @@
     }
 }
 
+/* The command-line client, which blocks. */
+
+/// Serves one connection per response.
+static void
+serve (int listener)
+{
+  for (size_t i = 0; i < ROW_COUNT; i++)
+    {
+      char request[4096], bytes[MALFORMED_RESPONSE_MAX + 64];
+      struct two_responses row = get_row (i, bytes);
+      int fd = accept (listener, NULL, NULL);
+      if (recv (fd, request, sizeof request, 0) <= 0
+          || send (fd, row.first, row.first_size, MSG_NOSIGNAL) < 0)
+        _exit (1);
+      /* Open until the client has closed it. */
+      recv (fd, request, sizeof request, 0);
+      close (fd);
+    }
+  _exit (0);
+}
+
+static void
+test_ctl (void)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  socklen_t size = sizeof at;
+  at.sin_addr.s_addr = htonl (LOOPBACK);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (bind (listener, (struct sockaddr *)&at, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener, 1), 0);
+  getsockname (listener, (struct sockaddr *)&at, &size);
+  pid_t server_pid = fork ();
+  if (server_pid == 0)
+    serve (listener);
+  close (listener);
+  const struct ctl ctl = { .host = "127.0.0.1", .port = ntohs (at.sin_port) };
+  for (size_t i = 0; i < ROW_COUNT; i++)
+    {
+      char bytes[MALFORMED_RESPONSE_MAX + 64];
+      struct two_responses row = get_row (i, bytes);
+      struct ctl_response response = { 0 };
+      enum status status
+          = ctl_request (&ctl, "GET", "/", NULL, NULL, 0, &response);
+      enum status expected = row.first_is_proper ? STATUS_OK : STATUS_UNKNOWN;
+      if (status != expected)
+        printf ("  %s: %d\n", row.name, (int)status);
+      CU_ASSERT_EQUAL (status, expected);
+      ctl_response_free (&response);
+    }
+  int server_status;
+  waitpid (server_pid, &server_status, 0);
+  CU_ASSERT_EQUAL (server_status, 0);
+}
+
 int
 main (void)
 {
@@ -209,6 +267,7 @@
       test_store_client },
     { "the call client takes a malformed response, or uses its connection",
       test_call_client },
+    { "hawthornseam-ctl takes a malformed response", test_ctl },
   };
   return testing_run ("response_guard", cases, sizeof cases / sizeof cases[0]);
 }
