End exchanges between nodes whose response is over its limit

What nodes did: a view, a relay's changes, quota answers and evidence are collected up to a limit. A piece that did not fit was dropped, a later and shorter one was appended, and the exchange read on until the response ended or its timer cancelled it; the request for a view has no timer once the store has been read.

Cause: each of the four callers tested the limit for itself, piece by piece.

Evidence: by reading. No node sends such a response, and without the new option no test can ask for the limit; test_limit_of_a_body covers it for each framing, at the limit and one byte over it.

Why this works: the limit is part of the request to the pool, which counts the body and ends the exchange as malformed at the first byte over it, and closes the connection. The callers handle that end already.

Measured: http_strict_test, http_test and quota_test pass under the sanitizers.

--- a/src/sidecar/sidecar_move_driver.c
+++ b/src/sidecar/sidecar_move_driver.c
@@ -158,8 +158,7 @@
 on_evidence_body (void *arg, const char *data, size_t size)
 {
   struct evidence_source *source = arg;
-  if (evbuffer_get_length (source->body) + size <= MOVE_EVIDENCE_MAX)
-    evbuffer_add (source->body, data, size);
+  evbuffer_add (source->body, data, size);
 }
 
 static void
@@ -208,7 +207,8 @@
   struct http_send send = { .address = record->entry.address,
                             .port = record->entry.port,
                             .request = request,
-                            .max_idle_ms = EVIDENCE_AGE_MS_MAX };
+                            .max_idle_ms = EVIDENCE_AGE_MS_MAX,
+                            .body_bytes_max = MOVE_EVIDENCE_MAX };
   evbuffer_drain (source->body, evbuffer_get_length (source->body));
   source->requested_ms = now_ms;
   source->exchange
--- a/src/sidecar/sidecar_quota_call.c
+++ b/src/sidecar/sidecar_quota_call.c
@@ -140,8 +140,7 @@
 on_body (void *arg, const char *data, size_t size)
 {
   struct quota_call *call = arg;
-  if (evbuffer_get_length (call->body) + size <= QUOTA_MESSAGE_BYTES_MAX)
-    evbuffer_add (call->body, data, size);
+  evbuffer_add (call->body, data, size);
 }
 
 static void
@@ -207,7 +206,8 @@
       struct http_send send = { .address = record->entry.address,
                                 .port = record->entry.port,
                                 .request = bytes,
-                                .max_idle_ms = PEER_REUSE_MS };
+                                .max_idle_ms = PEER_REUSE_MS,
+                                .body_bytes_max = QUOTA_MESSAGE_BYTES_MAX };
       call->exchange = http_pool_send (&sidecar->peer_pool, &send, &ops, call);
       evbuffer_free (bytes);
       free (text);
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -370,9 +370,7 @@
 on_body (void *arg, const char *data, size_t size)
 {
   struct sidecar *sidecar = arg;
-  struct evbuffer *body = sidecar->store->relay->response;
-  if (evbuffer_get_length (body) + size <= VIEW_BYTES_MAX)
-    evbuffer_add (body, data, size);
+  evbuffer_add (sidecar->store->relay->response, data, size);
 }
 
 static void
@@ -418,7 +416,8 @@
   struct http_send send = { .address = record->entry.address,
                             .port = record->entry.port,
                             .request = request,
-                            .max_idle_ms = RELAY_TIMEOUT_MS };
+                            .max_idle_ms = RELAY_TIMEOUT_MS,
+                            .body_bytes_max = VIEW_BYTES_MAX };
   relay->exchange = http_pool_send (&sidecar->peer_pool, &send, &ops, sidecar);
   evbuffer_free (request);
   if (relay->exchange == NULL)
--- a/src/sidecar/sidecar_view.c
+++ b/src/sidecar/sidecar_view.c
@@ -45,8 +45,7 @@
 on_view_body (void *arg, const char *data, size_t size)
 {
   struct sidecar_store *store = arg;
-  if (evbuffer_get_length (store->view_body) + size <= VIEW_BYTES_MAX)
-    evbuffer_add (store->view_body, data, size);
+  evbuffer_add (store->view_body, data, size);
 }
 
 /// Applies another node's view unless a configuration is known meanwhile.
@@ -111,7 +110,8 @@
   struct http_send send = { .address = address,
                             .port = port,
                             .request = request,
-                            .max_idle_ms = REQUEST_INTERVAL_MS };
+                            .max_idle_ms = REQUEST_INTERVAL_MS,
+                            .body_bytes_max = VIEW_BYTES_MAX };
   store->view_exchange
       = http_pool_send (&sidecar->peer_pool, &send, &view_ops, store);
   evbuffer_free (request);
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -151,8 +151,17 @@
 {
   struct http_connection *connection = stream->owner;
   struct http_exchange *exchange = connection->exchange;
-  if (exchange != NULL && !exchange->skipping_response)
-    exchange->ops->body (exchange->arg, data, size);
+  if (exchange == NULL || exchange->skipping_response)
+    return;
+  exchange->body_bytes += size;
+  if (exchange->body_bytes_max > 0
+      && exchange->body_bytes > exchange->body_bytes_max)
+    {
+      connection->exchange = NULL;
+      fail_exchange (exchange, HTTP_END_MALFORMED);
+      return;
+    }
+  exchange->ops->body (exchange->arg, data, size);
 }
 
 /// @return time for which the server keeps an idle connection, ms; UINT64_MAX
@@ -365,6 +374,7 @@
   exchange->arg = arg;
   exchange->upload = send->upload;
   exchange->chunked = send->chunked;
+  exchange->body_bytes_max = send->body_bytes_max;
   free (connection->id);
   connection->id = id;
   evtimer_assign (&exchange->timer, pool->base, on_timer, exchange);
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -15,7 +15,8 @@
   HTTP_END_COMPLETE,      ///< the complete response was delivered
   HTTP_END_NOT_CONNECTED, ///< no byte of the request was sent
   HTTP_END_LOST,          ///< sent; closed or reset before the response's end
-  HTTP_END_MALFORMED ///< sent; the response is not HTTP, or has another id
+  HTTP_END_MALFORMED ///< sent; the response is not HTTP, has another id, or is
+                     ///< longer than body_bytes_max
 };
 
 struct http_exchange;
@@ -67,10 +68,11 @@
   uint32_t max_idle_ms;     ///< connections idle for longer are not reused
   bool upload;              ///< the body follows with http_exchange_write, on
                             ///< a new connection that is not reused
-  bool holds_request; ///< the request is sent with the first bytes of the
-                      ///< upload's body
-  bool chunked;       ///< that body is sent in chunks
-  bool no_body;       ///< the response has no body (HEAD)
+  bool holds_request;    ///< the request is sent with the first bytes of the
+                         ///< upload's body
+  bool chunked;          ///< that body is sent in chunks
+  bool no_body;          ///< the response has no body (HEAD)
+  size_t body_bytes_max; ///< a response with a longer body fails; 0: no limit
 };
 
 void http_pool_init (struct http_pool *pool, struct event_base *base,
--- a/src/transport/http_pool_internal.h
+++ b/src/transport/http_pool_internal.h
@@ -33,6 +33,8 @@
   void *arg;
   struct event timer; ///< connect timeout, then deferred call of `end`
   enum http_end end;
+  size_t body_bytes;      ///< of the response so far
+  size_t body_bytes_max;  ///< see http_send
   bool skipping_response; ///< the current response has another id
   bool head_delivered;    ///< the head callback was called
   bool upload;            ///< see http_send
--- a/test/unit/http_peers.h
+++ b/test/unit/http_peers.h
@@ -265,7 +265,8 @@
 }
 
 static inline struct result
-exchange_method (uint16_t port, const char *method, const char *id)
+exchange_method (uint16_t port, const char *method, const char *id,
+                 size_t body_bytes_max)
 {
   static struct result result;
   struct evbuffer *bytes = evbuffer_new ();
@@ -275,7 +276,8 @@
                             .request = bytes,
                             .id = id,
                             .max_idle_ms = 4000,
-                            .no_body = strcmp (method, "HEAD") == 0 };
+                            .no_body = strcmp (method, "HEAD") == 0,
+                            .body_bytes_max = body_bytes_max };
   memset (&result, 0, sizeof result);
   struct http_exchange *pending
       = http_pool_send (&pool, &send, &result_ops, &result);
@@ -290,7 +292,7 @@
 static inline struct result
 exchange (uint16_t port, const char *id)
 {
-  return exchange_method (port, "GET", id);
+  return exchange_method (port, "GET", id, 0);
 }
 
 #endif
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -326,7 +326,7 @@
     {
       struct script responses = { .responses = { rows[i].bytes, NEXT } };
       uint16_t port = pool_set_up (&responses);
-      struct result first = exchange_method (port, rows[i].method, "a");
+      struct result first = exchange_method (port, rows[i].method, "a", 0);
       struct result second = exchange (port, "b");
       bool correct = first.ended && first.end == HTTP_END_COMPLETE
                      && first.size == 0 && second.end == HTTP_END_COMPLETE
@@ -441,7 +441,7 @@
               = { .responses = { bytes, COPY_OF ("b", "new") } };
           uint16_t port = pool_set_up (&both);
           struct result first
-              = exchange_method (port, responses[i].method, "a");
+              = exchange_method (port, responses[i].method, "a", 0);
           CU_ASSERT_EQUAL (first.end, HTTP_END_COMPLETE);
           if (late)
             send_late (behind[k]);
@@ -612,6 +612,51 @@
     }
 }
 
+/// Responses of other nodes are read into memory up to a limit.
+static void
+test_limit_of_a_body (void)
+{
+#define BODY_10 "aaaaaaaaaa"
+#define CHUNKS_10 "1\r\na\r\n9\r\naaaaaaaaa\r\n"
+  static const struct
+  {
+    const char *what;
+    const char *fields;
+    const char *body;
+    bool closes;
+    enum http_end end;
+  } rows[] = {
+    { "length at the limit", "Content-Length: 10\r\n", BODY_10, false,
+      HTTP_END_COMPLETE },
+    { "length over it", "Content-Length: 11\r\n", BODY_10 "a", false,
+      HTTP_END_MALFORMED },
+    { "chunks at the limit", "Transfer-Encoding: chunked\r\n",
+      CHUNKS_10 "0\r\n\r\n", false, HTTP_END_COMPLETE },
+    { "chunks over it", "Transfer-Encoding: chunked\r\n",
+      CHUNKS_10 "1\r\na\r\n", false, HTTP_END_MALFORMED },
+    { "up to the close, at the limit", "", BODY_10, true, HTTP_END_COMPLETE },
+    { "up to the close, over it", "", BODY_10 "a", false, HTTP_END_MALFORMED },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      char bytes[256];
+      snprintf (bytes, sizeof bytes, "HTTP/1.1 200 OK\r\nX-Id: a\r\n%s\r\n%s",
+                rows[i].fields, rows[i].body);
+      struct script responses
+          = { .responses = { bytes }, .close_after = { rows[i].closes } };
+      uint16_t port = pool_set_up (&responses);
+      struct result result = exchange_method (port, "GET", "a", 10);
+      if (!result.ended || result.end != rows[i].end)
+        printf ("  %s: ended %d, end %d\n", rows[i].what, result.ended,
+                (int)result.end);
+      CU_ASSERT (result.ended);
+      CU_ASSERT_EQUAL (result.end, rows[i].end);
+      CU_ASSERT (result.size <= 10);
+      CU_ASSERT (result.end == HTTP_END_COMPLETE || pool.connections == 0);
+      pool_tear_down ();
+    }
+}
+
 /// A target that never ends a part of its response. The pool must end the
 /// exchange, with a bounded amount of it in memory.
 static void
@@ -742,6 +787,8 @@
       test_refusal_written_once_more },
     { "a stop resets connections that the kernel has established",
       test_stop_with_waiting_connections },
+    { "a body over its limit is cut and passed on, or read on",
+      test_limit_of_a_body },
     { "a response head without end fills memory or never ends",
       test_heads_without_end },
   };
