--- a/src/transport/http_response_guard.h
+++ b/src/transport/http_response_guard.h
@@ -1,6 +1,6 @@
 /// Strict check of the responses that evhttp reads on a client's connection.
-/// evhttp accepts any number as a status and does not bound the line with the
-/// size of a chunk.
+/// evhttp accepts any number as a status, any bytes as a field's name and any
+/// number of informational responses.
 #ifndef HAWTHORNSEAM_TRANSPORT_HTTP_RESPONSE_GUARD_H
 #define HAWTHORNSEAM_TRANSPORT_HTTP_RESPONSE_GUARD_H
 
