Refuse requests whose version is not HTTP/1.0 or HTTP/1.1

What a caller could do: send line ends within the version, as in "POST / H", an empty line and "1.1", and behind it fields that are refused elsewhere, such as a length with a blank before its colon. The request was run with a body that another implementation would not read.

Cause: http_parser without its strict mode does not compare the letters of the version, and the check of the bytes looked only for two spaces and control bytes in a request line. It took the line ends for the end of the head and checked nothing behind them. Found by a fuzz target that compares the two, written for responses.

Evidence: on the commit before, http_strict_test failed on "other protocol" and "fields behind line ends in the version": the requests were handled. New rows on chunks and trailers of requests passed; they are refused since the same check reads responses.

Why this works: request lines and status lines share the check of the version, byte by byte; a request line ends right behind it.

Measured: http_strict_test, http_test and http_upload_test pass under the sanitizers.

--- a/src/transport/http_message_check.c
+++ b/src/transport/http_message_check.c
@@ -8,7 +8,8 @@
 #include <strings.h>
 
 /// Offsets in a status line, "HTTP/1.1 200 OK": of the minor version, of the
-/// first digit of the status, and behind its last one.
+/// first digit of the status, and behind its last one. That of the version
+/// holds in any version.
 #define VERSION_OFFSET 7
 #define STATUS_OFFSET 9
 #define STATUS_END 12
@@ -76,29 +77,46 @@
   return check->status >= 100 && check->status < 200;
 }
 
-/// Handles a byte of a status line: HTTP/1.0 or HTTP/1.1, a space, the status,
-/// and a space before the reason, which may be missing.
+/// Handles a byte of a version: HTTP/1.0 or HTTP/1.1.
 static bool
-check_status_line (struct http_message_check *check, unsigned char c)
+check_version (struct http_message_check *check, size_t offset,
+               unsigned char c)
 {
-  size_t offset = check->first_size;
   if (offset < VERSION_OFFSET)
     return c == "HTTP/1."[offset];
-  if (offset == VERSION_OFFSET)
-    {
-      check->minor = (unsigned)(c - '0');
-      return c == '0' || c == '1';
-    }
+  check->minor = (unsigned)(c - '0');
+  return offset == VERSION_OFFSET && (c == '0' || c == '1');
+}
+
+/// Handles a byte of a status line: a version, a space, the status, and a
+/// space before the reason, which may be missing.
+static bool
+check_status_line (struct http_message_check *check, unsigned char c)
+{
+  size_t offset = check->first_size;
+  if (offset <= VERSION_OFFSET)
+    return check_version (check, offset, c);
   if (offset < STATUS_OFFSET || offset == STATUS_END)
     return c == ' ';
   if (offset > STATUS_END)
-    return true;
+    return !is_control (c);
   check->status = 10 * check->status + (unsigned)(c - '0');
   if (offset == STATUS_OFFSET)
     return c >= '1' && c <= '5';
   return c >= '0' && c <= '9' && check->status != SWITCHING_PROTOCOLS;
 }
 
+/// Handles a byte of a request line: two spaces, the version behind them.
+static bool
+check_request_line (struct http_message_check *check, unsigned char c)
+{
+  if (c == ' ')
+    return ++check->spaces <= 2;
+  if (check->spaces < 2)
+    return !is_control (c);
+  return check_version (check, check->version_size++, c);
+}
+
 /// Handles a byte of the first line.
 static bool
 check_first_line (struct http_message_check *check, unsigned char c)
@@ -107,13 +125,13 @@
   if (c == '\r')
     {
       check->state = HTTP_MESSAGE_CR;
-      return request ? check->spaces == 2 : check->first_size >= STATUS_END;
+      return request ? check->version_size == VERSION_OFFSET + 1
+                     : check->first_size >= STATUS_END;
     }
-  if (!request && !check_status_line (check, c))
-    return false;
-  check->spaces += c == ' ';
+  bool valid
+      = request ? check_request_line (check, c) : check_status_line (check, c);
   check->first_size++;
-  return !is_control (c);
+  return valid;
 }
 
 /// Handles a byte of a field's name.
@@ -378,8 +396,9 @@
   return true;
 }
 
-static bool
-has_strict_host (const struct http_head *head, const http_parser *parser)
+bool
+http_request_has_strict_host (const struct http_head *head,
+                              const http_parser *parser)
 {
   const char *host = NULL;
   size_t count = 0;
@@ -394,11 +413,3 @@
     return parser->http_minor == 0;
   return count == 1 && strpbrk (host, " \t,/\\@?#") == NULL;
 }
-
-bool
-http_request_head_is_strict (const struct http_head *head,
-                             const http_parser *parser)
-{
-  return parser->http_major == 1 && parser->http_minor <= 1
-         && has_strict_host (head, parser);
-}
--- a/src/transport/http_message_check.h
+++ b/src/transport/http_message_check.h
@@ -49,10 +49,11 @@
   enum http_parser_type type;
   bool no_body; ///< the response to the current request has no body (HEAD)
   enum http_message_state state;
-  size_t first_size; ///< bytes of the first line so far
-  unsigned spaces;   ///< in the first line
-  unsigned minor;    ///< version of a response: HTTP/1.minor
-  unsigned status;   ///< of a response, as far as it has been read
+  size_t first_size;   ///< bytes of the first line so far
+  unsigned spaces;     ///< in a request line
+  size_t version_size; ///< bytes of the version in a request line so far
+  unsigned minor;      ///< of the version: HTTP/1.minor
+  unsigned status;     ///< of a response, as far as it has been read
   unsigned informational_count;
   size_t name_size;  ///< bytes of the current field's name so far
   unsigned framing;  ///< fields that frame the body and have this name
@@ -81,9 +82,8 @@
 /// @return true if a response with this status never has a body
 bool http_status_has_no_body (unsigned status);
 
-/// Checks what the bytes of a request's head do not show by themselves.
-/// @return false when its version is not supported or its host is ambiguous
-bool http_request_head_is_strict (const struct http_head *head,
-                                  const http_parser *parser);
+/// @return false when the host of a request is missing or ambiguous
+bool http_request_has_strict_host (const struct http_head *head,
+                                   const http_parser *parser);
 
 #endif
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -173,7 +173,7 @@
   stream->head_bytes = 0;  /* from here on those of the trailer */
   stream->in_value = true; /* the next field starts a trailer */
   if (parser->type == HTTP_REQUEST
-      && !http_request_head_is_strict (head, parser))
+      && !http_request_has_strict_host (head, parser))
     return -1;
   head->method = (enum http_method)parser->method;
   head->status = parser->status_code;
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -31,6 +31,10 @@
     { "two spaces in the request line", "GET  / HTTP/1.1\r\n" HOST "\r\n" },
     { "tab in the request line", "GET\t/ HTTP/1.1\r\n" HOST "\r\n" },
     { "HTTP/2.0", "GET / HTTP/2.0\r\n" HOST "\r\n" },
+    { "HTTP/1.2", "GET / HTTP/1.2\r\n" HOST "\r\n" },
+    { "other protocol", "GET / HXXP/1.1\r\n" HOST "\r\n" },
+    { "fields behind line ends in the version",
+      "POST / H\r\n\r\n1.1\r\n" HOST "Content-Length : 3\r\n\r\nabc" },
     { "HTTP/0.9", "GET /\r\n\r\n" },
     { "unknown method", "G@T / HTTP/1.1\r\n" HOST "\r\n" },
     { "tunnel", "CONNECT h:80 HTTP/1.1\r\n" HOST "\r\n" },
@@ -68,6 +72,18 @@
     { "chunk size that is no number",
       "POST / HTTP/1.1\r\n" HOST
       "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n" },
+    { "chunk longer than its size",
+      "POST / HTTP/1.1\r\n" HOST
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabcde0\r\n\r\n" },
+    { "line feed in a chunk extension",
+      "POST / HTTP/1.1\r\n" HOST
+      "Transfer-Encoding: chunked\r\n\r\n3;a\nb\r\nabc\r\n0\r\n\r\n" },
+    { "blank in a trailer name",
+      "POST / HTTP/1.1\r\n" HOST
+      "Transfer-Encoding: chunked\r\n\r\n0\r\nA B: c\r\n\r\n" },
+    { "length in a trailer",
+      "POST / HTTP/1.1\r\n" HOST
+      "Transfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 3\r\n\r\n" },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
