Refuse messages that the parser frames differently from the check

What a caller could get: a body that was not the target's. A response with "Transfer-Encoding: chunked" and a later field whose name begins like that one's, such as Transfer-Encoding-A, was read up to the close of its connection and passed on with the sizes of its chunks in its body.

Cause: http_parser forgets the coding as soon as the bytes of another name match the whole of Transfer-Encoding, and looks at the rest of the name only then. Found by http_message_fuzz within a minute.

Why this works: at the end of a head, http_stream compares the coding and length that the parser will follow with those that the check has read, and refuses the message where they differ. Whatever else the parser overlooks cannot frame a body either.

The fuzz target feeds messages byte by byte to the check and the parser: where both accept a message, they must see the same head and the same end.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -157,6 +157,18 @@
   return append_text (stream, data, size, new_value) ? 0 : 1;
 }
 
+/// @return true if the parser frames the body as the check does. It overlooks
+///         a coding behind which a field's name begins like the coding's.
+static bool
+has_checked_framing (const struct http_stream *stream)
+{
+  const struct http_head *head = stream->head;
+  const struct http_message_check *check = &stream->check;
+  return head->chunked == check->chunked
+         && head->has_length == check->has_length
+         && head->length == check->length;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -189,6 +201,8 @@
     }
   bool no_body
       = stream->check.no_body || http_status_has_no_body (head->status);
+  if (!has_checked_framing (stream))
+    return -1;
   stream->ops->head (stream, head); /* may free the head */
   return no_body ? 1 : 0;
 }
--- a/test/unit/http_strict_test.c
+++ b/test/unit/http_strict_test.c
@@ -209,6 +209,9 @@
     { "length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
     { "HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nabc" },
+    { "coding that the parser overlooks",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+      "Transfer-Encoding-A: b\r\n\r\n3\r\nabc\r\n0\r\n\r\n" },
     { "informational responses without end",
       "HTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\n"
       "HTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\nHTTP/1.1 100 A\r\n\r\n"
