--- a/src/transport/http_message_check.c
+++ b/src/transport/http_message_check.c
@@ -23,7 +23,7 @@
 /// Decimal digits of a length that always fit into 63 bits.
 #define LENGTH_DIGITS_MAX 18
 
-/// The fields that frame a body.
+/// The fields that frame a body, as bits.
 enum framing
 {
   FRAMING_LENGTH = 1,
@@ -141,7 +141,7 @@
   if (check->state == HTTP_MESSAGE_FIELD)
     {
       check->name_size = 0;
-      check->framing = FRAMING_LENGTH | FRAMING_CODING;
+      check->framing_matches = FRAMING_LENGTH | FRAMING_CODING;
     }
   check->state = HTTP_MESSAGE_NAME;
   for (size_t i = 0; i < sizeof framing_fields / sizeof framing_fields[0]; i++)
@@ -150,7 +150,7 @@
       char expected = c == ':' ? '\0' : (char)(c | 0x20);
       if (check->name_size > strlen (name)
           || name[check->name_size] != expected)
-        check->framing &= ~(unsigned)framing_fields[i].framing;
+        check->framing_matches &= ~(unsigned)framing_fields[i].framing;
     }
   check->name_size++;
   if (c != ':')
@@ -189,13 +189,13 @@
 static bool
 check_field (struct http_message_check *check)
 {
-  if (check->framing == 0)
+  if (check->framing_matches == 0)
     return true;
   if (check->in_trailer || check->value_size >= sizeof check->value)
     return false;
   check->value[check->value_size] = '\0';
-  return check->framing == FRAMING_LENGTH ? read_length (check)
-                                          : read_coding (check);
+  return check->framing_matches == FRAMING_LENGTH ? read_length (check)
+                                                  : read_coding (check);
 }
 
 /// Handles a byte of a field's value.
@@ -207,7 +207,7 @@
       check->state = HTTP_MESSAGE_CR;
       return check_field (check);
     }
-  if (check->framing != 0 && check->value_size < sizeof check->value)
+  if (check->framing_matches != 0 && check->value_size < sizeof check->value)
     check->value[check->value_size++] = (char)c;
   return c == '\t' || !is_control (c);
 }
--- a/src/transport/http_message_check.h
+++ b/src/transport/http_message_check.h
@@ -55,9 +55,10 @@
   unsigned minor;      ///< of the version: HTTP/1.minor
   unsigned status;     ///< of a response, as far as it has been read
   unsigned informational_count;
-  size_t name_size;  ///< bytes of the current field's name so far
-  unsigned framing;  ///< fields that frame the body and have this name
-  size_t value_size; ///< bytes of that field's value so far
+  size_t name_size;         ///< bytes of the current field's name so far
+  unsigned framing_matches; ///< fields that frame a body and whose names begin
+                            ///< like the current name; bits of enum framing
+  size_t value_size;        ///< bytes of that field's value so far
   char value[HTTP_FRAMING_VALUE_MAX];
   bool has_length; ///< Content-Length is present
   uint64_t length;
