--- a/test/functional/endless_responses_test.sh
+++ b/test/functional/endless_responses_test.sh
@@ -29,12 +29,12 @@
 
 # Connections to the targets on which a response without end is being read. Ordinary
 # responses may leave connections open.
-endless() { ss_connections=$(($(count '^endless') - $(count '^closed endless'))); echo $ss_connections; }
+endless() { echo $(($(count '^endless') - $(count '^closed endless'))); }
 none_endless() { report_all; [ "$(endless)" = 0 ]; }
 all_run() { [ "$(count '^endless')" -ge "$1" ]; }
 
-# read_fast PATH, read_slowly PATH, read_nothing PATH: a caller. The first two print the
-# path and the exit code of curl: 18 and 56 tell of a cut, 28 of curl's own time limit.
+# caller PATH [OPTION...]: prints the status, the exit code of curl (18 and 56 tell of a
+# cut) and the path.
 caller() {
   local path=$1 status
   shift
@@ -43,6 +43,7 @@
     "http://127.0.0.1:$(port 0 0)$path")
   echo "$status $? $path"
 }
+# read_fast PATH, read_slowly PATH, read_nothing PATH: callers of a response without end.
 read_fast() { caller "$1" >>"$RUN/callers"; }
 read_slowly() { caller "$1" --limit-rate 20k >>"$RUN/callers"; }
 read_nothing() {
