Log the store's era, and count requests passed on for callers that left

CONFIG: the store client reads the header in which the store states its era. store_era and store_restored say when it was learned or rose; the gauges store_era, view_revision and view_checked_ms_ago show what a node compares with it. config_older says that a configuration was ignored for its revision, and counts it.

GONE: entry_sent_abandoned and run_abandoned count requests that are passed on although the kernel has the close of their connection; http_cancelled_unsent counts exchanges that are cancelled before the other machine has acknowledged the request.

Nothing decides anything else than before.

--- a/src/protocol/store_api.h
+++ b/src/protocol/store_api.h
@@ -60,6 +60,9 @@
 /// replies, for one kind of store.
 struct store_codec
 {
+  /// Response header that states the store's era: a number that rises each
+  /// time that the store is restored from an older copy. NULL: it states none.
+  const char *era_header;
   /// @param data   value to write; the request may point to it
   /// @param arena  talloc context that owns a body that has to be built
   /// @return STATUS_INVALID for a call that the store does not have
--- a/src/sidecar/sidecar_admin.c
+++ b/src/sidecar/sidecar_admin.c
@@ -3,7 +3,9 @@
 #include "sidecar/sidecar_admission.h"
 #include "sidecar/sidecar_explain.h"
 #include "sidecar/sidecar_quota.h"
+#include "sidecar/sidecar_store.h"
 
+#include "base/clock.h"
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "protocol/explain_query.h"
@@ -97,6 +99,10 @@
   add_gauge (text, "config_version",
              sidecar->config == NULL ? 0 : sidecar->config->version);
   add_gauge (text, "store_away", sidecar_store_is_unreachable (sidecar));
+  add_gauge (text, "store_era", sidecar->store_client.era);
+  add_gauge (text, "view_revision", sidecar->store->as_of);
+  add_gauge (text, "view_checked_ms_ago",
+             clock_monotonic_ms () - sidecar->store->view_checked_ms);
   add_gauge (text, "gate_running", sidecar->admission.running);
   add_gauge (text, "gate_waiting", sidecar->admission.queued);
   add_gauge (text, "gate_service_us", sidecar->admission.mean_us);
--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -47,6 +47,10 @@
 static struct counter lost = COUNTER (
     "run_lost", "requests whose connection to the own target was lost");
 
+static struct counter run_abandoned = COUNTER (
+    "run_abandoned",
+    "requests passed to the own target after their node had closed the "
+    "connection");
 static struct counter malformed_loads = COUNTER (
     "run_load_malformed", "load headers of the own target that were ignored");
 
@@ -465,6 +469,7 @@
       end_request (inbound, false);
       return;
     }
+  counter_add (&run_abandoned, http_request_is_abandoned (inbound->request));
   uint64_t left_ms
       = inbound->deadline_ms > now ? inbound->deadline_ms - now : 1;
   struct evbuffer *bytes = build_request (inbound, left_ms);
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -19,6 +19,12 @@
 static struct counter malformed_values = COUNTER (
     "store_entries_malformed", "entries and records that cannot be read");
 
+static struct counter older_configs
+    = COUNTER ("store_configs_older",
+               "configurations ignored because a later revision is in force");
+
+static struct log_rate_limit older_config_log_limit = { .per_second = 1 };
+
 static void
 apply_config (struct sidecar *sidecar, const struct store_key *key)
 {
@@ -26,7 +32,19 @@
   /* The same configuration arrives again with a full read or from another
      relay, and parsing a large one takes a small VM tens of milliseconds. */
   if (sidecar->config != NULL && key->revision <= sidecar->config_revision)
-    return;
+    {
+      if (key->revision < sidecar->config_revision)
+        {
+          counter_add (&older_configs, 1);
+          log_rate_limited (&older_config_log_limit, LOG_LEVEL_INFO,
+                            "config_older",
+                            "revision=%" PRIu64 " in_force_revision=%" PRIu64
+                            " store_era=%" PRIu64,
+                            key->revision, sidecar->config_revision,
+                            sidecar->store_client.era);
+        }
+      return;
+    }
   if (sidecar->adapter->read_config (key->data, key->size, &config)
       != STATUS_OK)
     {
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -42,6 +42,9 @@
     = COUNTER ("entry_cross_zone", "offers to nodes of other zones");
 static struct counter abandoned
     = COUNTER ("entry_abandoned", "requests whose caller left");
+static struct counter sent_abandoned = COUNTER (
+    "entry_sent_abandoned",
+    "requests sent to a node after their caller had closed the connection");
 static struct counter unauthorized = COUNTER (
     "entry_unauthorized", "requests refused because of their API key");
 static struct counter over_quota = COUNTER (
@@ -418,6 +421,7 @@
       return;
     }
   struct directory_record *record = &sidecar->directory.records[node];
+  counter_add (&sent_abandoned, http_request_is_abandoned (outbound->request));
   reset_response (outbound);
   outbound->node = node;
   outbound->node_serial = record->serial;
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -18,6 +18,10 @@
 
 static struct counter opened
     = COUNTER ("http_connections_opened", "connections opened");
+static struct counter cancelled_unsent
+    = COUNTER ("http_cancelled_unsent",
+               "exchanges cancelled before the server's machine had "
+               "acknowledged the request");
 static struct counter mismatched = COUNTER (
     "http_answers_foreign", "answers dropped because they name another id");
 static struct counter late_copies = COUNTER (
@@ -389,6 +393,16 @@
   return exchange;
 }
 
+/// @return true when bytes of the request are still to be sent, or to be
+///         acknowledged by the server's machine
+static bool
+has_unsent_bytes (const struct http_connection *connection)
+{
+  const struct http_stream *stream = connection->stream;
+  return evbuffer_get_length (bufferevent_get_output (stream->bev)) > 0
+         || http_socket_unsent (bufferevent_getfd (stream->bev)) > 0;
+}
+
 void
 http_exchange_cancel (struct http_exchange *exchange)
 {
@@ -398,6 +412,7 @@
   if (connection == NULL)
     return;
   connection->exchange = NULL;
+  counter_add (&cancelled_unsent, has_unsent_bytes (connection));
   http_pool_close_connection (connection);
 }
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -870,6 +870,12 @@
   request->blocks_next = true;
 }
 
+bool
+http_request_is_abandoned (const struct http_request *request)
+{
+  return http_socket_is_closed_by_peer (socket_of (request->connection));
+}
+
 bool
 http_request_is_held (const struct http_request *request)
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -177,6 +177,10 @@
 /// @return false if a part was sent, or the response is complete
 bool http_reply_retract (struct http_request *request);
 
+/// @return true when the caller has closed the connection or its side of it,
+///         although the server may not have read that far
+bool http_request_is_abandoned (const struct http_request *request);
+
 /// @return true when a part of the response may have been sent
 bool http_reply_is_begun (const struct http_request *request);
 
--- a/src/transport/http_socket.c
+++ b/src/transport/http_socket.c
@@ -1,4 +1,5 @@
 /// Stateless; the caller owns the watches.
+#define _GNU_SOURCE /* POLLRDHUP */
 #include "transport/http_socket.h"
 
 #include "base/counter.h"
@@ -6,6 +7,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -51,6 +53,14 @@
   return queue_size (fd, SIOCINQ);
 }
 
+bool
+http_socket_is_closed_by_peer (evutil_socket_t fd)
+{
+  struct pollfd state = { .fd = fd, .events = POLLRDHUP };
+  return poll (&state, 1, 0) > 0
+         && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool
 http_peer_watch_is_lost (struct http_peer_watch *watch, evutil_socket_t fd,
                          uint64_t now_ms)
--- a/src/transport/http_socket.h
+++ b/src/transport/http_socket.h
@@ -14,6 +14,10 @@
 /// @return bytes that the kernel has received and that were not read yet
 size_t http_socket_unread (evutil_socket_t fd);
 
+/// @return true when the peer has closed its side or reset the connection,
+///         even if bytes that it sent before are still unread
+bool http_socket_is_closed_by_peer (evutil_socket_t fd);
+
 /// Tells a peer that has vanished from one that does not read. Both leave
 /// bytes unsent, but only the latter acknowledges what is sent, and the probes
 /// of its closed window. TCP_USER_TIMEOUT ends the connections of both.
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -11,6 +11,8 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -42,6 +44,8 @@
     "store_calls_unavailable", "Calls that certainly had no effect.");
 static struct counter calls_unknown
     = COUNTER ("store_calls_unknown", "Calls whose effect is unknown.");
+static struct counter restores = COUNTER (
+    "store_restores", "Times that the store came back from an older copy.");
 static struct counter connections_replaced
     = COUNTER ("store_connections_replaced",
                "Connections closed because they stopped answering.");
@@ -148,6 +152,25 @@
   connection->http = NULL;
 }
 
+/// Keeps the newest era that the store has stated.
+static void
+note_era (struct store_client *client, struct evhttp_request *request)
+{
+  const char *name = client->codec->era_header;
+  const char *text = name == NULL
+                         ? NULL
+                         : evhttp_find_header (
+                             evhttp_request_get_input_headers (request), name);
+  uint64_t era = text == NULL ? 0 : strtoull (text, NULL, 10);
+  if (era <= client->era)
+    return;
+  log_event (client->era == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
+             client->era == 0 ? "store_era" : "store_restored",
+             "era=%" PRIu64 " before=%" PRIu64, era, client->era);
+  counter_add (&restores, client->era != 0);
+  client->era = era;
+}
+
 static void
 on_response (struct evhttp_request *request, void *arg)
 {
@@ -164,6 +187,7 @@
   size_t size = evbuffer_get_length (input);
   const char *revision = evhttp_find_header (
       evhttp_request_get_input_headers (request), "X-Revision");
+  note_era (connection->client, request);
   void *arena = talloc_new (NULL);
   struct store_reply reply;
   connection->client->codec->parse_response (
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -52,6 +52,7 @@
   size_t waiting;                 ///< number of operations in both queues
   bool reachable; ///< the last finished call got a response other
                   ///< than STATUS_UNAVAILABLE
+  uint64_t era;   ///< newest era that the store has stated; 0: none
 };
 
 /// Store operations over this client; their `store` argument is a struct
