--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -73,7 +73,30 @@
 static uint64_t suppressed_revision;
 static uint64_t compacted_revision; ///< watches from below it get 410
 static uint64_t store_calls;
-static bool drop_response; ///< the response to the current call is dropped
+static bool drop_response;     ///< the response to the current call is dropped
+static uint64_t store_era = 1; ///< stated in all responses
+
+/// What the store comes back with when it is restored.
+struct store_copy
+{
+  struct item items[ITEMS_MAX];
+  size_t item_count;
+  struct lease leases[ITEMS_MAX];
+  uint64_t lease_count;
+  uint64_t revision;
+};
+
+static struct store_copy copy;
+
+static void
+reply_text (struct http_request *request, unsigned status, const char *text)
+{
+  char fields[96];
+  snprintf (fields, sizeof fields, "%sStore-Era: %llu\r\n",
+            text[0] == '\0' ? "" : "Content-Type: application/json\r\n",
+            (unsigned long long)store_era);
+  http_reply (request, status, fields, text, strlen (text));
+}
 
 static void
 reply_json (struct http_request *request, unsigned status, json_t *object)
@@ -85,8 +108,7 @@
       return;
     }
   char *text = json_dumps (object, JSON_COMPACT);
-  http_reply (request, status, "Content-Type: application/json\r\n", text,
-              strlen (text));
+  reply_text (request, status, text);
   free (text);
   json_decref (object);
 }
@@ -162,7 +184,7 @@
   if (json_array_size (events) == 0 && watch->after < suppressed_revision)
     {
       json_decref (events);
-      http_reply (request, 410, NULL, "", 0);
+      reply_text (request, 410, "");
       return;
     }
   reply_json (request, 200,
@@ -211,10 +233,10 @@
                 query_value (request->arena, target, "Prefix"));
       watch->after
           = strtoull (query_value (request->arena, target, "after"), NULL, 10);
-      if (watch->after < compacted_revision)
+      if (watch->after < compacted_revision || watch->after > revision)
         {
           watch->request = NULL;
-          http_reply (request, 410, NULL, "", 0);
+          reply_text (request, 410, "");
           return;
         }
       evtimer_assign (&watch->timer, base, on_watch_timer, watch);
@@ -224,7 +246,7 @@
       answer_watch (watch, false);
       return;
     }
-  http_reply (request, 429, NULL, "", 0);
+  reply_text (request, 429, "");
 }
 
 static int
@@ -374,7 +396,7 @@
   else if (strncmp (target, "/api/kv-keep/", 13) == 0)
     answer_keepalive (request);
   else
-    http_reply (request, 404, NULL, "", 0);
+    reply_text (request, 404, "");
   json_decref (body);
 }
 
@@ -421,7 +443,7 @@
   bool is_watch = strncmp (request->head->target, "/api/kv-watch", 13) == 0;
   store_calls++;
   if (store_faults.unavailable)
-    http_reply (request, 503, NULL, "", 0);
+    reply_text (request, 503, "");
   else if (store_faults.unresponsive)
     return;
   else if (!is_watch && store_faults.lost_response_permille > 0
@@ -509,6 +531,79 @@
   abort_watches ();
 }
 
+static void
+free_items (struct item *list, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      free (list[i].key);
+      free (list[i].value);
+    }
+}
+
+static void
+copy_items (struct item *to, const struct item *from, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      to[i] = from[i];
+      to[i].key = strdup (from[i].key);
+      to[i].value = from[i].value == NULL ? NULL : strdup (from[i].value);
+    }
+}
+
+/// Takes the copy that the store can be restored from.
+static inline void
+take_copy (void)
+{
+  free_items (copy.items, copy.item_count);
+  copy_items (copy.items, items, item_count);
+  copy.item_count = item_count;
+  copy.revision = revision;
+  copy.lease_count = lease_count;
+  memcpy (copy.leases, leases, sizeof leases);
+}
+
+/// Restores the store from its copy: what was written since is gone, leases
+/// too, and revisions and ids of leases are given out again. Leases of the
+/// copy start anew.
+static inline void
+restore_copy (void)
+{
+  abort_watches ();
+  free_items (items, item_count);
+  memset (items, 0, sizeof items);
+  copy_items (items, copy.items, copy.item_count);
+  item_count = copy.item_count;
+  revision = copy.revision;
+  lease_count = copy.lease_count;
+  memcpy (leases, copy.leases, sizeof leases);
+  for (size_t i = 0; i < ITEMS_MAX; i++)
+    leases[i].ends_ms = clock_monotonic_ms () + leases[i].ttl_ms;
+  if (compacted_revision > revision)
+    compacted_revision = revision;
+  if (suppressed_revision > revision)
+    suppressed_revision = revision;
+  store_era++;
+}
+
+/// Restores the store from its copy; then the operator writes again what it
+/// had written since.
+static inline void
+restore_and_rewrite (void)
+{
+  static struct item lost[ITEMS_MAX];
+  size_t count = 0;
+  for (size_t i = 0; i < item_count; i++)
+    if (items[i].revision > copy.revision
+        && strncmp (items[i].key, "op/", 3) == 0)
+      copy_items (&lost[count++], &items[i], 1);
+  restore_copy ();
+  for (size_t i = 0; i < count; i++)
+    set_item (lost[i].key, lost[i].value, 0);
+  free_items (lost, count);
+}
+
 static const struct http_server_limits standin_limits
     = { .head_bytes = 65536,
         .body_bytes = 4 * 1024 * 1024,
