Order the store's revisions across its restores from older copies

Callers got 404, or the old service's response, for a version that the store had acknowledged, on every node until the next version came.

Cause: all that a node knows of the store was ordered by the revision alone. A store that comes back from an older copy gives revisions out again, so a version that is written after its return is older than what the nodes have, or lies before the revision from which they watch on. The class: state of an outside system compared across its incarnations by a counter that only has a meaning within one. The same comparison was made for entries, records and statuses of moves, orders, evacuations, views of relays and of starting nodes, conditional writes and leases.

Change: the store client joins the era that the store states to each revision (store_revision), so that a later era is greater in every comparison, also between nodes. A watch from an earlier era, or a write that expects one, is refused locally; a response of an earlier era, and a write that was sent before the restore was seen, count as unknown. On a restore a node takes a new lease, writes its entry and its target's leave again and reads everything; relays and followers tell each other. A move keeps to what it has reached: an order that is written again is the same order, an earlier step in the copy is overwritten by the driver.

--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,7 @@
   shed_cost.c \
   stop_plan.c \
   store_pace.c \
+  store_revision.c \
   target_speed.c \
   transfer.c) \
   $(addprefix src/protocol/, \
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -15,6 +15,7 @@
 /// Expected revision of an unconditional write.
 #define STORE_ANY_REVISION UINT64_MAX
 
+/// All revisions are those of store_revision.h.
 struct store_key
 {
   const char *key;
@@ -29,7 +30,9 @@
 /// status: STATUS_OK; STATUS_CONFLICT (data and revision are the current ones,
 /// revision 0 when the key is absent); STATUS_NOT_FOUND; STATUS_TIMEOUT (a
 /// watch without a change); STATUS_TOO_OLD (a watch from a revision that the
-/// store's history no longer covers: read the whole range); STATUS_UNAVAILABLE
+/// store's history no longer covers, or of an earlier era: read the whole
+/// range; or a write that expects a revision of an earlier era, which has had
+/// no effect); STATUS_UNAVAILABLE
 /// (the operation had no effect); STATUS_UNKNOWN (sent, but without a usable
 /// reply: a write may have taken effect); STATUS_CORRUPT (the reply violates
 /// the protocol; a write may have taken effect).
--- a/src/protocol/move_record.h
+++ b/src/protocol/move_record.h
@@ -21,7 +21,8 @@
 {
   char service[DIRECTORY_NAME_MAX + 1];
   char to_version[DIRECTORY_NAME_MAX + 1];
-  uint64_t order; ///< store revision of the move order
+  uint64_t order; ///< number that the store gave the move order as a revision;
+                  ///< a restored store may give it to another one
   enum move_phase phase;
   uint32_t share_bp; ///< share of kinds not in the list, basis points
   size_t kind_count;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -294,6 +294,10 @@
                               const char *service);
 void sidecar_moves_tick (struct sidecar *sidecar);
 
+/// Called when the store was restored from an older copy: records and statuses
+/// that it lacks are written again.
+void sidecar_moves_restored (struct sidecar *sidecar);
+
 /* sidecar_crash.c */
 enum status sidecar_crash_start (struct sidecar *sidecar);
 void sidecar_crash_stop (struct sidecar *sidecar);
--- a/src/sidecar/sidecar_keys.c
+++ b/src/sidecar/sidecar_keys.c
@@ -59,6 +59,7 @@
       log_event (LOG_LEVEL_INFO, "config_ignored",
                  "version=%" PRIx64 " in_force=%" PRIx64, config->version,
                  sidecar->config->version);
+      sidecar->config_revision = key->revision;
       talloc_free (config);
       return;
     }
--- a/src/sidecar/sidecar_leave.c
+++ b/src/sidecar/sidecar_leave.c
@@ -421,6 +421,16 @@
                         notice->lease, text, size, on_written, notice);
 }
 
+void
+sidecar_leave_restored (struct sidecar *sidecar)
+{
+  for (size_t i = 0; i < LEAVE_TABLE_MAX; i++)
+    sidecar->leaves->table.notices[i].lease = 0;
+  /* The entry that records the leave is written a little later. */
+  if (sidecar->target.draining)
+    sidecar_leave_replicate (sidecar);
+}
+
 void
 sidecar_leave_tick (struct sidecar *sidecar)
 {
--- a/src/sidecar/sidecar_leave.h
+++ b/src/sidecar/sidecar_leave.h
@@ -32,6 +32,10 @@
 void sidecar_leave_on_record (struct sidecar *sidecar,
                               const struct store_key *key);
 
+/// Called when the store was restored from an older copy: the notices in it,
+/// and the own target's leave, may be lost. They are written again.
+void sidecar_leave_restored (struct sidecar *sidecar);
+
 /// Ends calls that took too long, and brings the store up to date.
 void sidecar_leave_tick (struct sidecar *sidecar);
 
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -45,11 +45,14 @@
   bool has_order;
   struct move_order order;
   uint64_t order_revision;
-  uint64_t order_ms; ///< when this node learned of it
+  uint64_t replaced_order; ///< number of the order before it, as a revision
+  uint64_t order_ms;       ///< when this node learned of it
   bool has_record;
   struct move_record record;
   uint64_t record_revision; ///< 0: none
-  bool tripped;             ///< this node's target failed too often
+  bool
+      record_lost; ///< the store was restored and has an earlier step, or none
+  bool tripped;    ///< this node's target failed too often
   struct move_rotation rotation;
   struct rollout_spread spread; ///< which targets of the new version are used
   /* Used by the driver and the standby driver only */
@@ -89,6 +92,13 @@
                               const struct move_record *record,
                               uint64_t revision);
 
+/// Takes over a record that the store has, unless the store was restored from
+/// a copy in which the move is behind what this node knows.
+/// @return false if the node keeps to its own record
+bool sidecar_move_merge_record (struct service_move *move,
+                                const struct move_record *record,
+                                uint64_t revision);
+
 /// @return the move of a service that this node follows, or NULL
 const struct service_move *sidecar_move_find (const struct sidecar *sidecar,
                                               const char *service);
--- a/src/sidecar/sidecar_move_driver.c
+++ b/src/sidecar/sidecar_move_driver.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "coordination/store_revision.h"
 #include "protocol/call_headers.h"
 
 #include <inttypes.h>
@@ -268,25 +269,53 @@
       struct move_record record;
       if (reply->data != NULL
           && move_record_read (reply->data, reply->size, &record) == STATUS_OK)
-        sidecar_move_set_record (move, &record, reply->revision);
+        sidecar_move_merge_record (move, &record, reply->revision);
       move->record_revision = reply->revision;
     }
 }
 
+/// @return the revision that a write expects of a key: that of an earlier era
+///         is lost, and the store states the one that it has
+static uint64_t
+expected_revision (const struct service_move *move, uint64_t known)
+{
+  uint64_t era = move->sidecar->store_client.era;
+  return store_revision_era (known) < era ? 0 : known;
+}
+
+/// Writes `writing_record` to the store.
 static void
-write_record (struct service_move *move, enum move_phase phase,
-              const char *reason, uint64_t now_ms)
+put_record (struct service_move *move, const char *reason, uint64_t now_ms)
 {
   struct sidecar *sidecar = move->sidecar;
+  const struct move_record *record = &move->writing_record;
   char key[KEY_MAX];
   char text[MOVE_RECORD_MAX];
+  size_t size = move_record_write (record, text);
+  snprintf (key, sizeof key, "%s" MOVE_KEY_PREFIX "%s",
+            sidecar->adapter->own_prefix, move->service);
+  log_event (LOG_LEVEL_INFO, "move_write",
+             "service=%s to=%s phase=%d share_bp=%u reason=\"%s\" "
+             "age_ms=%" PRIu64,
+             move->service, record->to_version, record->phase,
+             record->share_bp, reason, now_ms - move->order_ms);
+  move->writing = true;
+  store_client_ops.put (&sidecar->store_client, key,
+                        expected_revision (move, move->record_revision), 0,
+                        text, size, on_record_written, move);
+}
+
+static void
+write_record (struct service_move *move, enum move_phase phase,
+              const char *reason, uint64_t now_ms)
+{
   struct move_record *record = &move->writing_record;
   if (move->writing || now_ms < move->next_write_ms)
     return;
   memset (record, 0, sizeof *record);
   strcpy (record->service, move->service);
   strcpy (record->to_version, move->order.to_version);
-  record->order = move->order_revision;
+  record->order = store_revision_number (move->order_revision);
   record->phase = phase;
   if (phase == MOVE_PHASE_DONE)
     record->share_bp = 10000;
@@ -299,17 +328,18 @@
               = (struct move_share){ move->rollout->kinds[i].kind,
                                      move->rollout->kinds[i].share_bp };
     }
-  size_t size = move_record_write (record, text);
-  snprintf (key, sizeof key, "%s" MOVE_KEY_PREFIX "%s",
-            sidecar->adapter->own_prefix, move->service);
-  log_event (LOG_LEVEL_INFO, "move_write",
-             "service=%s to=%s phase=%d share_bp=%u reason=\"%s\" "
-             "age_ms=%" PRIu64,
-             move->service, record->to_version, phase, record->share_bp,
-             reason, now_ms - move->order_ms);
-  move->writing = true;
-  store_client_ops.put (&sidecar->store_client, key, move->record_revision, 0,
-                        text, size, on_record_written, move);
+  put_record (move, reason, now_ms);
+}
+
+/// Writes the record of a move again that the restored store lacks.
+static void
+restore_record (struct service_move *move, uint64_t now_ms)
+{
+  if (move->writing || now_ms < move->next_write_ms
+      || !sidecar_store_is_current (move->sidecar))
+    return;
+  move->writing_record = move->record;
+  put_record (move, "lost by the store", now_ms);
 }
 
 static void
@@ -356,7 +386,8 @@
   snprintf (key, sizeof key, "%s%s", sidecar->adapter->status_prefix,
             move->service);
   move->status_writing = true;
-  store_client_ops.put (&sidecar->store_client, key, move->status_revision, 0,
+  store_client_ops.put (&sidecar->store_client, key,
+                        expected_revision (move, move->status_revision), 0,
                         text, size, on_status_written, move);
 }
 
@@ -411,6 +442,8 @@
   bool current = sidecar_move_is_current (move);
   bool running = current && move->record.phase == MOVE_PHASE_RUNNING;
   unsigned rank = driver_rank (move);
+  if (current && move->record_lost && rank == 0)
+    restore_record (move, now_ms);
   if (running && move->tripped)
     write_record (move, MOVE_PHASE_ROLLED_BACK,
                   "target of this node failed too often", now_ms);
--- a/src/sidecar/sidecar_relay.c
+++ b/src/sidecar/sidecar_relay.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/store_revision.h"
 #include "protocol/call_headers.h"
 #include "protocol/view.h"
 #include "transport/timer.h"
@@ -61,8 +62,9 @@
   uint64_t asked_ms;              ///< when it was sent
   uint64_t asked_after;           ///< revision of the view then
   uint32_t view_age_ms;           ///< of the view that the relay sent
-  enum store_pace_relay contact;  ///< what the last relay asked did
-  struct evbuffer *response;      ///< body received so far
+  bool lagging; ///< its view is from before the last restore of the store
+  enum store_pace_relay contact; ///< what the last relay asked did
+  struct evbuffer *response;     ///< body received so far
   struct event timer;
   /* Last encoded response, reused for followers at the same revision. */
   char *cached;
@@ -168,6 +170,7 @@
   enum view_format format = sidecar_view_format (request);
   counter_add (&requests, 1);
   relay->last_poll_ms = now;
+  sidecar_store_note_era (sidecar, after);
   if (!is_relay_ready (sidecar, now))
     {
       refuse (request);
@@ -297,6 +300,10 @@
     contact = STORE_PACE_RELAY_REFUSING;
   bool returned = served && relay->contact != STORE_PACE_RELAY_SERVING;
   relay->contact = contact;
+  /* The relay will soon notice the restore, and holds the next request until
+     then. */
+  if (served && relay->lagging)
+    return;
   if (served)
     {
       store->caught_up = true;
@@ -347,7 +354,10 @@
     {
       if (as_of > store->as_of)
         sidecar_store_apply_changes (store, &view, as_of, full);
-      store->relist = false;
+      sidecar_store_note_era (sidecar, as_of);
+      store->relay->lagging
+          = store_revision_era (as_of) < sidecar->store_client.era;
+      store->relist = store->relist && store->relay->lagging;
     }
   mirror_finish (&view);
   return status == STATUS_OK;
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -5,9 +5,11 @@
 /// the cheapest call. The watch and writes of the entry resume once a
 /// keepalive was answered.
 #include "sidecar/sidecar_store.h"
+#include "sidecar/sidecar_leave.h"
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/store_revision.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -56,6 +58,10 @@
 /// first nodes of a mesh register.
 #define EARLY_READ_PAUSE_MS 300
 
+/// The nodes that register again after a restore of the store spread their
+/// writes over this time.
+#define RESTORE_SPREAD_MS 300
+
 static struct counter outages
     = COUNTER ("store_lost", "times that the store became unreachable");
 static struct counter relists
@@ -119,7 +125,9 @@
     {
       if (!responded)
         mark_unreachable (store, "range", reply);
-      store->next_watch_ms = clock_monotonic_ms () + RETRY_DELAY_MS;
+      store->next_watch_ms = clock_monotonic_ms ();
+      if (!reply->abandoned)
+        store->next_watch_ms += RETRY_DELAY_MS;
       return;
     }
   mark_reachable (store);
@@ -214,7 +222,9 @@
   struct sidecar_store *store = arg;
   bool responded = has_responded (store, reply);
   store->watching = false;
-  store->next_watch_ms = clock_monotonic_ms () + watch_pause_ms (store);
+  store->next_watch_ms = clock_monotonic_ms ();
+  if (!reply->abandoned)
+    store->next_watch_ms += watch_pause_ms (store);
   switch (reply->status)
     {
     case STATUS_OK:
@@ -231,7 +241,12 @@
     case STATUS_TOO_OLD:
       log_event (LOG_LEVEL_INFO, "store_history_lost",
                  "view_revision=%" PRIu64, store->as_of);
-      store->as_of = 0;
+      /* After a restore, followers keep to this node until it has read the
+         store again. */
+      if (store_revision_era (store->as_of)
+          == store->sidecar->store_client.era)
+        store->as_of = 0;
+      store->relist = true;
       store->next_watch_ms = 0;
       break;
     case STATUS_TIMEOUT:
@@ -296,6 +311,10 @@
       store->revision = reply->revision;
       store->next_write_ms = now;
       break;
+    case STATUS_TOO_OLD:
+      store->revision = 0;
+      store->next_write_ms = now;
+      break;
     case STATUS_NOT_FOUND:
       store->lease = 0;
       store->next_write_ms = now;
@@ -369,6 +388,41 @@
   sidecar->store->next_probe_ms = 0;
 }
 
+/// The store came back from an older copy. The entry of this node may be
+/// missing from it, and its lease may have ended or belong to another node.
+static void
+on_restored (void *arg)
+{
+  struct sidecar_store *store = arg;
+  struct sidecar *sidecar = store->sidecar;
+  uint64_t now = clock_monotonic_ms ();
+  log_event (LOG_LEVEL_WARNING, "store_view_outdated",
+             "view_era=%" PRIu64 " view_revision=%" PRIu64 " lease=%" PRIu64
+             " announced=%d",
+             store_revision_era (store->as_of),
+             store_revision_number (store->as_of), store->lease,
+             store->announced);
+  store_client_abandon (&sidecar->store_client);
+  store->lease = 0;
+  store->revision = 0;
+  store->announced = false;
+  store->relist = true;
+  store->view_checked_ms = 0;
+  store->next_watch_ms = now;
+  store->next_write_ms = now + rng_below (&sidecar->rng, RESTORE_SPREAD_MS);
+  sidecar_leave_restored (sidecar);
+  sidecar_moves_restored (sidecar);
+}
+
+void
+sidecar_store_note_era (struct sidecar *sidecar, uint64_t revision)
+{
+  if (store_revision_era (revision) <= sidecar->store_client.era)
+    return;
+  sidecar->store->renewed_ms = 0;
+  sidecar_store_probe_now (sidecar);
+}
+
 /// Renews the lease, or probes an unreachable store.
 static void
 renew (struct sidecar_store *store, uint64_t now_ms)
@@ -503,6 +557,7 @@
   snprintf (store->key, sizeof store->key, "%s" NODE_KEY_PREFIX "%s",
             sidecar->adapter->own_prefix, sidecar->settings.node);
   sidecar->store = store;
+  store_client_on_restore (&sidecar->store_client, on_restored, store);
   return sidecar_relay_start (sidecar);
 }
 
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -99,6 +99,11 @@
 /// Called when a relay has the store again that it lacked: probes it at once.
 void sidecar_store_probe_now (struct sidecar *sidecar);
 
+/// Renews the lease now if another node has seen the store in a later era; the
+/// response states the era.
+/// @param revision  of that node's view
+void sidecar_store_note_era (struct sidecar *sidecar, uint64_t revision);
+
 /// @return true when this node is one of the relays of its zone
 bool sidecar_relay_is_member (const struct sidecar *sidecar);
 
--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -3,6 +3,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "coordination/store_revision.h"
 #include "protocol/store_api.h"
 #include "transport/http_stream.h"
 
@@ -25,6 +26,8 @@
   struct store_client *client;
   struct store_connection *connection; ///< NULL while queued
   enum store_call call;
+  uint64_t revision; ///< that the call starts from or expects; 0: none
+  uint64_t era;      ///< newest known one when the operation was started
   struct store_http_request wire;
   uint64_t response_timeout_ms; ///< further timeout after that for the
                                 ///< connect; 0 once it runs
@@ -152,9 +155,10 @@
   connection->http = NULL;
 }
 
-/// Keeps the newest era that the store has stated.
-static void
-note_era (struct store_client *client, struct evhttp_request *request)
+/// @return the era that a response states, or the newest known one if it
+///         states none
+static uint64_t
+read_era (const struct store_client *client, struct evhttp_request *request)
 {
   const char *name = client->codec->era_header;
   const char *text = name == NULL
@@ -162,13 +166,74 @@
                          : evhttp_find_header (
                              evhttp_request_get_input_headers (request), name);
   uint64_t era = text == NULL ? 0 : strtoull (text, NULL, 10);
-  if (era <= client->era)
+  return era == 0 || era > STORE_ERA_MAX ? client->era : era;
+}
+
+/// Notes the era of a response. A later one than before shows that the store
+/// was restored.
+static void
+note_era (struct store_client *client, uint64_t era)
+{
+  uint64_t before = client->era;
+  if (era <= before)
     return;
-  log_event (client->era == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
-             client->era == 0 ? "store_era" : "store_restored",
-             "era=%" PRIu64 " before=%" PRIu64, era, client->era);
-  counter_add (&restores, client->era != 0);
   client->era = era;
+  log_event (before == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
+             before == 0 ? "store_era" : "store_restored",
+             "era=%" PRIu64 " before=%" PRIu64, era, before);
+  if (before == 0)
+    return;
+  counter_add (&restores, 1);
+  if (client->restored != NULL)
+    client->restored (client->restored_arg);
+}
+
+static bool
+has_start_revision (enum store_call call)
+{
+  return call == STORE_CALL_WATCH || call == STORE_CALL_WATCH_PREFIX;
+}
+
+static bool
+is_write (enum store_call call)
+{
+  return call == STORE_CALL_PUT || call == STORE_CALL_REMOVE
+         || call == STORE_CALL_LEASE_GRANT;
+}
+
+/// Gives the revisions of a reply the era of its response.
+static void
+add_era (enum store_call call, uint64_t era, struct store_reply *reply)
+{
+  struct store_key *keys = (struct store_key *)reply->keys; /* in the arena */
+  for (size_t i = 0; i < reply->key_count; i++)
+    keys[i].revision = store_revision_make (era, keys[i].revision);
+  if (reply->as_of != 0)
+    reply->as_of = store_revision_make (era, reply->as_of);
+  if (reply->revision != 0 && call != STORE_CALL_LEASE_GRANT)
+    reply->revision = store_revision_make (era, reply->revision);
+}
+
+/// Adapts a reply to what its response tells of the store's era.
+/// @param era  of the response
+static void
+settle_reply (const struct store_operation *operation, uint64_t era,
+              struct store_reply *reply)
+{
+  uint64_t newest = operation->client->era;
+  /* A response from before the restore, or a write that was sent before it:
+     what it was based on, or its effect, may be lost. */
+  bool unsettled = era < newest
+                   || (is_write (operation->call) && operation->era != 0
+                       && operation->era < newest);
+  if (unsettled)
+    *reply
+        = (struct store_reply){ .status = STATUS_UNKNOWN, .abandoned = true };
+  else if (has_start_revision (operation->call)
+           && store_revision_era (operation->revision) < newest)
+    *reply = (struct store_reply){ .status = STATUS_TOO_OLD };
+  else
+    add_era (operation->call, era, reply);
 }
 
 static void
@@ -187,12 +252,14 @@
   size_t size = evbuffer_get_length (input);
   const char *revision = evhttp_find_header (
       evhttp_request_get_input_headers (request), "X-Revision");
-  note_era (connection->client, request);
+  uint64_t era = read_era (connection->client, request);
+  note_era (connection->client, era);
   void *arena = talloc_new (NULL);
   struct store_reply reply;
   connection->client->codec->parse_response (
       operation->call, evhttp_request_get_response_code (request), revision,
       evbuffer_pullup (input, -1), size, arena, &reply);
+  settle_reply (operation, era, &reply);
   set_reachable (connection->client, reply.status != STATUS_UNAVAILABLE);
   if (http_response_guard_has_unread (&connection->guard))
     connection_close (connection);
@@ -356,6 +423,20 @@
   operation_fail (operation);
 }
 
+/// @return true if a call starts from a revision of an earlier era, or expects
+///         one: the store may have given its number out again
+static bool
+is_of_earlier_era (const struct store_client *client,
+                   const struct store_request *request)
+{
+  bool has_revision = has_start_revision (request->call)
+                      || request->call == STORE_CALL_PUT
+                      || request->call == STORE_CALL_REMOVE;
+  return has_revision && request->revision != STORE_ANY_REVISION
+         && request->revision != 0
+         && store_revision_era (request->revision) < client->era;
+}
+
 static void
 start_operation (struct store_client *client,
                  const struct store_request *request, const void *data,
@@ -366,14 +447,23 @@
   struct store_operation *operation
       = talloc_zero (NULL, struct store_operation);
   assert (operation != NULL);
-  *operation = (struct store_operation){
-    .client = client, .call = request->call, .done = done, .arg = arg
-  };
+  *operation = (struct store_operation){ .client = client,
+                                         .call = request->call,
+                                         .revision = request->revision,
+                                         .era = client->era,
+                                         .done = done,
+                                         .arg = arg };
   struct store_http_request *wire = &operation->wire;
-  operation->refused
-      = size > STORE_VALUE_MAX
-            ? STATUS_TOO_LARGE
-            : client->codec->encode (request, data, size, operation, wire);
+  struct store_request stated = *request;
+  if (stated.revision != STORE_ANY_REVISION)
+    stated.revision = store_revision_number (stated.revision);
+  if (size > STORE_VALUE_MAX)
+    operation->refused = STATUS_TOO_LARGE;
+  else if (is_of_earlier_era (client, request))
+    operation->refused = STATUS_TOO_OLD;
+  else
+    operation->refused
+        = client->codec->encode (&stated, data, size, operation, wire);
   if (operation->refused == STATUS_OK && wire->body == data && size > 0)
     wire->body = talloc_memdup (operation, data, size);
   if (client->waiting >= STORE_CLIENT_QUEUE_MAX)
@@ -521,6 +611,14 @@
   client->codec = codec;
 }
 
+void
+store_client_on_restore (struct store_client *client,
+                         void (*restored) (void *arg), void *arg)
+{
+  client->restored = restored;
+  client->restored_arg = arg;
+}
+
 void
 store_client_abandon (struct store_client *client)
 {
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -53,6 +53,8 @@
   bool reachable; ///< the last finished call got a response other
                   ///< than STATUS_UNAVAILABLE
   uint64_t era;   ///< newest era that the store has stated; 0: none
+  void (*restored) (void *arg); ///< see store_client_on_restore; may be NULL
+  void *restored_arg;
 };
 
 /// Store operations over this client; their `store` argument is a struct
@@ -72,6 +74,12 @@
 void store_client_set_codec (struct store_client *client,
                              const struct store_codec *codec);
 
+/// Sets a function that is called when a response shows that the store was
+/// restored from an older copy, before the operation's `done`. What this
+/// process has written or leased since that copy is lost.
+void store_client_on_restore (struct store_client *client,
+                              void (*restored) (void *arg), void *arg);
+
 /// Cancels the operations that have a connection and closes those connections.
 /// The `done` callbacks are called from the event loop, with STATUS_UNKNOWN or
 /// STATUS_UNAVAILABLE and `abandoned` set.
--- a/test/functional/store_restore_test.sh
+++ b/test/functional/store_restore_test.sh
@@ -76,6 +76,43 @@
 1 20 no 30 60
 ROWS
 
+# A move that has ended stays ended, wherever the copy was taken: its order, its last
+# step or its status may be lost. The operator writes a lost order again.
+value() { curl -s "$STORE/api/kv-range?Prefix=$1" | sed -nE 's/.*"Value":"([^"]*)".*/\1/p' | base64 -d; }
+phase_is() { [[ "$(value own/move/orders)" == *"\"phase\":$1,"* ]]; }
+status_is() { [[ "$(value status/rollout/orders)" == *"\"State\":\"$1\""* ]]; }
+put_order() {
+  curl -s -X POST "$STORE/control/put?op/rollout/orders" \
+    -d "{\"Service\":\"orders\",\"TargetVersion\":\"$1\",\"Duration\":\"15s\"}"
+}
+steps_back() { cat "$RUN"/s?.out | grep -c "event=move_write .*to=$1 phase=0 "; }
+ROUTED=orders
+while read -r to copied; do
+  put_others 3
+  report_all
+  [ "$copied" = order ] && curl -s -X POST "$STORE/control/copy"
+  put_order "$to"
+  [ "$copied" = record ] && curl -s -X POST "$STORE/control/copy"
+  wait_for "the move runs" 5 phase_is 0 || fail "the move to $to does not start"
+  wait_for "status running" 5 status_is running || fail "the move to $to is not told to run"
+  [ "$copied" = end ] && curl -s -X POST "$STORE/control/copy"
+  curl -s -X POST "$STORE/control/put?own/move/orders" -d "$(value own/move/orders \
+    | sed -E 's/"phase":0,"share_bp":[0-9]+/"phase":2,"share_bp":0/')"
+  wait_for "status rolled_back" 5 status_is rolled_back || fail "the move to $to does not end"
+  before=$(steps_back "$to")
+  curl -s -X POST "$STORE/control/restore"
+  [ "$copied" = order ] && { put_others 5; put_order "$to"; }
+  report_all
+  sleep 3
+  phase_is 2 || fail "move to $to, copy before its $copied: its record is $(value own/move/orders)"
+  status_is rolled_back || fail "move to $to, copy before its $copied: its status is $(value status/rollout/orders)"
+  expect "move to $to, copy before its $copied: it starts again" "$(steps_back "$to")" "$before"
+done <<'ROWS'
+v2 order
+v3 record
+v4 end
+ROWS
+
 # A leave that the store acknowledged, and lost, is known to the node's next process.
 report_all
 curl -s -X POST "$STORE/control/copy"
@@ -95,7 +132,7 @@
 sleep 8
 expect "entries after the time to live" "$(entries)" 3
 for i in 0 1 2; do
-  curl -s "http://127.0.0.1:$(port $i 5)/metrics" | grep -q '^hawthornseam_store_era 9$' \
+  curl -s "http://127.0.0.1:$(port $i 5)/metrics" | grep -q '^hawthornseam_store_era 12$' \
     || fail "node $i does not report the era of the store"
 done
 echo "passed"
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -208,6 +208,10 @@
 void soak_store_set_lossy (uint32_t permille);
 void soak_store_expire_leases (void);
 void soak_store_compact_history (void);
+
+/// Restores the store from a copy that is up to 4 s old; the operator writes
+/// again what it had written since.
+void soak_store_restore (struct soak *soak);
 uint64_t soak_store_calls (void);
 
 /// Writes the next version of the configuration to the store.
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -198,6 +198,14 @@
   soak_store_compact_history ();
 }
 
+/// At the end of the outage the store comes back from an older copy.
+static void
+end_store_restore (struct soak_node *node)
+{
+  soak_store_restore (node->soak);
+  soak_store_set_unavailable (false);
+}
+
 static void
 crash_target (struct soak_node *node, uint32_t duration_ms)
 {
@@ -287,6 +295,8 @@
   { "store-slow", false, true, 500, 4000, store_slow, end_store_slow },
   { "store-lossy", false, true, 500, 4000, store_lossy, end_store_lossy },
   { "store-forget", false, true, 0, 0, store_compact, NULL },
+  { "store-restore", false, true, 100, 3000, store_unavailable,
+    end_store_restore },
   { "crash", false, false, 200, 3000, crash_target, NULL },
   { "slow", false, false, 500, 4000, slow_responses, end_target_faults },
   { "shed", false, false, 500, 4000, shed_requests, end_target_faults },
--- a/test/soak/soak_store.c
+++ b/test/soak/soak_store.c
@@ -13,6 +13,9 @@
 #define VERSION_FIRST 10
 #define VERSION_STEP 3
 
+/// Interval of the copies that the store is restored from, in ticks of 100 ms.
+#define COPY_TICKS 40
+
 static struct http_server server;
 static struct event lease_tick;
 static uint64_t acknowledged_ms[VERSIONS_MAX];
@@ -30,6 +33,9 @@
 static void
 on_lease_tick (evutil_socket_t fd, short what, void *arg)
 {
+  static unsigned ticks;
+  if (ticks++ % COPY_TICKS == 0)
+    take_copy ();
   expire_leases (false);
 }
 
@@ -57,6 +63,7 @@
       free (items[i].key);
       free (items[i].value);
     }
+  free_items (copy.items, copy.item_count);
 }
 
 void
@@ -97,6 +104,14 @@
   compact_history ();
 }
 
+void
+soak_store_restore (struct soak *soak)
+{
+  soak_log (soak, "store restored from revision %llu at %llu",
+            (unsigned long long)copy.revision, (unsigned long long)revision);
+  restore_and_rewrite ();
+}
+
 uint64_t
 soak_store_calls (void)
 {
--- a/test/unit/store_client_test.c
+++ b/test/unit/store_client_test.c
@@ -1,4 +1,6 @@
 /// Runs the client against a small evhttp server in the same process.
+#include "coordination/store_revision.h"
+#include "protocol/store_api.h"
 #include "testing.h"
 #include "transport/store_client.h"
 
@@ -27,8 +29,11 @@
   enum server_mode mode;
   int requests;
   char last_path[256];
+  const char *era; ///< stated by the server, or NULL
+  int restores;    ///< that the client has reported
   struct store_client client;
   int results;
+  bool abandoned;
   enum status last_status;
   uint64_t revision;
   size_t keys;
@@ -60,6 +65,9 @@
   if (fixture->mode == MODE_ANSWER)
     evhttp_add_header (evhttp_request_get_output_headers (request),
                        "X-Revision", "42");
+  if (fixture->era != NULL)
+    evhttp_add_header (evhttp_request_get_output_headers (request), "X-Era",
+                       fixture->era);
   evhttp_send_reply (request, 200, NULL, body);
   evbuffer_free (body);
 }
@@ -70,6 +78,7 @@
   struct fixture *fixture = arg;
   fixture->results++;
   fixture->last_status = reply->status;
+  fixture->abandoned = reply->abandoned;
   fixture->revision = reply->revision;
   fixture->keys = reply->key_count;
   memset (fixture->data, 0, sizeof fixture->data);
@@ -236,6 +245,109 @@
   fixture_finish (&fixture);
 }
 
+static void
+on_restored (void *arg)
+{
+  struct fixture *fixture = arg;
+  fixture->restores++;
+}
+
+enum restore_call
+{
+  RESTORE_GET,
+  RESTORE_PUT,
+  RESTORE_WATCH
+};
+
+/// A store that is restored counts its revisions from an older one again.
+static void
+test_revisions_across_restores (void)
+{
+  static const struct
+  {
+    const char *era; ///< that the response states
+    enum restore_call call;
+    uint64_t expected_era; ///< of the revision that the call expects
+    enum status status;
+    uint64_t revision_era; ///< of the revision in the reply
+    int restores;          ///< so far
+    bool sent;
+  } rows[] = {
+    { "4", RESTORE_GET, 0, STATUS_OK, 4, 0, true },
+    { "4", RESTORE_PUT, 4, STATUS_OK, 4, 0, true },
+    { NULL, RESTORE_GET, 0, STATUS_OK, 4, 0, true },
+    { "5", RESTORE_GET, 0, STATUS_OK, 5, 1, true },
+    { "5", RESTORE_PUT, 4, STATUS_TOO_OLD, 0, 1, false },
+    { "5", RESTORE_WATCH, 4, STATUS_TOO_OLD, 0, 1, false },
+    { "5", RESTORE_PUT, 5, STATUS_OK, 5, 1, true },
+    /* what it expected or wrote may be lost */
+    { "6", RESTORE_PUT, 5, STATUS_UNKNOWN, 0, 2, true },
+    /* a response of before the restore */
+    { "5", RESTORE_GET, 0, STATUS_UNKNOWN, 0, 2, true },
+    { "5", RESTORE_PUT, 6, STATUS_UNKNOWN, 0, 2, true },
+    { "6", RESTORE_GET, 0, STATUS_OK, 6, 2, true },
+    /* no era */
+    { "x", RESTORE_GET, 0, STATUS_OK, 6, 2, true },
+    { "99999999999", RESTORE_GET, 0, STATUS_OK, 6, 2, true },
+  };
+  struct fixture fixture;
+  struct store_codec codec = store_api_codec;
+  codec.era_header = "X-Era";
+  fixture_init (&fixture, MODE_ANSWER);
+  store_client_set_codec (&fixture.client, &codec);
+  store_client_on_restore (&fixture.client, on_restored, &fixture);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      int requests = fixture.requests;
+      uint64_t expected = store_revision_make (rows[i].expected_era, 42);
+      fixture.era = rows[i].era;
+      fixture.results = 0;
+      if (rows[i].call == RESTORE_GET)
+        store_client_ops.get (&fixture.client, "k", on_done, &fixture);
+      else if (rows[i].call == RESTORE_PUT)
+        store_client_ops.put (&fixture.client, "k", expected, 0, "x", 1,
+                              on_done, &fixture);
+      else
+        store_client_ops.watch (&fixture.client, "k", expected, 100, on_done,
+                                &fixture);
+      run (&fixture, 1, 1000);
+      CU_ASSERT_EQUAL (fixture.last_status, rows[i].status);
+      CU_ASSERT_EQUAL (fixture.revision,
+                       rows[i].status == STATUS_OK
+                           ? store_revision_make (rows[i].revision_era, 42)
+                           : 0);
+      CU_ASSERT_EQUAL (fixture.abandoned, rows[i].status == STATUS_UNKNOWN);
+      CU_ASSERT_EQUAL (fixture.restores, rows[i].restores);
+      CU_ASSERT_EQUAL (fixture.requests - requests, rows[i].sent);
+      if (rows[i].sent && rows[i].call == RESTORE_PUT)
+        CU_ASSERT_STRING_EQUAL (fixture.last_path, "/kv/k?prev=42");
+    }
+  fixture_finish (&fixture);
+}
+
+static void
+test_order_of_revisions (void)
+{
+  static const struct
+  {
+    uint64_t era;
+    uint64_t number;
+  } rows[] = {
+    { 0, 1 }, { 0, 70 },
+    { 1, 1 }, { 1, STORE_REVISION_NUMBER_MAX },
+    { 2, 3 }, { STORE_ERA_MAX, STORE_REVISION_NUMBER_MAX },
+  };
+  uint64_t before = 0;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      uint64_t revision = store_revision_make (rows[i].era, rows[i].number);
+      CU_ASSERT (revision > before && revision <= INT64_MAX / 2);
+      CU_ASSERT_EQUAL (store_revision_era (revision), rows[i].era);
+      CU_ASSERT_EQUAL (store_revision_number (revision), rows[i].number);
+      before = revision;
+    }
+}
+
 static uint16_t standin_port;
 
 /// Runs one operation against the stand-in store and waits for its result.
@@ -312,6 +424,10 @@
   { "long polls use up the connections of calls",
     test_long_polls_do_not_hold_up_calls },
   { "the queue grows without bound", test_queue_is_bounded },
+  { "what a restored store states passes for older than what it lost",
+    test_revisions_across_restores },
+  { "a revision of a later era is not the greater one",
+    test_order_of_revisions },
 };
 
 /// With the port of a running stand-in store as argument, runs the cases that
