Notice that a client has left while its connection is not read

Cause, one of three of the class "the end of a connection is taken into account only in the order of its bytes": a connection whose input buffer is full, or whose body is paused, is not read, so the close stays in the kernel. Its pipelined requests are handed over one after the other, and targets work on for nobody.

A server's connections are left alone: its last bytes are to be read.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -469,9 +469,27 @@
   bufferevent_trigger (stream->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
+/// @return true when a client has closed its side, but its close is not read
+///         since reading has stopped. A server's bytes are read in any case.
+static bool
+has_unread_close (const struct http_stream *stream)
+{
+  bool stopped
+      = stream->paused || http_stream_unread (stream) >= INPUT_BYTES_MAX;
+  return stopped && stream->parser.type == HTTP_REQUEST
+         && http_socket_is_closed_by_peer (bufferevent_getfd (stream->bev));
+}
+
 void
 http_stream_check_peer (struct http_stream *stream, uint64_t now_ms)
 {
+  if (!stream->ended && has_unread_close (stream))
+    {
+      bufferevent_trigger_event (stream->bev,
+                                 BEV_EVENT_EOF | BEV_EVENT_READING,
+                                 BEV_OPT_DEFER_CALLBACKS);
+      return;
+    }
   if (stream->ended
       || !http_peer_watch_is_lost (&stream->peer_watch,
                                    bufferevent_getfd (stream->bev), now_ms))
--- a/src/transport/http_stream.h
+++ b/src/transport/http_stream.h
@@ -102,8 +102,9 @@
 void http_stream_pause (struct http_stream *stream);
 void http_stream_resume (struct http_stream *stream);
 
-/// Ends the connection as reset, from the event loop, when its peer has
-/// vanished. To be called several times a second while it is in use.
+/// Ends the connection, from the event loop, when its peer has vanished, or
+/// when a client has closed it while this side does not read. To be called
+/// several times a second while it is in use.
 void http_stream_check_peer (struct http_stream *stream, uint64_t now_ms);
 
 /// Parses no further message and drops what is buffered of the current one and
