Do not pass on a request whose connection is already closed

The second cause of requests that are sent on after their clients have left: a node that gets to read late (a busy or resumed process, a congested link) finds a request and the close behind it in the kernel. It handed the request over before it read the close. Whether the target got it depended on which of two events of the loop came first.

Change: before a request is sent to a node, first or again, also after it has waited for a quota's tokens, and before it is given to the target, the kernel is asked whether the connection was closed behind it. Reports of targets and messages between nodes are not affected: they count although their sender has ended.

--- a/src/sidecar/sidecar_inbound.c
+++ b/src/sidecar/sidecar_inbound.c
@@ -47,9 +47,9 @@
 static struct counter lost = COUNTER (
     "run_lost", "requests whose connection to the own target was lost");
 
-static struct counter run_abandoned = COUNTER (
-    "run_abandoned",
-    "requests passed to the own target after their node had closed the "
+static struct counter unsent_abandoned = COUNTER (
+    "run_unsent_abandoned",
+    "requests not passed to the own target: their node had closed the "
     "connection");
 static struct counter malformed_loads = COUNTER (
     "run_load_malformed", "load headers of the own target that were ignored");
@@ -461,6 +461,13 @@
                                    - offsetof (struct sidecar_inbound,
                                                ticket));
   uint64_t now = clock_monotonic_ms ();
+  if (http_request_is_abandoned (inbound->request))
+    {
+      counter_add (&unsent_abandoned, 1);
+      http_reply_abort (inbound->request);
+      end_request (inbound, false);
+      return;
+    }
   if (!cold_limit_take (&sidecar->target.cold, now))
     {
       refuse (sidecar, inbound->request, inbound->id, &inbound->hop,
@@ -469,7 +476,6 @@
       end_request (inbound, false);
       return;
     }
-  counter_add (&run_abandoned, http_request_is_abandoned (inbound->request));
   uint64_t left_ms
       = inbound->deadline_ms > now ? inbound->deadline_ms - now : 1;
   struct evbuffer *bytes = build_request (inbound, left_ms);
--- a/src/sidecar/sidecar_outbound.c
+++ b/src/sidecar/sidecar_outbound.c
@@ -42,9 +42,9 @@
     = COUNTER ("entry_cross_zone", "offers to nodes of other zones");
 static struct counter abandoned
     = COUNTER ("entry_abandoned", "requests whose caller left");
-static struct counter sent_abandoned = COUNTER (
-    "entry_sent_abandoned",
-    "requests sent to a node after their caller had closed the connection");
+static struct counter unsent_abandoned = COUNTER (
+    "entry_unsent_abandoned",
+    "requests not sent to a node: their caller had closed the connection");
 static struct counter unauthorized = COUNTER (
     "entry_unauthorized", "requests refused because of their API key");
 static struct counter over_quota = COUNTER (
@@ -396,6 +396,21 @@
     }
 }
 
+/// Ends a request whose caller has left.
+static void
+end_abandoned (struct sidecar_outbound *outbound)
+{
+  counter_add (&abandoned, 1);
+  log_end (outbound, &disconnect_log_limit, LOG_LEVEL_INFO, "caller_left", 0,
+           "caller-closed");
+  if (outbound->exchange != NULL)
+    http_exchange_cancel (outbound->exchange);
+  sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
+  sidecar_quota_release (outbound->sidecar, &outbound->quota,
+                         outbound->retry.offers > 0);
+  sidecar_outbound_release (outbound);
+}
+
 /// Sends the request to the best node that has not been tried yet, or ends it
 /// when there is none.
 static void
@@ -403,6 +418,14 @@
 {
   struct sidecar *sidecar = outbound->sidecar;
   uint64_t now = clock_monotonic_ms ();
+  if (http_request_is_abandoned (outbound->request))
+    {
+      struct http_request *request = outbound->request;
+      counter_add (&unsent_abandoned, 1);
+      end_abandoned (outbound);
+      http_reply_abort (request);
+      return;
+    }
   if (!has_valid_key (outbound))
     {
       end_key_removed (outbound);
@@ -421,7 +444,6 @@
       return;
     }
   struct directory_record *record = &sidecar->directory.records[node];
-  counter_add (&sent_abandoned, http_request_is_abandoned (outbound->request));
   reset_response (outbound);
   outbound->node = node;
   outbound->node_serial = record->serial;
@@ -738,13 +760,7 @@
   struct sidecar_outbound *outbound = request->context;
   if (outbound == NULL)
     return;
-  counter_add (&abandoned, 1);
-  log_end (outbound, &disconnect_log_limit, LOG_LEVEL_INFO, "caller_left", 0,
-           "caller-closed");
-  if (outbound->exchange != NULL)
-    http_exchange_cancel (outbound->exchange);
-  sidecar_outbound_report_result (outbound, PLACEMENT_CANCELLED);
-  sidecar_outbound_release (outbound);
+  end_abandoned (outbound);
 }
 
 static void
