Do not deliver requests that were cancelled on the way

The third cause of requests that are sent on after their clients have left: a cancelled exchange closed its connection in order, so the kernel went on to deliver the request's bytes, over a slow link or after a cut, and the close behind them. The target's node got a whole request.

Change: an exchange that is cancelled before the other machine has acknowledged its request resets the connection. The kernel then drops what is unsent and sends no more. A request that has arrived is cancelled by an orderly close as before.

Evidence: http_abandon_test, a request of 1 MiB to a server that does not read: before, the server got all of it after the cancellation; now its connection is reset. A request of 200 bytes that had arrived is still followed by an orderly close.

--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -412,7 +412,11 @@
   if (connection == NULL)
     return;
   connection->exchange = NULL;
-  counter_add (&cancelled_unsent, has_unsent_bytes (connection));
+  if (has_unsent_bytes (connection))
+    {
+      counter_add (&cancelled_unsent, 1);
+      http_socket_reset_on_close (bufferevent_getfd (connection->stream->bev));
+    }
   http_pool_close_connection (connection);
 }
 
--- a/src/transport/http_socket.c
+++ b/src/transport/http_socket.c
@@ -61,6 +61,14 @@
          && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+void
+http_socket_reset_on_close (evutil_socket_t fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  /* Without the option the close is orderly. */
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 bool
 http_peer_watch_is_lost (struct http_peer_watch *watch, evutil_socket_t fd,
                          uint64_t now_ms)
--- a/src/transport/http_socket.h
+++ b/src/transport/http_socket.h
@@ -18,6 +18,10 @@
 ///         even if bytes that it sent before are still unread
 bool http_socket_is_closed_by_peer (evutil_socket_t fd);
 
+/// Makes the next close a reset that drops what the peer has not acknowledged;
+/// the kernel would go on to deliver it.
+void http_socket_reset_on_close (evutil_socket_t fd);
+
 /// Tells a peer that has vanished from one that does not read. Both leave
 /// bytes unsent, but only the latter acknowledges what is sent, and the probes
 /// of its closed window. TCP_USER_TIMEOUT ends the connections of both.
