Take the first rise of the store's era for a restore, also from 0

The client took an era of 0 for none stated, so the first restore of a store that counts from 0 would have gone unnoticed. A rise after any answered call is a restore now.

--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -28,6 +28,7 @@
   enum store_call call;
   uint64_t revision; ///< that the call starts from or expects; 0: none
   uint64_t era;      ///< newest known one when the operation was started
+  bool era_known;    ///< the store had answered a call by then
   struct store_http_request wire;
   uint64_t response_timeout_ms; ///< further timeout after that for the
                                 ///< connect; 0 once it runs
@@ -165,23 +166,28 @@
                          ? NULL
                          : evhttp_find_header (
                              evhttp_request_get_input_headers (request), name);
-  uint64_t era = text == NULL ? 0 : strtoull (text, NULL, 10);
-  return era == 0 || era > STORE_ERA_MAX ? client->era : era;
+  char *end = NULL;
+  uint64_t era = text == NULL ? 0 : strtoull (text, &end, 10);
+  bool stated
+      = text != NULL && end != text && *end == '\0' && era <= STORE_ERA_MAX;
+  return stated ? era : client->era;
 }
 
-/// Notes the era of a response. A later one than before shows that the store
-/// was restored.
+/// Notes the era of a response. A later one than that of an earlier response
+/// shows that the store was restored.
 static void
 note_era (struct store_client *client, uint64_t era)
 {
   uint64_t before = client->era;
-  if (era <= before)
-    return;
-  client->era = era;
-  log_event (before == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
-             before == 0 ? "store_era" : "store_restored",
-             "era=%" PRIu64 " before=%" PRIu64, era, before);
-  if (before == 0)
+  bool restored = client->answered && era > before;
+  if (era > before)
+    client->era = era;
+  if (!client->answered || restored)
+    log_event (restored ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+               restored ? "store_restored" : "store_era",
+               "era=%" PRIu64 " before=%" PRIu64, era, before);
+  client->answered = true;
+  if (!restored)
     return;
   counter_add (&restores, 1);
   if (client->restored != NULL)
@@ -451,6 +457,7 @@
                                          .call = request->call,
                                          .revision = request->revision,
                                          .era = client->era,
+                                         .era_known = client->answered,
                                          .done = done,
                                          .arg = arg };
   struct store_http_request *wire = &operation->wire;
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -52,7 +52,8 @@
   size_t waiting;                 ///< number of operations in both queues
   bool reachable; ///< the last finished call got a response other
                   ///< than STATUS_UNAVAILABLE
-  uint64_t era;   ///< newest era that the store has stated; 0: none
+  bool answered;  ///< the store has answered a call
+  uint64_t era;   ///< newest era that the store has stated; 0 before
   void (*restored) (void *arg); ///< see store_client_on_restore; may be NULL
   void *restored_arg;
 };
