--- a/src/sidecar/sidecar_move.c
+++ b/src/sidecar/sidecar_move.c
@@ -76,60 +76,6 @@
   move->record_lost = false;
 }
 
-/// @return true when a move that has reached `record` has not gone beyond
-///         `known`
-static bool
-is_behind (const struct move_record *record, const struct move_record *known)
-{
-  if (record->order != known->order)
-    return true;
-  if (known->phase != MOVE_PHASE_RUNNING)
-    return record->phase != known->phase;
-  return record->phase == MOVE_PHASE_RUNNING
-         && record->share_bp < known->share_bp;
-}
-
-bool
-sidecar_move_merge_record (struct service_move *move,
-                           const struct move_record *record, uint64_t revision)
-{
-  bool restored = store_revision_era (revision)
-                  > store_revision_era (move->record_revision);
-  if (restored && sidecar_move_is_current (move)
-      && is_behind (record, &move->record))
-    {
-      move->record_revision = revision;
-      move->record_lost = true;
-      return false;
-    }
-  sidecar_move_set_record (move, record, revision);
-  return true;
-}
-
-/// @return true when an order is the current one, which the operator has
-///         written again after a restore of the store, or which its copy has
-static bool
-is_same_order (const struct service_move *move, const struct move_order *order)
-{
-  return strcmp (order->to_version, move->order.to_version) == 0
-         && order->duration_ms == move->order.duration_ms;
-}
-
-/// Goes on with the move under the order's new revision.
-static void
-keep_order (struct service_move *move, uint64_t revision)
-{
-  if (sidecar_move_is_current (move))
-    {
-      move->record.order = store_revision_number (revision);
-      move->record_lost = true;
-    }
-  move->order_revision = revision;
-  log_event (LOG_LEVEL_INFO, "move_order_kept",
-             "service=%s to=%s revision=%" PRIu64, move->service,
-             move->order.to_version, revision);
-}
-
 void
 sidecar_moves_on_order (struct sidecar *sidecar, const struct store_key *key,
                         const char *service)
@@ -147,18 +93,7 @@
   struct service_move *move = add_move (sidecar, service);
   if (move == NULL || key->revision <= move->order_revision)
     return;
-  bool restored = move->has_order
-                  && store_revision_era (key->revision)
-                         > store_revision_era (move->order_revision);
-  if (restored && is_same_order (move, &order))
-    {
-      keep_order (move, key->revision);
-      return;
-    }
-  /* The copy has the order before the current one, which will be written
-     again. */
-  if (restored
-      && store_revision_number (key->revision) <= move->replaced_order)
+  if (sidecar_move_keep_order (move, &order, key->revision))
     return;
   sidecar_move_stop_driving (move);
   move->replaced_order = store_revision_number (move->order_revision);
@@ -534,17 +469,6 @@
       sidecar_move_drive (&sidecar->moves->items[i], now);
 }
 
-void
-sidecar_moves_restored (struct sidecar *sidecar)
-{
-  for (size_t i = 0; i < MOVES_MAX; i++)
-    {
-      struct service_move *move = &sidecar->moves->items[i];
-      move->record_lost = move->has_record;
-      move->status_known = false;
-    }
-}
-
 enum status
 sidecar_moves_start (struct sidecar *sidecar)
 {
--- a/src/sidecar/sidecar_move.h
+++ b/src/sidecar/sidecar_move.h
@@ -1,5 +1,6 @@
 /// Moves of services to new target versions: the part of every node
-/// (sidecar_move.c) and the part of a move's driver (sidecar_move_driver.c).
+/// (sidecar_move.c), the part of a move's driver (sidecar_move_driver.c), and
+/// what a restore of the store changes (sidecar_move_restore.c).
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_MOVE_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_MOVE_H
 
@@ -99,6 +100,14 @@
                                 const struct move_record *record,
                                 uint64_t revision);
 
+/// Decides whether the current order stays although the store has another
+/// revision of it, or an earlier order, since it was restored. Goes on under
+/// the new revision of the current order.
+/// @return false for an order to follow from now on
+bool sidecar_move_keep_order (struct service_move *move,
+                              const struct move_order *order,
+                              uint64_t revision);
+
 /// @return the move of a service that this node follows, or NULL
 const struct service_move *sidecar_move_find (const struct sidecar *sidecar,
                                               const char *service);
--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -58,10 +58,6 @@
 /// first nodes of a mesh register.
 #define EARLY_READ_PAUSE_MS 300
 
-/// The nodes that register again after a restore of the store spread their
-/// writes over this time.
-#define RESTORE_SPREAD_MS 300
-
 static struct counter outages
     = COUNTER ("store_lost", "times that the store became unreachable");
 static struct counter relists
@@ -388,41 +384,6 @@
   sidecar->store->next_probe_ms = 0;
 }
 
-/// The store came back from an older copy. The entry of this node may be
-/// missing from it, and its lease may have ended or belong to another node.
-static void
-on_restored (void *arg)
-{
-  struct sidecar_store *store = arg;
-  struct sidecar *sidecar = store->sidecar;
-  uint64_t now = clock_monotonic_ms ();
-  log_event (LOG_LEVEL_WARNING, "store_view_outdated",
-             "view_era=%" PRIu64 " view_revision=%" PRIu64 " lease=%" PRIu64
-             " announced=%d",
-             store_revision_era (store->as_of),
-             store_revision_number (store->as_of), store->lease,
-             store->announced);
-  store_client_abandon (&sidecar->store_client);
-  store->lease = 0;
-  store->revision = 0;
-  store->announced = false;
-  store->relist = true;
-  store->view_checked_ms = 0;
-  store->next_watch_ms = now;
-  store->next_write_ms = now + rng_below (&sidecar->rng, RESTORE_SPREAD_MS);
-  sidecar_leave_restored (sidecar);
-  sidecar_moves_restored (sidecar);
-}
-
-void
-sidecar_store_note_era (struct sidecar *sidecar, uint64_t revision)
-{
-  if (store_revision_era (revision) <= sidecar->store_client.era)
-    return;
-  sidecar->store->renewed_ms = 0;
-  sidecar_store_probe_now (sidecar);
-}
-
 /// Renews the lease, or probes an unreachable store.
 static void
 renew (struct sidecar_store *store, uint64_t now_ms)
@@ -557,7 +518,8 @@
   snprintf (store->key, sizeof store->key, "%s" NODE_KEY_PREFIX "%s",
             sidecar->adapter->own_prefix, sidecar->settings.node);
   sidecar->store = store;
-  store_client_on_restore (&sidecar->store_client, on_restored, store);
+  store_client_on_restore (&sidecar->store_client, sidecar_store_restored,
+                           store);
   return sidecar_relay_start (sidecar);
 }
 
--- a/src/sidecar/sidecar_store.h
+++ b/src/sidecar/sidecar_store.h
@@ -1,7 +1,8 @@
 /// State of the node's connection to the store. sidecar_store.c owns it,
 /// sidecar_keys.c applies the keys that were read, sidecar_view.c serves the
 /// node's view (its local snapshot of the watched keys) to nodes that start,
-/// and sidecar_relay.c serves changes to the nodes that follow this one.
+/// sidecar_relay.c serves changes to the nodes that follow this one, and
+/// sidecar_restore.c handles the store's return from an older copy.
 #ifndef HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 #define HAWTHORNSEAM_SIDECAR_SIDECAR_STORE_H
 
@@ -81,6 +82,19 @@
                                   const struct mirror *view, uint64_t as_of,
                                   bool full);
 
+/* sidecar_restore.c */
+
+/// The store came back from an older copy: the entry of this node may be
+/// missing from it, and its lease may have ended or belong to another node.
+/// Registers again and reads everything again.
+/// @param arg  the struct sidecar_store
+void sidecar_store_restored (void *arg);
+
+/// Renews the lease now if another node has seen the store in a later era; the
+/// response states the era.
+/// @param revision  of that node's view
+void sidecar_store_note_era (struct sidecar *sidecar, uint64_t revision);
+
 /* sidecar_relay.c */
 enum status sidecar_relay_start (struct sidecar *sidecar);
 void sidecar_relay_stop (struct sidecar *sidecar);
@@ -99,11 +113,6 @@
 /// Called when a relay has the store again that it lacked: probes it at once.
 void sidecar_store_probe_now (struct sidecar *sidecar);
 
-/// Renews the lease now if another node has seen the store in a later era; the
-/// response states the era.
-/// @param revision  of that node's view
-void sidecar_store_note_era (struct sidecar *sidecar, uint64_t revision);
-
 /// @return true when this node is one of the relays of its zone
 bool sidecar_relay_is_member (const struct sidecar *sidecar);
 
