--- a/test/standin/platform_store.h
+++ b/test/standin/platform_store.h
@@ -73,7 +73,7 @@
 static uint64_t suppressed_revision;
 static uint64_t compacted_revision; ///< watches from below it get 410
 static uint64_t store_calls;
-static bool drop_response;     ///< the response to the current call is dropped
+static bool drop_response; ///< the response to the current call is dropped
 static uint64_t store_era; ///< stated in all responses
 
 /// What the store comes back with when it is restored.
