Count a write across the first restore from era 0 as unknown

A write that was sent in era 0 and answered in era 1 passed for done: the check still took era 0 for an unknown one. Its effect is in the new era, but it was based on what is lost, a lease for instance.

Evidence: three of 161 assertions of store_client_test fail on the code before, on the row added here; none now.

--- a/src/transport/store_client.c
+++ b/src/transport/store_client.c
@@ -230,12 +230,12 @@
   /* A response from before the restore, or a write that was sent before it:
      what it was based on, or its effect, may be lost. */
   bool unsettled = era < newest
-                   || (is_write (operation->call) && operation->era != 0
+                   || (is_write (operation->call) && operation->era_known
                        && operation->era < newest);
   if (unsettled)
     *reply
         = (struct store_reply){ .status = STATUS_UNKNOWN, .abandoned = true };
-  else if (has_start_revision (operation->call)
+  else if (has_start_revision (operation->call) && operation->revision != 0
            && store_revision_era (operation->revision) < newest)
     *reply = (struct store_reply){ .status = STATUS_TOO_OLD };
   else
--- a/test/unit/store_client_test.c
+++ b/test/unit/store_client_test.c
@@ -275,6 +275,7 @@
   } rows[] = {
     { "0", RESTORE_GET, 0, STATUS_OK, 0, 0, true },
     { "0", RESTORE_PUT, 0, STATUS_OK, 0, 0, true },
+    { "1", RESTORE_PUT, 0, STATUS_UNKNOWN, 0, 1, true },
     { "1", RESTORE_GET, 0, STATUS_OK, 1, 1, true },
     { "2", RESTORE_PUT, 1, STATUS_UNKNOWN, 0, 2, true },
     { "4", RESTORE_GET, 0, STATUS_OK, 4, 3, true },
