Remove left-overs of the restored store

An include of sidecar_store.c without use since its part moved to sidecar_restore.c, a control path of the stand-in that no test calls, and a loop of the soak's store that free_items does as well.

--- a/src/sidecar/sidecar_store.c
+++ b/src/sidecar/sidecar_store.c
@@ -5,7 +5,6 @@
 /// the cheapest call. The watch and writes of the entry resume once a
 /// keepalive was answered.
 #include "sidecar/sidecar_store.h"
-#include "sidecar/sidecar_leave.h"
 
 #include "base/clock.h"
 #include "base/log.h"
--- a/test/soak/soak_store.c
+++ b/test/soak/soak_store.c
@@ -58,11 +58,7 @@
   cancel_delayed_calls ();
   http_server_stop (&server);
   event_del (&lease_tick);
-  for (size_t i = 0; i < item_count; i++)
-    {
-      free (items[i].key);
-      free (items[i].value);
-    }
+  free_items (items, item_count);
   free_items (copy.items, copy.item_count);
 }
 
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -10,7 +10,6 @@
 ///                           and watches from an older revision get 410
 ///   POST /control/copy      takes the copy that the store is restored from
 ///   POST /control/restore   restores the store from it, in a new era
-///   GET /control/revision   current revision
 ///   POST /control/put?KEY   sets a key to the request body, as an operator
 ///   POST /control/remove?KEY removes a key, as an operator
 ///   GET /control/watches    number of open watches
@@ -99,12 +98,6 @@
       restore_copy ();
       http_reply (request, 200, NULL, "", 0);
     }
-  else if (strcmp (target, "/control/revision") == 0)
-    {
-      int size = snprintf (text, sizeof text, "%llu\n",
-                           (unsigned long long)revision);
-      http_reply (request, 200, NULL, text, (size_t)size);
-    }
   else if (strncmp (target, "/control/put?", 13) == 0)
     {
       size_t size = evbuffer_get_length (request->body);
