Do not watch the store before a starting node knows its zone

Cause: a node that has not joined knows no member but itself, so it is the relay of its zone. node_config.c watched the store for every relay from 250 ms after the start, so that each node which joined later than that read the head and every version from the store, three reads in this test. The entry points had such a check already (node_mesh_entry.c), the watch of the head had none. In a mesh of thousands of nodes that restart at once, all slow ones would read the configuration from the store.

Change: a node watches the store as a relay only when it has joined, when no entry point is listed, or three seconds after its start. The last is the time at which such a node reads the head for itself already.

The new case of node_mesh_test fails without it ("head_reads, 0").

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -74,6 +74,12 @@
 /// @return true when this node is a relay of its zone
 bool node_is_relay (const struct node *node);
 
+/// Tells whether this node watches the head record in the store. A node that
+/// has not joined knows no other member and so considers itself a relay; it
+/// watches the store only if no entry point is listed or if it has not joined
+/// within three seconds of its start.
+bool node_mesh_watches_store (const struct node *node);
+
 /// @return slot id of the live member that rendezvous hashing chooses for a
 /// role name
 uint64_t node_role_owner (const struct node *node, const char *role);
--- a/src/node/node_config.c
+++ b/src/node/node_config.c
@@ -137,7 +137,7 @@
 {
   struct node_config *config = arg;
   struct node *node = config->node;
-  if (config->busy || !node_is_relay (node)
+  if (config->busy || !node_mesh_watches_store (node)
       || clock_monotonic_ms () < config->next_ms)
     return;
   config->busy = true;
--- a/src/node/node_mesh.h
+++ b/src/node/node_mesh.h
@@ -67,12 +67,13 @@
   size_t waiting_count;
   struct mesh_query *reading; ///< queries that the read in progress answers
   size_t reading_count;
-  uint64_t next_ms;  ///< earliest time of the next read
-  bool running;      ///< a read is in progress
-  uint64_t seq;      ///< sequence number of this node's last query
-  uint64_t query_ms; ///< when to send this node's next query
-  uint64_t sent_ms;  ///< when this node's last query was sent
-  unsigned queries;  ///< queries of this node so far
+  uint64_t next_ms;     ///< earliest time of the next read
+  bool running;         ///< a read is in progress
+  uint64_t seq;         ///< sequence number of this node's last query
+  uint64_t query_ms;    ///< when to send this node's next query
+  uint64_t sent_ms;     ///< when this node's last query was sent
+  uint64_t unjoined_ms; ///< when a node that has not joined reads the store
+  unsigned queries;     ///< queries of this node so far
   bool ready_logged;
 };
 
--- a/src/node/node_mesh_head.c
+++ b/src/node/node_mesh_head.c
@@ -19,7 +19,7 @@
 #define READ_INTERVAL_MS 100   ///< limits reads to 10 a second
 #define QUERY_INTERVAL_MS 1000 ///< time between queries of this node
 /// A node that has not joined any other by this time reads the store itself.
-#define FIRST_QUERY_DELAY_MS 3000
+#define UNJOINED_DELAY_MS 3000
 /// Limit of peers that are asked for the floor of this node's slot: first up
 /// to FLOOR_PEERS_MAX - 2 successors on the ring, then the first relays of
 /// zones.
@@ -223,7 +223,8 @@
 {
   mesh->head.waiting = calloc (MESH_QUERIES_MAX, sizeof *mesh->head.waiting);
   mesh->head.reading = calloc (MESH_QUERIES_MAX, sizeof *mesh->head.reading);
-  mesh->head.query_ms = clock_monotonic_ms () + FIRST_QUERY_DELAY_MS;
+  mesh->head.unjoined_ms = clock_monotonic_ms () + UNJOINED_DELAY_MS;
+  mesh->head.query_ms = mesh->head.unjoined_ms;
   peer_register_handler (mesh->peers, MESSAGE_HEAD_QUERY, on_head_query, mesh);
   peer_register_handler (mesh->peers, MESSAGE_HEAD_REPLY, on_head_reply, mesh);
   peer_register_handler (mesh->peers, MESSAGE_FLOOR_QUERY, on_floor_query,
@@ -239,6 +240,15 @@
   free (mesh->head.reading);
 }
 
+bool
+node_mesh_watches_store (const struct node *node)
+{
+  const struct node_mesh *mesh = node->mesh;
+  return node_is_relay (node)
+         && (mesh->membership.joined || mesh->entry.list_empty
+             || clock_monotonic_ms () >= mesh->head.unjoined_ms);
+}
+
 void
 mesh_head_tick (struct node_mesh *mesh, uint64_t now_ms)
 {
--- a/test/unit/node_mesh_test.c
+++ b/test/unit/node_mesh_test.c
@@ -35,8 +35,11 @@
   uint8_t head[4096];
   size_t head_size;
   unsigned gets;
+  unsigned pending;    ///< calls without a reply
   const void *watched; ///< node whose lease grants are counted
   unsigned grants;     ///< leases granted to that node
+  const void *reader;  ///< watch of the head whose reads are counted
+  unsigned head_reads; ///< reads by that watch
 };
 
 struct fake_call
@@ -89,6 +92,7 @@
       reply.keys = keys;
       reply.key_count = store->entry_count;
     }
+  store->pending--;
   call->done (call->arg, &reply);
   free ((char *)call->key);
   free (call);
@@ -101,6 +105,7 @@
   struct fake_call *call = malloc (sizeof *call);
   *call = (struct fake_call){ store, key != NULL ? strdup (key) : NULL, list,
                               done, arg };
+  store->pending++;
   struct timeval soon = { .tv_usec = 2000 };
   event_base_once (store->base, -1, EV_TIMEOUT, reply_to_call, call, &soon);
 }
@@ -109,7 +114,9 @@
 fake_get (void *store, const char *key,
           void (*done) (void *arg, const struct store_reply *reply), void *arg)
 {
-  ((struct fake_store *)store)->gets++;
+  struct fake_store *fake = store;
+  fake->gets++;
+  fake->head_reads += arg == fake->reader;
   enqueue (store, key, false, done, arg);
 }
 
@@ -338,6 +345,39 @@
   CU_ASSERT_EQUAL (store.grants, 0);
 }
 
+static bool
+late_node_reads_head (void)
+{
+  return store.head_reads > 0;
+}
+
+static bool
+no_call_is_pending (void)
+{
+  return store.pending == 0;
+}
+
+/// Guards against starting nodes that take themselves for relays before they
+/// know their zone, and each read the configuration from the store.
+static void
+test_start_reads_no_head (void)
+{
+  struct node *late = &nodes[NODES];
+  store.outage = true; /* the entry points cannot be listed */
+  store.head_reads = 0;
+  start_node (NODES, 0);
+  CU_ASSERT_EQUAL_FATAL (node_config_start (late), STATUS_OK);
+  store.reader = late->config;
+  run_until (late_node_reads_head, 2500);
+  CU_ASSERT_EQUAL (store.head_reads, 0);
+  CU_ASSERT (run_until (late_node_reads_head, 5000) < 5000);
+  store.reader = NULL;
+  run_until (no_call_is_pending, 1000);
+  node_config_stop (late);
+  node_mesh_stop (late);
+  store.outage = false;
+}
+
 static bool
 late_node_is_ready (void)
 {
@@ -405,6 +445,8 @@
     test_restart_without_store },
   { "restarting nodes list themselves before they know their zone",
     test_restart_writes_no_entry },
+  { "starting nodes read the head before they know their zone",
+    test_start_reads_no_head },
   { "versions in force are not summed up for both zones", test_zone_sums },
   { "a node without seeds does not join or get a snapshot",
     test_snapshot_through_entry_point },
