--- a/test/run.sh
+++ b/test/run.sh
@@ -35,6 +35,8 @@
   else
     echo "failed 1" >"$RESULTS/$name"
     echo "FAILED $name"
+    # The logs of all processes may follow the reason.
+    grep -m 3 "^FAILED" "$log"
     tail -n 30 "$log"
   fi
 }
