--- a/review/standins-2/mesh.sh
+++ b/review/standins-2/mesh.sh
@@ -78,9 +78,10 @@
   NODE_PID[$1]=$!
 }
 
-# upstream_begin NODE SERVICE CAPACITY WORK_MS DOWN_MS: starts its upstream.
+# upstream_begin NODE SERVICE CAPACITY WORK_MS DOWN_MS [VERSION FAIL_PERCENT FAIL_PATH]:
+# starts its upstream.
 upstream_begin() {
-  "$TOOLS/upstream" "$(ip "$1"):8301" "$(ip "$1"):8306" "i-$1" "$2" "$3" "$4" "$5" "$RECORD" &
+  "$TOOLS/upstream" "$(ip "$1"):8301" "$(ip "$1"):8306" "i-$1" "$2" "$3" "$4" "$5" "$RECORD" "${@:6}" &
   PIDS+=($!)
   UPSTREAM_PID[$1]=$!
 }
--- a/review/standins-2/upstream.c
+++ b/review/standins-2/upstream.c
@@ -1,10 +1,12 @@
 /// Stand-in for an upstream, after PROTOCOL.md: one request at a time on a
 /// connection, CAPACITY requests at once, the others wait. Usage:
 ///   upstream LISTEN CONTROL ID SERVICE CAPACITY WORK_MS DOWN_MS RECORD
+///     [VERSION FAIL_PERCENT FAIL_PATH]
 /// LISTEN and CONTROL are IPv4:port. A request whose path contains "/poison/"
 /// crashes the process that begins to run it; it is started again DOWN_MS
 /// later, under another id. A heartbeat is sent each 1.5 s; after SIGUSR1 it
-/// says "draining". RECORD gets a line for each event.
+/// says "draining". It is of VERSION (v1) and answers FAIL_PERCENT (0) of the
+/// requests below FAIL_PATH with 500 after it has run them. RECORD gets a line for each event.
 #define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
@@ -27,7 +29,9 @@
 static struct sockaddr_in listen_address, control_address;
 static const char *listen_text, *base_id, *service;
 static char id[64];
-static int capacity, work_ms, down_ms, record;
+static const char *version = "v1", *fail_path = "/";
+static int capacity, work_ms, down_ms, record, fail_percent;
+static unsigned run_count;
 static unsigned incarnation;
 static volatile sig_atomic_t draining, stopping;
 static pthread_mutex_t slots_mutex = PTHREAD_MUTEX_INITIALIZER;
@@ -240,10 +244,16 @@
   pthread_mutex_unlock (&slots_mutex);
   if (!whole)
     return false;
+  bool fails = strncmp (path, fail_path, strlen (fail_path)) == 0
+               && (int)(__sync_add_and_fetch (&run_count, 1) * 37 % 100)
+                      < fail_percent;
+  if (fails)
+    note ("fails %s %s", request_id, path);
   char seal[160];
   snprintf (seal, sizeof seal, "Hawthornseam-Response-Seal: 1.%s\r\n",
             request_id);
-  return answer (fd, request_id, "200 OK", seal, id);
+  return answer (fd, request_id, fails ? "500 Internal Server Error" : "200 OK",
+                 seal, id);
 }
 
 static void *
@@ -270,10 +280,10 @@
   char body[512], text[1024], reply[512] = "";
   int size = snprintf (
       body, sizeof body,
-      "{\"Address\":\"%s\",\"Info\":{\"Service\":\"%s\",\"Version\":\"v1\","
+      "{\"Address\":\"%s\",\"Info\":{\"Service\":\"%s\",\"Version\":\"%s\","
       "\"Zone\":\"praha-a\",\"Capacity\":%d},\"Status\":{\"State\":\"%s\","
       "\"SeqNo\":%u,\"ColdLeft\":\"0ms\"},\"born\":%lld}",
-      listen_text, service, capacity, draining ? "draining" : "ready",
+      listen_text, service, version, capacity, draining ? "draining" : "ready",
       sequence, born);
   size = snprintf (text, sizeof text,
                    "POST /api/instances/%s/heartbeat HTTP/1.1\r\n"
@@ -366,7 +376,7 @@
 int
 main (int argc, char **argv)
 {
-  if (argc != 9 || !read_address (argv[1], &listen_address)
+  if ((argc != 9 && argc != 12) || !read_address (argv[1], &listen_address)
       || !read_address (argv[2], &control_address))
     return 2;
   listen_text = argv[1];
@@ -375,6 +385,12 @@
   capacity = atoi (argv[5]);
   work_ms = atoi (argv[6]);
   down_ms = atoi (argv[7]);
+  if (argc == 12)
+    {
+      version = argv[9];
+      fail_percent = atoi (argv[10]);
+      fail_path = argv[11];
+    }
   record = open (argv[8], O_WRONLY | O_APPEND | O_CREAT, 0644);
   snprintf (id, sizeof id, "%s", base_id);
   struct sigaction usr1 = { .sa_handler = on_usr1, .sa_flags = SA_RESTART };
