--- a/review/standins-2/client.c
+++ b/review/standins-2/client.c
@@ -5,6 +5,7 @@
 /// own for each request. A request that fails is repeated as PROTOCOL.md
 /// says, RETRIES times at most, each time with an id of its own and on a new
 /// connection; a Retry-After is kept up to a third of the time left.
+/// The environment's API_KEY, if set, is sent as Api-Key.
 /// RECORD gets a line for each attempt that is sent and answered, and one for
 /// each request: "done NAME KIND STATUS".
 #define _GNU_SOURCE
@@ -25,7 +26,7 @@
 #include <unistd.h>
 
 static struct sockaddr_in outbound;
-static const char *host, *path_format, *name, *kind;
+static const char *host, *path_format, *name, *kind, *api_key;
 static int deadline_ms, retries, record;
 static bool is_safe;
 static volatile int active;
@@ -105,8 +106,11 @@
   int size = snprintf (text, sizeof text,
                        "%s %s HTTP/1.1\r\nHost: %s\r\n"
                        "Hawthornseam-Request-Id: %s\r\n"
-                       "Hawthornseam-Deadline-Ms: %d\r\n%s\r\n",
+                       "Hawthornseam-Deadline-Ms: %d\r\n%s%s%s%s\r\n",
                        is_safe ? "GET" : "POST", path, host, request_id, left,
+                       api_key == NULL ? "" : "Api-Key: ",
+                       api_key == NULL ? "" : api_key,
+                       api_key == NULL ? "" : "\r\n",
                        is_safe ? "" : "Content-Length: 0\r\n");
   int status = 0;
   size_t used = 0;
@@ -199,6 +203,7 @@
   retries = atoi (argv[8]);
   record = open (argv[9], O_WRONLY | O_APPEND | O_CREAT, 0644);
   name = argv[10];
+  api_key = getenv ("API_KEY");
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   pthread_t thread;
   pthread_attr_t attributes;
