Tidy the stand-ins of the review

Cause: the format of the C files is part of lint; a port of the store could be that of another test (one run of case 7 with TROUBLE=0 could not run). Change: clang-format, a free port below the system's, an end of the script's own jobs only, and no option that no case uses. No check was changed.

--- a/review/standins-2/client.c
+++ b/review/standins-2/client.c
@@ -1,5 +1,6 @@
 /// Stand-in for the clients of a machine, after PROTOCOL.md. Usage:
-///   client OUTBOUND HOST PATH KIND RATE SECONDS DEADLINE_MS RETRIES RECORD NAME
+///   client OUTBOUND HOST PATH KIND RATE SECONDS DEADLINE_MS RETRIES RECORD
+///   NAME
 /// Sends RATE requests a second (0: a single one) for SECONDS, of KIND "safe"
 /// or "unsafe". PATH may contain "%d", which is replaced by a number of its
 /// own for each request. A request that fails is repeated as PROTOCOL.md
@@ -13,6 +14,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -20,7 +22,6 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/prctl.h>
-#include <signal.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -48,8 +49,8 @@
   int size = snprintf (line, sizeof line, "%.3f client %s ", now_s (), name);
   va_list list;
   va_start (list, format);
-  size += vsnprintf (line + size, sizeof line - (size_t)size - 2, format,
-                     list);
+  size
+      += vsnprintf (line + size, sizeof line - (size_t)size - 2, format, list);
   va_end (list);
   if (size > (int)sizeof line - 2)
     size = (int)sizeof line - 2;
@@ -103,15 +104,14 @@
   if (left <= 0)
     return 0;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
-  int size = snprintf (text, sizeof text,
-                       "%s %s HTTP/1.1\r\nHost: %s\r\n"
-                       "Hawthornseam-Request-Id: %s\r\n"
-                       "Hawthornseam-Deadline-Ms: %d\r\n%s%s%s%s\r\n",
-                       is_safe ? "GET" : "POST", path, host, request_id, left,
-                       api_key == NULL ? "" : "Api-Key: ",
-                       api_key == NULL ? "" : api_key,
-                       api_key == NULL ? "" : "\r\n",
-                       is_safe ? "" : "Content-Length: 0\r\n");
+  int size = snprintf (
+      text, sizeof text,
+      "%s %s HTTP/1.1\r\nHost: %s\r\n"
+      "Hawthornseam-Request-Id: %s\r\n"
+      "Hawthornseam-Deadline-Ms: %d\r\n%s%s%s%s\r\n",
+      is_safe ? "GET" : "POST", path, host, request_id, left,
+      api_key == NULL ? "" : "Api-Key: ", api_key == NULL ? "" : api_key,
+      api_key == NULL ? "" : "\r\n", is_safe ? "" : "Content-Length: 0\r\n");
   int status = 0;
   size_t used = 0;
   if (!open_connection (fd))
--- a/review/standins-2/idler.c
+++ b/review/standins-2/idler.c
@@ -20,8 +20,8 @@
   if (argc != 6 || sscanf (argv[1], "%31[^:]:%u", address, &port) != 2)
     return 2;
   prctl (PR_SET_PDEATHSIG, SIGKILL);
-  struct sockaddr_in to = { .sin_family = AF_INET,
-                            .sin_port = htons ((uint16_t)port) };
+  struct sockaddr_in to
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   inet_pton (AF_INET, address, &to.sin_addr);
   int record = open (argv[4], O_WRONLY | O_APPEND | O_CREAT, 0644);
   int count = atoi (argv[2]), opened = 0;
--- a/review/standins-2/mesh.sh
+++ b/review/standins-2/mesh.sh
@@ -10,22 +10,26 @@
 RECORD=$HERE/record.txt
 TROUBLE=${TROUBLE:-1}
 RUN=$(mktemp -d)
-PIDS=()
 NET=127.$((RANDOM % 100 + 60)).$((RANDOM % 250 + 1))
 # MaxFds of zapis-mesh, as far as the machine allows.
 NODE_FDS=4100
 [ "$(ulimit -H -n)" = unlimited ] || [ "$(ulimit -H -n)" -ge $NODE_FDS ] || NODE_FDS=$(ulimit -H -n)
-STORE_PORT=$((RANDOM % 9000 + 20000)) # below the ports that the system gives out
+STORE_PORT=
 : >"$RECORD"
 
 cleanup() {
-  kill "${PIDS[@]}" 2>/dev/null
+  # Only processes that this script started and that still run.
+  local pids
+  pids=$(jobs -pr)
+  [ -z "$pids" ] || kill $pids 2>/dev/null
   sleep 0.3
-  kill -KILL "${PIDS[@]}" 2>/dev/null
+  pids=$(jobs -pr)
+  [ -z "$pids" ] || kill -KILL $pids 2>/dev/null
   wait 2>/dev/null
   rm -rf "$RUN"
 }
 trap cleanup EXIT
+trap "exit 2" INT TERM
 
 cannot_run() { echo "could not run: $*"; exit 2; }
 say() { echo "$(awk '{print $1}' /proc/uptime) script $*" >>"$RECORD"; }
@@ -36,13 +40,21 @@
 
 ip() { echo "$NET.$((10 + $1))"; }
 
-# store_begin: starts the stand-in of the platform's store.
+# store_begin: starts the stand-in of the platform's store on a free port below
+# those that the system gives out.
 store_begin() {
-  "$PLATFORM" "$STORE_PORT" >"$RUN/platform.log" 2>&1 &
-  PIDS+=($!)
-  for _ in $(seq 100); do
-    curl -s -m 1 -o /dev/null "http://127.0.0.1:$STORE_PORT/control/runs" && return
-    sleep 0.1
+  local pid
+  for _ in 1 2 3 4 5; do
+    STORE_PORT=$((RANDOM % 2700 + 30000))
+    "$PLATFORM" "$STORE_PORT" >"$RUN/platform.log" 2>&1 &
+    pid=$!
+    for _ in $(seq 50); do
+      sleep 0.1
+      kill -0 $pid 2>/dev/null || continue 2
+      curl -s -m 1 -o /dev/null "http://127.0.0.1:$STORE_PORT/control/runs" || continue
+      return
+    done
+    kill $pid 2>/dev/null
   done
   cannot_run "the store does not answer"
 }
@@ -75,7 +87,6 @@
   settings "$@"
   (cd "$ROOT" && ulimit -n "$NODE_FDS" && HAWTHORNSEAM_SETTINGS=$RUN/$1.yaml exec target/hawthornseam-sidecar) \
     >"$RUN/$1.log" 2>&1 &
-  PIDS+=($!)
   NODE_PID[$1]=$!
 }
 
@@ -83,7 +94,6 @@
 # starts its upstream.
 upstream_begin() {
   "$TOOLS/upstream" "$(ip "$1"):8301" "$(ip "$1"):8306" "i-$1" "$2" "$3" "$4" "$5" "$RECORD" "${@:6}" &
-  PIDS+=($!)
   UPSTREAM_PID[$1]=$!
 }
 
@@ -91,7 +101,6 @@
 # background.
 client() {
   "$TOOLS/client" "$(ip "$1"):8304" zapis.example "$2" "$3" "$4" "$5" "$6" "$7" "$RECORD" "$8" &
-  PIDS+=($!)
   CLIENT_PID=$!
 }
 
--- a/review/standins-2/uploader.c
+++ b/review/standins-2/uploader.c
@@ -1,15 +1,12 @@
 /// Stand-in for a client that uploads a body, after PROTOCOL.md. Usage:
 ///   uploader OUTBOUND HOST PATH BYTES PAUSE_MS DEADLINE_MS RECORD NAME
-///     [FIRST_BYTES GET_PATH]
-/// Sends the head of a POST and FIRST_BYTES (0) of its body, pauses for
-/// PAUSE_MS, sends the rest at full speed, and reads the answer. With
-/// GET_PATH, the connection has carried a GET request before.
+/// Sends the head of a POST, pauses for PAUSE_MS, sends the body with its
+/// length at full speed, and reads the answer.
 #define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
-#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,10 +32,9 @@
 {
   while (left > 0)
     {
-      ssize_t sent = send (fd, part,
-                           left < (long long)sizeof part ? (size_t)left
-                                                         : sizeof part,
-                           MSG_NOSIGNAL);
+      ssize_t sent = send (
+          fd, part, left < (long long)sizeof part ? (size_t)left : sizeof part,
+          MSG_NOSIGNAL);
       if (sent <= 0)
         break;
       left -= sent;
@@ -46,34 +42,18 @@
   return left;
 }
 
-/// Sends a GET request and reads its answer, which fits into one read here.
-static bool
-get (int fd, const char *host, const char *path, const char *id)
-{
-  char text[1024], reply[8192];
-  int size = snprintf (text, sizeof text,
-                       "GET %s HTTP/1.1\r\nHost: %s\r\n"
-                       "Hawthornseam-Request-Id: %s-get\r\n"
-                       "Hawthornseam-Deadline-Ms: 2500\r\n\r\n",
-                       path, host, id);
-  if (send (fd, text, (size_t)size, MSG_NOSIGNAL) != size)
-    return false;
-  ssize_t got = recv (fd, reply, sizeof reply - 1, 0);
-  return got > 12 && atoi (reply + 9) == 200;
-}
-
 int
 main (int argc, char **argv)
 {
   char address[32], head[1024], line[512], reply[8192] = "";
   unsigned port;
-  if ((argc != 9 && argc != 11) || sscanf (argv[1], "%31[^:]:%u", address, &port) != 2)
+  if (argc != 9 || sscanf (argv[1], "%31[^:]:%u", address, &port) != 2)
     return 2;
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   long long left = atoll (argv[4]);
   int record = open (argv[7], O_WRONLY | O_APPEND | O_CREAT, 0644);
-  struct sockaddr_in to = { .sin_family = AF_INET,
-                            .sin_port = htons ((uint16_t)port) };
+  struct sockaddr_in to
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   inet_pton (AF_INET, address, &to.sin_addr);
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   int size = snprintf (head, sizeof head,
@@ -82,18 +62,15 @@
                        "Hawthornseam-Deadline-Ms: %s\r\n"
                        "Content-Length: %lld\r\n\r\n",
                        argv[3], argv[2], argv[8], argv[6], left);
-  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0
-      || (argc == 11 && !get (fd, argv[2], argv[10], argv[8])))
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0)
     return 2;
   double end = now_s () + atoi (argv[6]) / 1000.0;
-  long long first = argc == 11 ? atoll (argv[9]) : 0;
   if (send (fd, head, (size_t)size, MSG_NOSIGNAL) != size)
     return 2;
   size = snprintf (line, sizeof line, "%.3f client %s sent head of %s\n",
                    now_s (), argv[8], argv[3]);
   if (write (record, line, (size_t)size) < 0)
     return 2;
-  left = left - first + send_body (fd, first);
   usleep ((useconds_t)atoi (argv[5]) * 1000);
   left = send_body (fd, left);
   size = snprintf (line, sizeof line, "%.3f client %s sent body, left %lld\n",
--- a/review/standins-2/upstream.c
+++ b/review/standins-2/upstream.c
@@ -6,7 +6,8 @@
 /// crashes the process that begins to run it; it is started again DOWN_MS
 /// later, under another id. A heartbeat is sent each 1.5 s; after SIGUSR1 it
 /// says "draining". It is of VERSION (v1) and answers FAIL_PERCENT (0) of the
-/// requests below FAIL_PATH with 500 after it has run them. RECORD gets a line for each event.
+/// requests below FAIL_PATH with 500 after it has run them. RECORD gets a line
+/// for each event.
 #define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
@@ -55,8 +56,8 @@
   int size = snprintf (line, sizeof line, "%.3f upstream %s ", now_s (), id);
   va_list list;
   va_start (list, format);
-  size += vsnprintf (line + size, sizeof line - (size_t)size - 2, format,
-                     list);
+  size
+      += vsnprintf (line + size, sizeof line - (size_t)size - 2, format, list);
   va_end (list);
   if (size > (int)sizeof line - 2)
     size = (int)sizeof line - 2;
@@ -252,8 +253,8 @@
   char seal[160];
   snprintf (seal, sizeof seal, "Hawthornseam-Response-Seal: 1.%s\r\n",
             request_id);
-  return answer (fd, request_id, fails ? "500 Internal Server Error" : "200 OK",
-                 seal, id);
+  return answer (fd, request_id,
+                 fails ? "500 Internal Server Error" : "200 OK", seal, id);
 }
 
 static void *
@@ -290,13 +291,12 @@
                    "Host: control\r\nContent-Type: application/json\r\n"
                    "Connection: close\r\nContent-Length: %d\r\n\r\n%s",
                    id, size, body);
-  bool good
-      = connect (fd, (struct sockaddr *)&control_address,
-                 sizeof control_address)
-            == 0
-        && send_all (fd, text, (size_t)size)
-        && recv (fd, reply, sizeof reply - 1, 0) > 12
-        && strncmp (reply + 9, "200", 3) == 0;
+  bool good = connect (fd, (struct sockaddr *)&control_address,
+                       sizeof control_address)
+                  == 0
+              && send_all (fd, text, (size_t)size)
+              && recv (fd, reply, sizeof reply - 1, 0) > 12
+              && strncmp (reply + 9, "200", 3) == 0;
   close (fd);
   return good;
 }
